Lay out the workspace and the shared model

A workspace of fifteen small crates whose dependencies go one way, so that the parts can be built side by side. The model crate has checked names, verdicts, request ids, piece keys and typed rows; the other crates are empty.

--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Load and decision benchmarks.
+
+fn main() {}
--- /dev/null
+++ b/crates/berylmount/src/main.rs
@@ -0,0 +1,3 @@
+//! The berylmount binary.
+
+fn main() {}
--- /dev/null
+++ b/crates/dispatch/src/lib.rs
@@ -0,0 +1,1 @@
+//! The dispatch role: targets.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry role: callers and operators.
--- /dev/null
+++ b/crates/ledger/src/lib.rs
@@ -0,0 +1,1 @@
+//! Exactly-once records of work orders and certifications.
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,26 @@
+//! Identifiers, table rows and verdicts shared by every berylmount crate.
+//!
+//! This crate holds plain data without I/O. Everything above it depends on it,
+//! and it depends on no other crate of the workspace.
+
+mod instance;
+mod names;
+mod piece;
+mod request;
+mod rows;
+mod verdict;
+
+pub use crate::{
+    instance::{InstanceRecord, InstanceRole, InstanceState},
+    names::{
+        CustomerName, DataCentre, InstanceName, ModelName, NameError, OrderKey, PoolName,
+        VersionName, WorkName,
+    },
+    piece::{piece_chain, PieceKey, PieceScope, PIECE_TOKENS},
+    request::{AttemptId, DigestChain, IdError, RequestId},
+    rows::{
+        CustomerRow, LimitRow, ModelRow, PoolRole, PoolRow, RowKey, RowKind, TableRow, WorkClass,
+        WorkRow,
+    },
+    verdict::{CallRefusal, RefusalReason, RequestVerdict},
+};
--- /dev/null
+++ b/crates/peers/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of the system's own processes.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Checked settings of a berylmount process.
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for outside systems, and the harness that runs processes in tests.
--- /dev/null
+++ b/crates/table/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' table: shards, edits, watches and read-back.
--- /dev/null
+++ b/crates/targets/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of model engines, kept-cache stores and plain services.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Protocol between berylmount processes: h2 streams with bincode.
