Decide assignment, limits, queueing, runners, caching and retries in a pure crate

Cause: entry and dispatch need one place for their decisions that fuzz tests and benches can drive without processes. Weighed and ruled out: traits for each decision (the set is closed, so structs and enums do), and work held in maps keyed by names (dense ids and sorted vectors instead). Change: the policy crate, simple versions of every decision, with time and randomness passed in; PieceKey gains as_bytes in the model crate, because rendezvous hashing needs the raw key.

--- a/crates/model/src/piece.rs
+++ b/crates/model/src/piece.rs
@@ -33,6 +33,13 @@
 #[serde(try_from = "String", into = "String")]
 pub struct PieceKey([u8; 32]);
 
+impl PieceKey {
+    /// The key's bytes, such as for hashing.
+    pub fn as_bytes(&self) -> &[u8; 32] {
+        &self.0
+    }
+}
+
 impl fmt::Display for PieceKey {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&hex::encode(self.0))
--- /dev/null
+++ b/crates/policy/src/groups.rs
@@ -0,0 +1,184 @@
+//! Which dispatch group an entry asks.
+//!
+//! A prompt has a home group by its first piece, where its cache probably is.
+//! It goes elsewhere when waiting there, the distance or failures cost more
+//! than the prefill that the home would save.
+
+use crate::assignment::pair_hash;
+use rand::{Rng, RngExt};
+
+/// Time added to the score for each failure seen lately, in milliseconds.
+const FAILURE_MS: f64 = 400.0;
+/// Time in which a failure's weight halves, in milliseconds.
+const FAILURE_HALF_MS: f64 = 3_000.0;
+/// Scores within this time of the best are drawn evenly, in milliseconds.
+const TIE_MS: f64 = 2.0;
+
+/// A dispatch group, by dense id.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct GroupId(pub u32);
+
+/// A chosen group.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct GroupChoice {
+    /// The group.
+    pub group: GroupId,
+    /// The expected wait there, the way included, in milliseconds.
+    pub expected_ms: f64,
+    /// Whether it is the prompt's home.
+    pub home: bool,
+}
+
+/// One group.
+#[derive(Clone, Debug)]
+struct GroupState {
+    name: String,
+    distance_ms: f64,
+    runners: f64,
+    present: bool,
+    reported_ms: f64,
+    report_at_ms: u64,
+    /// Work sent after the last report, in milliseconds of prefill.
+    sent: Vec<(u64, f64)>,
+    failures: f64,
+    failed_ms: u64,
+}
+
+impl GroupState {
+    fn failures_at(&self, now_ms: u64) -> f64 {
+        let passed = now_ms.saturating_sub(self.failed_ms) as f64;
+        self.failures * 0.5f64.powf(passed / FAILURE_HALF_MS)
+    }
+
+    fn wait_ms(&self, now_ms: u64) -> f64 {
+        let passed = now_ms.saturating_sub(self.report_at_ms) as f64;
+        let sent: f64 = self.sent.iter().map(|&(_, ms)| ms).sum();
+        (self.reported_ms + sent / self.runners.max(1.0) - passed).max(0.0)
+    }
+
+    fn score_ms(&self, now_ms: u64) -> f64 {
+        self.distance_ms + self.wait_ms(now_ms) + FAILURE_MS * self.failures_at(now_ms)
+    }
+}
+
+/// The groups of one pool, as one entry sees them.
+///
+/// ```
+/// use berylmount_policy::GroupBoard;
+/// use rand::SeedableRng;
+///
+/// let mut rng = rand_pcg::Pcg32::seed_from_u64(1);
+/// let mut board = GroupBoard::default();
+/// let near = board.add_group("models/north/0", 1.0, 4);
+/// let far = board.add_group("models/south/0", 5.0, 4);
+/// assert_eq!(board.choose(None, 0.0, &[], 0, &mut rng).unwrap().group, near);
+/// board.report(near, 300.0, 0);
+/// assert_eq!(board.choose(None, 0.0, &[], 0, &mut rng).unwrap().group, far);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct GroupBoard {
+    groups: Vec<GroupState>,
+}
+
+impl GroupBoard {
+    /// Adds a group of `runners` that is `distance_ms` away.
+    pub fn add_group(&mut self, name: &str, distance_ms: f64, runners: u32) -> GroupId {
+        self.groups.push(GroupState {
+            name: name.to_owned(),
+            distance_ms,
+            runners: f64::from(runners),
+            present: true,
+            reported_ms: 0.0,
+            report_at_ms: 0,
+            sent: Vec::new(),
+            failures: 0.0,
+            failed_ms: 0,
+        });
+        GroupId(self.groups.len() as u32 - 1)
+    }
+
+    /// Says whether a group has an owner that can be reached.
+    pub fn set_present(&mut self, group: GroupId, present: bool) {
+        if let Some(state) = self.groups.get_mut(group.0 as usize) {
+            state.present = present;
+        }
+    }
+
+    /// Takes in the wait that a group reported at `at_ms`, in milliseconds.
+    ///
+    /// Own work sent after that time still counts on top.
+    pub fn report(&mut self, group: GroupId, wait_ms: f64, at_ms: u64) {
+        if let Some(state) = self.groups.get_mut(group.0 as usize) {
+            if at_ms >= state.report_at_ms {
+                state.reported_ms = wait_ms.max(0.0);
+                state.report_at_ms = at_ms;
+                state.sent.retain(|&(sent_ms, _)| sent_ms > at_ms);
+            }
+        }
+    }
+
+    /// Counts work of `prefill_ms` that was sent to `group`.
+    pub fn note_sent(&mut self, group: GroupId, prefill_ms: f64, now_ms: u64) {
+        if let Some(state) = self.groups.get_mut(group.0 as usize) {
+            if state.sent.len() >= 1024 {
+                state.sent.drain(..512);
+            }
+            state.sent.push((now_ms, prefill_ms));
+        }
+    }
+
+    /// Notes that a call to `group` failed or was refused.
+    pub fn note_failure(&mut self, group: GroupId, now_ms: u64) {
+        if let Some(state) = self.groups.get_mut(group.0 as usize) {
+            state.failures = state.failures_at(now_ms) + 1.0;
+            state.failed_ms = now_ms;
+        }
+    }
+
+    /// The group with the earliest expected first token.
+    ///
+    /// `first_key` names the prompt's first piece, and `home_saves_ms` is the
+    /// prefill time that its home would save. Groups in `avoid` are left out.
+    pub fn choose(
+        &self,
+        first_key: Option<&[u8]>,
+        home_saves_ms: f64,
+        avoid: &[GroupId],
+        now_ms: u64,
+        rng: &mut impl Rng,
+    ) -> Option<GroupChoice> {
+        let home = first_key.and_then(|key| self.home(key));
+        let mut best: Option<(f64, GroupChoice)> = None;
+        let mut ties = 0;
+        for (place, state) in self.groups.iter().enumerate() {
+            let group = GroupId(place as u32);
+            if !state.present || avoid.contains(&group) {
+                continue;
+            }
+            let at_home = home == Some(group);
+            let score = state.score_ms(now_ms) + if at_home { 0.0 } else { home_saves_ms };
+            let choice = GroupChoice {
+                group,
+                expected_ms: state.distance_ms + state.wait_ms(now_ms),
+                home: at_home,
+            };
+            let limit = best.map_or(f64::INFINITY, |(score, _)| score);
+            if score < limit - TIE_MS {
+                (best, ties) = (Some((score, choice)), 1);
+            } else if score <= limit + TIE_MS {
+                ties += 1;
+                if rng.random_range(0..ties) == 0 {
+                    best = Some((score, choice));
+                }
+            }
+        }
+        best.map(|(_, choice)| choice)
+    }
+
+    /// The home of the prompt whose first piece is `key`.
+    pub fn home(&self, key: &[u8]) -> Option<GroupId> {
+        let present = self.groups.iter().enumerate().filter(|(_, g)| g.present);
+        let best = present.max_by_key(|(_, state)| pair_hash(key, &state.name));
+        best.map(|(place, _)| GroupId(place as u32))
+    }
+}
--- /dev/null
+++ b/crates/policy/src/keeping.rs
@@ -0,0 +1,360 @@
+//! What to keep when a run ends, in which store and tier.
+//!
+//! The book predicts when each prompt returns, from the gaps seen so far. A
+//! full tier gives up what returns last, or what is long overdue; what returns
+//! later than all that is kept is not even exported.
+
+use crate::assignment::{rank_members, MemberWeight};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Gap assumed for a prompt before any was seen to return, in milliseconds.
+const FIRST_GAP_MS: f64 = 3_600_000.0;
+/// Part of a new gap that counts.
+const GAP_PART: f64 = 0.3;
+/// Times its gap after which a prompt counts as never returning.
+const OVERDUE_GAPS: f64 = 3.0;
+/// Times the usual gap assumed for a prompt that has not returned yet.
+const NEW_PROMPT_GAPS: f64 = 2.0;
+
+/// A store, by its place among the stores of the book.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct StoreId(pub u32);
+
+/// Where in a store a prompt is kept.
+#[derive(
+    Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, strum::Display, strum::EnumIter,
+)]
+#[strum(serialize_all = "snake_case")]
+pub enum StoreTier {
+    /// Memory.
+    Memory,
+    /// Disk.
+    Disk,
+}
+
+/// One store with the bytes that this process may use of it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StoreShare {
+    /// The store's name.
+    pub name: String,
+    /// Bytes of memory.
+    pub memory_bytes: u64,
+    /// Bytes of disk.
+    pub disk_bytes: u64,
+}
+
+impl StoreShare {
+    fn bytes(&self, tier: StoreTier) -> u64 {
+        match tier {
+            StoreTier::Memory => self.memory_bytes,
+            StoreTier::Disk => self.disk_bytes,
+        }
+    }
+}
+
+/// Where a prompt is, or goes.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct KeptPlace {
+    /// The store.
+    pub store: StoreId,
+    /// The tier.
+    pub tier: StoreTier,
+}
+
+/// A change to a prompt that was kept before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct KeptMove {
+    /// The prompt.
+    pub prompt: u64,
+    /// Where it was.
+    pub from: KeptPlace,
+    /// Where it goes; nothing says that it is freed.
+    pub to: Option<StoreTier>,
+}
+
+/// What to do with a prompt's cache when its run ends.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct KeepPlan {
+    /// Where to keep it; nothing says not to.
+    pub place: Option<KeptPlace>,
+    /// The store to use if that one fails.
+    pub second: Option<StoreId>,
+    /// Whether the same bytes are there already.
+    pub present: bool,
+    /// What gives way for it.
+    pub moves: Vec<KeptMove>,
+}
+
+/// What is known of one prompt.
+#[derive(Clone, Copy, Debug)]
+struct PromptState {
+    last_ms: u64,
+    gap_ms: f64,
+    returns: u32,
+    bytes: u64,
+    place: Option<KeptPlace>,
+    /// Predicted return, as its tier is ordered.
+    due_ms: u64,
+}
+
+/// What one tier of one store holds.
+#[derive(Clone, Debug, Default)]
+struct TierState {
+    /// Prompts by predicted return.
+    order: BTreeSet<(u64, u64)>,
+    used_bytes: u64,
+}
+
+/// What this process keeps in the stores.
+///
+/// Prompts are named by a 64-bit hash of their last kept piece's key.
+///
+/// ```
+/// use berylmount_policy::{keeping::StoreShare, KeepBook, StoreTier};
+///
+/// let share = StoreShare { name: "keep-a".to_owned(), memory_bytes: 100, disk_bytes: 100 };
+/// let mut book = KeepBook::new(vec![share], 1_000);
+/// let plan = book.run_ended(1, 60, 0);
+/// assert_eq!(plan.place.map(|place| place.tier), Some(StoreTier::Memory));
+/// book.run_ended(2, 60, 10);
+/// assert!(book.place(1).is_some() && book.place(2).is_some());
+/// ```
+#[derive(Clone, Debug)]
+pub struct KeepBook {
+    stores: Vec<StoreShare>,
+    tiers: Vec<[TierState; 2]>,
+    prompts: BTreeMap<u64, PromptState>,
+    most_prompts: usize,
+    usual_gap_ms: f64,
+    any_return: bool,
+}
+
+impl KeepBook {
+    /// An empty book that knows at most `most_prompts`.
+    pub fn new(stores: Vec<StoreShare>, most_prompts: usize) -> Self {
+        let tiers = stores.iter().map(|_| Default::default()).collect();
+        Self {
+            stores,
+            tiers,
+            prompts: BTreeMap::new(),
+            most_prompts: most_prompts.max(1),
+            usual_gap_ms: FIRST_GAP_MS,
+            any_return: false,
+        }
+    }
+
+    /// Where `prompt` is kept, as far as known.
+    pub fn place(&self, prompt: u64) -> Option<KeptPlace> {
+        self.prompts.get(&prompt).and_then(|state| state.place)
+    }
+
+    /// Prompts known.
+    pub fn len(&self) -> usize {
+        self.prompts.len()
+    }
+
+    /// Whether no prompt is known.
+    pub fn is_empty(&self) -> bool {
+        self.prompts.is_empty()
+    }
+
+    /// Decides what to keep of `prompt`, whose cache takes `bytes`.
+    ///
+    /// The book assumes that the plan is carried out; call
+    /// [`KeepBook::note_lost`] if it is not.
+    pub fn run_ended(&mut self, prompt: u64, bytes: u64, now_ms: u64) -> KeepPlan {
+        let before = self.place(prompt);
+        self.unlink(prompt);
+        self.note_use(prompt, bytes, now_ms);
+        let ranked = self.rank(prompt);
+        let mut plan = KeepPlan {
+            second: ranked.get(1).copied(),
+            ..KeepPlan::default()
+        };
+        if let Some(&store) = ranked.first() {
+            plan.place = self.settle(prompt, store, now_ms, &mut plan.moves);
+        }
+        plan.present = before.is_some() && plan.place.map(|p| p.store) == before.map(|p| p.store);
+        self.drop_excess();
+        plan
+    }
+
+    /// Forgets that `prompt` is kept, such as after its store died or refused.
+    pub fn note_lost(&mut self, prompt: u64) {
+        self.unlink(prompt);
+    }
+
+    /// Forgets all that `store` kept.
+    pub fn forget_store(&mut self, store: StoreId) {
+        let held = self.prompts.iter().filter(|(_, state)| {
+            let place = state.place;
+            place.is_some_and(|place| place.store == store)
+        });
+        let lost: Vec<u64> = held.map(|(&prompt, _)| prompt).collect();
+        lost.into_iter().for_each(|prompt| self.unlink(prompt));
+    }
+
+    fn rank(&self, prompt: u64) -> Vec<StoreId> {
+        let names = self.stores.iter().map(|s| MemberWeight::equal(&s.name));
+        let members: Vec<MemberWeight> = names.collect();
+        let ranked = rank_members(&prompt.to_le_bytes(), &members, 2);
+        ranked.into_iter().map(|n| StoreId(n as u32)).collect()
+    }
+
+    /// Learns the gap since the last use.
+    fn note_use(&mut self, prompt: u64, bytes: u64, now_ms: u64) {
+        let usual = self.usual_gap_ms;
+        let state = self.prompts.entry(prompt).or_insert(PromptState {
+            last_ms: now_ms,
+            gap_ms: NEW_PROMPT_GAPS * usual,
+            returns: 0,
+            bytes,
+            place: None,
+            due_ms: 0,
+        });
+        let gap = now_ms.saturating_sub(state.last_ms) as f64;
+        if gap > 0.0 {
+            let first = state.returns == 0;
+            state.gap_ms = if first { gap } else { mix(state.gap_ms, gap) };
+            state.returns += 1;
+            self.usual_gap_ms = if self.any_return {
+                mix(usual, gap)
+            } else {
+                gap
+            };
+            self.any_return = true;
+        }
+        state.last_ms = now_ms;
+        state.bytes = bytes;
+        state.due_ms = now_ms.saturating_add(state.gap_ms as u64);
+    }
+
+    /// Finds room for `prompt` in `store`, memory first.
+    fn settle(
+        &mut self,
+        prompt: u64,
+        store: StoreId,
+        now_ms: u64,
+        moves: &mut Vec<KeptMove>,
+    ) -> Option<KeptPlace> {
+        for tier in [StoreTier::Memory, StoreTier::Disk] {
+            let place = KeptPlace { store, tier };
+            let Some(victims) = self.victims(prompt, place, now_ms) else {
+                continue;
+            };
+            for victim in victims {
+                self.unlink(victim);
+                let lower = tier == StoreTier::Memory && !self.is_overdue(victim, now_ms);
+                let to = lower.then(|| self.demote(victim, store, now_ms, moves));
+                moves.push(KeptMove {
+                    prompt: victim,
+                    from: place,
+                    to: to.flatten(),
+                });
+            }
+            self.link(prompt, place);
+            return Some(place);
+        }
+        None
+    }
+
+    /// Moves a prompt from memory to disk, if it may stay there.
+    fn demote(
+        &mut self,
+        prompt: u64,
+        store: StoreId,
+        now_ms: u64,
+        moves: &mut Vec<KeptMove>,
+    ) -> Option<StoreTier> {
+        let place = KeptPlace {
+            store,
+            tier: StoreTier::Disk,
+        };
+        let victims = self.victims(prompt, place, now_ms)?;
+        for victim in victims {
+            self.unlink(victim);
+            moves.push(KeptMove {
+                prompt: victim,
+                from: place,
+                to: None,
+            });
+        }
+        self.link(prompt, place);
+        Some(StoreTier::Disk)
+    }
+
+    /// What must give way at `place` for `prompt`; nothing if it should not.
+    fn victims(&self, prompt: u64, place: KeptPlace, now_ms: u64) -> Option<Vec<u64>> {
+        let wanted = self.prompts[&prompt];
+        let tier = &self.tiers[place.store.0 as usize][place.tier as usize];
+        let room = self.stores[place.store.0 as usize].bytes(place.tier);
+        if wanted.bytes > room {
+            return None;
+        }
+        let mut excess = (tier.used_bytes + wanted.bytes).saturating_sub(room);
+        let overdue = tier
+            .order
+            .iter()
+            .take_while(|(_, p)| self.is_overdue(*p, now_ms));
+        let late = tier.order.iter().rev();
+        let late = late.take_while(|(due, _)| *due > wanted.due_ms);
+        let mut victims = Vec::new();
+        for &(_, victim) in overdue.chain(late) {
+            if excess == 0 {
+                break;
+            }
+            if !victims.contains(&victim) {
+                excess = excess.saturating_sub(self.prompts[&victim].bytes);
+                victims.push(victim);
+            }
+        }
+        (excess == 0).then_some(victims)
+    }
+
+    fn is_overdue(&self, prompt: u64, now_ms: u64) -> bool {
+        let state = &self.prompts[&prompt];
+        let away = now_ms.saturating_sub(state.last_ms) as f64;
+        away > OVERDUE_GAPS * state.gap_ms
+    }
+
+    fn link(&mut self, prompt: u64, place: KeptPlace) {
+        if let Some(state) = self.prompts.get_mut(&prompt) {
+            let tier = &mut self.tiers[place.store.0 as usize][place.tier as usize];
+            state.place = Some(place);
+            tier.order.insert((state.due_ms, prompt));
+            tier.used_bytes += state.bytes;
+        }
+    }
+
+    fn unlink(&mut self, prompt: u64) {
+        let Some(state) = self.prompts.get_mut(&prompt) else {
+            return;
+        };
+        if let Some(place) = state.place.take() {
+            let tier = &mut self.tiers[place.store.0 as usize][place.tier as usize];
+            tier.order.remove(&(state.due_ms, prompt));
+            tier.used_bytes -= state.bytes;
+        }
+    }
+
+    /// Forgets the history of prompts that are not kept, once there are too many.
+    fn drop_excess(&mut self) {
+        if self.prompts.len() <= self.most_prompts {
+            return;
+        }
+        let absent = self
+            .prompts
+            .iter()
+            .filter(|(_, state)| state.place.is_none());
+        let mut ages: Vec<(u64, u64)> = absent.map(|(&p, s)| (s.last_ms, p)).collect();
+        ages.sort_unstable();
+        let extra = self.prompts.len() - self.most_prompts + self.most_prompts / 8;
+        for (_, prompt) in ages.into_iter().take(extra) {
+            self.prompts.remove(&prompt);
+        }
+    }
+}
+
+fn mix(old: f64, new: f64) -> f64 {
+    old + GAP_PART * (new - old)
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -1,1 +1,44 @@
-//! Pure decisions: routing, limits, retries, caching; time and randomness are passed in.
+//! Pure decisions of a berylmount process.
+//!
+//! Nothing here does I/O, reads a clock or draws randomness by itself: time is
+//! a `u64` of monotonic milliseconds called `now_ms`, and a generator is passed
+//! in. Processes, fuzz tests and benches therefore drive the same code.
+//!
+//! | module | decides |
+//! | --- | --- |
+//! | [`assignment`] | which member serves a customer, owns a group or keeps a prompt |
+//! | [`limits`] | whether a customer may start another request |
+//! | [`queue`] | what runs next, and what is refused at once |
+//! | [`runners`] | which runner takes a request |
+//! | [`prefixes`] | which runner probably holds a prompt's cache |
+//! | [`caching`] | whether to fetch kept cache or to recompute it |
+//! | [`keeping`] | what to keep when a run ends, and where |
+//! | [`retries`] | whether to try again, hedge or give up |
+//! | [`groups`] | which dispatch group an entry asks |
+//! | [`pacing`] | when a refused caller should come back |
+//!
+//! Everything here works on hints. A wrong hint costs time, never correctness.
+
+pub mod assignment;
+pub mod caching;
+pub mod groups;
+pub mod keeping;
+pub mod limits;
+pub mod pacing;
+pub mod prefixes;
+pub mod queue;
+pub mod retries;
+pub mod runners;
+
+pub use crate::{
+    assignment::{MemberWeight, TargetGroup},
+    caching::{FetchPlan, LinkBook, LinkId},
+    groups::{GroupBoard, GroupChoice, GroupId},
+    keeping::{KeepBook, KeepPlan, StoreId, StoreTier},
+    limits::{LimitBook, LimitRefusal, LimitShare},
+    pacing::ReturnPacer,
+    prefixes::PrefixIndex,
+    queue::{QueueCapacity, QueueRefusal, QueueRoom, WorkItem, WorkQueue, WorkTicket},
+    retries::{RetryBudget, RetryDecision},
+    runners::{RunnerBoard, RunnerChoice, RunnerId, RunnerQuery, RunnerReport, RunnerSettings},
+};
--- /dev/null
+++ b/crates/policy/src/limits.rs
@@ -0,0 +1,389 @@
+//! Customers' limits, held in parts by the entries that serve them.
+//!
+//! A book keeps buckets only for customers seen lately. It is given the row on
+//! every call, so a changed row counts at once. Invariants: the parts of one
+//! limit over all entries sum to the limit, and a part that is new to this
+//! entry starts almost empty, so a moved owner or a restart gives no second
+//! burst.
+
+use berylmount_model::{CustomerName, CustomerRow, LimitRow, WorkName};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Part of the burst with which a new bucket starts.
+const START_PART: f64 = 0.125;
+/// Customers that a book tracks at most.
+pub const MOST_CUSTOMERS: usize = 65_536;
+/// When to come back to a limit of requests in flight, in milliseconds.
+const IN_FLIGHT_RETURN_MS: u64 = 250;
+/// The longest time to come back, for limits of almost nothing, in milliseconds.
+const LONGEST_REFILL_MS: u64 = 60_000;
+
+/// Which part of a customer's limits this entry holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct LimitShare {
+    /// This entry's place among the customer's entries, from zero.
+    pub rank: u32,
+    /// How many entries serve the customer; at least one.
+    pub entries: u32,
+}
+
+impl LimitShare {
+    /// The whole of the limits.
+    pub const WHOLE: Self = Self {
+        rank: 0,
+        entries: 1,
+    };
+
+    /// This entry's part of a rate.
+    fn of_rate(self, rate_per_s: f64) -> f64 {
+        rate_per_s.max(0.0) / f64::from(self.entries.max(1))
+    }
+
+    /// This entry's part of a count; the parts of all ranks sum to the count.
+    ///
+    /// ```
+    /// use berylmount_policy::LimitShare;
+    ///
+    /// let parts: u32 = (0..3).map(|rank| LimitShare { rank, entries: 3 }.of_count(10)).sum();
+    /// assert_eq!(parts, 10);
+    /// ```
+    pub fn of_count(self, count: u32) -> u32 {
+        let entries = self.entries.max(1);
+        count / entries + u32::from(self.rank < count % entries)
+    }
+}
+
+/// Why a request may not start now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum LimitRefusal {
+    /// The customer's rate is used up.
+    #[error("the customer's rate is used up; come back in {0} ms")]
+    CustomerRate(u64),
+    /// The customer's rate for this kind of work is used up.
+    #[error("the rate for this kind of work is used up; come back in {0} ms")]
+    WorkRate(u64),
+    /// The customer has too many requests in flight.
+    #[error("too many requests in flight; come back in {0} ms")]
+    InFlight(u64),
+    /// This entry tracks too many customers.
+    #[error("this entry serves too many customers; come back in {0} ms")]
+    BookFull(u64),
+}
+
+impl LimitRefusal {
+    /// When to come back, in milliseconds from now.
+    ///
+    /// ```
+    /// assert_eq!(berylmount_policy::LimitRefusal::InFlight(9).retry_after_ms(), 9);
+    /// ```
+    pub fn retry_after_ms(self) -> u64 {
+        match self {
+            Self::CustomerRate(ms) | Self::WorkRate(ms) => ms,
+            Self::InFlight(ms) | Self::BookFull(ms) => ms,
+        }
+    }
+}
+
+/// A token bucket whose rate and size are passed in on each use.
+#[derive(Clone, Copy, Debug)]
+struct TokenBucket {
+    tokens: f64,
+    filled_ms: u64,
+}
+
+/// The rate and size of a bucket.
+#[derive(Clone, Copy, Debug)]
+struct BucketShape {
+    rate_per_s: f64,
+    size: f64,
+}
+
+impl BucketShape {
+    fn new(rate_per_s: f64, burst: u32, share: LimitShare) -> Self {
+        Self {
+            rate_per_s: share.of_rate(rate_per_s),
+            size: f64::from(share.of_count(burst)),
+        }
+    }
+
+    /// Tokens of a bucket that is new to this entry.
+    fn start(self) -> f64 {
+        (self.size * START_PART).max(1.0).min(self.size)
+    }
+}
+
+impl TokenBucket {
+    /// A bucket that was untouched since `since_ms`.
+    fn untouched(shape: BucketShape, since_ms: u64) -> Self {
+        Self {
+            tokens: shape.start(),
+            filled_ms: since_ms,
+        }
+    }
+
+    fn fill(&mut self, shape: BucketShape, now_ms: u64) {
+        let passed = now_ms.saturating_sub(self.filled_ms) as f64 / 1000.0;
+        self.tokens = (self.tokens + passed * shape.rate_per_s).min(shape.size);
+        self.filled_ms = self.filled_ms.max(now_ms);
+    }
+
+    /// Milliseconds until one token is there; zero says now.
+    fn wait_ms(&self, shape: BucketShape) -> u64 {
+        if self.tokens >= 1.0 {
+            return 0;
+        }
+        if shape.rate_per_s <= 0.0 || shape.size < 1.0 {
+            return LONGEST_REFILL_MS;
+        }
+        let wait = (1.0 - self.tokens) * 1000.0 / shape.rate_per_s;
+        (wait.ceil() as u64).clamp(1, LONGEST_REFILL_MS)
+    }
+}
+
+/// One tracked customer.
+#[derive(Clone, Debug)]
+struct CustomerState {
+    name: CustomerName,
+    bucket: TokenBucket,
+    shape: BucketShape,
+    works: Vec<(WorkName, TokenBucket, BucketShape)>,
+    in_flight: u32,
+}
+
+impl CustomerState {
+    /// Whether a state made afresh would allow just as much.
+    fn is_idle(&self, now_ms: u64) -> bool {
+        let full = |bucket: &TokenBucket, shape: BucketShape| {
+            let mut bucket = *bucket;
+            bucket.fill(shape, now_ms);
+            bucket.tokens >= shape.size
+        };
+        self.in_flight == 0
+            && full(&self.bucket, self.shape)
+            && self.works.iter().all(|(_, b, shape)| full(b, *shape))
+    }
+}
+
+/// The limits of the customers that this entry serves.
+///
+/// ```
+/// use berylmount_model::{CustomerName, CustomerRow, WorkName};
+/// use berylmount_policy::{LimitBook, LimitRefusal, LimitShare};
+///
+/// let row = CustomerRow {
+///     name: CustomerName::new("crew").unwrap(),
+///     key_hash: String::new(),
+///     weight: 1,
+///     rate_per_s: 2.0,
+///     burst: 2,
+///     in_flight: 9,
+///     version: None,
+///     cache_scope: "crew".to_owned(),
+/// };
+/// let work = WorkName::new("question").unwrap();
+/// let mut book = LimitBook::new(0);
+/// assert_eq!(book.admit(&row, &work, None, LimitShare::WHOLE, 0), Ok(()));
+/// let refused = book.admit(&row, &work, None, LimitShare::WHOLE, 0);
+/// assert_eq!(refused, Err(LimitRefusal::CustomerRate(500)));
+/// ```
+#[derive(Clone, Debug)]
+pub struct LimitBook {
+    /// Name hashes with places in `states`, sorted.
+    index: Vec<(u64, u32)>,
+    states: Vec<CustomerState>,
+    /// Untracked customers count as untouched since then.
+    since_ms: u64,
+}
+
+impl LimitBook {
+    /// An empty book of an entry that begins to serve at `now_ms`.
+    ///
+    /// ```
+    /// assert_eq!(berylmount_policy::LimitBook::new(0).tracked(), 0);
+    /// ```
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            index: Vec::new(),
+            states: Vec::new(),
+            since_ms: now_ms,
+        }
+    }
+
+    /// Notes that the members changed, so that customers may have moved here.
+    ///
+    /// Untracked customers start from a cautious part again.
+    ///
+    /// ```
+    /// let mut book = berylmount_policy::LimitBook::new(0);
+    /// book.members_changed(5_000);
+    /// ```
+    pub fn members_changed(&mut self, now_ms: u64) {
+        self.since_ms = self.since_ms.max(now_ms);
+    }
+
+    /// Customers tracked now.
+    ///
+    /// ```
+    /// assert_eq!(berylmount_policy::LimitBook::new(0).tracked(), 0);
+    /// ```
+    pub fn tracked(&self) -> usize {
+        self.states.len()
+    }
+
+    /// Lets one request start, or says when to come back.
+    ///
+    /// Each `Ok` needs one [`LimitBook::finish`] at the request's end. `limit`
+    /// is the row for this customer and kind of work, if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Nothing is taken from any bucket if one of them refuses.
+    pub fn admit(
+        &mut self,
+        row: &CustomerRow,
+        work: &WorkName,
+        limit: Option<&LimitRow>,
+        share: LimitShare,
+        now_ms: u64,
+    ) -> Result<(), LimitRefusal> {
+        let shape = BucketShape::new(row.rate_per_s, row.burst, share);
+        let since_ms = self.since_ms;
+        let state = self.state_mut(&row.name, shape, now_ms)?;
+        state.bucket.fill(shape, now_ms);
+        state.shape = shape;
+        if state.in_flight >= share.of_count(row.in_flight) {
+            return Err(LimitRefusal::InFlight(IN_FLIGHT_RETURN_MS));
+        }
+        match state.bucket.wait_ms(shape) {
+            0 => {}
+            wait => return Err(LimitRefusal::CustomerRate(wait)),
+        }
+        if let Some(limit) = limit {
+            let shape = BucketShape::new(limit.rate_per_s, limit.burst, share);
+            let bucket = work_bucket(&mut state.works, work, shape, since_ms);
+            bucket.fill(shape, now_ms);
+            match bucket.wait_ms(shape) {
+                0 => bucket.tokens -= 1.0,
+                wait => return Err(LimitRefusal::WorkRate(wait)),
+            }
+        }
+        state.bucket.tokens -= 1.0;
+        state.in_flight += 1;
+        Ok(())
+    }
+
+    /// Counts the end of a request that was admitted.
+    ///
+    /// ```
+    /// let mut book = berylmount_policy::LimitBook::new(0);
+    /// book.finish(&berylmount_model::CustomerName::new("crew").unwrap());
+    /// ```
+    pub fn finish(&mut self, customer: &CustomerName) {
+        if let Ok(place) = self.find(customer) {
+            let state = &mut self.states[self.index[place].1 as usize];
+            state.in_flight = state.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Drops customers whose buckets are full and who have nothing in flight.
+    ///
+    /// They lose nothing by it: an untracked customer counts as untouched.
+    /// Returns how many were dropped.
+    ///
+    /// ```
+    /// assert_eq!(berylmount_policy::LimitBook::new(0).drop_idle(1_000), 0);
+    /// ```
+    pub fn drop_idle(&mut self, now_ms: u64) -> usize {
+        let before = self.states.len();
+        let since_ms = self.since_ms;
+        self.states
+            .retain(|state| !(state.is_idle(now_ms) && refilled(state, since_ms, now_ms)));
+        if self.states.len() < before {
+            self.rebuild_index();
+        }
+        before - self.states.len()
+    }
+
+    fn rebuild_index(&mut self) {
+        let hashes = self.states.iter().enumerate();
+        self.index = hashes
+            .map(|(place, state)| (name_hash(&state.name), place as u32))
+            .collect();
+        self.index.sort_unstable();
+    }
+
+    /// The place in the index of `customer`, or where it belongs.
+    fn find(&self, customer: &CustomerName) -> Result<usize, usize> {
+        let hash = name_hash(customer);
+        let from = self.index.partition_point(|&(h, _)| h < hash);
+        let same = self.index[from..].iter().take_while(|&&(h, _)| h == hash);
+        let found = same
+            .enumerate()
+            .find(|(_, &(_, id))| self.states[id as usize].name == *customer);
+        found.map(|(at, _)| from + at).ok_or(from)
+    }
+
+    fn state_mut(
+        &mut self,
+        customer: &CustomerName,
+        shape: BucketShape,
+        now_ms: u64,
+    ) -> Result<&mut CustomerState, LimitRefusal> {
+        let mut found = self.find(customer);
+        if found.is_err() && self.states.len() >= MOST_CUSTOMERS {
+            if self.drop_idle(now_ms) == 0 {
+                return Err(LimitRefusal::BookFull(LONGEST_REFILL_MS));
+            }
+            found = self.find(customer);
+        }
+        let id = match found {
+            Ok(place) => self.index[place].1,
+            Err(place) => {
+                let id = self.states.len() as u32;
+                self.index.insert(place, (name_hash(customer), id));
+                self.states.push(CustomerState {
+                    name: customer.clone(),
+                    bucket: TokenBucket::untouched(shape, self.since_ms),
+                    shape,
+                    works: Vec::new(),
+                    in_flight: 0,
+                });
+                id
+            }
+        };
+        Ok(&mut self.states[id as usize])
+    }
+}
+
+/// Whether a state made afresh at `now_ms` would hold full buckets too.
+fn refilled(state: &CustomerState, since_ms: u64, now_ms: u64) -> bool {
+    let full = |shape: BucketShape| {
+        let mut bucket = TokenBucket::untouched(shape, since_ms);
+        bucket.fill(shape, now_ms);
+        bucket.tokens >= shape.size
+    };
+    full(state.shape) && state.works.iter().all(|(_, _, shape)| full(*shape))
+}
+
+fn name_hash(customer: &CustomerName) -> u64 {
+    xxh3_64(customer.as_str().as_bytes())
+}
+
+/// The bucket of one kind of work, made if it is new.
+fn work_bucket<'a>(
+    works: &'a mut Vec<(WorkName, TokenBucket, BucketShape)>,
+    work: &WorkName,
+    shape: BucketShape,
+    since_ms: u64,
+) -> &'a mut TokenBucket {
+    let place = match works.binary_search_by(|(name, ..)| name.cmp(work)) {
+        Ok(place) => place,
+        Err(place) => {
+            let bucket = TokenBucket::untouched(shape, since_ms);
+            works.insert(place, (work.clone(), bucket, shape));
+            place
+        }
+    };
+    works[place].2 = shape;
+    &mut works[place].1
+}
--- /dev/null
+++ b/crates/policy/src/queue.rs
@@ -0,0 +1,383 @@
+//! What runs next in a runner group, and what is refused at once.
+//!
+//! Classes share the group by weight, so none starves; within a class the
+//! customers share it by theirs. Short and long work of a customer stand in
+//! separate lines, so that a runner's room for short work is never blocked by
+//! a long prefill at the head. Invariant: every item comes out exactly once,
+//! through [`WorkQueue::take`], [`WorkQueue::expire`] or [`WorkQueue::remove`].
+
+use berylmount_model::WorkClass;
+use std::collections::VecDeque;
+use strum::IntoEnumIterator;
+
+/// Prefill time from which work counts as long, in milliseconds.
+pub const LONG_PREFILL_MS: f64 = 600.0;
+/// Items that a queue holds at most.
+pub const MOST_ITEMS: usize = 4096;
+/// Part of a group's runners that long prefills may take.
+pub const LONG_PART: f64 = 0.5;
+/// When to come back to a full queue, in milliseconds.
+const FULL_RETURN_MS: u64 = 1_000;
+/// Classes of work.
+const CLASSES: usize = 4;
+
+/// Share of `class` while all classes wait.
+fn class_weight(class: WorkClass) -> f64 {
+    match class {
+        WorkClass::Critical => 64.0,
+        WorkClass::Interactive => 16.0,
+        WorkClass::Standard => 4.0,
+        WorkClass::Bulk => 1.0,
+    }
+}
+
+/// Names one item of a queue; the caller chooses it.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct WorkTicket(pub u64);
+
+/// Work that waits for a runner.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct WorkItem {
+    /// Names the item.
+    pub ticket: WorkTicket,
+    /// Names the customer, such as a hash; only fairness depends on it.
+    pub customer: u64,
+    /// The customer's weight.
+    pub weight: u32,
+    /// The class of work.
+    pub class: WorkClass,
+    /// Expected prefill time on a healthy runner, in milliseconds.
+    pub prefill_ms: f64,
+    /// When the first token is due.
+    pub due_ms: u64,
+}
+
+impl WorkItem {
+    /// Whether it takes a long prefill.
+    pub fn is_long(&self) -> bool {
+        self.prefill_ms >= LONG_PREFILL_MS
+    }
+}
+
+/// What the group can serve, for estimates.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QueueCapacity {
+    /// Healthy runners, a slow one counting for less than one.
+    pub runners: f64,
+    /// Prefill time already sent to them and not done, in milliseconds.
+    pub in_flight_ms: f64,
+}
+
+/// For what the group has room now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct QueueRoom {
+    /// Some runner can take short work.
+    pub short: bool,
+    /// Some runner can take a long prefill.
+    pub long: bool,
+}
+
+/// A refusal of work that could not be served in time.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
+#[error("the first token would come in {expected_ms} ms; come back in {retry_after_ms} ms")]
+pub struct QueueRefusal {
+    /// The estimated time to the first token, in milliseconds.
+    pub expected_ms: u64,
+    /// When it could be served in time, in milliseconds from now.
+    pub retry_after_ms: u64,
+}
+
+/// The waiting work of one customer in one class.
+#[derive(Clone, Debug)]
+struct CustomerLine {
+    customer: u64,
+    weight: f64,
+    pass: f64,
+    short: VecDeque<WorkItem>,
+    long: VecDeque<WorkItem>,
+}
+
+impl CustomerLine {
+    fn backlog_ms(&self) -> f64 {
+        let items = self.short.iter().chain(&self.long);
+        items.map(|item| item.prefill_ms).sum()
+    }
+
+    fn is_empty(&self) -> bool {
+        self.short.is_empty() && self.long.is_empty()
+    }
+
+    fn serves(&self, room: QueueRoom) -> bool {
+        (room.short && !self.short.is_empty()) || (room.long && !self.long.is_empty())
+    }
+
+    /// The next item that fits, short work first unless the long one is older.
+    fn take(&mut self, room: QueueRoom) -> Option<WorkItem> {
+        let short = self.short.front().filter(|_| room.short);
+        let long = self.long.front().filter(|_| room.long);
+        match (short, long) {
+            (Some(s), Some(l)) if l.due_ms < s.due_ms => self.long.pop_front(),
+            (Some(_), _) => self.short.pop_front(),
+            (None, Some(_)) => self.long.pop_front(),
+            (None, None) => None,
+        }
+    }
+}
+
+/// All waiting work of one class.
+#[derive(Clone, Debug, Default)]
+struct ClassLine {
+    /// Sorted by customer.
+    lines: Vec<CustomerLine>,
+    /// Virtual time within the class.
+    clock: f64,
+    /// Virtual time of the class among the classes.
+    pass: f64,
+    items: usize,
+    backlog_ms: f64,
+}
+
+impl ClassLine {
+    fn push(&mut self, item: WorkItem) {
+        let weight = f64::from(item.weight.max(1));
+        let found = self
+            .lines
+            .binary_search_by_key(&item.customer, |l| l.customer);
+        let place = match found {
+            Ok(place) => place,
+            Err(place) => {
+                let line = CustomerLine {
+                    customer: item.customer,
+                    weight,
+                    pass: self.clock,
+                    short: VecDeque::new(),
+                    long: VecDeque::new(),
+                };
+                self.lines.insert(place, line);
+                place
+            }
+        };
+        let line = &mut self.lines[place];
+        line.weight = weight;
+        if line.is_empty() {
+            line.pass = line.pass.max(self.clock);
+        }
+        let lane = if item.is_long() {
+            &mut line.long
+        } else {
+            &mut line.short
+        };
+        lane.push_back(item);
+        self.items += 1;
+        self.backlog_ms += item.prefill_ms;
+    }
+
+    fn take(&mut self, room: QueueRoom) -> Option<WorkItem> {
+        let ready = self.lines.iter_mut().filter(|line| line.serves(room));
+        let line = ready.min_by(|a, b| a.pass.total_cmp(&b.pass))?;
+        let item = line.take(room)?;
+        self.clock = self.clock.max(line.pass);
+        line.pass += item.prefill_ms.max(1.0) / line.weight;
+        self.forget(&item);
+        self.drop_done();
+        Some(item)
+    }
+
+    fn forget(&mut self, item: &WorkItem) {
+        self.items -= 1;
+        self.backlog_ms = if self.items == 0 {
+            0.0
+        } else {
+            self.backlog_ms - item.prefill_ms
+        };
+    }
+
+    /// Drops lines that are empty and have no service to their debit.
+    fn drop_done(&mut self) {
+        let (clock, idle) = (self.clock, self.items == 0);
+        self.lines
+            .retain(|line| !line.is_empty() || (line.pass > clock && !idle));
+    }
+
+    /// Takes out every item that `gone` picks.
+    fn sweep(&mut self, gone: impl Fn(&WorkItem) -> bool, out: &mut Vec<WorkItem>) {
+        let from = out.len();
+        for line in &mut self.lines {
+            for lane in [&mut line.short, &mut line.long] {
+                if lane.iter().any(&gone) {
+                    out.extend(lane.iter().filter(|item| gone(item)));
+                    lane.retain(|item| !gone(item));
+                }
+            }
+        }
+        for item in &out[from..] {
+            self.forget(item);
+        }
+        if out.len() > from {
+            self.drop_done();
+        }
+    }
+
+    /// Prefill time of this class served before a new item of `customer`.
+    fn ahead_ms(&self, customer: u64, weight: f64, cost_ms: f64) -> f64 {
+        let found = self.lines.binary_search_by_key(&customer, |l| l.customer);
+        let own = found.map_or(0.0, |place| self.lines[place].backlog_ms());
+        let others = self.lines.iter().filter(|line| line.customer != customer);
+        let fair = |line: &CustomerLine| (own + cost_ms) * line.weight / weight;
+        let shared: f64 = others.map(|line| line.backlog_ms().min(fair(line))).sum();
+        own + shared
+    }
+}
+
+/// The waiting work of one runner group.
+///
+/// ```
+/// use berylmount_model::WorkClass;
+/// use berylmount_policy::{QueueCapacity, QueueRoom, WorkItem, WorkQueue, WorkTicket};
+///
+/// let mut queue = WorkQueue::default();
+/// let capacity = QueueCapacity { runners: 1.0, in_flight_ms: 0.0 };
+/// let item = WorkItem {
+///     ticket: WorkTicket(1),
+///     customer: 7,
+///     weight: 1,
+///     class: WorkClass::Interactive,
+///     prefill_ms: 100.0,
+///     due_ms: 800,
+/// };
+/// queue.offer(item, &capacity, 0).unwrap();
+/// let slow = WorkItem { ticket: WorkTicket(2), due_ms: 150, ..item };
+/// assert_eq!(queue.offer(slow, &capacity, 0).unwrap_err().expected_ms, 200);
+/// let room = QueueRoom { short: true, long: false };
+/// assert_eq!(queue.take(room).map(|item| item.ticket), Some(WorkTicket(1)));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct WorkQueue {
+    classes: [ClassLine; CLASSES],
+    clock: f64,
+    earliest_due_ms: u64,
+}
+
+impl WorkQueue {
+    /// Items that wait.
+    pub fn len(&self) -> usize {
+        self.classes.iter().map(|class| class.items).sum()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Prefill time of all that waits, in milliseconds.
+    pub fn backlog_ms(&self) -> f64 {
+        self.classes.iter().map(|class| class.backlog_ms).sum()
+    }
+
+    /// The estimated time to the first token of `item`, in milliseconds.
+    pub fn estimate_ms(&self, item: &WorkItem, capacity: &QueueCapacity) -> f64 {
+        let weight = f64::from(item.weight.max(1));
+        let own = &self.classes[item.class as usize];
+        let ahead = own.ahead_ms(item.customer, weight, item.prefill_ms);
+        let scale = (ahead + item.prefill_ms) / class_weight(item.class);
+        let others = WorkClass::iter().filter(|&class| class != item.class);
+        let share = |class: WorkClass| {
+            let backlog = self.classes[class as usize].backlog_ms;
+            backlog.min(scale * class_weight(class))
+        };
+        let shared: f64 = others.map(share).sum();
+        let part = if item.is_long() { LONG_PART } else { 1.0 };
+        let runners = capacity.runners.max(0.01);
+        let sent = capacity.in_flight_ms / runners;
+        sent + (ahead + shared) / (runners * part).max(0.01) + item.prefill_ms
+    }
+
+    /// Takes `item` in, or refuses it because it could not be served in time.
+    ///
+    /// # Errors
+    ///
+    /// A refused item is not kept; the refusal says when to come back.
+    pub fn offer(
+        &mut self,
+        item: WorkItem,
+        capacity: &QueueCapacity,
+        now_ms: u64,
+    ) -> Result<(), QueueRefusal> {
+        let expected = self.estimate_ms(&item, capacity).min(1e12) as u64;
+        let left = item.due_ms.saturating_sub(now_ms);
+        if self.len() >= MOST_ITEMS {
+            return Err(QueueRefusal {
+                expected_ms: expected,
+                retry_after_ms: expected.saturating_sub(left).max(FULL_RETURN_MS),
+            });
+        }
+        if expected > left {
+            return Err(QueueRefusal {
+                expected_ms: expected,
+                retry_after_ms: (expected - left).max(1),
+            });
+        }
+        self.restore(item);
+        Ok(())
+    }
+
+    /// Takes `item` in without an estimate, such as one that failed to start.
+    pub fn restore(&mut self, item: WorkItem) {
+        let class = &mut self.classes[item.class as usize];
+        if class.items == 0 {
+            class.pass = class.pass.max(self.clock);
+        }
+        class.push(item);
+        let none = self.earliest_due_ms == 0;
+        self.earliest_due_ms = if none {
+            item.due_ms
+        } else {
+            self.earliest_due_ms.min(item.due_ms)
+        };
+    }
+
+    /// The next item for which there is `room`.
+    ///
+    /// Call [`WorkQueue::expire`] first, so that nothing expired is served.
+    pub fn take(&mut self, room: QueueRoom) -> Option<WorkItem> {
+        let mut order: Vec<usize> = (0..CLASSES)
+            .filter(|&c| self.classes[c].items > 0)
+            .collect();
+        order.sort_by(|&a, &b| self.classes[a].pass.total_cmp(&self.classes[b].pass));
+        for place in order {
+            let Some(item) = self.classes[place].take(room) else {
+                continue;
+            };
+            let class = &mut self.classes[place];
+            self.clock = self.clock.max(class.pass);
+            class.pass += item.prefill_ms.max(1.0) / class_weight(item.class);
+            return Some(item);
+        }
+        None
+    }
+
+    /// Moves every item whose first token can no longer be in time to `out`.
+    pub fn expire(&mut self, now_ms: u64, out: &mut Vec<WorkItem>) {
+        if self.is_empty() || now_ms < self.earliest_due_ms {
+            return;
+        }
+        for class in &mut self.classes {
+            class.sweep(|item| item.due_ms <= now_ms, out);
+        }
+        self.earliest_due_ms = self.items().map(|item| item.due_ms).min().unwrap_or(0);
+    }
+
+    /// Takes out the item of `ticket`, such as one that its caller cancelled.
+    pub fn remove(&mut self, ticket: WorkTicket) -> Option<WorkItem> {
+        let mut out = Vec::new();
+        for class in &mut self.classes {
+            class.sweep(|item| item.ticket == ticket, &mut out);
+        }
+        out.pop()
+    }
+
+    fn items(&self) -> impl Iterator<Item = &WorkItem> {
+        let lines = self.classes.iter().flat_map(|class| &class.lines);
+        lines.flat_map(|line| line.short.iter().chain(&line.long))
+    }
+}
