--- a/crates/policy/src/groups.rs
+++ b/crates/policy/src/groups.rs
@@ -4,7 +4,8 @@
 //! It goes elsewhere when waiting there, the distance or failures cost more
 //! than the prefill that the home would save.
 
-use crate::assignment::pair_hash;
+use crate::{assignment::pair_hash, queue::CLASSES};
+use berylmount_model::{PieceKey, WorkClass};
 use rand::{Rng, RngExt};
 
 /// Time added to the score for each failure seen lately, in milliseconds.
@@ -18,6 +19,19 @@
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct GroupId(pub u32);
 
+/// A request that needs a group.
+#[derive(Clone, Copy, Debug)]
+pub struct GroupQuery<'a> {
+    /// The prompt's first piece, if it has one.
+    pub first_piece: Option<&'a PieceKey>,
+    /// Prefill time that the prompt's home would save, in milliseconds.
+    pub home_saves_ms: f64,
+    /// The class of work.
+    pub class: WorkClass,
+    /// Groups that refused it before.
+    pub avoid: &'a [GroupId],
+}
+
 /// A chosen group.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct GroupChoice {
@@ -36,10 +50,10 @@
     distance_ms: f64,
     runners: f64,
     present: bool,
-    reported_ms: f64,
+    reported_ms: [f64; CLASSES],
     report_at_ms: u64,
     /// Work sent after the last report, in milliseconds of prefill.
-    sent: Vec<(u64, f64)>,
+    sent: Vec<(u64, WorkClass, f64)>,
     failures: f64,
     failed_ms: u64,
 }
@@ -50,30 +64,38 @@
         self.failures * 0.5f64.powf(passed / FAILURE_HALF_MS)
     }
 
-    fn wait_ms(&self, now_ms: u64) -> f64 {
+    fn wait_ms(&self, class: WorkClass, now_ms: u64) -> f64 {
         let passed = now_ms.saturating_sub(self.report_at_ms) as f64;
-        let sent: f64 = self.sent.iter().map(|&(_, ms)| ms).sum();
-        (self.reported_ms + sent / self.runners.max(1.0) - passed).max(0.0)
+        let ahead = self.sent.iter().filter(|&&(_, sent, _)| sent <= class);
+        let sent: f64 = ahead.map(|&(_, _, ms)| ms).sum();
+        (self.reported_ms[class as usize] + sent / self.runners.max(1.0) - passed).max(0.0)
     }
 
-    fn score_ms(&self, now_ms: u64) -> f64 {
-        self.distance_ms + self.wait_ms(now_ms) + FAILURE_MS * self.failures_at(now_ms)
+    fn score_ms(&self, class: WorkClass, now_ms: u64) -> f64 {
+        self.distance_ms + self.wait_ms(class, now_ms) + FAILURE_MS * self.failures_at(now_ms)
     }
 }
 
 /// The groups of one pool, as one entry sees them.
 ///
 /// ```
-/// use berylmount_policy::GroupBoard;
+/// use berylmount_model::WorkClass;
+/// use berylmount_policy::{GroupBoard, GroupQuery};
 /// use rand::SeedableRng;
 ///
 /// let mut rng = rand_pcg::Pcg32::seed_from_u64(1);
 /// let mut board = GroupBoard::default();
 /// let near = board.add_group("models/north/0", 1.0, 4);
 /// let far = board.add_group("models/south/0", 5.0, 4);
-/// assert_eq!(board.choose(None, 0.0, &[], 0, &mut rng).unwrap().group, near);
-/// board.report(near, 300.0, 0);
-/// assert_eq!(board.choose(None, 0.0, &[], 0, &mut rng).unwrap().group, far);
+/// let query = GroupQuery {
+///     first_piece: None,
+///     home_saves_ms: 0.0,
+///     class: WorkClass::Interactive,
+///     avoid: &[],
+/// };
+/// assert_eq!(board.choose(&query, 0, &mut rng).unwrap().group, near);
+/// board.report(near, &[300.0; 4], 0);
+/// assert_eq!(board.choose(&query, 0, &mut rng).unwrap().group, far);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct GroupBoard {
@@ -88,7 +110,7 @@
             distance_ms,
             runners: f64::from(runners),
             present: true,
-            reported_ms: 0.0,
+            reported_ms: [0.0; CLASSES],
             report_at_ms: 0,
             sent: Vec::new(),
             failures: 0.0,
@@ -104,26 +126,26 @@
         }
     }
 
-    /// Takes in the wait that a group reported at `at_ms`, in milliseconds.
+    /// Takes in the waits by class that a group reported at `at_ms`.
     ///
     /// Own work sent after that time still counts on top.
-    pub fn report(&mut self, group: GroupId, wait_ms: f64, at_ms: u64) {
+    pub fn report(&mut self, group: GroupId, waits_ms: &[f64; CLASSES], at_ms: u64) {
         if let Some(state) = self.groups.get_mut(group.0 as usize) {
             if at_ms >= state.report_at_ms {
-                state.reported_ms = wait_ms.max(0.0);
+                state.reported_ms = *waits_ms;
                 state.report_at_ms = at_ms;
-                state.sent.retain(|&(sent_ms, _)| sent_ms > at_ms);
+                state.sent.retain(|&(sent_ms, ..)| sent_ms > at_ms);
             }
         }
     }
 
     /// Counts work of `prefill_ms` that was sent to `group`.
-    pub fn note_sent(&mut self, group: GroupId, prefill_ms: f64, now_ms: u64) {
+    pub fn note_sent(&mut self, group: GroupId, class: WorkClass, prefill_ms: f64, now_ms: u64) {
         if let Some(state) = self.groups.get_mut(group.0 as usize) {
             if state.sent.len() >= 1024 {
                 state.sent.drain(..512);
             }
-            state.sent.push((now_ms, prefill_ms));
+            state.sent.push((now_ms, class, prefill_ms));
         }
     }
 
@@ -137,29 +159,27 @@
 
     /// The group with the earliest expected first token.
     ///
-    /// `first_key` names the prompt's first piece, and `home_saves_ms` is the
-    /// prefill time that its home would save. Groups in `avoid` are left out.
+    /// Groups in `query.avoid` are left out.
     pub fn choose(
         &self,
-        first_key: Option<&[u8]>,
-        home_saves_ms: f64,
-        avoid: &[GroupId],
+        query: &GroupQuery,
         now_ms: u64,
         rng: &mut impl Rng,
     ) -> Option<GroupChoice> {
-        let home = first_key.and_then(|key| self.home(key));
+        let home = query.first_piece.and_then(|key| self.home(key));
         let mut best: Option<(f64, GroupChoice)> = None;
         let mut ties = 0;
         for (place, state) in self.groups.iter().enumerate() {
             let group = GroupId(place as u32);
-            if !state.present || avoid.contains(&group) {
+            if !state.present || query.avoid.contains(&group) {
                 continue;
             }
             let at_home = home == Some(group);
-            let score = state.score_ms(now_ms) + if at_home { 0.0 } else { home_saves_ms };
+            let score = state.score_ms(query.class, now_ms)
+                + if at_home { 0.0 } else { query.home_saves_ms };
             let choice = GroupChoice {
                 group,
-                expected_ms: state.distance_ms + state.wait_ms(now_ms),
+                expected_ms: state.distance_ms + state.wait_ms(query.class, now_ms),
                 home: at_home,
             };
             let limit = best.map_or(f64::INFINITY, |(score, _)| score);
@@ -176,9 +196,9 @@
     }
 
     /// The home of the prompt whose first piece is `key`.
-    pub fn home(&self, key: &[u8]) -> Option<GroupId> {
+    pub fn home(&self, key: &PieceKey) -> Option<GroupId> {
         let present = self.groups.iter().enumerate().filter(|(_, g)| g.present);
-        let best = present.max_by_key(|(_, state)| pair_hash(key, &state.name));
+        let best = present.max_by_key(|(_, state)| pair_hash(key.as_bytes(), &state.name));
         best.map(|(place, _)| GroupId(place as u32))
     }
 }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,7 +33,7 @@
 pub use crate::{
     assignment::{MemberWeight, TargetGroup},
     caching::{FetchPlan, LinkBook, LinkId},
-    groups::{GroupBoard, GroupChoice, GroupId},
+    groups::{GroupBoard, GroupChoice, GroupId, GroupQuery},
     keeping::{KeepBook, KeepPlan, StoreId, StoreTier},
     limits::{LimitBook, LimitRefusal, LimitShare},
     pacing::ReturnPacer,
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -16,10 +16,12 @@
 pub const MOST_ITEMS: usize = 4096;
 /// Part of a group's runners that long prefills may take.
 pub const LONG_PART: f64 = 0.5;
+/// Prefill time of usual short work, in milliseconds.
+const USUAL_PREFILL_MS: f64 = 100.0;
 /// When to come back to a full queue, in milliseconds.
 const FULL_RETURN_MS: u64 = 1_000;
-/// Classes of work.
-const CLASSES: usize = 4;
+/// Classes of work; arrays by class are indexed by `class as usize`.
+pub const CLASSES: usize = 4;
 
 /// Share of `class` while all classes wait.
 fn class_weight(class: WorkClass) -> f64 {
@@ -64,17 +66,48 @@
 pub struct QueueCapacity {
     /// Healthy runners, a slow one counting for less than one.
     pub runners: f64,
-    /// Prefill time already sent to them and not done, in milliseconds.
-    pub in_flight_ms: f64,
+    /// Prefill time sent to them that goes before new work, by class, in milliseconds.
+    pub in_flight_ms: [f64; CLASSES],
 }
 
-/// For what the group has room now.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+/// For what the group has room now, by class.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct QueueRoom {
     /// Some runner can take short work.
-    pub short: bool,
+    pub short: [bool; CLASSES],
     /// Some runner can take a long prefill.
-    pub long: bool,
+    pub long: [bool; CLASSES],
+}
+
+impl QueueRoom {
+    /// The same room for every class.
+    ///
+    /// ```
+    /// use berylmount_policy::QueueRoom;
+    ///
+    /// assert!(QueueRoom::same(true, false).short.iter().all(|&open| open));
+    /// ```
+    pub fn same(short: bool, long: bool) -> Self {
+        Self {
+            short: [short; CLASSES],
+            long: [long; CLASSES],
+        }
+    }
+
+    /// Room for short and for long work of `class`.
+    fn of_class(self, class: usize) -> LaneRoom {
+        LaneRoom {
+            short: self.short[class],
+            long: self.long[class],
+        }
+    }
+}
+
+/// Room for one class.
+#[derive(Clone, Copy, Debug)]
+struct LaneRoom {
+    short: bool,
+    long: bool,
 }
 
 /// A refusal of work that could not be served in time.
@@ -107,12 +140,12 @@
         self.short.is_empty() && self.long.is_empty()
     }
 
-    fn serves(&self, room: QueueRoom) -> bool {
+    fn serves(&self, room: LaneRoom) -> bool {
         (room.short && !self.short.is_empty()) || (room.long && !self.long.is_empty())
     }
 
     /// The next item that fits, short work first unless the long one is older.
-    fn take(&mut self, room: QueueRoom) -> Option<WorkItem> {
+    fn take(&mut self, room: LaneRoom) -> Option<WorkItem> {
         let short = self.short.front().filter(|_| room.short);
         let long = self.long.front().filter(|_| room.long);
         match (short, long) {
@@ -172,7 +205,7 @@
         self.backlog_ms += item.prefill_ms;
     }
 
-    fn take(&mut self, room: QueueRoom) -> Option<WorkItem> {
+    fn take(&mut self, room: LaneRoom) -> Option<WorkItem> {
         let ready = self.lines.iter_mut().filter(|line| line.serves(room));
         let line = ready.min_by(|a, b| a.pass.total_cmp(&b.pass))?;
         let item = line.take(room)?;
@@ -236,7 +269,7 @@
 /// use berylmount_policy::{QueueCapacity, QueueRoom, WorkItem, WorkQueue, WorkTicket};
 ///
 /// let mut queue = WorkQueue::default();
-/// let capacity = QueueCapacity { runners: 1.0, in_flight_ms: 0.0 };
+/// let capacity = QueueCapacity { runners: 1.0, in_flight_ms: [0.0; 4] };
 /// let item = WorkItem {
 ///     ticket: WorkTicket(1),
 ///     customer: 7,
@@ -248,7 +281,7 @@
 /// queue.offer(item, &capacity, 0).unwrap();
 /// let slow = WorkItem { ticket: WorkTicket(2), due_ms: 150, ..item };
 /// assert_eq!(queue.offer(slow, &capacity, 0).unwrap_err().expected_ms, 200);
-/// let room = QueueRoom { short: true, long: false };
+/// let room = QueueRoom::same(true, false);
 /// assert_eq!(queue.take(room).map(|item| item.ticket), Some(WorkTicket(1)));
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -288,10 +321,27 @@
         let shared: f64 = others.map(share).sum();
         let part = if item.is_long() { LONG_PART } else { 1.0 };
         let runners = capacity.runners.max(0.01);
-        let sent = capacity.in_flight_ms / runners;
+        let sent = capacity.in_flight_ms[item.class as usize] / runners;
         sent + (ahead + shared) / (runners * part).max(0.01) + item.prefill_ms
     }
 
+    /// The wait that new short work of each class would meet, in milliseconds.
+    pub fn waits_ms(&self, capacity: &QueueCapacity) -> [f64; CLASSES] {
+        let mut waits = [0.0; CLASSES];
+        for class in WorkClass::iter() {
+            let item = WorkItem {
+                ticket: WorkTicket(0),
+                customer: u64::MAX,
+                weight: 1,
+                class,
+                prefill_ms: USUAL_PREFILL_MS,
+                due_ms: 0,
+            };
+            waits[class as usize] = self.estimate_ms(&item, capacity) - USUAL_PREFILL_MS;
+        }
+        waits
+    }
+
     /// Takes `item` in, or refuses it because it could not be served in time.
     ///
     /// # Errors
@@ -345,7 +395,7 @@
             .collect();
         order.sort_by(|&a, &b| self.classes[a].pass.total_cmp(&self.classes[b].pass));
         for place in order {
-            let Some(item) = self.classes[place].take(room) else {
+            let Some(item) = self.classes[place].take(room.of_class(place)) else {
                 continue;
             };
             let class = &mut self.classes[place];
--- a/crates/policy/src/runners.rs
+++ b/crates/policy/src/runners.rs
@@ -8,10 +8,11 @@
 
 use crate::{
     prefixes::PrefixIndex,
-    queue::{QueueCapacity, QueueRoom, WorkTicket, LONG_PART, LONG_PREFILL_MS},
+    queue::{QueueCapacity, QueueRoom, WorkTicket, CLASSES, LONG_PART, LONG_PREFILL_MS},
 };
 use berylmount_model::{PieceKey, WorkClass, PIECE_TOKENS};
 use rand::{Rng, RngExt};
+use strum::IntoEnumIterator;
 
 /// Added to both sides of an observed ratio, in milliseconds, against noise.
 const GRACE_MS: f64 = 40.0;
@@ -438,16 +439,19 @@
     /// For what the runners have room.
     pub fn room(&self, now_ms: u64) -> QueueRoom {
         let long_open = self.long_open();
-        let mut room = QueueRoom {
-            short: false,
-            long: false,
-        };
+        let mut room = QueueRoom::default();
         for state in self.runners.iter().filter(|runner| runner.is_live()) {
+            if state.running() >= self.settings.slots {
+                continue;
+            }
             let slowness = state.slowness(now_ms);
-            let ahead = state.ahead_ms(WorkClass::Bulk, slowness, now_ms);
-            let open = ahead <= self.settings.room_ms && state.running() < self.settings.slots;
-            room.short |= open;
-            room.long |= open && long_open && !state.has_long();
+            let long = long_open && !state.has_long();
+            for class in WorkClass::iter() {
+                let ahead = state.ahead_ms(class, slowness, now_ms);
+                let open = ahead <= self.settings.room_ms;
+                room.short[class as usize] |= open;
+                room.long[class as usize] |= open && long;
+            }
         }
         room
     }
@@ -456,12 +460,15 @@
     pub fn capacity(&self, now_ms: u64) -> QueueCapacity {
         let mut capacity = QueueCapacity {
             runners: 0.0,
-            in_flight_ms: 0.0,
+            in_flight_ms: [0.0; CLASSES],
         };
         for state in self.runners.iter().filter(|runner| runner.is_live()) {
             let slowness = state.slowness(now_ms);
             capacity.runners += 1.0 / slowness.max(1.0);
-            capacity.in_flight_ms += state.ahead_ms(WorkClass::Bulk, slowness, now_ms);
+            for class in WorkClass::iter() {
+                let ahead = state.ahead_ms(class, slowness, now_ms);
+                capacity.in_flight_ms[class as usize] += ahead;
+            }
         }
         capacity
     }
@@ -480,6 +487,13 @@
         if !state.works.iter().any(SentWork::waits) {
             state.head_ms = now_ms;
         }
+        for work in state
+            .works
+            .iter_mut()
+            .filter(|work| work.waits() && work.class > class)
+        {
+            work.healthy_ms += choice.prefill_ms;
+        }
         state.works.push(SentWork {
             ticket,
             class,
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -93,7 +93,7 @@
     let mut queue = WorkQueue::default();
     let capacity = QueueCapacity {
         runners: 4.0,
-        in_flight_ms: 0.0,
+        in_flight_ms: [0.0; 4],
     };
     queue
         .offer(item(1, WorkClass::Bulk, 3000.0, 60_000), &capacity, 0)
@@ -115,7 +115,7 @@
         .unwrap();
     let mut order = Vec::new();
     for long in [false, false, true, true, true, true, true, true] {
-        let taken = queue.take(QueueRoom { short: true, long });
+        let taken = queue.take(QueueRoom::same(true, long));
         order.extend(taken.map(|item| item.ticket.0));
     }
     insta::assert_debug_snapshot!(order);
