Wait for a prefill in flight, and give long reports more runners

The same prompt was prefilled on two runners at once, because a hint was noted only at the first token. Long reports held at most half of a group and came late at the crest of the swing. A group told entries its mean wait, though new work meets the shortest one. Change: a prompt counts as held from the moment it is sent; long prefills may take 0.75 of a group, stragglers counted by their speed; capacity states the soonest start; observed slowness counts by the size of the work, since a fixed allowance hid a factor of five for small prompts. start() takes the query.

--- a/crates/bench/src/ours.rs
+++ b/crates/bench/src/ours.rs
@@ -16,12 +16,12 @@
     QueueRefusal, RetryBudget, RetryDecision, ReturnPacer, RunnerBoard, RunnerChoice, RunnerId,
     RunnerQuery, RunnerSettings, WorkItem, WorkQueue, WorkTicket,
 };
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, ops::Range};
 
 /// Time between two looks at a group for expired and late work.
 const TICK_US: u64 = 20_000;
 /// Time between two reports of a group to the entries.
-const GROUP_REPORT_US: u64 = 250_000;
+const GROUP_REPORT_US: u64 = 1_000_000;
 
 /// One entry process.
 struct EntryState {
@@ -191,7 +191,7 @@
                 world.after(TICK_US, Event::GroupTick(group));
             }
             Event::GroupReport { group } => {
-                self.group_report(world, group);
+                self.group_report(world, group, 0..ENTRIES);
                 world.after(GROUP_REPORT_US, Event::GroupReport { group });
             }
             _ => {}
@@ -422,7 +422,7 @@
         });
         world.outcomes[arrival].tries -= u32::from(avoid.is_empty());
         let ticket = WorkTicket(attempt as u64);
-        state.board.start(ticket, &choice, request.class, now_ms);
+        state.board.start(ticket, &choice, &query, now_ms);
         state.open.push(attempt);
         match fetch {
             None => world.after(500, Event::Submit(attempt)),
@@ -481,6 +481,8 @@
         }
         world.attempts[attempt].first = true;
         world.note_first(attempt);
+        let entry = self.entry(world, state.arrival);
+        self.group_report(world, state.group, entry..entry + 1);
         self.pump(world, state.group);
     }
 
@@ -562,7 +564,7 @@
         }
     }
 
-    fn group_report(&mut self, world: &mut World, group: usize) {
+    fn group_report(&mut self, world: &World, group: usize, entries: Range<usize>) {
         let now_ms = world.now_ms();
         if world.now < self.groups[group].down_until_us {
             return;
@@ -570,7 +572,7 @@
         let state = &self.groups[group];
         let capacity = state.board.capacity(now_ms);
         let waits = state.queue.waits_ms(&capacity);
-        for entry in &mut self.entries {
+        for entry in &mut self.entries[entries] {
             entry.groups.report(GroupId(group as u32), &waits, now_ms);
         }
     }
--- a/crates/bench/src/scenarios.rs
+++ b/crates/bench/src/scenarios.rs
@@ -283,7 +283,7 @@
             }
             ScenarioName::Stragglers | ScenarioName::Healthy => {
                 scenario.runners = 18;
-                scenario.arrivals = arrivals(&usual, 90.0, 40.0, |_| 40.0, &mut rng);
+                scenario.arrivals = arrivals(&usual, 300.0, 40.0, |_| 40.0, &mut rng);
                 if name == ScenarioName::Stragglers {
                     let slow = |runner| (10 * SECOND, Fault::Speed { runner, speed: 0.2 });
                     scenario.faults = vec![slow(3), slow(11)];
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -15,7 +15,7 @@
 /// Items that a queue holds at most.
 pub const MOST_ITEMS: usize = 4096;
 /// Part of a group's runners that long prefills may take.
-pub const LONG_PART: f64 = 0.5;
+pub const LONG_PART: f64 = 0.75;
 /// Prefill time of usual short work, in milliseconds.
 const USUAL_PREFILL_MS: f64 = 100.0;
 /// When to come back to a full queue, in milliseconds.
@@ -68,6 +68,34 @@
     pub runners: f64,
     /// Prefill time sent to them that goes before new work, by class, in milliseconds.
     pub in_flight_ms: [f64; CLASSES],
+    /// When the first of them could begin new work, by class, in milliseconds.
+    pub soonest_ms: [f64; CLASSES],
+}
+
+impl QueueCapacity {
+    /// Idle healthy runners.
+    ///
+    /// ```
+    /// assert_eq!(berylmount_policy::QueueCapacity::idle(4.0).runners, 4.0);
+    /// ```
+    pub fn idle(runners: f64) -> Self {
+        Self {
+            runners,
+            in_flight_ms: [0.0; CLASSES],
+            soonest_ms: [0.0; CLASSES],
+        }
+    }
+
+    /// The wait of work of `class` with `ahead_ms` of prefill before it.
+    fn wait_ms(&self, class: WorkClass, ahead_ms: f64, part: f64) -> f64 {
+        let soonest = self.soonest_ms[class as usize];
+        if ahead_ms <= 0.0 {
+            return soonest;
+        }
+        let runners = self.runners.max(0.01);
+        let sent = self.in_flight_ms[class as usize] / runners;
+        soonest.max(sent + ahead_ms / (runners * part))
+    }
 }
 
 /// For what the group has room now, by class.
@@ -269,7 +297,7 @@
 /// use berylmount_policy::{QueueCapacity, QueueRoom, WorkItem, WorkQueue, WorkTicket};
 ///
 /// let mut queue = WorkQueue::default();
-/// let capacity = QueueCapacity { runners: 1.0, in_flight_ms: [0.0; 4] };
+/// let capacity = QueueCapacity::idle(1.0);
 /// let item = WorkItem {
 ///     ticket: WorkTicket(1),
 ///     customer: 7,
@@ -320,9 +348,7 @@
         };
         let shared: f64 = others.map(share).sum();
         let part = if item.is_long() { LONG_PART } else { 1.0 };
-        let runners = capacity.runners.max(0.01);
-        let sent = capacity.in_flight_ms[item.class as usize] / runners;
-        sent + (ahead + shared) / (runners * part).max(0.01) + item.prefill_ms
+        capacity.wait_ms(item.class, ahead + shared, part) + item.prefill_ms
     }
 
     /// The wait that new short work of each class would meet, in milliseconds.
--- a/crates/policy/src/runners.rs
+++ b/crates/policy/src/runners.rs
@@ -15,7 +15,9 @@
 use strum::IntoEnumIterator;
 
 /// Added to both sides of an observed ratio, in milliseconds, against noise.
-const GRACE_MS: f64 = 40.0;
+const GRACE_MS: f64 = 10.0;
+/// Expected time at which an observation counts half, in milliseconds.
+const HALF_COUNT_MS: f64 = 40.0;
 /// Part of a new observation that counts if it is slower than before.
 const SLOWER_PART: f64 = 0.5;
 /// Part of a new observation that counts if it is faster than before.
@@ -235,7 +237,7 @@
 /// board.set_leaving(first, true);
 /// let choice = board.choose(&query, 0, &mut rng).unwrap();
 /// assert_eq!(choice.runner, second);
-/// board.start(WorkTicket(1), &choice, WorkClass::Interactive, 0);
+/// board.start(WorkTicket(1), &choice, &query, 0);
 /// board.first_token(second, WorkTicket(1), 210);
 /// board.finish(second, WorkTicket(1), 900);
 /// ```
@@ -426,13 +428,14 @@
             .fold(f64::INFINITY, f64::min)
     }
 
-    /// Whether another runner may take a long prefill.
+    /// Whether another runner may take a long prefill; stragglers count for less.
     fn long_open(&self) -> bool {
         let live = self.runners.iter().filter(|runner| runner.is_live());
-        let (live, long) = live.fold((0, 0), |(live, long), runner| {
-            (live + 1, long + usize::from(runner.has_long()))
+        let (live, long) = live.fold((0.0, 0), |(live, long), runner| {
+            let part = 1.0 / runner.slowness.max(1.0);
+            (live + part, long + usize::from(runner.has_long()))
         });
-        let most = (live as f64 * LONG_PART).floor().max(1.0) as usize;
+        let most = (live * LONG_PART).round().max(1.0) as usize;
         long < most
     }
 
@@ -461,12 +464,15 @@
         let mut capacity = QueueCapacity {
             runners: 0.0,
             in_flight_ms: [0.0; CLASSES],
+            soonest_ms: [f64::INFINITY; CLASSES],
         };
         for state in self.runners.iter().filter(|runner| runner.is_live()) {
             let slowness = state.slowness(now_ms);
             capacity.runners += 1.0 / slowness.max(1.0);
             for class in WorkClass::iter() {
                 let ahead = state.ahead_ms(class, slowness, now_ms);
+                let soonest = &mut capacity.soonest_ms[class as usize];
+                *soonest = soonest.min(ahead * slowness);
                 capacity.in_flight_ms[class as usize] += ahead;
             }
         }
@@ -474,13 +480,18 @@
     }
 
     /// Counts work that was sent as `choice` says.
+    ///
+    /// The runner counts as holding the prompt's pieces from now on, so that
+    /// the same prompt waits for that prefill rather than being computed twice.
     pub fn start(
         &mut self,
         ticket: WorkTicket,
         choice: &RunnerChoice,
-        class: WorkClass,
+        query: &RunnerQuery,
         now_ms: u64,
     ) {
+        let class = query.class;
+        self.prefixes.note_kept(choice.runner, query.pieces);
         let Some(state) = self.runners.get_mut(choice.runner.0 as usize) else {
             return;
         };
@@ -518,9 +529,9 @@
             return;
         };
         work.first_ms = Some(now_ms);
-        let (ratio, probe) = (work.ratio(now_ms), work.probe);
+        let (ratio, probe, healthy) = (work.ratio(now_ms), work.probe, work.healthy_ms);
         state.head_ms = now_ms;
-        state.learn(ratio, probe);
+        state.learn(ratio, probe, healthy / (healthy + HALF_COUNT_MS));
     }
 
     /// Counts the end of `ticket`, whether it was served or not.
@@ -541,19 +552,20 @@
     pub fn fail(&mut self, runner: RunnerId, ticket: WorkTicket, now_ms: u64) {
         self.finish(runner, ticket, now_ms);
         if let Some(state) = self.runners.get_mut(runner.0 as usize) {
-            state.learn(2.0 * STRAGGLER_RATIO, false);
+            state.learn(2.0 * STRAGGLER_RATIO, false, 1.0);
             state.probe_ms = now_ms + PROBE_GAP_MS;
         }
     }
 }
 
 impl RunnerState {
-    fn learn(&mut self, ratio: f64, probe: bool) {
+    /// Takes in an observed `ratio` that counts for the part `trust`.
+    fn learn(&mut self, ratio: f64, probe: bool, trust: f64) {
         let part = match (probe, ratio > self.slowness) {
             (true, _) => PROBE_PART,
             (false, true) => SLOWER_PART,
             (false, false) => FASTER_PART,
         };
-        self.slowness = (self.slowness + part * (ratio - self.slowness)).clamp(0.5, 50.0);
+        self.slowness = (self.slowness + trust * part * (ratio - self.slowness)).clamp(0.5, 50.0);
     }
 }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -91,10 +91,7 @@
 #[test]
 fn short_work_passes_a_long_prefill_and_classes_share() {
     let mut queue = WorkQueue::default();
-    let capacity = QueueCapacity {
-        runners: 4.0,
-        in_flight_ms: [0.0; 4],
-    };
+    let capacity = QueueCapacity::idle(4.0);
     queue
         .offer(item(1, WorkClass::Bulk, 3000.0, 60_000), &capacity, 0)
         .unwrap();
@@ -139,7 +136,7 @@
         ..query
     };
     let choice = board.choose(&avoid_fast, 0, &mut rng).unwrap();
-    board.start(WorkTicket(0), &choice, query.class, 0);
+    board.start(WorkTicket(0), &choice, &query, 0);
     board.report(
         slow,
         &RunnerReport {
@@ -156,7 +153,7 @@
     board.finish(slow, WorkTicket(0), 1_000);
     let probe = board.choose(&query, 5_000, &mut rng).unwrap();
     seen.push(("probe", probe.runner.0));
-    board.start(WorkTicket(1), &probe, query.class, 5_000);
+    board.start(WorkTicket(1), &probe, &query, 5_000);
     board.first_token(slow, WorkTicket(1), 5_100);
     board.finish(slow, WorkTicket(1), 5_200);
     seen.push((
