--- a/crates/bench/src/ours.rs
+++ b/crates/bench/src/ours.rs
@@ -602,7 +602,9 @@
         self.groups[0].down_until_us = until;
         for entry in &mut self.entries {
             entry.groups.note_failure(GroupId(0), world.now / 1000);
-            entry.limits.members_changed(world.now / 1000);
+            entry
+                .limits
+                .members_changed(world.now / 1000, |_| Some(LimitShare::WHOLE));
         }
     }
 }
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -140,27 +140,91 @@
     }
 }
 
+/// A bucket with the limit that shapes it.
+#[derive(Clone, Copy, Debug)]
+struct LimitBucket {
+    bucket: TokenBucket,
+    rate_per_s: f64,
+    burst: u32,
+}
+
+impl LimitBucket {
+    fn shape(&self, share: LimitShare) -> BucketShape {
+        BucketShape::new(self.rate_per_s, self.burst, share)
+    }
+
+    fn fill(&mut self, share: LimitShare, now_ms: u64) {
+        self.bucket.fill(self.shape(share), now_ms);
+    }
+
+    fn restart(&mut self, share: LimitShare, now_ms: u64) {
+        self.bucket = TokenBucket::untouched(self.shape(share), now_ms);
+    }
+
+    fn is_full(&self, share: LimitShare, now_ms: u64) -> bool {
+        let shape = self.shape(share);
+        let mut bucket = self.bucket;
+        bucket.fill(shape, now_ms);
+        bucket.tokens >= shape.size
+    }
+
+    /// Whether a bucket made afresh would be full too.
+    fn is_full_afresh(&self, share: LimitShare, since_ms: u64, now_ms: u64) -> bool {
+        let mut fresh = *self;
+        fresh.restart(share, since_ms);
+        fresh.is_full(share, now_ms)
+    }
+}
+
 /// One tracked customer.
 #[derive(Clone, Debug)]
 struct CustomerState {
     name: CustomerName,
-    bucket: TokenBucket,
-    shape: BucketShape,
-    works: Vec<(WorkName, TokenBucket, BucketShape)>,
+    share: LimitShare,
+    total: LimitBucket,
+    /// Sorted by kind of work.
+    works: Vec<(WorkName, LimitBucket)>,
     in_flight: u32,
+    /// Another entry serves the customer; the buckets start anew.
+    moved: bool,
 }
 
 impl CustomerState {
+    fn buckets(&self) -> impl Iterator<Item = &LimitBucket> {
+        std::iter::once(&self.total).chain(self.works.iter().map(|(_, bucket)| bucket))
+    }
+
+    fn buckets_mut(&mut self) -> impl Iterator<Item = &mut LimitBucket> {
+        let works = self.works.iter_mut().map(|(_, bucket)| bucket);
+        std::iter::once(&mut self.total).chain(works)
+    }
+
+    /// Takes another part of the limits, from `now_ms` on.
+    fn reshare(&mut self, share: Option<LimitShare>, now_ms: u64) {
+        let (old, moved) = (self.share, self.moved);
+        let Some(new) = share else {
+            self.moved = true;
+            return;
+        };
+        for bucket in self.buckets_mut() {
+            if moved {
+                bucket.restart(new, now_ms);
+            } else {
+                bucket.fill(old, now_ms);
+                bucket.fill(new, now_ms);
+            }
+        }
+        (self.share, self.moved) = (new, false);
+    }
+
     /// Whether a state made afresh would allow just as much.
-    fn is_idle(&self, now_ms: u64) -> bool {
-        let full = |bucket: &TokenBucket, shape: BucketShape| {
-            let mut bucket = *bucket;
-            bucket.fill(shape, now_ms);
-            bucket.tokens >= shape.size
+    fn is_idle(&self, since_ms: u64, now_ms: u64) -> bool {
+        let share = self.share;
+        let mut buckets = self.buckets();
+        let same = |bucket: &LimitBucket| {
+            bucket.is_full(share, now_ms) && bucket.is_full_afresh(share, since_ms, now_ms)
         };
-        self.in_flight == 0
-            && full(&self.bucket, self.shape)
-            && self.works.iter().all(|(_, b, shape)| full(b, *shape))
+        self.in_flight == 0 && (self.moved || buckets.all(same))
     }
 }
 
@@ -209,16 +273,27 @@
         }
     }
 
-    /// Notes that the members changed, so that customers may have moved here.
+    /// Notes that the members changed, so that customers may have moved.
     ///
-    /// Untracked customers start from a cautious part again.
+    /// `share_of` gives this entry's new part of a customer's limits, or nothing
+    /// for a customer that it no longer serves. Such a customer has to start
+    /// from a cautious part again, and so has one that is not tracked.
     ///
     /// ```
-    /// let mut book = berylmount_policy::LimitBook::new(0);
-    /// book.members_changed(5_000);
+    /// use berylmount_policy::{LimitBook, LimitShare};
+    ///
+    /// let mut book = LimitBook::new(0);
+    /// book.members_changed(5_000, |_| Some(LimitShare::WHOLE));
     /// ```
-    pub fn members_changed(&mut self, now_ms: u64) {
+    pub fn members_changed(
+        &mut self,
+        now_ms: u64,
+        share_of: impl Fn(&CustomerName) -> Option<LimitShare>,
+    ) {
         self.since_ms = self.since_ms.max(now_ms);
+        for state in &mut self.states {
+            state.reshare(share_of(&state.name), now_ms);
+        }
     }
 
     /// Customers tracked now.
@@ -246,28 +321,29 @@
         share: LimitShare,
         now_ms: u64,
     ) -> Result<(), LimitRefusal> {
-        let shape = BucketShape::new(row.rate_per_s, row.burst, share);
         let since_ms = self.since_ms;
-        let state = self.state_mut(&row.name, shape, now_ms)?;
-        state.bucket.fill(shape, now_ms);
-        state.shape = shape;
+        let state = self.state_mut(row, share, now_ms)?;
+        if state.share != share || state.moved {
+            state.reshare(Some(share), now_ms);
+        }
+        (state.total.rate_per_s, state.total.burst) = (row.rate_per_s, row.burst);
+        state.total.fill(share, now_ms);
         if state.in_flight >= share.of_count(row.in_flight) {
             return Err(LimitRefusal::InFlight(IN_FLIGHT_RETURN_MS));
         }
-        match state.bucket.wait_ms(shape) {
+        match state.total.bucket.wait_ms(state.total.shape(share)) {
             0 => {}
             wait => return Err(LimitRefusal::CustomerRate(wait)),
         }
         if let Some(limit) = limit {
-            let shape = BucketShape::new(limit.rate_per_s, limit.burst, share);
-            let bucket = work_bucket(&mut state.works, work, shape, since_ms);
-            bucket.fill(shape, now_ms);
-            match bucket.wait_ms(shape) {
-                0 => bucket.tokens -= 1.0,
+            let work = work_bucket(&mut state.works, work, limit, share, since_ms);
+            work.fill(share, now_ms);
+            match work.bucket.wait_ms(work.shape(share)) {
+                0 => work.bucket.tokens -= 1.0,
                 wait => return Err(LimitRefusal::WorkRate(wait)),
             }
         }
-        state.bucket.tokens -= 1.0;
+        state.total.bucket.tokens -= 1.0;
         state.in_flight += 1;
         Ok(())
     }
@@ -296,8 +372,7 @@
     pub fn drop_idle(&mut self, now_ms: u64) -> usize {
         let before = self.states.len();
         let since_ms = self.since_ms;
-        self.states
-            .retain(|state| !(state.is_idle(now_ms) && refilled(state, since_ms, now_ms)));
+        self.states.retain(|state| !state.is_idle(since_ms, now_ms));
         if self.states.len() < before {
             self.rebuild_index();
         }
@@ -325,10 +400,11 @@
 
     fn state_mut(
         &mut self,
-        customer: &CustomerName,
-        shape: BucketShape,
+        row: &CustomerRow,
+        share: LimitShare,
         now_ms: u64,
     ) -> Result<&mut CustomerState, LimitRefusal> {
+        let customer = &row.name;
         let mut found = self.find(customer);
         if found.is_err() && self.states.len() >= MOST_CUSTOMERS {
             if self.drop_idle(now_ms) == 0 {
@@ -341,12 +417,14 @@
             Err(place) => {
                 let id = self.states.len() as u32;
                 self.index.insert(place, (name_hash(customer), id));
+                let total = new_bucket(row.rate_per_s, row.burst, share, self.since_ms);
                 self.states.push(CustomerState {
                     name: customer.clone(),
-                    bucket: TokenBucket::untouched(shape, self.since_ms),
-                    shape,
+                    share,
+                    total,
                     works: Vec::new(),
                     in_flight: 0,
+                    moved: false,
                 });
                 id
             }
@@ -355,14 +433,14 @@
     }
 }
 
-/// Whether a state made afresh at `now_ms` would hold full buckets too.
-fn refilled(state: &CustomerState, since_ms: u64, now_ms: u64) -> bool {
-    let full = |shape: BucketShape| {
-        let mut bucket = TokenBucket::untouched(shape, since_ms);
-        bucket.fill(shape, now_ms);
-        bucket.tokens >= shape.size
-    };
-    full(state.shape) && state.works.iter().all(|(_, _, shape)| full(*shape))
+/// A bucket that was untouched since `since_ms`.
+fn new_bucket(rate_per_s: f64, burst: u32, share: LimitShare, since_ms: u64) -> LimitBucket {
+    let shape = BucketShape::new(rate_per_s, burst, share);
+    LimitBucket {
+        bucket: TokenBucket::untouched(shape, since_ms),
+        rate_per_s,
+        burst,
+    }
 }
 
 fn name_hash(customer: &CustomerName) -> u64 {
@@ -371,19 +449,21 @@
 
 /// The bucket of one kind of work, made if it is new.
 fn work_bucket<'a>(
-    works: &'a mut Vec<(WorkName, TokenBucket, BucketShape)>,
+    works: &'a mut Vec<(WorkName, LimitBucket)>,
     work: &WorkName,
-    shape: BucketShape,
+    limit: &LimitRow,
+    share: LimitShare,
     since_ms: u64,
-) -> &'a mut TokenBucket {
-    let place = match works.binary_search_by(|(name, ..)| name.cmp(work)) {
+) -> &'a mut LimitBucket {
+    let place = match works.binary_search_by(|(name, _)| name.cmp(work)) {
         Ok(place) => place,
         Err(place) => {
-            let bucket = TokenBucket::untouched(shape, since_ms);
-            works.insert(place, (work.clone(), bucket, shape));
+            let bucket = new_bucket(limit.rate_per_s, limit.burst, share, since_ms);
+            works.insert(place, (work.clone(), bucket));
             place
         }
     };
-    works[place].2 = shape;
-    &mut works[place].1
+    let bucket = &mut works[place].1;
+    (bucket.rate_per_s, bucket.burst) = (limit.rate_per_s, limit.burst);
+    bucket
 }
--- a/crates/policy/src/runners.rs
+++ b/crates/policy/src/runners.rs
@@ -30,6 +30,8 @@
 const PROBE_GAP_MS: u64 = 2_000;
 /// Prefill time that a lower class delays a higher one on a runner: one piece.
 const LOWER_CLASS_MS: f64 = 100.0;
+/// Age from which a report says nothing, in milliseconds.
+const REPORT_LIFE_MS: u64 = 10_000;
 /// Times the usual room that a runner may be sent for the sake of its cache.
 const CACHE_ROOM: f64 = 4.0;
 /// Added to the score of a group's last clear runner, which is kept for
@@ -203,8 +205,16 @@
         }
         let done = now_ms.saturating_sub(self.head_ms) as f64 / slowness;
         let own = (same - done).max(0.0) + f64::min(lower, LOWER_CLASS_MS);
-        let passed = now_ms.saturating_sub(self.report_ms) as f64 / slowness;
-        own + (self.foreign_ms - passed).max(0.0)
+        own + self.foreign_ms(slowness, now_ms)
+    }
+
+    /// Prefill time of others' work, as far as the last report still tells.
+    fn foreign_ms(&self, slowness: f64, now_ms: u64) -> f64 {
+        let age = now_ms.saturating_sub(self.report_ms);
+        if age > REPORT_LIFE_MS {
+            return 0.0;
+        }
+        (self.foreign_ms - age as f64 / slowness).max(0.0)
     }
 
     fn running(&self) -> u32 {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -83,7 +83,7 @@
     let dropped = book.drop_idle(20_000);
     let idle = burst(&mut book, 20_000);
     assert_eq!(book.drop_idle(40_000), 1);
-    book.members_changed(40_000);
+    book.members_changed(40_000, |_| Some(LimitShare::WHOLE));
     let moved = burst(&mut book, 40_000);
     insta::assert_debug_snapshot!((at_start, later, dropped, idle, moved));
 }
@@ -162,3 +162,25 @@
     ));
     insta::assert_debug_snapshot!(seen);
 }
+
+#[test]
+fn a_report_that_is_never_renewed_does_not_shut_a_runner_out() {
+    let mut rng = Pcg32::seed_from_u64(7);
+    let mut board = RunnerBoard::new(RunnerSettings::default());
+    let runner = board.join();
+    let report = RunnerReport {
+        at_ms: 0,
+        waiting_tokens: 900_000,
+        running: 3,
+    };
+    board.report(runner, &report);
+    let query = RunnerQuery {
+        pieces: &[],
+        prompt_tokens: 1_000,
+        class: WorkClass::Interactive,
+        may_probe: true,
+        avoid: &[],
+    };
+    assert_eq!(board.choose(&query, 5_000, &mut rng), None);
+    assert!(board.choose(&query, 15_000, &mut rng).is_some());
+}
