Measure the cost of a decision, and compare with plain policies by class

Cause: the plain policies sent no priorities, which any caller of an engine could, so they looked weaker than need be; and one choice among 1,000 runners took 1.8 ms, because the best slowness was found anew for every runner. Change: round robin and prefix affinity also run with the class as engine priority; what holds for a whole choice is computed once; a customer's line keeps its backlog; decision-cost prints time and allocations.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,6 +3,7 @@
 //! Drives the real policy crate and plain policies over the same arrivals and
 //! targets, and prints the measures as a table or as JSON.
 
+mod cost;
 mod measures;
 mod ours;
 mod plain;
@@ -23,7 +24,7 @@
 
 fn main() -> ExitCode {
     let flags = xflags::parse_or_exit! {
-        /// Scenario, or `all`.
+        /// Scenario, `all`, or `decision-cost`.
         required scenario: String
         /// One policy instead of all.
         optional --policy policy: PolicyName
@@ -32,12 +33,19 @@
         /// Prints one JSON object a line.
         optional --json
     };
+    if flags.scenario == "decision-cost" {
+        cost::print_costs(flags.json);
+        return ExitCode::SUCCESS;
+    }
     let scenarios = match (flags.scenario.as_str(), flags.scenario.parse()) {
         ("all", _) => ScenarioName::iter().collect(),
         (_, Ok(name)) => vec![name],
         _ => {
             let names: Vec<String> = ScenarioName::iter().map(|name| name.to_string()).collect();
-            eprintln!("unknown scenario; one of: all, {}", names.join(", "));
+            eprintln!(
+                "unknown scenario; one of: all, decision-cost, {}",
+                names.join(", ")
+            );
             return ExitCode::FAILURE;
         }
     };
--- a/crates/bench/src/plain.rs
+++ b/crates/bench/src/plain.rs
@@ -19,6 +19,8 @@
 /// A plain policy in every entry.
 pub(crate) struct PlainPolicy {
     choice: PlainChoice,
+    /// Whether the engine is told the class as a priority.
+    classes: bool,
     turns: [usize; ENTRIES],
     /// Waiting tokens and requests that each runner last reported.
     loads: Vec<(u64, u32)>,
@@ -28,10 +30,11 @@
 }
 
 impl PlainPolicy {
-    pub(crate) fn new(choice: PlainChoice, world: &World) -> Self {
+    pub(crate) fn new(choice: PlainChoice, classes: bool, world: &World) -> Self {
         let count = world.runners.len();
         Self {
             choice,
+            classes,
             turns: std::array::from_fn(|entry| entry * count / ENTRIES),
             loads: vec![(0, 0); count],
             names: (0..count).map(|n| format!("runner-{n}")).collect(),
@@ -93,7 +96,7 @@
             arrival,
             group: to,
             runner,
-            rank: 0,
+            rank: if self.classes { request.class as u8 } else { 0 },
             sent_us: world.now,
             expected_ms: 0.0,
             fetched: if fetch { all } else { 0 },
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -43,6 +43,10 @@
     RoundRobin,
     LeastLoad,
     PrefixAffinity,
+    /// Round robin that passes the class to the engine as a priority.
+    RoundRobinClasses,
+    /// Prefix affinity that passes the class to the engine as a priority.
+    AffinityClasses,
 }
 
 /// What happens next.
@@ -330,13 +334,19 @@
     let mut world = World::new(scenario, seed);
     let choice = match policy {
         PolicyName::Ours => None,
-        PolicyName::RoundRobin => Some(PlainChoice::RoundRobin),
+        PolicyName::RoundRobin | PolicyName::RoundRobinClasses => Some(PlainChoice::RoundRobin),
         PolicyName::LeastLoad => Some(PlainChoice::LeastLoad),
-        PolicyName::PrefixAffinity => Some(PlainChoice::PrefixAffinity),
+        PolicyName::PrefixAffinity | PolicyName::AffinityClasses => {
+            Some(PlainChoice::PrefixAffinity)
+        }
     };
+    let classes = matches!(
+        policy,
+        PolicyName::RoundRobinClasses | PolicyName::AffinityClasses
+    );
     let mut state = match choice {
         None => PolicyState::Ours(Box::new(OurPolicy::new(&world))),
-        Some(choice) => PolicyState::Plain(PlainPolicy::new(choice, &world)),
+        Some(choice) => PolicyState::Plain(PlainPolicy::new(choice, classes, &world)),
     };
     for arrival in 0..world.scenario.arrivals.len() {
         let at = world.arrival(arrival).at_us;
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -154,16 +154,12 @@
     customer: u64,
     weight: f64,
     pass: f64,
+    backlog_ms: f64,
     short: VecDeque<WorkItem>,
     long: VecDeque<WorkItem>,
 }
 
 impl CustomerLine {
-    fn backlog_ms(&self) -> f64 {
-        let items = self.short.iter().chain(&self.long);
-        items.map(|item| item.prefill_ms).sum()
-    }
-
     fn is_empty(&self) -> bool {
         self.short.is_empty() && self.long.is_empty()
     }
@@ -174,6 +170,12 @@
 
     /// The next item that fits, short work first unless the long one is older.
     fn take(&mut self, room: LaneRoom) -> Option<WorkItem> {
+        let item = self.pop(room)?;
+        self.backlog_ms -= item.prefill_ms;
+        Some(item)
+    }
+
+    fn pop(&mut self, room: LaneRoom) -> Option<WorkItem> {
         let short = self.short.front().filter(|_| room.short);
         let long = self.long.front().filter(|_| room.long);
         match (short, long) {
@@ -211,6 +213,7 @@
                     customer: item.customer,
                     weight,
                     pass: self.clock,
+                    backlog_ms: 0.0,
                     short: VecDeque::new(),
                     long: VecDeque::new(),
                 };
@@ -229,6 +232,7 @@
             &mut line.short
         };
         lane.push_back(item);
+        line.backlog_ms += item.prefill_ms;
         self.items += 1;
         self.backlog_ms += item.prefill_ms;
     }
@@ -239,8 +243,11 @@
         let item = line.take(room)?;
         self.clock = self.clock.max(line.pass);
         line.pass += item.prefill_ms.max(1.0) / line.weight;
+        let done = line.is_empty();
         self.forget(&item);
-        self.drop_done();
+        if done {
+            self.drop_done();
+        }
         Some(item)
     }
 
@@ -270,6 +277,8 @@
                     lane.retain(|item| !gone(item));
                 }
             }
+            let left = line.short.iter().chain(&line.long);
+            line.backlog_ms = left.map(|item| item.prefill_ms).sum();
         }
         for item in &out[from..] {
             self.forget(item);
@@ -282,10 +291,10 @@
     /// Prefill time of this class served before a new item of `customer`.
     fn ahead_ms(&self, customer: u64, weight: f64, cost_ms: f64) -> f64 {
         let found = self.lines.binary_search_by_key(&customer, |l| l.customer);
-        let own = found.map_or(0.0, |place| self.lines[place].backlog_ms());
+        let own = found.map_or(0.0, |place| self.lines[place].backlog_ms);
         let others = self.lines.iter().filter(|line| line.customer != customer);
         let fair = |line: &CustomerLine| (own + cost_ms) * line.weight / weight;
-        let shared: f64 = others.map(|line| line.backlog_ms().min(fair(line))).sum();
+        let shared: f64 = others.map(|line| line.backlog_ms.min(fair(line))).sum();
         own + shared
     }
 }
@@ -416,9 +425,7 @@
     ///
     /// Call [`WorkQueue::expire`] first, so that nothing expired is served.
     pub fn take(&mut self, room: QueueRoom) -> Option<WorkItem> {
-        let mut order: Vec<usize> = (0..CLASSES)
-            .filter(|&c| self.classes[c].items > 0)
-            .collect();
+        let mut order: [usize; CLASSES] = std::array::from_fn(|class| class);
         order.sort_by(|&a, &b| self.classes[a].pass.total_cmp(&self.classes[b].pass));
         for place in order {
             let Some(item) = self.classes[place].take(room.of_class(place)) else {
--- a/crates/policy/src/runners.rs
+++ b/crates/policy/src/runners.rs
@@ -230,6 +230,16 @@
     }
 }
 
+/// What holds for all runners during one choice.
+struct BoardView<'a> {
+    /// Runners that hold a prefix of the prompt, with its pieces; sorted.
+    held: &'a [(RunnerId, usize)],
+    /// Whether another runner may take a long prefill.
+    long_open: bool,
+    /// Slowness from which a runner counts as a straggler.
+    straggling: f64,
+}
+
 /// The runners of one group, as one dispatch process sees them.
 ///
 /// ```
@@ -365,16 +375,21 @@
         now_ms: u64,
         rng: &mut impl Rng,
     ) -> Option<RunnerChoice> {
-        let long_open = self.long_open();
         let mut best: Option<(f64, RunnerChoice)> = None;
         let mut ties = 0;
-        let last_clear = self.last_clear(query.class);
+        let straggling = STRAGGLER_RATIO * self.best_slowness();
+        let last_clear = self.last_clear(query.class, straggling);
+        let view = BoardView {
+            held,
+            long_open: self.long_open(),
+            straggling,
+        };
         for place in 0..self.runners.len() {
             let runner = RunnerId(place as u32);
             if query.avoid.contains(&runner) {
                 continue;
             }
-            let Some(choice) = self.weigh(runner, query, held, long_open, now_ms) else {
+            let Some(choice) = self.weigh(runner, query, &view, now_ms) else {
                 continue;
             };
             if choice.probe {
@@ -401,13 +416,14 @@
     }
 
     /// The only live runner without waiting work, for work that is not critical.
-    fn last_clear(&self, class: WorkClass) -> Option<RunnerId> {
+    fn last_clear(&self, class: WorkClass, straggling: f64) -> Option<RunnerId> {
         if class == WorkClass::Critical {
             return None;
         }
-        let limit = STRAGGLER_RATIO * self.best_slowness();
         let clear = |state: &RunnerState| {
-            state.is_live() && state.slowness < limit && !state.works.iter().any(SentWork::waits)
+            state.is_live()
+                && state.slowness < straggling
+                && !state.works.iter().any(SentWork::waits)
         };
         let mut places = (0..self.runners.len()).filter(|&place| clear(&self.runners[place]));
         let first = places.next()?;
@@ -419,22 +435,21 @@
         &self,
         runner: RunnerId,
         query: &RunnerQuery,
-        held: &[(RunnerId, usize)],
-        long_open: bool,
+        view: &BoardView,
         now_ms: u64,
     ) -> Option<RunnerChoice> {
         let state = &self.runners[runner.0 as usize];
         if !state.is_live() || state.running() >= self.settings.slots {
             return None;
         }
-        let found = held.binary_search_by_key(&runner, |&(r, _)| r);
-        let pieces = found.map_or(0, |place| held[place].1);
+        let found = view.held.binary_search_by_key(&runner, |&(r, _)| r);
+        let pieces = found.map_or(0, |place| view.held[place].1);
         let cached = ((pieces * PIECE_TOKENS) as u32).min(query.prompt_tokens);
         let prefill = self
             .settings
             .prefill_ms(query.prompt_tokens - cached)
             .max(1.0);
-        if prefill >= LONG_PREFILL_MS && (!long_open || state.has_long()) {
+        if prefill >= LONG_PREFILL_MS && (!view.long_open || state.has_long()) {
             return None;
         }
         let slowness = state.slowness(now_ms);
@@ -443,7 +458,7 @@
         if ahead > room {
             return None;
         }
-        let straggler = slowness > STRAGGLER_RATIO * self.best_slowness();
+        let straggler = slowness > view.straggling;
         let short = prefill < LONG_PREFILL_MS && query.class > WorkClass::Critical;
         let probe = straggler && query.may_probe && short && state.may_probe(now_ms);
         Some(RunnerChoice {
