Move late prompts to disk instead of freeing them

Cause: over 300 s of usual work 3.7% of the prompt pieces were recomputed, though all of them fit the stores. Counting the plans showed 140 prompts freed from memory while disk had room: the gap assumed for a prompt that has not returned was learned from every return, so crews' questions, which return every few seconds, made a report seem overdue after half a minute, and what is overdue was freed, not moved. Ruled out: copies of one prompt kept by two groups (not keeping what another holds changed nothing beyond noise; left in, since it saves a transfer).

--- a/crates/bench/src/ours.rs
+++ b/crates/bench/src/ours.rs
@@ -521,6 +521,10 @@
         let now_ms = world.now_ms();
         let bytes = piece_bytes(request.pieces.len());
         let group = &mut self.groups[state.group];
+        let elsewhere = world.stores.iter().any(|store| store.holds(request.prompt));
+        if elsewhere && group.keep.place(request.prompt).is_none() {
+            return;
+        }
         let plan = group.keep.run_ended(request.prompt, bytes, now_ms);
         for change in &plan.moves {
             if change.to.is_none() {
--- a/crates/policy/src/keeping.rs
+++ b/crates/policy/src/keeping.rs
@@ -259,7 +259,7 @@
             };
             for victim in victims {
                 self.unlink(victim);
-                let lower = tier == StoreTier::Memory && !self.is_overdue(victim, now_ms);
+                let lower = tier == StoreTier::Memory;
                 let to = lower.then(|| self.demote(victim, store, now_ms, moves));
                 moves.push(KeptMove {
                     prompt: victim,
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -3,8 +3,9 @@
 use berylmount_model::{CustomerName, CustomerRow, InstanceName, WorkClass, WorkName};
 use berylmount_policy::{
     assignment::{rank_members, split_groups, GROUP_RUNNERS},
-    LimitBook, LimitShare, MemberWeight, QueueCapacity, QueueRoom, RunnerBoard, RunnerQuery,
-    RunnerReport, RunnerSettings, WorkItem, WorkQueue, WorkTicket,
+    keeping::StoreShare,
+    KeepBook, LimitBook, LimitShare, MemberWeight, QueueCapacity, QueueRoom, RunnerBoard,
+    RunnerQuery, RunnerReport, RunnerSettings, WorkItem, WorkQueue, WorkTicket,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
@@ -184,3 +185,22 @@
     assert_eq!(board.choose(&query, 5_000, &mut rng), None);
     assert!(board.choose(&query, 15_000, &mut rng).is_some());
 }
+
+#[test]
+fn a_late_prompt_goes_to_disk_while_there_is_room() {
+    let share = StoreShare {
+        name: "keep-a".to_owned(),
+        memory_bytes: 100,
+        disk_bytes: 100,
+    };
+    let mut book = KeepBook::new(vec![share], 100);
+    let mut seen = Vec::new();
+    for now_ms in [0, 10, 20, 30] {
+        book.run_ended(1, 60, now_ms);
+    }
+    for prompt in [2, 3] {
+        let plan = book.run_ended(prompt, 60, 90_000);
+        seen.push((plan.place.map(|place| place.tier), plan.moves));
+    }
+    insta::assert_debug_snapshot!(seen);
+}
--- a/crates/policy/tests/fuzz.rs
+++ b/crates/policy/tests/fuzz.rs
@@ -4,9 +4,12 @@
 
 use berylmount_model::{CustomerName, CustomerRow, RequestVerdict, WorkClass, WorkName};
 use berylmount_policy::{
-    assignment::entry_count, retries::FailedAttempt, LimitBook, LimitShare, QueueCapacity,
-    QueueRoom, RetryBudget, RetryDecision, RunnerBoard, RunnerChoice, RunnerId, RunnerQuery,
-    RunnerReport, RunnerSettings, WorkItem, WorkQueue, WorkTicket,
+    assignment::entry_count,
+    keeping::{KeptPlace, StoreShare},
+    retries::FailedAttempt,
+    KeepBook, LimitBook, LimitShare, QueueCapacity, QueueRoom, RetryBudget, RetryDecision,
+    RunnerBoard, RunnerChoice, RunnerId, RunnerQuery, RunnerReport, RunnerSettings, StoreId,
+    StoreTier, WorkItem, WorkQueue, WorkTicket,
 };
 use proptest::{collection::vec, prelude::*, sample::select, test_runner::RngSeed};
 use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
@@ -591,6 +594,41 @@
         }
     }
 
+    #[test]
+    fn a_keep_plan_fits_the_stores(steps in vec((0u64..12, 1u64..70, 0u64..90), 1..200)) {
+        let share = |name: &str| StoreShare {
+            name: name.to_owned(),
+            memory_bytes: 100,
+            disk_bytes: 160,
+        };
+        let mut book = KeepBook::new(vec![share("a"), share("b")], 8);
+        let (mut kept, mut now_ms) = (BTreeMap::new(), 0);
+        for (prompt, bytes, passed) in steps {
+            now_ms += passed;
+            kept.remove(&prompt);
+            let plan = book.run_ended(prompt, bytes, now_ms);
+            for change in plan.moves {
+                let (place, bytes) = kept.remove(&change.prompt).unwrap();
+                prop_assert_eq!(place, change.from);
+                if let Some(tier) = change.to {
+                    kept.insert(change.prompt, (KeptPlace { tier, ..place }, bytes));
+                }
+            }
+            if let Some(place) = plan.place {
+                kept.insert(prompt, (place, bytes));
+            }
+            for prompt in 0..12 {
+                prop_assert_eq!(book.place(prompt), kept.get(&prompt).map(|&(place, _)| place));
+            }
+            for (store, tier, room) in [(0, StoreTier::Memory, 100), (1, StoreTier::Disk, 160)] {
+                let here = KeptPlace { store: StoreId(store), tier };
+                let used: u64 = kept.values().filter(|k| k.0 == here).map(|k| k.1).sum();
+                prop_assert!(used <= room);
+            }
+        }
+        prop_assert!(book.len() <= 12);
+    }
+
     #[test]
     fn no_class_and_no_customer_starves(flood in select(CLASSES.to_vec()), class in select(CLASSES.to_vec())) {
         let mut queue = WorkQueue::default();
