--- a/crates/bench/src/scenarios.rs
+++ b/crates/bench/src/scenarios.rs
@@ -276,7 +276,7 @@
                 }
             }
             ScenarioName::LongReports | ScenarioName::ShortAlone => {
-                scenario.arrivals = arrivals(&usual, 90.0, 30.0, |_| 30.0, &mut rng);
+                scenario.arrivals = arrivals(&usual, 300.0, 30.0, |_| 30.0, &mut rng);
                 if name == ScenarioName::ShortAlone {
                     scenario.arrivals.retain(|a| a.class != WorkClass::Bulk);
                 }
