--- a/crates/standins/src/memory.rs
+++ b/crates/standins/src/memory.rs
@@ -161,6 +161,11 @@
         self.changed.notify_all();
     }
 
+    /// Reads an object past all faults, for an oracle; it is not counted.
+    pub fn peek(&self, key: &str) -> Option<StoredObject> {
+        self.lock().objects.get(key).cloned()
+    }
+
     /// Sets the list of instances.
     pub fn set_instances(&self, instances: &[InstanceRecord]) {
         self.lock().instances = instances.to_vec();
--- a/crates/table/src/editor.rs
+++ b/crates/table/src/editor.rs
@@ -39,8 +39,8 @@
     /// Another edit with the same id is stored; nothing of this one was.
     #[error("another edit with the id {0} is stored")]
     IdReused(String),
-    /// The platform does not answer; nothing was stored, and nothing will be.
-    #[error("the platform is unavailable; nothing was stored")]
+    /// The platform does not answer; this try stored nothing, and never will.
+    #[error("the platform is unavailable; this try stored nothing")]
     Unavailable,
     /// All or a part may have been stored; a repeat with the same id settles it.
     #[error("the edit may have been stored, in whole or in part; repeat it with the same id")]
--- a/crates/table/src/replica.rs
+++ b/crates/table/src/replica.rs
@@ -8,7 +8,7 @@
     ShardError, ShardRows, TableEditor, TableHead, TableView, HEAD_KEY, SHARD_COUNT,
 };
 use berylmount_model::InstanceName;
-use berylmount_platform::{ObjectStore, StoreError};
+use berylmount_platform::{ObjectStore, StoreError, StoredObject};
 use std::{
     sync::{
         atomic::{AtomicBool, Ordering},
@@ -170,7 +170,30 @@
         sent_ms: u64,
         wait: Duration,
     ) -> Result<(), ReplicaError> {
-        let result = self.follow(store, sent_ms, wait);
+        let known = self.known_head();
+        let wait = if self.missing().is_empty() {
+            wait
+        } else {
+            Duration::ZERO
+        };
+        let answer = store.watch(HEAD_KEY, known, wait);
+        self.take_watch(store, sent_ms, known, answer)
+    }
+
+    /// Takes the answer to a watch that was sent at `sent_ms` for heads after
+    /// `known`, and loads what is newer.
+    ///
+    /// # Errors
+    ///
+    /// As for [`TableReplica::poll`].
+    pub fn take_watch(
+        &self,
+        store: &dyn ObjectStore,
+        sent_ms: u64,
+        known: u64,
+        answer: Result<Option<StoredObject>, StoreError>,
+    ) -> Result<(), ReplicaError> {
+        let result = self.follow(store, sent_ms, known, answer);
         self.lock().problem = result.as_ref().err().cloned();
         result
     }
@@ -179,17 +202,11 @@
         &self,
         store: &dyn ObjectStore,
         sent_ms: u64,
-        wait: Duration,
+        known: u64,
+        answer: Result<Option<StoredObject>, StoreError>,
     ) -> Result<(), ReplicaError> {
-        let known = self.lock().head.version;
-        let wait = if self.missing().is_empty() {
-            wait
-        } else {
-            Duration::ZERO
-        };
-        let watched = store.watch(HEAD_KEY, known, wait);
-        let watched = watched.map_err(|error| store_error(HEAD_KEY, error))?;
-        let head = match watched {
+        let answer = answer.map_err(|error| store_error(HEAD_KEY, error))?;
+        let head = match answer {
             None => known,
             Some(object) => {
                 let head = TableHead::decode(object.version, &object.value);
@@ -203,6 +220,11 @@
         loaded
     }
 
+    /// The version of the newest head that is known.
+    pub fn known_head(&self) -> u64 {
+        self.lock().head.version
+    }
+
     /// Loads the shards that the head names and the view lacks.
     ///
     /// Those that could be read are applied, even if another could not.
