Carry calls between processes over h2 with bincode frames

One wire thread runs h2; other threads use blocking calls over bounded channels. Silence is found by pings on both ends, because a connection whose state was lost between the ends fails no read. Ruled out: a std channel with only h2's window as its bound, since the window counts bytes and not frames.

--- /dev/null
+++ b/crates/wire/src/runtime.rs
@@ -0,0 +1,123 @@
+//! The thread that runs h2, and what both ends share.
+
+use h2::{Ping, PingPong};
+use std::{io, sync::mpsc, thread, time::Duration};
+use strum::{Display, EnumString, IntoStaticStr};
+use tokio::{runtime::Handle, sync::oneshot, time};
+
+/// The protocol version that this build speaks.
+pub(crate) const PROTOCOL_VERSION: u32 = 1;
+
+/// What a call is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Display, EnumString, IntoStaticStr)]
+#[strum(serialize_all = "snake_case")]
+pub enum PeerService {
+    /// Callers' requests.
+    Work,
+    /// Membership probes.
+    Probe,
+    /// Table heads and shards.
+    Table,
+}
+
+impl PeerService {
+    /// The path of the service in this protocol version.
+    pub(crate) fn path(self) -> String {
+        format!("/berylmount/{PROTOCOL_VERSION}/{self}")
+    }
+
+    /// The service that a path names, if it is one of this protocol version.
+    pub(crate) fn from_path(path: &str) -> Option<Self> {
+        let rest = path.strip_prefix("/berylmount/")?;
+        let (version, name) = rest.split_once('/')?;
+        if version.parse() != Ok(PROTOCOL_VERSION) {
+            return None;
+        }
+        name.parse().ok()
+    }
+}
+
+/// Time limits and bounds of connections between processes.
+#[derive(Clone, Debug)]
+pub struct WireConfig {
+    /// Time limit to make a connection and open a stream.
+    pub connect_timeout: Duration,
+    /// Time between pings on a connection.
+    pub ping_interval: Duration,
+    /// Longest wait for a ping's answer before the connection is dropped.
+    pub ping_timeout: Duration,
+    /// Time after which a connection without calls is closed.
+    pub idle_timeout: Duration,
+    /// Calls that a server takes at once on one connection.
+    pub max_calls: u32,
+    /// Frames that wait in memory for each direction of a call.
+    pub frames_waiting: usize,
+}
+
+impl Default for WireConfig {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(500),
+            ping_interval: Duration::from_millis(500),
+            ping_timeout: Duration::from_millis(1_000),
+            idle_timeout: Duration::from_secs(30),
+            max_calls: 4_096,
+            frames_waiting: 64,
+        }
+    }
+}
+
+/// The thread that runs every h2 connection of a process.
+///
+/// It ends when this value is dropped, and with it every connection.
+#[derive(Debug)]
+pub struct WireRuntime {
+    /// Enters the runtime from other threads.
+    handle: Handle,
+    /// Ends the thread when dropped.
+    _stop: oneshot::Sender<()>,
+}
+
+impl WireRuntime {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the thread or its runtime can't be made.
+    pub fn start() -> io::Result<Self> {
+        let (stop, stopped) = oneshot::channel::<()>();
+        let (send_handle, handle) = mpsc::sync_channel(1);
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_io()
+            .enable_time()
+            .build()?;
+        thread::Builder::new()
+            .name("wire".to_owned())
+            .spawn(move || {
+                let _ = send_handle.send(runtime.handle().clone());
+                // An error says that the sender was dropped: time to stop.
+                let _ = runtime.block_on(stopped);
+            })?;
+        let handle = handle.recv().map_err(io::Error::other)?;
+        Ok(Self {
+            handle,
+            _stop: stop,
+        })
+    }
+
+    /// Enters the runtime.
+    pub(crate) fn handle(&self) -> &Handle {
+        &self.handle
+    }
+}
+
+/// Pings a connection until it falls silent.
+pub(crate) async fn watch_silence(mut pings: PingPong, config: WireConfig) {
+    loop {
+        time::sleep(config.ping_interval).await;
+        let pong = time::timeout(config.ping_timeout, pings.ping(Ping::opaque())).await;
+        if !matches!(pong, Ok(Ok(_))) {
+            return;
+        }
+    }
+}
