Read and check settings in two passes

Cause: a process needs settings that are refused whole before it starts, with the line of every fault. A verifier apart from the reader refuses listeners on one address, unreachable addresses and durations out of order. Ruled out: serde on the typed struct, which stops at the first fault and loses lines.

--- /dev/null
+++ b/crates/settings/src/reader.rs
@@ -0,0 +1,462 @@
+//! Reads values of a settings file one by one.
+//!
+//! The code that reads a key also states its unit, range, default and meaning.
+//! [`ReadContext`] collects these as [`SettingSpec`]s, so the documentation
+//! can't disagree with the reader. A faulty value is reported and replaced by
+//! a placeholder; the caller discards the result when there are faults.
+
+use crate::{
+    units::{format_duration, format_rate, format_size, parse_duration, parse_rate, parse_size},
+    SettingsFault,
+};
+use jsonc_parser::{
+    ast::{Object, Value},
+    common::Ranged,
+};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    ops::RangeInclusive,
+    time::Duration,
+};
+
+/// Address that stands for one that could not be read.
+const PLACEHOLDER: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
+/// Hexadecimal digits of a SHA-256.
+const HASH_DIGITS: usize = 64;
+
+/// How a value with a unit is read and written.
+struct QuantityForm<T> {
+    kind: &'static str,
+    parse: fn(&str) -> Option<T>,
+    format: fn(T) -> String,
+}
+
+/// Form of a duration.
+const DURATION_FORM: QuantityForm<Duration> = QuantityForm {
+    kind: "a duration (ms, s, min, h)",
+    parse: parse_duration,
+    format: format_duration,
+};
+
+/// Form of a size in bytes.
+const SIZE_FORM: QuantityForm<u64> = QuantityForm {
+    kind: "a size (B, KiB, MiB, GiB)",
+    parse: parse_size,
+    format: format_size,
+};
+
+/// Form of a rate in bytes a second.
+const RATE_FORM: QuantityForm<u64> = QuantityForm {
+    kind: "a rate (B/s, KiB/s, MiB/s, GiB/s)",
+    parse: parse_rate,
+    format: format_rate,
+};
+
+/// What the documentation says of one key.
+pub(crate) struct SettingSpec {
+    pub(crate) key: String,
+    pub(crate) allowed: String,
+    pub(crate) default: String,
+    pub(crate) meaning: &'static str,
+}
+
+/// Everything gathered while a file is read.
+pub(crate) struct ReadContext<'a> {
+    text: &'a str,
+    pub(crate) faults: Vec<SettingsFault>,
+    pub(crate) specs: Vec<SettingSpec>,
+    /// Lines of the keys that were present, sorted by key at the end.
+    pub(crate) lines: Vec<(String, usize)>,
+}
+
+impl<'a> ReadContext<'a> {
+    pub(crate) fn new(text: &'a str) -> Self {
+        Self {
+            text,
+            faults: Vec::new(),
+            specs: Vec::new(),
+            lines: Vec::new(),
+        }
+    }
+
+    /// Line of a byte offset, counted from one.
+    fn line_at(&self, offset: usize) -> usize {
+        let before = self.text.as_bytes().iter().take(offset);
+        1 + before.filter(|&&byte| byte == b'\n').count()
+    }
+}
+
+/// Reads the keys of one object of the file.
+pub(crate) struct SectionReader<'r, 'a> {
+    context: &'r mut ReadContext<'a>,
+    object: Option<&'r Object<'a>>,
+    prefix: String,
+    line: usize,
+    known: Vec<&'static str>,
+}
+
+impl<'r, 'a> SectionReader<'r, 'a> {
+    /// Starts on the file's outermost object.
+    pub(crate) fn new(context: &'r mut ReadContext<'a>, object: Option<&'r Object<'a>>) -> Self {
+        let line = object.map_or(1, |object| context.line_at(object.start()));
+        Self {
+            context,
+            object,
+            prefix: String::new(),
+            line,
+            known: Vec::new(),
+        }
+    }
+
+    /// Reads the object under `name` with `read`.
+    pub(crate) fn section<T>(
+        &mut self,
+        name: &'static str,
+        read: impl FnOnce(&mut SectionReader<'_, 'a>) -> T,
+    ) -> T {
+        self.known.push(name);
+        let value = self.find(name);
+        let object = value.and_then(Value::as_object);
+        let line = value.map_or(self.line, |value| self.context.line_at(value.start()));
+        if let (Some(value), None) = (value, object) {
+            self.add_fault(line, name, describe(value), "an object in braces");
+        }
+        let mut section = SectionReader {
+            context: self.context,
+            object,
+            prefix: format!("{}{name}.", self.prefix),
+            line,
+            known: Vec::new(),
+        };
+        let result = read(&mut section);
+        section.finish();
+        result
+    }
+
+    /// Reports keys that are unknown or stand twice.
+    pub(crate) fn finish(self) {
+        let Some(object) = self.object else { return };
+        for (index, property) in object.properties.iter().enumerate() {
+            let name = property.name.as_str();
+            let key = format!("{}{name}", self.prefix);
+            let line = self.context.line_at(property.start());
+            let earlier = object.properties.iter().take(index);
+            let twice = earlier.filter(|other| other.name.as_str() == name).count() > 0;
+            let (found, allowed) = if !self.known.contains(&name) {
+                (
+                    "an unknown key",
+                    format!("one of {}", self.known.join(", ")),
+                )
+            } else if twice {
+                ("the key a second time", "each key once".to_owned())
+            } else {
+                continue;
+            };
+            self.context.faults.push(SettingsFault {
+                line,
+                key,
+                found: found.to_owned(),
+                allowed,
+            });
+        }
+    }
+
+    /// Text of a name, checked by `make`; required.
+    pub(crate) fn name<T, E: std::fmt::Display>(
+        &mut self,
+        name: &'static str,
+        make: impl Fn(&str) -> Result<T, E>,
+        meaning: &'static str,
+    ) -> Option<T> {
+        let allowed = "1 to 96 ASCII letters, digits, '.', '_', '-', '/'";
+        let value = self.value(name, allowed, "required", meaning)?;
+        let made = value
+            .as_string_lit()
+            .and_then(|text| make(&text.value).ok());
+        self.checked(name, value, made, allowed)
+    }
+
+    /// SHA-256 in lower-case hexadecimal; required.
+    pub(crate) fn hash(&mut self, name: &'static str, meaning: &'static str) -> String {
+        let allowed = "a SHA-256 as 64 hexadecimal digits";
+        let Some(value) = self.value(name, allowed, "required", meaning) else {
+            return String::new();
+        };
+        let is_hash = |text: &str| {
+            text.len() == HASH_DIGITS && text.bytes().all(|byte| byte.is_ascii_hexdigit())
+        };
+        let text = value
+            .as_string_lit()
+            .map(|text| text.value.to_ascii_lowercase());
+        let hash = text.filter(|text| is_hash(text));
+        self.checked(name, value, hash, allowed).unwrap_or_default()
+    }
+
+    /// Address to listen on or to connect to; required.
+    pub(crate) fn address(&mut self, name: &'static str, meaning: &'static str) -> SocketAddr {
+        let allowed = "an IP number with port, such as \"127.0.0.1:7000\"";
+        let Some(value) = self.value(name, allowed, "required", meaning) else {
+            return PLACEHOLDER;
+        };
+        let address = value
+            .as_string_lit()
+            .and_then(|text| text.value.parse().ok());
+        self.checked(name, value, address, allowed)
+            .unwrap_or(PLACEHOLDER)
+    }
+
+    /// Address that may be left out.
+    pub(crate) fn optional_address(
+        &mut self,
+        name: &'static str,
+        default: &str,
+        meaning: &'static str,
+    ) -> Option<SocketAddr> {
+        let allowed = "an IP number with port, such as \"127.0.0.1:7000\"";
+        let value = self.value(name, allowed, default, meaning)?;
+        let address = value
+            .as_string_lit()
+            .and_then(|text| text.value.parse().ok());
+        self.checked(name, value, address, allowed)
+    }
+
+    /// List of addresses, empty when left out.
+    pub(crate) fn addresses(
+        &mut self,
+        name: &'static str,
+        meaning: &'static str,
+    ) -> Vec<SocketAddr> {
+        let allowed = "a list of IP numbers with port";
+        let Some(value) = self.value(name, allowed, "[]", meaning) else {
+            return Vec::new();
+        };
+        let Some(array) = value.as_array() else {
+            self.checked::<()>(name, value, None, allowed);
+            return Vec::new();
+        };
+        let mut addresses = Vec::new();
+        for element in &array.elements {
+            let address: Option<SocketAddr> = element
+                .as_string_lit()
+                .and_then(|text| text.value.parse().ok());
+            addresses.extend(self.checked(name, element, address, allowed));
+        }
+        addresses
+    }
+
+    /// Duration with a unit.
+    pub(crate) fn duration(
+        &mut self,
+        name: &'static str,
+        default: Duration,
+        range: RangeInclusive<Duration>,
+        meaning: &'static str,
+    ) -> Duration {
+        let form = DURATION_FORM;
+        self.quantity(name, default, range, form, meaning)
+    }
+
+    /// Size in bytes with a unit.
+    pub(crate) fn size(
+        &mut self,
+        name: &'static str,
+        default: u64,
+        range: RangeInclusive<u64>,
+        meaning: &'static str,
+    ) -> usize {
+        let form = SIZE_FORM;
+        let size = self.quantity(name, default, range, form, meaning);
+        usize::try_from(size).unwrap_or(usize::MAX)
+    }
+
+    /// Rate in bytes a second with a unit.
+    pub(crate) fn rate(
+        &mut self,
+        name: &'static str,
+        default: u64,
+        range: RangeInclusive<u64>,
+        meaning: &'static str,
+    ) -> u64 {
+        let form = RATE_FORM;
+        self.quantity(name, default, range, form, meaning)
+    }
+
+    /// Whole number without a unit.
+    pub(crate) fn count(
+        &mut self,
+        name: &'static str,
+        default: usize,
+        range: RangeInclusive<usize>,
+        meaning: &'static str,
+    ) -> usize {
+        self.number(name, "a whole number", default, range, meaning)
+    }
+
+    /// Fraction of one.
+    pub(crate) fn fraction(
+        &mut self,
+        name: &'static str,
+        default: f64,
+        meaning: &'static str,
+    ) -> f64 {
+        self.number(name, "a number", default, 0.0..=1.0, meaning)
+    }
+
+    /// One of the named values of an enum.
+    pub(crate) fn choice<T>(
+        &mut self,
+        name: &'static str,
+        default: T,
+        choices: &[(&'static str, T)],
+        meaning: &'static str,
+    ) -> T
+    where
+        T: Copy + PartialEq,
+    {
+        let names: Vec<_> = choices
+            .iter()
+            .map(|(text, _)| format!("\"{text}\""))
+            .collect();
+        let allowed = format!("one of {}", names.join(", "));
+        let chosen = choices.iter().find(|(_, choice)| *choice == default);
+        let default_text = chosen.map_or(String::new(), |(text, _)| format!("\"{text}\""));
+        let Some(value) = self.value(name, &allowed, &default_text, meaning) else {
+            return default;
+        };
+        let text = value.as_string_lit().map(|text| text.value.as_ref());
+        let choice = choices
+            .iter()
+            .find(|(choice, _)| text == Some(choice))
+            .map(|&(_, choice)| choice);
+        self.checked(name, value, choice, &allowed)
+            .unwrap_or(default)
+    }
+
+    /// Number written without a unit, within `range`.
+    fn number<T>(
+        &mut self,
+        name: &'static str,
+        kind: &str,
+        default: T,
+        range: RangeInclusive<T>,
+        meaning: &'static str,
+    ) -> T
+    where
+        T: PartialOrd + std::fmt::Display + std::str::FromStr + Copy,
+    {
+        let allowed = format!("{kind} from {} to {}", range.start(), range.end());
+        let Some(value) = self.value(name, &allowed, &default.to_string(), meaning) else {
+            return default;
+        };
+        let number = value
+            .as_number_lit()
+            .and_then(|number| number.value.parse().ok());
+        let number = number.filter(|number| range.contains(number));
+        self.checked(name, value, number, &allowed)
+            .unwrap_or(default)
+    }
+
+    /// Text with a unit, within `range`.
+    fn quantity<T: PartialOrd + Copy>(
+        &mut self,
+        name: &'static str,
+        default: T,
+        range: RangeInclusive<T>,
+        form: QuantityForm<T>,
+        meaning: &'static str,
+    ) -> T {
+        let QuantityForm {
+            kind,
+            parse,
+            format,
+        } = form;
+        let (low, high) = (format(*range.start()), format(*range.end()));
+        let allowed = format!("{kind} from {low} to {high}");
+        let default_text = format!("\"{}\"", format(default));
+        let Some(value) = self.value(name, &allowed, &default_text, meaning) else {
+            return default;
+        };
+        let quantity = value.as_string_lit().and_then(|text| parse(&text.value));
+        let quantity = quantity.filter(|quantity| range.contains(quantity));
+        self.checked(name, value, quantity, &allowed)
+            .unwrap_or(default)
+    }
+
+    /// Value under `name`; notes the key's line and documentation.
+    fn value(
+        &mut self,
+        name: &'static str,
+        allowed: &str,
+        default: &str,
+        meaning: &'static str,
+    ) -> Option<&'r Value<'a>> {
+        let key = format!("{}{name}", self.prefix);
+        self.known.push(name);
+        self.context.specs.push(SettingSpec {
+            key: key.clone(),
+            allowed: allowed.to_owned(),
+            default: default.to_owned(),
+            meaning,
+        });
+        let value = self.find(name);
+        match value {
+            Some(value) => {
+                let line = self.context.line_at(value.start());
+                self.context.lines.push((key, line));
+            }
+            None if default == "required" => {
+                self.add_fault(self.line, name, "nothing".to_owned(), allowed)
+            }
+            None => {}
+        }
+        value
+    }
+
+    /// Value under `name`, if the section holds one.
+    fn find(&self, name: &str) -> Option<&'r Value<'a>> {
+        let properties = &self.object?.properties;
+        let property = properties
+            .iter()
+            .find(|property| property.name.as_str() == name);
+        property.map(|property| &property.value)
+    }
+
+    /// Passes `result` on, and reports a fault of `value` when there is none.
+    fn checked<T>(
+        &mut self,
+        name: &str,
+        value: &Value<'a>,
+        result: Option<T>,
+        allowed: &str,
+    ) -> Option<T> {
+        if result.is_none() {
+            let line = self.context.line_at(value.start());
+            self.add_fault(line, name, describe(value), allowed);
+        }
+        result
+    }
+
+    fn add_fault(&mut self, line: usize, name: &str, found: String, allowed: &str) {
+        let key = format!("{}{name}", self.prefix);
+        let allowed = allowed.to_owned();
+        self.context.faults.push(SettingsFault {
+            line,
+            key,
+            found,
+            allowed,
+        });
+    }
+}
+
+/// What a value is, for a fault.
+fn describe(value: &Value<'_>) -> String {
+    match value {
+        Value::StringLit(text) => format!("{:?}", text.value),
+        Value::NumberLit(number) => format!("the number {}", number.value),
+        Value::BooleanLit(boolean) => boolean.value.to_string(),
+        Value::Object(_) => "an object".to_owned(),
+        Value::Array(_) => "a list".to_owned(),
+        Value::NullKeyword(_) => "null".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/units.rs
@@ -0,0 +1,66 @@
+//! Values with units: durations, sizes and rates as text.
+
+use std::time::Duration;
+
+/// Units of a duration with their length in milliseconds, longest first.
+const DURATION_UNITS: &[(&str, u64)] =
+    &[("h", 3_600_000), ("min", 60_000), ("s", 1_000), ("ms", 1)];
+
+/// Units of a size with their length in bytes, longest first.
+const SIZE_UNITS: &[(&str, u64)] = &[
+    ("GiB", 1 << 30),
+    ("MiB", 1 << 20),
+    ("KiB", 1 << 10),
+    ("B", 1),
+];
+
+/// Suffix that turns a size into a rate.
+const RATE_SUFFIX: &str = "/s";
+
+/// Splits `text` into its digits and its unit, and multiplies them.
+fn parse_units(text: &str, units: &[(&str, u64)]) -> Option<u64> {
+    let split = text.find(|c: char| !c.is_ascii_digit())?;
+    let (digits, unit) = text.split_at(split);
+    let (_, factor) = units.iter().find(|(name, _)| *name == unit)?;
+    digits.parse::<u64>().ok()?.checked_mul(*factor)
+}
+
+/// Writes `value` in the longest unit that divides it.
+fn format_units(value: u64, units: &[(&str, u64)]) -> String {
+    let whole = |&&(_, factor): &&(&str, u64)| value != 0 && value.is_multiple_of(factor);
+    match units.iter().find(whole) {
+        Some((unit, factor)) => format!("{}{unit}", value / factor),
+        None => format!("0{}", units.last().map_or("", |(unit, _)| unit)),
+    }
+}
+
+/// Reads a duration such as `840ms`.
+pub(crate) fn parse_duration(text: &str) -> Option<Duration> {
+    parse_units(text, DURATION_UNITS).map(Duration::from_millis)
+}
+
+/// Writes a duration as [`parse_duration`] reads it.
+pub(crate) fn format_duration(duration: Duration) -> String {
+    let millis = u64::try_from(duration.as_millis()).unwrap_or(u64::MAX);
+    format_units(millis, DURATION_UNITS)
+}
+
+/// Reads a size such as `64KiB`, in bytes.
+pub(crate) fn parse_size(text: &str) -> Option<u64> {
+    parse_units(text, SIZE_UNITS)
+}
+
+/// Writes a size in bytes as [`parse_size`] reads it.
+pub(crate) fn format_size(bytes: u64) -> String {
+    format_units(bytes, SIZE_UNITS)
+}
+
+/// Reads a rate such as `5KiB/s`, in bytes a second.
+pub(crate) fn parse_rate(text: &str) -> Option<u64> {
+    parse_size(text.strip_suffix(RATE_SUFFIX)?)
+}
+
+/// Writes a rate in bytes a second as [`parse_rate`] reads it.
+pub(crate) fn format_rate(bytes_per_s: u64) -> String {
+    format!("{}{RATE_SUFFIX}", format_size(bytes_per_s))
+}
--- /dev/null
+++ b/crates/settings/src/verify.rs
@@ -0,0 +1,194 @@
+//! Checks settings against each other, apart from the reader.
+
+use crate::{
+    units::{format_duration, format_size},
+    ProcessSettings, SettingsFault,
+};
+use std::{net::SocketAddr, time::Duration};
+
+/// Bytes of a message between peers besides the caller's body.
+const MESSAGE_OVERHEAD_BYTES: usize = 64 << 10;
+
+/// Settings under check, with the lines of the keys that the file holds.
+struct SettingsVerifier<'a> {
+    lines: &'a [(String, usize)],
+    faults: Vec<SettingsFault>,
+}
+
+/// Returns every combination that can't work; `lines` is sorted by key.
+pub(crate) fn verify_settings(
+    settings: &ProcessSettings,
+    lines: &[(String, usize)],
+) -> Vec<SettingsFault> {
+    let mut verifier = SettingsVerifier {
+        lines,
+        faults: Vec::new(),
+    };
+    verifier.check_listeners(settings);
+    verifier.check_reachable(settings);
+    verifier.check_seeds(settings);
+    verifier.check_durations(settings);
+    verifier.check_sizes(settings);
+    verifier.faults
+}
+
+impl SettingsVerifier<'_> {
+    /// Line of `key`, or of the file's start for a default.
+    fn line(&self, key: &str) -> usize {
+        let index = self
+            .lines
+            .binary_search_by(|(other, _)| other.as_str().cmp(key));
+        index
+            .ok()
+            .and_then(|index| self.lines.get(index))
+            .map_or(1, |(_, line)| *line)
+    }
+
+    fn add(&mut self, key: &str, found: impl ToString, allowed: String) {
+        let line = self.line(key);
+        let found = found.to_string();
+        self.faults.push(SettingsFault {
+            line,
+            key: key.to_owned(),
+            found,
+            allowed,
+        });
+    }
+
+    /// No two listeners take one address; port 0 takes a free one.
+    fn check_listeners(&mut self, settings: &ProcessSettings) {
+        let listeners = listeners(settings);
+        for (index, (key, address)) in listeners.iter().enumerate() {
+            let mut earlier = listeners.iter().take(index);
+            let clash = earlier.find(|(_, other)| overlaps(*address, *other));
+            if let Some((other_key, other)) = clash {
+                let line = self.line(other_key);
+                let allowed = format!("an address apart from {other_key} = {other} on line {line}");
+                self.add(key, address, allowed);
+            }
+        }
+    }
+
+    /// What others connect to is one IP number with a port.
+    fn check_reachable(&mut self, settings: &ProcessSettings) {
+        let entry = &settings.entry;
+        let peers = [
+            ("entry.peer_listen", entry.peer_listen),
+            ("dispatch.peer_listen", settings.dispatch.peer_listen),
+        ];
+        for (key, address) in peers {
+            if address.ip().is_unspecified() {
+                self.add(
+                    key,
+                    address,
+                    "one IP number, since peers connect to it".to_owned(),
+                );
+            }
+        }
+        match entry.callers_advertised {
+            Some(address) if address.ip().is_unspecified() || address.port() == 0 => {
+                let allowed = "an IP number with a port that callers can connect to";
+                self.add("entry.callers_advertised", address, allowed.to_owned());
+            }
+            None if entry.callers_listen.ip().is_unspecified() => {
+                let allowed = "one IP number, or callers_advertised as well";
+                self.add(
+                    "entry.callers_listen",
+                    entry.callers_listen,
+                    allowed.to_owned(),
+                );
+            }
+            _ => {}
+        }
+        let platform = settings.platform.address;
+        if platform.ip().is_unspecified() || platform.port() == 0 {
+            let allowed = "an IP number with a port to connect to";
+            self.add("platform.address", platform, allowed.to_owned());
+        }
+    }
+
+    /// Seeds can be connected to, and each stands once.
+    fn check_seeds(&mut self, settings: &ProcessSettings) {
+        for (index, seed) in settings.seeds.iter().enumerate() {
+            if seed.port() == 0 || seed.ip().is_unspecified() {
+                self.add(
+                    "seeds",
+                    seed,
+                    "IP numbers with a port to connect to".to_owned(),
+                );
+            } else if settings.seeds.iter().take(index).any(|other| other == seed) {
+                self.add(
+                    "seeds",
+                    format!("{seed} twice"),
+                    "each address once".to_owned(),
+                );
+            }
+        }
+    }
+
+    /// Durations that depend on each other are in order.
+    fn check_durations(&mut self, settings: &ProcessSettings) {
+        let timeouts = &settings.timeouts;
+        let drain = ("timeouts.drain", timeouts.drain);
+        let silent_gap = ("timeouts.silent_gap", timeouts.silent_gap);
+        let ordered = [
+            (drain, ("timeouts.locate_ttl", timeouts.locate_ttl)),
+            (drain, silent_gap),
+            (silent_gap, ("timeouts.connect", timeouts.connect)),
+            (
+                (
+                    "dispatch.answer_hold_time",
+                    settings.dispatch.answer_hold_time,
+                ),
+                silent_gap,
+            ),
+            (
+                ("entry.idle_timeout", settings.entry.idle_timeout),
+                silent_gap,
+            ),
+        ];
+        for (longer, shorter) in ordered {
+            self.check_order(longer, shorter);
+        }
+    }
+
+    fn check_order(&mut self, longer: (&str, Duration), shorter: (&str, Duration)) {
+        if longer.1 > shorter.1 {
+            return;
+        }
+        let allowed = format!("more than {} = {}", shorter.0, format_duration(shorter.1));
+        self.add(longer.0, format_duration(longer.1), allowed);
+    }
+
+    /// A caller's body fits into one message between peers.
+    fn check_sizes(&mut self, settings: &ProcessSettings) {
+        let (body, message) = (settings.entry.max_body, settings.limits.max_message);
+        if body.saturating_add(MESSAGE_OVERHEAD_BYTES) > message {
+            let allowed = format!(
+                "{} less than limits.max_message = {}",
+                format_size(MESSAGE_OVERHEAD_BYTES as u64),
+                format_size(message as u64)
+            );
+            self.add("entry.max_body", format_size(body as u64), allowed);
+        }
+    }
+}
+
+/// Every address that a process of the instance listens on.
+fn listeners(settings: &ProcessSettings) -> [(&'static str, SocketAddr); 6] {
+    let (entry, dispatch) = (&settings.entry, &settings.dispatch);
+    [
+        ("entry.callers_listen", entry.callers_listen),
+        ("entry.operators_listen", entry.operators_listen),
+        ("entry.peer_listen", entry.peer_listen),
+        ("entry.metrics_listen", entry.metrics_listen),
+        ("dispatch.peer_listen", dispatch.peer_listen),
+        ("dispatch.metrics_listen", dispatch.metrics_listen),
+    ]
+}
+
+/// Whether two listeners can't both be bound.
+fn overlaps(a: SocketAddr, b: SocketAddr) -> bool {
+    let same_ip = a.ip() == b.ip() || a.ip().is_unspecified() || b.ip().is_unspecified();
+    same_ip && a.port() == b.port() && a.port() != 0
+}
