Name group, customer and attempt in calls between processes

A resumed, adopted or cancelled request must belong to the customer who asks, and a caller's offset only means something within one attempt; the messages carried neither. Prompt calls now name the runner group, so that two processes with different views still agree on the runners meant. A monotonic clock joins the model crate.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate holds plain data without I/O. Everything above it depends on it,
 //! and it depends on no other crate of the workspace.
 
+mod clock;
 mod instance;
 mod names;
 mod piece;
@@ -11,6 +12,7 @@
 mod verdict;
 
 pub use crate::{
+    clock::{unix_ms, MonotonicClock},
     instance::{InstanceRecord, InstanceRole, InstanceState},
     names::{
         CustomerName, DataCentre, InstanceName, ModelName, NameError, OrderKey, PoolName,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -28,6 +28,7 @@
     runtime::{PeerService, WireConfig, WireRuntime},
     server::{InboundCall, PeerServer},
     work::{
-        AdoptCall, AnswerBody, OrderCall, PromptCall, ReadCall, StartedRun, WorkReply, WorkRequest,
+        AdoptCall, AnswerBody, OrderCall, PromptCall, ReadCall, ResumeCall, StartedRun, WorkReply,
+        WorkRequest,
     },
 };
--- a/crates/wire/src/work.rs
+++ b/crates/wire/src/work.rs
@@ -1,8 +1,8 @@
 //! Messages between entry and dispatch.
 
 use berylmount_model::{
-    AttemptId, CallRefusal, CustomerName, InstanceName, OrderKey, PieceScope, PoolName, RequestId,
-    WorkClass, WorkName,
+    AttemptId, CallRefusal, CustomerName, DataCentre, InstanceName, OrderKey, PieceScope, PoolName,
+    RequestId, WorkClass, WorkName,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -13,18 +13,15 @@
     /// Run a prompt.
     Prompt(PromptCall),
     /// Go on with an answer that this dispatch process holds.
-    Resume {
-        /// The request.
-        request: RequestId,
-        /// The next token wanted.
-        offset: u64,
-    },
+    Resume(ResumeCall),
     /// Go on with an engine's stream that another dispatch process started.
     Adopt(AdoptCall),
     /// Cancel a request.
     Cancel {
         /// The request.
         request: RequestId,
+        /// Who asks.
+        customer: CustomerName,
     },
     /// Run an order once.
     Order(OrderCall),
@@ -32,6 +29,17 @@
     Read(ReadCall),
 }
 
+/// An answer that a dispatch process holds, to go on with.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ResumeCall {
+    /// The attempt whose tokens the caller has.
+    pub attempt: AttemptId,
+    /// Who asks.
+    pub customer: CustomerName,
+    /// The next token wanted.
+    pub offset: u64,
+}
+
 /// A prompt with everything that the entry decided on it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct PromptCall {
@@ -49,6 +57,10 @@
     pub idempotent: bool,
     /// The pool that serves it.
     pub pool: PoolName,
+    /// The data centre of the runner group.
+    pub data_centre: DataCentre,
+    /// The number of the runner group within pool and data centre.
+    pub group: u32,
     /// The scope of kept cache, with model, version and adapter.
     pub scope: PieceScope,
     /// The prompt.
@@ -68,6 +80,8 @@
 pub struct AdoptCall {
     /// The attempt whose stream it is.
     pub attempt: AttemptId,
+    /// Who asks.
+    pub customer: CustomerName,
     /// The runner.
     pub runner: InstanceName,
     /// Where the runner listens.
@@ -133,6 +147,8 @@
     pub cached_tokens: u64,
     /// Tokens fetched from a kept-cache store for this run.
     pub fetched_tokens: u64,
+    /// Expected wait for new work in the runner group, in milliseconds.
+    pub group_wait_ms: u64,
 }
 
 /// The answer of a plain service.
