--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,1 +1,21 @@
-//! Logs, metrics and traces.
+//! Logs, metrics and traces of a berylmount process.
+//!
+//! Logs go to standard error, one line a record, each with the fixed prefix of
+//! the part that wrote it. Metrics are served over HTTP. A trace has one span
+//! for each hop; finished spans are logged under the prefix `trace`, because an
+//! instance has no disk and no collector of ours stands beside it.
+
+mod health;
+mod logging;
+mod metrics;
+mod server;
+mod traces;
+
+pub use crate::{
+    health::{HealthFlag, HealthState},
+    logging::{start_logging, LogFault, LogGuard},
+    metrics::{metrics_table, CounterMetric, GaugeMetric, HistogramMetric, MetricSet},
+    server::{serve_metrics, MetricsServer},
+    traces::{flush_traces, next_traceparent, root_span, start_traces},
+};
+pub use fastrace::Span;
--- /dev/null
+++ b/crates/telemetry/src/logging.rs
@@ -0,0 +1,133 @@
+//! Logs on standard error, one line a record.
+//!
+//! A record never takes more than one line: control characters in messages and
+//! values are escaped, so that a caller's text can't forge a record.
+
+use berylmount_settings::{LogFormat, LogSettings};
+use flexi_logger::{DeferredNow, FlexiLoggerError, Logger, LoggerHandle};
+use log::{
+    kv::{Error, Key, Value, VisitSource},
+    Record,
+};
+use serde_json::{Map, Value as Json};
+use std::{
+    fmt::Write as _,
+    io::{self, Write},
+};
+
+/// Why logging could not start.
+#[derive(Debug, thiserror::Error)]
+#[error("logging can't start: {0}")]
+pub struct LogFault(#[from] FlexiLoggerError);
+
+/// Keeps logging alive; flushes when dropped.
+pub struct LogGuard(LoggerHandle);
+
+impl Drop for LogGuard {
+    fn drop(&mut self) {
+        self.0.flush();
+    }
+}
+
+/// Starts logging for the whole process.
+///
+/// # Errors
+///
+/// Returns a [`LogFault`] when a logger was started before.
+///
+/// ```
+/// use berylmount_settings::{LogFormat, LogSettings};
+/// use berylmount_telemetry::start_logging;
+///
+/// let settings = LogSettings { level: log::LevelFilter::Info, format: LogFormat::Text };
+/// let _guard = start_logging(&settings).unwrap();
+/// log::info!(target: "entry", connections = 3; "listening for callers");
+/// assert!(start_logging(&settings).is_err());
+/// ```
+pub fn start_logging(settings: &LogSettings) -> Result<LogGuard, LogFault> {
+    let write = match settings.format {
+        LogFormat::Text => write_text,
+        LogFormat::Json => write_json,
+    };
+    let logger = Logger::with(settings.level);
+    let handle = logger.use_utc().log_to_stderr().format(write).start()?;
+    Ok(LogGuard(handle))
+}
+
+/// Writes `time LEVEL prefix: message key=value ...`.
+fn write_text(
+    output: &mut dyn Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+) -> io::Result<()> {
+    let (time, level, prefix) = (now.format_rfc3339(), record.level(), record.target());
+    let mut line = format!("{time} {level:5} {prefix}: ");
+    push_escaped(&mut line, &record.args().to_string());
+    // The visitor never fails.
+    let _ = record.key_values().visit(&mut TextFields(&mut line));
+    output.write_all(line.as_bytes())
+}
+
+/// Writes one JSON object.
+fn write_json(
+    output: &mut dyn Write,
+    now: &mut DeferredNow,
+    record: &Record<'_>,
+) -> io::Result<()> {
+    let mut fields = Map::new();
+    // The visitor never fails.
+    let _ = record.key_values().visit(&mut JsonFields(&mut fields));
+    let fixed = [
+        ("time", now.format_rfc3339()),
+        ("level", record.level().to_string()),
+        ("prefix", record.target().to_owned()),
+        ("message", record.args().to_string()),
+    ];
+    for (key, text) in fixed {
+        fields.insert(key.to_owned(), Json::String(text));
+    }
+    serde_json::to_writer(output, &fields).map_err(io::Error::from)
+}
+
+/// Adds `text` to a line with its control characters escaped.
+fn push_escaped(line: &mut String, text: &str) {
+    for c in text.chars() {
+        if c.is_control() {
+            line.extend(c.escape_default());
+        } else {
+            line.push(c);
+        }
+    }
+}
+
+/// Adds fields to a text line.
+struct TextFields<'a>(&'a mut String);
+
+impl<'kvs> VisitSource<'kvs> for TextFields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let text = value.to_string();
+        let plain = |c: char| c.is_ascii_graphic() && c != '"' && c != '=';
+        // Writing to a String can't fail.
+        let _ = if !text.is_empty() && text.chars().all(plain) {
+            write!(self.0, " {key}={text}")
+        } else {
+            write!(self.0, " {key}={text:?}")
+        };
+        Ok(())
+    }
+}
+
+/// Adds fields to a JSON object.
+struct JsonFields<'a>(&'a mut Map<String, Json>);
+
+impl<'kvs> VisitSource<'kvs> for JsonFields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let number = value.to_u64().map(Json::from);
+        let number = number.or_else(|| value.to_i64().map(Json::from));
+        let number = number.or_else(|| value.to_f64().map(Json::from));
+        let plain = number.or_else(|| value.to_bool().map(Json::from));
+        let json = plain.unwrap_or_else(|| Json::String(value.to_string()));
+        self.0.insert(key.to_string(), json);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/server.rs
@@ -0,0 +1,99 @@
+//! Serves `/metrics` and `/healthz`.
+//!
+//! One thread answers one request at a time, and a page's size is bounded by
+//! the closed set of metrics and label values.
+
+use crate::{HealthFlag, HealthState, MetricSet};
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    thread::{self, JoinHandle},
+};
+use tiny_http::{Method, Request, Response, Server};
+
+/// A running metrics server; dropping it stops its thread.
+pub struct MetricsServer {
+    server: Arc<Server>,
+    address: SocketAddr,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl MetricsServer {
+    /// The address that it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for MetricsServer {
+    fn drop(&mut self) {
+        self.server.unblock();
+        if let Some(thread) = self.thread.take() {
+            // A panic of the thread was already written by the runtime.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Serves `metrics` and `health` on `listener` from a thread of its own.
+///
+/// # Errors
+///
+/// Returns an error when the listener or the thread can't be used.
+///
+/// ```
+/// use berylmount_telemetry::{serve_metrics, HealthFlag, MetricSet};
+/// use std::{net::TcpListener, sync::Arc};
+///
+/// let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+/// let metrics = Arc::new(MetricSet::new().unwrap());
+/// let server = serve_metrics(listener, metrics, Arc::default()).unwrap();
+/// assert_ne!(server.address().port(), 0);
+/// ```
+pub fn serve_metrics(
+    listener: TcpListener,
+    metrics: Arc<MetricSet>,
+    health: Arc<HealthFlag>,
+) -> io::Result<MetricsServer> {
+    let address = listener.local_addr()?;
+    let server = Server::from_listener(listener, None).map_err(io::Error::other)?;
+    let server = Arc::new(server);
+    let requests = Arc::clone(&server);
+    let serve = move || {
+        for request in requests.incoming_requests() {
+            answer(request, &metrics, &health);
+        }
+    };
+    let thread = thread::Builder::new()
+        .name("metrics".to_owned())
+        .spawn(serve)?;
+    Ok(MetricsServer {
+        server,
+        address,
+        thread: Some(thread),
+    })
+}
+
+/// Answers one request.
+fn answer(request: Request, metrics: &MetricSet, health: &HealthFlag) {
+    let (status, body) = match (request.method(), request.url()) {
+        (Method::Get, "/metrics") => (200, metrics.page()),
+        (Method::Get, "/healthz") => health_answer(health.get()),
+        (Method::Get, _) => (404, "not found\n".to_owned()),
+        _ => (405, "only GET is allowed\n".to_owned()),
+    };
+    let response = Response::from_string(body).with_status_code(status);
+    if let Err(error) = request.respond(response) {
+        log::debug!(target: "metrics", error:%; "client closed the connection");
+    }
+}
+
+/// Status and body of `/healthz`.
+fn health_answer(state: HealthState) -> (u16, String) {
+    let status = match state {
+        HealthState::Ready => 200,
+        HealthState::Starting | HealthState::Leaving => 503,
+    };
+    (status, format!("{state}\n"))
+}
