--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,1 +1,23 @@
 //! The dispatch role: targets.
+//!
+//! A dispatch process takes requests from entry processes, queues them by
+//! runner group, runs them on targets and holds their answers until they are
+//! read. All decisions are the `policy` crate's.
+
+mod answers;
+mod calls;
+mod groups;
+mod process;
+mod roster;
+mod run;
+mod services;
+mod shared;
+mod watch;
+
+pub use crate::{
+    answers::{AnswerBook, AnswerEnd, AnswerPart, AnswerReader, HeldAnswer},
+    groups::{RunGrant, RunnerGroup, WorkOffer},
+    process::DispatchProcess,
+    roster::TargetRoster,
+    shared::DispatchShared,
+};
--- /dev/null
+++ b/crates/dispatch/src/process.rs
@@ -0,0 +1,88 @@
+//! Starts and stops the dispatch role.
+
+use crate::{
+    calls::serve_calls,
+    shared::{DispatchShared, LOOK_INTERVAL},
+    watch::{watch_groups, watch_list},
+};
+use berylmount_platform::ObjectStore;
+use berylmount_settings::ProcessSettings;
+use berylmount_telemetry::MetricSet;
+use berylmount_wire::{InboundCall, PeerServer, WireConfig, WireRuntime};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{mpsc::sync_channel, Arc},
+    thread,
+    time::Instant,
+};
+
+/// Calls that wait to be taken from the wire.
+const CALLS_WAITING: usize = 256;
+
+/// A running dispatch role.
+pub struct DispatchProcess {
+    /// What its threads share.
+    shared: Arc<DispatchShared>,
+    /// Takes calls; dropped when the process stops.
+    server: PeerServer,
+}
+
+impl DispatchProcess {
+    /// Starts the role's threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if an address or a thread can't be had.
+    pub fn start(
+        settings: &ProcessSettings,
+        store: Arc<dyn ObjectStore>,
+        metrics: Arc<MetricSet>,
+        seed: u64,
+    ) -> io::Result<Self> {
+        let shared = Arc::new(DispatchShared::new(settings, store, metrics, seed));
+        let (calls, inbound) = sync_channel::<InboundCall>(CALLS_WAITING);
+        let runtime = Arc::new(WireRuntime::start()?);
+        let address = settings.dispatch.peer_listen;
+        let server = PeerServer::bind(runtime, WireConfig::default(), address, calls)?;
+        spawn_duty("calls", &shared, move |shared| {
+            serve_calls(shared, &inbound)
+        })?;
+        spawn_duty("list", &shared, watch_list)?;
+        spawn_duty("groups", &shared, watch_groups)?;
+        log::info!(target: "dispatch", address:% = server.address(); "listening for peers");
+        Ok(Self { shared, server })
+    }
+
+    /// Where it listens for peers.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Stops in good order: refuses new work and waits for what it has.
+    ///
+    /// Returns whether everything ended within the drain time.
+    pub fn stop(self) -> bool {
+        self.shared.drain();
+        log::info!(target: "dispatch", in_flight = self.shared.in_flight(); "draining");
+        let end = Instant::now() + self.shared.settings.timeouts.drain;
+        while self.shared.in_flight() > 0 {
+            if Instant::now() >= end {
+                return false;
+            }
+            thread::sleep(LOOK_INTERVAL);
+        }
+        true
+    }
+}
+
+/// Starts the thread of one duty.
+fn spawn_duty(
+    name: &str,
+    shared: &Arc<DispatchShared>,
+    duty: impl FnOnce(&Arc<DispatchShared>) + Send + 'static,
+) -> io::Result<()> {
+    let shared = Arc::clone(shared);
+    let builder = thread::Builder::new().name(name.to_owned());
+    builder.spawn(move || duty(&shared)).map(drop)
+}
--- /dev/null
+++ b/crates/dispatch/src/shared.rs
@@ -0,0 +1,195 @@
+//! What the threads of a dispatch process share.
+
+use crate::{AnswerBook, RunnerGroup, TargetRoster};
+use berylmount_model::{CallRefusal, InstanceRecord, InstanceRole, MonotonicClock, RefusalReason};
+use berylmount_platform::ObjectStore;
+use berylmount_policy::{assignment, RetryBudget, RunnerSettings, TargetGroup};
+use berylmount_settings::ProcessSettings;
+use berylmount_targets::TargetTimeouts;
+use berylmount_telemetry::MetricSet;
+use rand_pcg::Pcg64Mcg;
+use std::{
+    sync::{
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+        Arc, Mutex, MutexGuard, PoisonError,
+    },
+    time::Duration,
+};
+
+/// When to come back to a process that is stopping, in milliseconds.
+const DRAINING_RETRY_MS: u64 = 100;
+
+/// When to come back to a process with too many calls, in milliseconds.
+const FULL_RETRY_MS: u64 = 500;
+
+/// What decides on retries.
+#[derive(Debug)]
+pub(crate) struct RetryState {
+    /// The process's budget.
+    pub(crate) budget: RetryBudget,
+    /// Spreads retries.
+    pub(crate) rng: Pcg64Mcg,
+}
+
+/// What the threads of a dispatch process share.
+pub struct DispatchShared {
+    /// The checked settings.
+    pub settings: ProcessSettings,
+    /// The process's clock.
+    pub clock: MonotonicClock,
+    /// Metrics.
+    pub metrics: Arc<MetricSet>,
+    /// The platform's object API.
+    pub store: Arc<dyn ObjectStore>,
+    /// The targets known.
+    pub roster: TargetRoster,
+    /// Answers held.
+    pub answers: AnswerBook,
+    /// Open runner groups, sorted by group.
+    groups: Mutex<Vec<(TargetGroup, Arc<RunnerGroup>)>>,
+    /// Decides on retries.
+    retries: Mutex<RetryState>,
+    /// Calls being served.
+    in_flight: AtomicUsize,
+    /// Whether the process is stopping.
+    draining: AtomicBool,
+}
+
+impl DispatchShared {
+    /// The state of a process that has just started.
+    pub fn new(
+        settings: &ProcessSettings,
+        store: Arc<dyn ObjectStore>,
+        metrics: Arc<MetricSet>,
+        seed: u64,
+    ) -> Self {
+        let dispatch = &settings.dispatch;
+        Self {
+            settings: settings.clone(),
+            clock: MonotonicClock::start(),
+            metrics,
+            store,
+            roster: TargetRoster::default(),
+            answers: AnswerBook::new(dispatch.answer_hold_bytes, dispatch.answer_hold_time),
+            groups: Mutex::default(),
+            retries: Mutex::new(RetryState {
+                budget: RetryBudget::default(),
+                rng: Pcg64Mcg::new(seed.into()),
+            }),
+            in_flight: AtomicUsize::new(0),
+            draining: AtomicBool::new(false),
+        }
+    }
+
+    /// The process's time, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Time limits of calls to targets.
+    pub fn target_timeouts(&self) -> TargetTimeouts {
+        TargetTimeouts {
+            connect: self.settings.timeouts.connect,
+            gap: self.settings.timeouts.silent_gap,
+            ..TargetTimeouts::default()
+        }
+    }
+
+    /// Locks what decides on retries.
+    pub(crate) fn retries(&self) -> MutexGuard<'_, RetryState> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The runner group `group`, opened if need be.
+    pub fn group(&self, group: &TargetGroup) -> Arc<RunnerGroup> {
+        let mut groups = self.lock_groups();
+        match groups.binary_search_by(|(known, _)| known.cmp(group)) {
+            Ok(slot) => Arc::clone(&groups[slot].1),
+            Err(slot) => {
+                let seed = u128::from(self.now_ms()) ^ slot as u128;
+                let opened = Arc::new(RunnerGroup::new(RunnerSettings::default(), seed));
+                opened.apply_runners(&self.group_records(group), self.now_ms());
+                groups.insert(slot, (group.clone(), Arc::clone(&opened)));
+                opened
+            }
+        }
+    }
+
+    /// Every open runner group.
+    pub fn groups(&self) -> Vec<(TargetGroup, Arc<RunnerGroup>)> {
+        self.lock_groups().clone()
+    }
+
+    /// Locks the groups; a panic elsewhere leaves the list whole.
+    fn lock_groups(&self) -> MutexGuard<'_, Vec<(TargetGroup, Arc<RunnerGroup>)>> {
+        self.groups.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The runners of `group` with whether each takes new work.
+    pub fn group_records(&self, group: &TargetGroup) -> Vec<(InstanceRecord, bool)> {
+        let mut records = self.roster.pool(&group.pool, self.now_ms());
+        records.retain(|(record, _)| {
+            record.role == InstanceRole::Runner && record.data_centre == group.data_centre
+        });
+        let names: Vec<_> = records.iter().map(|(r, _)| r.name.clone()).collect();
+        let mut indexes = assignment::split_groups(&names).into_iter();
+        records.retain(|_| indexes.next() == Some(group.index));
+        records
+    }
+
+    /// Starts to stop: new work is refused from now on.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether the process is stopping.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Calls being served.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Counts a call in until the returned guard is dropped.
+    pub fn count_call(self: &Arc<Self>) -> CallGuard {
+        self.in_flight.fetch_add(1, Ordering::SeqCst);
+        CallGuard(Arc::clone(self))
+    }
+
+    /// Refuses new work while the process is stopping or full.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal.
+    pub fn check_room(&self) -> Result<(), CallRefusal> {
+        if self.is_draining() {
+            return Err(CallRefusal::not_run(
+                RefusalReason::Redirected,
+                "the dispatch process is stopping",
+                DRAINING_RETRY_MS,
+            ));
+        }
+        if self.in_flight() > self.settings.dispatch.max_in_flight {
+            return Err(CallRefusal::not_run(
+                RefusalReason::Overloaded,
+                "the dispatch process has too many calls",
+                FULL_RETRY_MS,
+            ));
+        }
+        Ok(())
+    }
+}
+
+/// Counts one call for as long as it lives.
+pub struct CallGuard(Arc<DispatchShared>);
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// How long a thread waits at most before it looks at the process's state.
+pub(crate) const LOOK_INTERVAL: Duration = Duration::from_millis(50);
--- /dev/null
+++ b/crates/dispatch/src/watch.rs
@@ -0,0 +1,152 @@
+//! Threads that keep the process's view of its targets current.
+
+use crate::{
+    shared::{DispatchShared, LOOK_INTERVAL},
+    RunnerGroup,
+};
+use berylmount_model::InstanceRecord;
+use berylmount_policy::{RunnerReport, TargetGroup};
+use berylmount_targets::{EngineClient, TargetTimeouts};
+use berylmount_telemetry::GaugeMetric;
+use std::{sync::Arc, thread, time::Duration};
+
+/// Shortest time between two reads of the platform's list, in milliseconds.
+const MIN_LIST_INTERVAL_MS: u64 = 1_000;
+
+/// Longest time between two reads of the platform's list, in milliseconds.
+const MAX_LIST_INTERVAL_MS: u64 = 60_000;
+
+/// Time between reads of the list for each instance in it, in milliseconds.
+///
+/// The list grows with the fleet and every process reads it, so its share of
+/// the control traffic is kept even by reading a long list less often.
+const LIST_INTERVAL_PER_INSTANCE_MS: u64 = 40;
+
+/// Time between two load reports of a runner.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time limit of one load report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How late a load report is taken to be, in milliseconds.
+const REPORT_LAG_MS: u64 = 500;
+
+/// Reads the platform's list of instances until the process ends.
+pub(crate) fn watch_list(shared: &Arc<DispatchShared>) {
+    loop {
+        let interval_ms = match shared.store.instances() {
+            Ok(records) => {
+                apply_list(shared, &records);
+                LIST_INTERVAL_PER_INSTANCE_MS * records.len() as u64
+            }
+            Err(fault) => {
+                log::warn!(target: "dispatch", "reading the list of instances failed: {fault}");
+                MIN_LIST_INTERVAL_MS
+            }
+        };
+        let interval_ms = interval_ms.clamp(MIN_LIST_INTERVAL_MS, MAX_LIST_INTERVAL_MS);
+        thread::sleep(Duration::from_millis(interval_ms));
+    }
+}
+
+/// Takes the list into the roster and the open groups.
+fn apply_list(shared: &DispatchShared, records: &[InstanceRecord]) {
+    shared.roster.apply_list(records);
+    for (name, group) in shared.groups() {
+        group.apply_runners(&shared.group_records(&name), shared.now_ms());
+    }
+}
+
+/// Opens a watching thread for each new group, until the process ends.
+pub(crate) fn watch_groups(shared: &Arc<DispatchShared>) {
+    let mut watched: Vec<TargetGroup> = Vec::new();
+    loop {
+        for (name, group) in shared.groups() {
+            if let Err(slot) = watched.binary_search(&name) {
+                watched.insert(slot, name.clone());
+                let shared = Arc::clone(shared);
+                let builder = thread::Builder::new().name("loads".to_owned());
+                let spawned = builder.spawn(move || watch_loads(&shared, &name, &group));
+                if let Err(e) = spawned {
+                    log::error!(target: "dispatch", "no thread for a group's loads: {e}");
+                }
+            }
+        }
+        shared.answers.drop_expired(shared.now_ms());
+        let held = i64::try_from(shared.answers.bytes()).unwrap_or(i64::MAX);
+        shared.metrics.set(GaugeMetric::HeldBytes, "", held);
+        let in_flight = i64::try_from(shared.in_flight()).unwrap_or(i64::MAX);
+        shared.metrics.set(GaugeMetric::InFlight, "", in_flight);
+        thread::sleep(LOOK_INTERVAL);
+    }
+}
+
+/// Reads the load reports and cache events of a group's runners.
+fn watch_loads(shared: &DispatchShared, name: &TargetGroup, group: &RunnerGroup) {
+    let timeouts = TargetTimeouts {
+        gap: REPORT_TIMEOUT,
+        call: REPORT_TIMEOUT,
+        ..shared.target_timeouts()
+    };
+    let mut seen: Vec<(InstanceRecord, u64)> = Vec::new();
+    loop {
+        let records = shared.group_records(name);
+        seen.retain(|(record, _)| records.iter().any(|(r, _)| r == record));
+        for (record, _) in records {
+            let slot = match seen.iter().position(|(known, _)| *known == record) {
+                Some(slot) => slot,
+                None => {
+                    seen.push((record.clone(), 0));
+                    seen.len() - 1
+                }
+            };
+            let client = EngineClient::new(record.address, timeouts);
+            read_load(shared, group, &client, &record);
+            read_events(group, &client, &record, &mut seen[slot].1);
+        }
+        group.tick(shared.now_ms());
+        thread::sleep(REPORT_INTERVAL);
+    }
+}
+
+/// Reads one runner's load report.
+fn read_load(
+    shared: &DispatchShared,
+    group: &RunnerGroup,
+    client: &EngineClient,
+    record: &InstanceRecord,
+) {
+    let asked_ms = shared.now_ms();
+    let load = match client.load() {
+        Ok(load) => load,
+        Err(fault) => {
+            log::debug!(target: "dispatch", runner:% = record.name; "no load report: {fault}");
+            return;
+        }
+    };
+    let report = RunnerReport {
+        at_ms: asked_ms.saturating_sub(REPORT_LAG_MS),
+        waiting_tokens: load.prefill_tokens,
+        running: u32::try_from(load.running + load.queued).unwrap_or(u32::MAX),
+    };
+    group.apply_report(&record.name, &report, &load.version, shared.now_ms());
+    if load.leaving {
+        shared.roster.note_leaving(record.address, shared.now_ms());
+        group.set_leaving(&record.name, true);
+    }
+}
+
+/// Reads one runner's cache events.
+fn read_events(
+    group: &RunnerGroup,
+    client: &EngineClient,
+    record: &InstanceRecord,
+    after: &mut u64,
+) {
+    let Ok(events) = client.events(*after) else {
+        return;
+    };
+    *after = events.iter().map(|event| event.seq).fold(*after, u64::max);
+    let changes: Vec<_> = events.iter().map(|e| (e.key, e.added)).collect();
+    group.apply_events(&record.name, &changes);
+}
--- /dev/null
+++ b/crates/entry/src/routes.rs
@@ -0,0 +1,150 @@
+//! Chooses the runner group of a prompt and the process to ask.
+
+use crate::members::{GroupEntry, MemberEntry, MemberList};
+use berylmount_model::{DataCentre, InstanceName, PoolName};
+use berylmount_policy::{GroupBoard, GroupId, TargetGroup};
+use rand_pcg::Pcg64Mcg;
+
+/// Distance to a group in another data centre, in milliseconds.
+const FAR_MS: f64 = 4.0;
+
+/// Prefill time that one token costs, in milliseconds, for choosing a group.
+const TOKEN_PREFILL_MS: f64 = 0.1;
+
+/// A pool with the board of its groups.
+#[derive(Debug)]
+struct PoolBoard {
+    pool: PoolName,
+    board: GroupBoard,
+    /// Indexed by [`GroupId`].
+    groups: Vec<TargetGroup>,
+}
+
+/// Where to send one attempt.
+#[derive(Clone, Debug, PartialEq)]
+pub struct WorkRoute {
+    /// The runner group.
+    pub group: TargetGroup,
+    /// The dispatch process.
+    pub member: MemberEntry,
+}
+
+/// What an attempt needs and must avoid.
+#[derive(Clone, Copy, Debug)]
+pub struct RouteQuery<'a> {
+    /// The pool.
+    pub pool: &'a PoolName,
+    /// The key of the prompt's first piece, if it has a whole one.
+    pub first_key: Option<&'a [u8]>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Groups that refused.
+    pub avoid_groups: &'a [TargetGroup],
+    /// Dispatch processes that failed or are stopping.
+    pub avoid_members: &'a [InstanceName],
+}
+
+/// Chooses groups for an entry.
+#[derive(Debug)]
+pub struct RouteTable {
+    /// The entry's data centre.
+    data_centre: DataCentre,
+    /// Sorted by pool.
+    pools: Vec<PoolBoard>,
+    /// Breaks ties.
+    rng: Pcg64Mcg,
+}
+
+impl RouteTable {
+    /// A table without groups, for an entry in `data_centre`.
+    pub fn new(data_centre: &DataCentre, seed: u64) -> Self {
+        Self {
+            data_centre: data_centre.clone(),
+            pools: Vec::new(),
+            rng: Pcg64Mcg::new(seed.into()),
+        }
+    }
+
+    /// Brings the groups in step with `list`.
+    pub fn apply(&mut self, list: &MemberList) {
+        for entry in &list.groups {
+            self.add_group(entry);
+        }
+        for pool in &mut self.pools {
+            for (place, group) in pool.groups.iter().enumerate() {
+                let found = list.groups.binary_search_by(|e| e.group.cmp(group));
+                let present = found.is_ok_and(|slot| list.groups[slot].runners > 0);
+                pool.board.set_present(GroupId(place as u32), present);
+            }
+        }
+    }
+
+    /// Adds a group that is new.
+    fn add_group(&mut self, entry: &GroupEntry) {
+        let pool = &entry.group.pool;
+        let slot = match self.pools.binary_search_by(|known| known.pool.cmp(pool)) {
+            Ok(slot) => slot,
+            Err(slot) => {
+                let board = PoolBoard {
+                    pool: pool.clone(),
+                    board: GroupBoard::default(),
+                    groups: Vec::new(),
+                };
+                self.pools.insert(slot, board);
+                slot
+            }
+        };
+        let known = &mut self.pools[slot];
+        if !known.groups.contains(&entry.group) {
+            let near = entry.group.data_centre == self.data_centre;
+            let distance_ms = if near { 0.0 } else { FAR_MS };
+            let name = entry.group.to_string();
+            known.board.add_group(&name, distance_ms, entry.runners);
+            known.groups.push(entry.group.clone());
+        }
+    }
+
+    /// The route of one attempt, if there is one.
+    pub fn choose(
+        &mut self,
+        query: &RouteQuery<'_>,
+        list: &MemberList,
+        now_ms: u64,
+    ) -> Option<WorkRoute> {
+        let pool = self.pools.iter_mut().find(|p| p.pool == *query.pool)?;
+        let avoided = pool.groups.iter().enumerate();
+        let avoid: Vec<GroupId> = avoided
+            .filter(|(_, group)| query.avoid_groups.contains(group))
+            .map(|(place, _)| GroupId(place as u32))
+            .collect();
+        let prefill_ms = f64::from(query.prompt_tokens) * TOKEN_PREFILL_MS;
+        let choice =
+            pool.board
+                .choose(query.first_key, prefill_ms, &avoid, now_ms, &mut self.rng)?;
+        pool.board.note_sent(choice.group, prefill_ms, now_ms);
+        let group = pool.groups.get(choice.group.0 as usize)?.clone();
+        let member = list.owner(&group, query.avoid_members)?.clone();
+        Some(WorkRoute { group, member })
+    }
+
+    /// Takes in the wait that a group reported.
+    pub fn note_wait(&mut self, group: &TargetGroup, wait_ms: u64, now_ms: u64) {
+        if let Some((board, id)) = self.find(group) {
+            board.report(id, wait_ms as f64, now_ms);
+        }
+    }
+
+    /// Notes that a call to a group failed or was refused.
+    pub fn note_failure(&mut self, group: &TargetGroup, now_ms: u64) {
+        if let Some((board, id)) = self.find(group) {
+            board.note_failure(id, now_ms);
+        }
+    }
+
+    /// The board and number of a group.
+    fn find(&mut self, group: &TargetGroup) -> Option<(&mut GroupBoard, GroupId)> {
+        let pool = self.pools.iter_mut().find(|p| p.pool == group.pool)?;
+        let place = pool.groups.iter().position(|known| known == group)?;
+        Some((&mut pool.board, GroupId(place as u32)))
+    }
+}
