Add stand-ins and clients of engines and plain services

Cause: nothing could speak to a target yet, and the thin path needs an engine.

Change: an engine stand-in (continuous batching, limited prefix cache, late cache events and load, fenced orders, streams kept for resuming, staged imports) and a plain-service stand-in that counts the runs of each key; the clients EngineClient and ServiceClient, whose faults say whether the request may have run; docs/TARGETS.md with the protocols.

Ruled out: pooled connections. One that went silent would be used again, and a failure on it does not prove that nothing was sent, so each call connects. A NotRun answer to a resume, cancel or look-up says nothing about the earlier request, so these never claim it.

--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -1,1 +1,19 @@
 //! Clients of model engines, kept-cache stores and plain services.
+//!
+//! Everything here blocks its thread, bounds what it reads, and answers with a
+//! [`TargetFault`] that says whether the request may have run. docs/TARGETS.md
+//! has the protocols.
+
+mod engine;
+mod fault;
+mod http;
+mod service;
+mod stream;
+
+pub use crate::{
+    engine::{CacheEvent, EngineClient, EngineRole, LoadReport, StreamOrder, TargetOrder},
+    fault::{FaultKind, RejectReason, TargetFault},
+    http::TargetTimeouts,
+    service::{KeyOutcome, ServiceClient},
+    stream::{EngineStream, StreamEvent},
+};
