Serve callers in the entry role and relay answers from dispatch

Ruled out: serving any customer at any entry, which would multiply limits by the number of entries; an entry that is not the customer's own redirects when one of those can be reached.

--- a/crates/dispatch/src/run.rs
+++ b/crates/dispatch/src/run.rs
@@ -116,7 +116,7 @@
         if !failed.may_retry {
             return Some(failed.refusal);
         }
-        self.avoid.extend(failed.runner);
+        self.avoid.extend(failed.runner.clone());
         let delay_ms = match self.decide_retry(&failed) {
             RetryDecision::GiveUp => return Some(failed.refusal),
             RetryDecision::RetryAfter(delay_ms) => delay_ms,
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,128 @@
+//! Routes callers' requests.
+//!
+//! | request | serves |
+//! | --- | --- |
+//! | `GET /v1/locate` | entries to use, in order, with a time to live |
+//! | `POST /v1/prompts` | a prompt, streamed or whole |
+//! | `GET /v1/prompts/REQUEST` | the rest of an answer, from an offset |
+//! | `DELETE /v1/prompts/REQUEST` | cancels |
+//! | `POST /v1/orders/KEY` | work that may not run twice |
+//! | `POST /v1/order-keys` | a fresh idempotency key |
+//! | `GET /v1/reads/WORK/PATH` | a read from a plain service |
+
+use crate::{
+    auth::find_customer,
+    http::{bad_request, header, json_response, query_value, refusal_response, JsonResponse},
+    prompts::{post_prompt, resume_prompt},
+    resume::cancel_request,
+    services::{get_read, post_order},
+    shared::EntryShared,
+};
+use berylmount_model::{CallRefusal, CustomerRow, RefusalReason, RequestId};
+use berylmount_policy::assignment;
+use berylmount_telemetry::root_span;
+use serde::Serialize;
+use std::{io, net::SocketAddr, sync::Arc};
+use tiny_http::{Method, Request};
+
+/// The answer to `GET /v1/locate`.
+#[derive(Debug, Serialize)]
+struct LocateAnswer {
+    /// Entries in the order in which to try them.
+    addresses: Vec<SocketAddr>,
+    /// How long the answer may be used, in milliseconds.
+    ttl_ms: u64,
+}
+
+/// Serves one request.
+pub(crate) fn serve_request(shared: &Arc<EntryShared>, request: Request) {
+    let sample = shared.settings.trace.sample;
+    let span = root_span("entry", header(&request, "traceparent"), sample);
+    let url = request.url().to_owned();
+    let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+    let outcome = match (request.method(), path) {
+        (Method::Get, "/v1/locate") => request.respond(locate(shared, query)),
+        _ => serve_customer(shared, path, query, request, &span),
+    };
+    if let Err(e) = outcome {
+        log::info!(target: "entry", "a caller was lost: {e}");
+    }
+}
+
+/// Answers with the entries that a customer should use.
+fn locate(shared: &EntryShared, query: &str) -> JsonResponse {
+    let customer = query_value(query, "customer").unwrap_or_default();
+    let entries = shared.entries_for(customer);
+    let view = shared.table.view();
+    let row = berylmount_model::CustomerName::new(customer).ok();
+    let row = row.and_then(|name| view.customer(&name));
+    let own = row.map_or(1, |row| assignment::entry_count(row, entries.len()));
+    let count = shared.located_count(own);
+    let addresses = entries.iter().filter_map(|entry| entry.caller_address);
+    let answer = LocateAnswer {
+        addresses: addresses.take(count).collect(),
+        ttl_ms: shared.settings.timeouts.locate_ttl.as_millis() as u64,
+    };
+    json_response(200, &answer)
+}
+
+/// Serves a request that needs a customer.
+fn serve_customer(
+    shared: &Arc<EntryShared>,
+    path: &str,
+    query: &str,
+    mut request: Request,
+    span: &berylmount_telemetry::Span,
+) -> io::Result<()> {
+    let view = shared.table.view();
+    let found = shared
+        .check_table()
+        .and_then(|()| find_customer(&view, header(&request, "authorization")).cloned());
+    let customer = match found {
+        Ok(customer) => customer,
+        Err(refusal) => {
+            shared.note_refusal(&refusal);
+            return request.respond(refusal_response(&refusal));
+        }
+    };
+    let route = path.strip_prefix("/v1/").unwrap_or_default();
+    let (head, rest) = route.split_once('/').unwrap_or((route, ""));
+    match (request.method(), head, rest) {
+        (Method::Post, "prompts", "") => post_prompt(shared, &view, &customer, request, span),
+        (Method::Get, "prompts", id) => resume_prompt(shared, &customer.name, id, query, request),
+        (Method::Delete, "prompts", id) => {
+            let response = cancel(shared, &customer, id);
+            request.respond(response)
+        }
+        (Method::Post, "orders", key) => {
+            let response = post_order(shared, &view, &customer, key, &mut request, span);
+            request.respond(response)
+        }
+        (Method::Get, "reads", rest) => {
+            let response = get_read(shared, &view, &customer, rest, query, span);
+            request.respond(response)
+        }
+        _ => request.respond(refusal_response(&unknown_route())),
+    }
+}
+
+/// Cancels a request.
+fn cancel(shared: &EntryShared, customer: &CustomerRow, id: &str) -> JsonResponse {
+    let Ok(id) = id.parse::<RequestId>() else {
+        return refusal_response(&bad_request("a request id has 32 hexadecimal digits"));
+    };
+    let refusal = cancel_request(shared, &customer.name, id);
+    match refusal.reason {
+        RefusalReason::Cancelled => json_response(200, &refusal),
+        _ => refusal_response(&refusal),
+    }
+}
+
+/// The refusal of a path or method that is not served.
+fn unknown_route() -> CallRefusal {
+    CallRefusal::not_run(
+        RefusalReason::NotFound,
+        "no such path or method; the README lists them",
+        0,
+    )
+}
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -69,7 +69,10 @@
 pub(crate) fn read_body(request: &mut Request, max_bytes: usize) -> Result<String, CallRefusal> {
     let bad = |detail: &str| CallRefusal::not_run(RefusalReason::BadRequest, detail, 0);
     let too_long = || bad(&format!("a body has at most {max_bytes} bytes"));
-    if request.body_length().is_some_and(|length| length > max_bytes) {
+    if request
+        .body_length()
+        .is_some_and(|length| length > max_bytes)
+    {
         return Err(too_long());
     }
     let mut body = Vec::new();
@@ -86,7 +89,10 @@
 /// The value of `name` in a query such as `a=1&b=2`.
 pub(crate) fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
+    pairs
+        .into_iter()
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)
 }
 
 /// A header that is known to be well formed, or none.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,26 @@
 //! The entry role: callers and operators.
+//!
+//! An entry process tells callers which entry to use, authenticates the
+//! customer, judges each request by the operators' table, applies the
+//! customer's limits, and brings the answer from a dispatch process to the
+//! caller. It owns no target.
+
+mod auth;
+mod callers;
+mod http;
+mod members;
+mod process;
+mod prompts;
+mod relay;
+mod resume;
+mod routes;
+mod services;
+mod shared;
+
+pub use crate::{
+    auth::key_matches,
+    members::{origin_of, GroupEntry, MemberEntry, MemberList},
+    process::EntryProcess,
+    routes::{RouteQuery, RouteTable, WorkRoute},
+    shared::{EntryParts, EntryShared},
+};
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -94,7 +94,9 @@
 
     /// Groups of `pool`.
     pub fn pool_groups<'a>(&'a self, pool: &'a PoolName) -> impl Iterator<Item = &'a GroupEntry> {
-        self.groups.iter().filter(move |entry| entry.group.pool == *pool)
+        self.groups
+            .iter()
+            .filter(move |entry| entry.group.pool == *pool)
     }
 }
 
@@ -104,7 +106,9 @@
     role: InstanceRole,
     state: InstanceState,
 ) -> Vec<MemberEntry> {
-    let chosen = records.iter().filter(|r| r.role == role && r.state == state);
+    let chosen = records
+        .iter()
+        .filter(|r| r.role == role && r.state == state);
     let mut members: Vec<_> = chosen
         .map(|record| MemberEntry {
             name: record.name.clone(),
--- /dev/null
+++ b/crates/entry/src/process.rs
@@ -0,0 +1,164 @@
+//! Starts and stops the entry role.
+
+use crate::{
+    callers::serve_request,
+    http::{listen, refusal_response, server_address},
+    members::MemberList,
+    shared::{EntryParts, EntryShared},
+};
+use berylmount_model::{CallRefusal, InstanceRecord, RefusalReason};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+use tiny_http::{Request, Server};
+
+/// Threads that take requests from the listener.
+const TAKING_THREADS: usize = 2;
+
+/// Stack of a thread that serves one request, in bytes.
+const REQUEST_STACK_BYTES: usize = 256 * 1024;
+
+/// When to come back to an entry with too many requests, in milliseconds.
+const FULL_RETRY_MS: u64 = 500;
+
+/// Shortest time between two reads of the platform's list, in milliseconds.
+const MIN_LIST_INTERVAL_MS: u64 = 1_000;
+
+/// Longest time between two reads of the platform's list, in milliseconds.
+const MAX_LIST_INTERVAL_MS: u64 = 60_000;
+
+/// Time between reads of the list for each instance in it, in milliseconds.
+const LIST_INTERVAL_PER_INSTANCE_MS: u64 = 40;
+
+/// Time between two looks at the process's state while it stops.
+const LOOK_INTERVAL: Duration = Duration::from_millis(50);
+
+/// A running entry role.
+pub struct EntryProcess {
+    /// What its threads share.
+    shared: Arc<EntryShared>,
+    /// Takes callers' requests.
+    server: Arc<Server>,
+}
+
+impl EntryProcess {
+    /// Starts the role's threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if an address or a thread can't be had.
+    pub fn start(parts: EntryParts) -> io::Result<Self> {
+        let entry = &parts.settings.entry;
+        let server = Arc::new(listen(entry.callers_listen, entry.idle_timeout)?);
+        let address = server_address(&server)?;
+        let shared = Arc::new(EntryShared::new(parts, address));
+        for _ in 0..TAKING_THREADS {
+            let (shared, server) = (Arc::clone(&shared), Arc::clone(&server));
+            spawn_duty("callers", move || take_requests(&shared, &server))?;
+        }
+        let watching = Arc::clone(&shared);
+        spawn_duty("list", move || watch_list(&watching))?;
+        log::info!(target: "entry", address:% = address; "listening for callers");
+        Ok(Self { shared, server })
+    }
+
+    /// What its threads share.
+    pub fn shared(&self) -> &Arc<EntryShared> {
+        &self.shared
+    }
+
+    /// Where callers reach it.
+    pub fn address(&self) -> SocketAddr {
+        self.shared.caller_address
+    }
+
+    /// Stops in good order.
+    ///
+    /// Callers are told of other entries at once. Requests are served until
+    /// every answer that named this entry has run out and its streams ended.
+    /// Returns whether everything ended within the drain time.
+    pub fn stop(self) -> bool {
+        self.shared.drain();
+        let timeouts = &self.shared.settings.timeouts;
+        log::info!(target: "entry", in_flight = self.shared.in_flight(); "draining");
+        thread::sleep(timeouts.locate_ttl.min(timeouts.drain));
+        let end = Instant::now() + timeouts.drain.saturating_sub(timeouts.locate_ttl);
+        while self.shared.in_flight() > 0 {
+            if Instant::now() >= end {
+                return false;
+            }
+            thread::sleep(LOOK_INTERVAL);
+        }
+        self.server.unblock();
+        true
+    }
+}
+
+/// Starts the thread of one duty.
+fn spawn_duty(name: &str, duty: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    let builder = thread::Builder::new().name(name.to_owned());
+    builder.spawn(duty).map(drop)
+}
+
+/// Takes requests from the listener until it stops.
+fn take_requests(shared: &Arc<EntryShared>, server: &Server) {
+    for request in server.incoming_requests() {
+        if shared.in_flight() >= shared.settings.entry.max_in_flight {
+            refuse_full(shared, request);
+            continue;
+        }
+        let guard = shared.count_request();
+        let serving = Arc::clone(shared);
+        let builder = thread::Builder::new()
+            .name("request".to_owned())
+            .stack_size(REQUEST_STACK_BYTES);
+        let spawned = builder.spawn(move || {
+            let _guard = guard;
+            serve_request(&serving, request);
+        });
+        if let Err(e) = spawned {
+            log::error!(target: "entry", "no thread for a request: {e}");
+        }
+    }
+}
+
+/// Refuses a request because too many are in flight.
+fn refuse_full(shared: &EntryShared, request: Request) {
+    let refusal = CallRefusal::not_run(
+        RefusalReason::Overloaded,
+        "the entry has too many requests",
+        FULL_RETRY_MS,
+    );
+    shared.note_refusal(&refusal);
+    if let Err(e) = request.respond(refusal_response(&refusal)) {
+        log::info!(target: "entry", "a caller was lost: {e}");
+    }
+}
+
+/// Reads the platform's list of instances until the process ends.
+fn watch_list(shared: &EntryShared) {
+    loop {
+        let interval_ms = match shared.store.instances() {
+            Ok(records) => {
+                shared.set_list(MemberList::from_records(&records));
+                list_interval_ms(&records)
+            }
+            Err(fault) => {
+                log::warn!(target: "entry", "reading the list of instances failed: {fault}");
+                MIN_LIST_INTERVAL_MS
+            }
+        };
+        thread::sleep(Duration::from_millis(interval_ms));
+    }
+}
+
+/// Time to the next read of a list; a long one is read less often, so that
+/// control traffic stays even as the fleet grows.
+fn list_interval_ms(records: &[InstanceRecord]) -> u64 {
+    let interval_ms = LIST_INTERVAL_PER_INSTANCE_MS * records.len() as u64;
+    interval_ms.clamp(MIN_LIST_INTERVAL_MS, MAX_LIST_INTERVAL_MS)
+}
