Test that a pause accuses nobody, and box the large messages

Cause: removing the handling of pauses by hand let every test pass, so it was untested. Two tests added: a suspect keeps its time to refute while its accuser is paused (fails without resume_after), and an outcome reported long after its time limit accuses nobody (fails without the check in take_silence).

--- a/crates/peers/src/board.rs
+++ b/crates/peers/src/board.rs
@@ -369,7 +369,7 @@
             PeerRequest::Relay { target, probe } => match self.list.find(target) {
                 Some(entry) if !entry.is_dead() => PeerAnswer::Forward {
                     address: entry.record.peer_address,
-                    probe: probe.clone(),
+                    probe: Box::new(probe.clone()),
                 },
                 _ => PeerAnswer::Reply(PeerReply::Unreached),
             },
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -130,7 +130,7 @@
         /// Where to send it.
         address: SocketAddr,
         /// What to send.
-        probe: ProbeRequest,
+        probe: Box<ProbeRequest>,
     },
 }
 
--- a/crates/peers/tests/common/mod.rs
+++ b/crates/peers/tests/common/mod.rs
@@ -42,7 +42,7 @@
     /// Its name; `board` is gone when the process is.
     pub name: InstanceName,
     generation: u64,
-    paused_until: u64,
+    pub paused_until: u64,
     /// Encoded bytes sent and received.
     pub bytes: u64,
     /// Table heads with the times from which they held.
@@ -294,7 +294,7 @@
                     node,
                     address,
                     timeout_ms,
-                    PeerRequest::Probe(probe),
+                    PeerRequest::Probe(*probe),
                     None,
                     Some(call),
                 );
--- a/crates/peers/tests/scenarios.rs
+++ b/crates/peers/tests/scenarios.rs
@@ -132,6 +132,39 @@
     }
 }
 
+#[test]
+fn a_paused_process_gives_a_suspect_its_time_to_refute() {
+    let mut net = settled(12);
+    net.pause(7, 60_000);
+    while net.state(5, 7) != Some(MemberState::Suspect) {
+        net.run(50);
+    }
+    net.pause(5, 30_000);
+    net.nodes[7].paused_until = net.now_ms;
+    for _ in 0..200 {
+        net.run(250);
+        assert_ne!(net.state(5, 7), Some(MemberState::Dead));
+    }
+    assert!(net.agrees());
+}
+
+#[test]
+fn an_outcome_that_a_pause_held_up_accuses_nobody() {
+    let mut net = settled(3);
+    let now_ms = net.now_ms + 1_000;
+    let board = net.board(0);
+    let probes = board.tick(now_ms);
+    assert!(!probes.is_empty());
+    for probe in probes {
+        assert!(board.finish(probe.id, None, now_ms + 30_000).is_empty());
+    }
+    let view = board.view(now_ms + 30_000);
+    assert!(view
+        .members
+        .iter()
+        .all(|member| member.state == MemberState::Live));
+}
+
 #[test]
 fn a_stale_list_makes_nobody_live() {
     let mut net = settled(7);
