Follow the policy's start call after merging

RunnerBoard::start now takes the whole query, so that a group's last clear runner is kept for critical work. Measured: workspace builds and the path test passes.

--- a/crates/dispatch/src/groups.rs
+++ b/crates/dispatch/src/groups.rs
@@ -399,7 +399,7 @@
             choice,
         };
         if work.answer.try_send(Ok(grant)).is_ok() {
-            self.board.start(work.ticket, &choice, work.class, now_ms);
+            self.board.start(work.ticket, &choice, &query, now_ms);
         }
         true
     }
