Sample a woken process's view each millisecond

The wrong death was taken back within 8 ms, by the reply to the first probe, and the test sampled every 250 ms; a message held up in the pause could also bring the refutation first.

--- a/crates/peers/tests/common/mod.rs
+++ b/crates/peers/tests/common/mod.rs
@@ -22,10 +22,20 @@
 pub const DATA_CENTRES: usize = 13;
 
 enum NetEvent {
-    Tick { generation: u64 },
-    Request { call: usize, request: PeerRequest },
-    Reply { call: usize, reply: PeerReply },
-    Timeout { call: usize },
+    Tick {
+        generation: u64,
+    },
+    Request {
+        call: usize,
+        request: Box<PeerRequest>,
+    },
+    Reply {
+        call: usize,
+        reply: PeerReply,
+    },
+    Timeout {
+        call: usize,
+    },
 }
 
 struct NetCall {
@@ -276,7 +286,14 @@
         let to = index_of(address);
         self.nodes[from].bytes += encode_frame(&request).unwrap().len() as u64;
         if !self.cuts.contains(&(from, to)) {
-            self.push(DELAY_MS, to, NetEvent::Request { call, request });
+            self.push(
+                DELAY_MS,
+                to,
+                NetEvent::Request {
+                    call,
+                    request: Box::new(request),
+                },
+            );
         }
     }
 
--- a/crates/peers/tests/scenarios.rs
+++ b/crates/peers/tests/scenarios.rs
@@ -114,8 +114,8 @@
     for pause_ms in [1_500, 4_000, 30_000, 300_000] {
         net.pause(5, pause_ms);
         net.run(pause_ms);
-        for _ in 0..80 {
-            net.run(250);
+        for _ in 0..2_000 {
+            net.run(10);
             for of in 0..12 {
                 assert_ne!(
                     net.state(5, of),
@@ -139,10 +139,15 @@
     while net.state(5, 7) != Some(MemberState::Suspect) {
         net.run(50);
     }
+    // Somebody answers the accuser meanwhile.
+    net.run(2_000);
     net.pause(5, 30_000);
+    net.split(&[5]);
     net.nodes[7].paused_until = net.now_ms;
-    for _ in 0..200 {
-        net.run(250);
+    net.run(29_999);
+    net.cuts.clear();
+    for _ in 0..2_000 {
+        net.run(1);
         assert_ne!(net.state(5, 7), Some(MemberState::Dead));
     }
     assert!(net.agrees());
