Refuse at once, with an honest time, while a group has no live runner

Ruled out: waiting for the list inside the call, which would hold a refusal back. The tests kill, cut, freeze and stop each hop under a running answer and compare it with the engine's own text.

--- /dev/null
+++ b/crates/berylmount/tests/answers.rs
@@ -0,0 +1,247 @@
+//! Whole answers to the right caller, whatever fails on the way.
+
+mod common;
+
+use berylmount_model::InstanceState;
+use berylmount_standins::{
+    expected_answer, wait_until, EngineConfig, FleetConfig, TestFleet, TestProcess,
+};
+use common::{
+    answer, authority_rows, binary, joined_text, lines, post_prompt, read_lines, CallerClient,
+};
+use serde_json::{json, Value};
+use ureq::{http::Response, Body};
+
+/// Tokens of an answer that takes about a second.
+const LONG_ANSWER: u32 = 100;
+
+/// A fleet whose answers take about a second.
+fn slow_fleet(instances: usize, runners: usize) -> TestFleet {
+    let config = FleetConfig {
+        instances,
+        runners,
+        proxied: true,
+        engine: EngineConfig {
+            decode_ms: 10.0,
+            ..EngineConfig::default()
+        },
+        ..FleetConfig::default()
+    };
+    TestFleet::start(binary(), config, authority_rows()).unwrap()
+}
+
+/// A long streamed prompt.
+fn long_body(prompt: &str) -> Value {
+    json!({"work": "crew-question", "prompt": prompt, "max_tokens": LONG_ANSWER, "stream": true})
+}
+
+/// Sends a long prompt and reads its answer until a few tokens came.
+fn begin(
+    caller: &CallerClient,
+    prompt: &str,
+) -> (Vec<Value>, impl Iterator<Item = std::io::Result<Value>>) {
+    let mut rest = lines(post_prompt(caller, &long_body(prompt)));
+    let first: Vec<Value> = rest.by_ref().take(6).collect::<Result<_, _>>().unwrap();
+    assert_eq!(first[0]["event"], "started", "{first:?}");
+    (first, rest)
+}
+
+/// Reads the rest of an answer and checks that it is whole.
+fn check_whole(
+    mut seen: Vec<Value>,
+    rest: impl Iterator<Item = std::io::Result<Value>>,
+    prompt: &str,
+) -> Vec<Value> {
+    seen.extend(rest.map(Result::unwrap));
+    assert_eq!(seen.last().unwrap()["event"], "end", "{:?}", seen.last());
+    assert_eq!(joined_text(&seen), expected_answer(prompt, LONG_ANSWER));
+    seen
+}
+
+/// The place of the dispatch process that holds the answer begun by `first`.
+fn holder(fleet: &TestFleet, first: &[Value]) -> usize {
+    let origin = first[0]["request"].as_str().unwrap()[..16].to_owned();
+    let names = (0..fleet.dispatches.len()).map(|place| format!("instance-{place}-dispatch"));
+    let mut origins = names.map(|name| {
+        let name = berylmount_model::InstanceName::new(&name).unwrap();
+        format!("{:016x}", berylmount_entry::origin_of(&name))
+    });
+    origins.position(|known| known == origin).unwrap()
+}
+
+/// Resumes an answer at `entry` after the tokens in `seen`.
+fn resume(caller: &CallerClient, seen: &[Value]) -> Response<Body> {
+    let (request, attempt) = (&seen[0]["request"], &seen[0]["attempt"]);
+    let offset = seen.len() - 1;
+    let request = request.as_str().unwrap();
+    caller
+        .get(&format!(
+            "/v1/prompts/{request}?attempt={attempt}&offset={offset}"
+        ))
+        .unwrap()
+}
+
+#[test]
+fn survives_the_kill_of_its_dispatch_process() {
+    let mut fleet = slow_fleet(2, 1);
+    let caller = CallerClient::new(fleet.locate("north-crew"), "north-crew");
+    let (first, rest) = begin(&caller, "kill dispatch");
+    let place = holder(&fleet, &first);
+    fleet.dispatches[place].kill();
+    check_whole(first, rest, "kill dispatch");
+}
+
+#[test]
+fn survives_a_silent_connection_to_its_dispatch_process() {
+    let fleet = slow_fleet(1, 1);
+    let caller = CallerClient::new(fleet.locate("north-crew"), "north-crew");
+    let (first, rest) = begin(&caller, "freeze dispatch");
+    fleet.dispatch_proxies[0].freeze();
+    check_whole(first, rest, "freeze dispatch");
+}
+
+#[test]
+fn survives_a_cut_connection_to_its_dispatch_process() {
+    let fleet = slow_fleet(1, 1);
+    let caller = CallerClient::new(fleet.locate("north-crew"), "north-crew");
+    let (first, rest) = begin(&caller, "cut dispatch");
+    fleet.dispatch_proxies[0].cut();
+    check_whole(first, rest, "cut dispatch");
+}
+
+#[test]
+fn survives_a_silent_connection_to_its_runner() {
+    let fleet = slow_fleet(1, 1);
+    let caller = CallerClient::new(fleet.locate("north-crew"), "north-crew");
+    let (first, rest) = begin(&caller, "freeze runner");
+    fleet.engine_proxies[0].freeze();
+    let seen = check_whole(first, rest, "freeze runner");
+    let starts = seen.iter().filter(|line| line["event"] == "started");
+    assert_eq!(starts.count(), 1, "the stream was resumed, not run again");
+}
+
+#[test]
+fn survives_the_end_of_its_runner() {
+    let mut fleet = slow_fleet(1, 2);
+    let caller = CallerClient::new(fleet.locate("north-crew"), "north-crew");
+    let (first, rest) = begin(&caller, "end runner");
+    let runner = first[0]["runner"].as_str().unwrap().to_owned();
+    let place: usize = runner.rsplit('-').next().unwrap().parse().unwrap();
+    drop(fleet.engines.remove(place));
+    drop(fleet.engine_proxies.remove(place));
+    let seen = check_whole(first, rest, "end runner");
+    let last = seen
+        .iter()
+        .rfind(|line| line["event"] == "started")
+        .unwrap();
+    assert_ne!(last["runner"], runner.as_str());
+}
+
+#[test]
+fn is_resumed_at_another_entry_after_the_kill_of_the_first() {
+    let mut fleet = slow_fleet(2, 1);
+    let callers: Vec<_> = (0..2).map(|place| fleet.callers(place)).collect();
+    let first_entry = fleet.locate("north-crew");
+    let place = callers.iter().position(|a| *a == first_entry).unwrap();
+    let caller = CallerClient::new(first_entry, "north-crew");
+    let (mut seen, rest) = begin(&caller, "kill entry");
+    fleet.entries[place].kill();
+    seen.extend(rest.map_while(Result::ok));
+    let other = CallerClient::new(callers[1 - place], "north-crew");
+    let mut rest = lines(resume(&other, &seen));
+    assert_eq!(rest.next().unwrap().unwrap()["event"], "started");
+    check_whole(seen, rest, "kill entry");
+}
+
+#[test]
+fn is_never_given_to_another_customer() {
+    let fleet = slow_fleet(1, 1);
+    let address = fleet.callers(0);
+    let caller = CallerClient::new(address, "north-crew");
+    let (first, rest) = begin(&caller, "my own");
+    let other = CallerClient::new(address, "south-crew");
+    let (status, body) = answer(Ok(resume(&other, &first)));
+    assert_eq!((status, &body["reason"]), (404, &json!("not_found")));
+    let id = first[0]["request"].as_str().unwrap();
+    let (status, _) = answer(other.delete(&format!("/v1/prompts/{id}")));
+    assert_eq!(status, 404);
+    check_whole(first, rest, "my own");
+}
+
+#[test]
+fn ends_at_once_when_its_caller_cancels() {
+    let fleet = slow_fleet(1, 1);
+    let caller = CallerClient::new(fleet.callers(0), "north-crew");
+    let (first, rest) = begin(&caller, "cancel");
+    let id = first[0]["request"].as_str().unwrap();
+    let (status, _) = answer(caller.delete(&format!("/v1/prompts/{id}")));
+    assert_eq!(status, 200);
+    let last = rest.map(Result::unwrap).last().unwrap();
+    assert_eq!(last["event"], "refused");
+    assert_eq!(last["reason"], "cancelled");
+}
+
+/// Ends a process by the planned stop and checks that it cut nothing.
+fn check_clean(process: &mut TestProcess) {
+    let status = process.wait().unwrap();
+    assert!(status.success(), "{status}");
+}
+
+#[test]
+fn a_planned_stop_of_both_processes_cuts_nothing() {
+    let mut fleet = slow_fleet(2, 1);
+    let entry = fleet.locate("north-crew");
+    let place = usize::from(fleet.callers(1) == entry);
+    let caller = CallerClient::new(entry, "north-crew");
+    let (first, rest) = begin(&caller, "stop both");
+    let held = holder(&fleet, &first);
+    fleet.dispatches[held].signal("TERM").unwrap();
+    fleet.entries[place].signal("TERM").unwrap();
+    check_whole(first, rest, "stop both");
+    check_clean(&mut fleet.dispatches[held]);
+    check_clean(&mut fleet.entries[place]);
+}
+
+#[test]
+fn a_stopping_entry_serves_while_callers_may_know_it() {
+    let mut fleet = slow_fleet(2, 1);
+    let entry = fleet.locate("north-crew");
+    let place = usize::from(fleet.callers(1) == entry);
+    let caller = CallerClient::new(entry, "north-crew");
+    fleet.entries[place].signal("TERM").unwrap();
+    let body = json!({"work": "crew-question", "prompt": "late", "max_tokens": 3});
+    wait_until("the entry leaves its own list", || {
+        let (_, located) = answer(caller.get("/v1/locate?customer=north-crew"));
+        let addresses = located["addresses"].as_array().unwrap().clone();
+        !addresses.contains(&json!(entry.to_string()))
+    });
+    let (status, whole) = caller.ask(&body);
+    assert_eq!(
+        (status, whole["text"].as_str()),
+        (200, Some(&*expected_answer("late", 3)))
+    );
+    check_clean(&mut fleet.entries[place]);
+}
+
+#[test]
+fn a_leaving_runner_gets_no_new_work() {
+    let mut fleet = slow_fleet(1, 2);
+    let caller = CallerClient::new(fleet.callers(0), "north-crew");
+    fleet.set_state("blaze-models-0", InstanceState::Leaving);
+    let body = json!({"work": "crew-question", "prompt": "where", "max_tokens": 1, "stream": true});
+    let mut runner = || {
+        let lines = read_lines(post_prompt(&caller, &body));
+        lines[0]["runner"].as_str().unwrap().to_owned()
+    };
+    // The list lags: wait for the first prompts to move, then all must stay.
+    let mut stayed = 0;
+    wait_until("prompts leave the leaving runner", || {
+        stayed = if runner() == "blaze-models-1" {
+            stayed + 1
+        } else {
+            0
+        };
+        stayed == 10
+    });
+    assert!((0..10).all(|_| runner() == "blaze-models-1"));
+}
--- a/crates/dispatch/src/groups.rs
+++ b/crates/dispatch/src/groups.rs
@@ -8,8 +8,8 @@
     CallRefusal, InstanceName, InstanceRecord, PieceKey, RefusalReason, VersionName, WorkClass,
 };
 use berylmount_policy::{
-    RunnerBoard, RunnerChoice, RunnerId, RunnerQuery, RunnerReport, RunnerSettings, WorkItem,
-    WorkQueue, WorkTicket,
+    pacing::LONGEST_RETURN_MS, RunnerBoard, RunnerChoice, RunnerId, RunnerQuery, RunnerReport,
+    RunnerSettings, WorkItem, WorkQueue, WorkTicket,
 };
 use rand_pcg::Pcg64Mcg;
 use std::{
@@ -286,6 +286,15 @@
         answer: SyncSender<Result<RunGrant, CallRefusal>>,
         now_ms: u64,
     ) {
+        if !self.runners.iter().any(|r| self.board.is_live(r.id)) {
+            let refusal = CallRefusal::not_run(
+                RefusalReason::NoTarget,
+                "no runner of the group is live",
+                NO_RUNNER_RETRY_MS,
+            );
+            let _ = answer.try_send(Err(refusal));
+            return;
+        }
         let ticket = WorkTicket(self.next_ticket);
         self.next_ticket += 1;
         let cached = self.best_cached_tokens(offer.pieces);
@@ -303,7 +312,7 @@
             let refusal = CallRefusal::not_run(
                 RefusalReason::Overloaded,
                 &refusal.to_string(),
-                refusal.retry_after_ms,
+                refusal.retry_after_ms.min(LONGEST_RETURN_MS),
             );
             // The thread that waits may be gone; then nobody needs the answer.
             let _ = answer.try_send(Err(refusal));
--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -3,7 +3,7 @@
 use crate::{
     calls::serve_calls,
     shared::{DispatchShared, LOOK_INTERVAL},
-    watch::{watch_groups, watch_list},
+    watch::{read_list, watch_groups, watch_list},
 };
 use berylmount_platform::ObjectStore;
 use berylmount_settings::ProcessSettings;
@@ -48,6 +48,8 @@
         spawn_duty("calls", &shared, move |shared| {
             serve_calls(shared, &inbound)
         })?;
+        // Runners are known before the first call comes, if the platform answers.
+        read_list(&shared);
         spawn_duty("list", &shared, watch_list)?;
         spawn_duty("groups", &shared, watch_groups)?;
         log::info!(target: "dispatch", address:% = server.address(); "listening for peers");
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -34,21 +34,26 @@
 /// Reads the platform's list of instances until the process ends.
 pub(crate) fn watch_list(shared: &Arc<DispatchShared>) {
     loop {
-        let interval_ms = match shared.store.instances() {
-            Ok(records) => {
-                apply_list(shared, &records);
-                LIST_INTERVAL_PER_INSTANCE_MS * records.len() as u64
-            }
-            Err(fault) => {
-                log::warn!(target: "dispatch", "reading the list of instances failed: {fault}");
-                MIN_LIST_INTERVAL_MS
-            }
-        };
+        let interval_ms = LIST_INTERVAL_PER_INSTANCE_MS * read_list(shared) as u64;
         let interval_ms = interval_ms.clamp(MIN_LIST_INTERVAL_MS, MAX_LIST_INTERVAL_MS);
         thread::sleep(Duration::from_millis(interval_ms));
     }
 }
 
+/// Reads the platform's list once; returns its length, zero if it did not come.
+pub(crate) fn read_list(shared: &DispatchShared) -> usize {
+    match shared.store.instances() {
+        Ok(records) => {
+            apply_list(shared, &records);
+            records.len()
+        }
+        Err(fault) => {
+            log::warn!(target: "dispatch", "reading the list of instances failed: {fault}");
+            0
+        }
+    }
+}
+
 /// Takes the list into the roster and the open groups.
 fn apply_list(shared: &DispatchShared, records: &[InstanceRecord]) {
     shared.roster.apply_list(records);
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -1,8 +1,8 @@
 //! A small fleet: stand-ins in this process, entry and dispatch as processes.
 
 use crate::{
-    wait_until, EngineConfig, EngineServer, PlatformServer, ServiceConfig, ServiceServer,
-    StoreConfig, StoreServer, TestProcess,
+    wait_until, EngineConfig, EngineServer, FaultProxy, PlatformServer, ServiceConfig,
+    ServiceServer, StoreConfig, StoreServer, TestProcess,
 };
 use berylmount_model::{
     DataCentre, InstanceName, InstanceRecord, InstanceRole, InstanceState, PoolName,
@@ -53,6 +53,8 @@
     pub service: ServiceConfig,
     /// How long callers may keep a located address, as a settings value.
     pub locate_ttl: &'static str,
+    /// Whether runners and dispatch processes stand behind fault proxies.
+    pub proxied: bool,
 }
 
 impl Default for FleetConfig {
@@ -70,6 +72,7 @@
             },
             service: ServiceConfig::default(),
             locate_ttl: "1s",
+            proxied: false,
         }
     }
 }
@@ -88,6 +91,10 @@
     pub entries: Vec<TestProcess>,
     /// Dispatch processes.
     pub dispatches: Vec<TestProcess>,
+    /// Proxies before the runners, in a fleet with proxies.
+    pub engine_proxies: Vec<FaultProxy>,
+    /// Proxies before the dispatch processes, in a fleet with proxies.
+    pub dispatch_proxies: Vec<FaultProxy>,
     /// The platform's list as it is published.
     pub records: Vec<InstanceRecord>,
     config: FleetConfig,
@@ -117,12 +124,15 @@
             services: services.collect::<io::Result<_>>()?,
             entries: Vec::new(),
             dispatches: Vec::new(),
+            engine_proxies: Vec::new(),
+            dispatch_proxies: Vec::new(),
             records: Vec::new(),
             config,
             binary: binary.to_owned(),
             folder,
         };
-        fleet.list_targets();
+        fleet.list_targets()?;
+        fleet.publish();
         for place in 0..fleet.config.instances {
             fleet.start_instance(place)?;
         }
@@ -139,16 +149,23 @@
     }
 
     /// Lists every target.
-    fn list_targets(&mut self) {
-        let runners = self.engines.iter().map(EngineServer::address);
+    fn list_targets(&mut self) -> io::Result<()> {
+        if self.config.proxied {
+            let proxies = self.engines.iter().map(|e| FaultProxy::start(e.address()));
+            self.engine_proxies = proxies.collect::<io::Result<_>>()?;
+        }
+        let runners: Vec<_> = match self.config.proxied {
+            true => self
+                .engine_proxies
+                .iter()
+                .map(FaultProxy::address)
+                .collect(),
+            false => self.engines.iter().map(EngineServer::address).collect(),
+        };
         let stores = self.stores.iter().map(StoreServer::address);
         let services = self.services.iter().map(ServiceServer::address);
         let kinds = [
-            (
-                "blaze-models",
-                InstanceRole::Runner,
-                runners.collect::<Vec<_>>(),
-            ),
+            ("blaze-models", InstanceRole::Runner, runners),
             ("prompt-keep", InstanceRole::Store, stores.collect()),
             ("field-ledger", InstanceRole::Service, services.collect()),
         ];
@@ -158,6 +175,7 @@
                 self.records.push(record);
             }
         }
+        Ok(())
     }
 
     /// A live record of the platform's list.
@@ -201,6 +219,11 @@
         let name = format!("instance-{place}-{role}");
         let mut record = self.record(&name, kind, role, place, process.addresses.peers);
         record.caller_address = process.addresses.callers;
+        if self.config.proxied && kind == InstanceRole::Dispatch {
+            let proxy = FaultProxy::start(process.addresses.peers)?;
+            record.address = proxy.address();
+            self.dispatch_proxies.push(proxy);
+        }
         self.records.retain(|known| known.name != record.name);
         self.records.push(record);
         Ok(process)
