--- a/crates/table/src/editor.rs
+++ b/crates/table/src/editor.rs
@@ -10,8 +10,8 @@
 //! After the shards the head is raised, which is what processes watch.
 
 use crate::{
-    shard::ShardOutcome, shard_index, shard_key, RowConflict, ShardDocument, ShardError, TableEdit,
-    TableHead, HEAD_KEY, SHARD_PREFIX,
+    shard::ShardOutcome, shard_index, shard_key, RowChange, RowConflict, ShardDocument, ShardError,
+    TableEdit, TableHead, HEAD_KEY, SHARD_PREFIX,
 };
 use berylmount_model::RowKey;
 use berylmount_platform::{ObjectStore, StoreError, MAX_VALUE_BYTES};
@@ -135,25 +135,23 @@
     ///
     /// An [`EditError`]; only after `Unclear` can any of it have been stored.
     pub fn apply(&self, edit: &TableEdit) -> Result<EditReceipt, EditError> {
-        let mut indexes: Vec<_> = edit.changes.iter().map(|c| shard_index(&c.key)).collect();
-        indexes.sort_unstable();
-        indexes.dedup();
-        self.check_conflicts(edit, &indexes)?;
+        let parts = split_edit(edit);
+        self.check_conflicts(&parts)?;
         let mut versions = Vec::new();
         let mut rows = Vec::new();
         let mut repeated = true;
-        for index in indexes {
-            let edited = self.edit_shard(index, edit).map_err(|error| {
+        for (index, part) in &parts {
+            let edited = self.edit_shard(*index, part).map_err(|error| {
                 if versions.is_empty() {
                     error
                 } else {
-                    log::warn!(target: "table", shard = index, error:% = error; "edit is stored in part");
+                    log::warn!(target: "table", shard = *index, error:% = error; "edit is stored in part");
                     EditError::Unclear
                 }
             })?;
-            versions.push((index, edited.version));
+            versions.push((*index, edited.version));
             repeated &= edited.repeated;
-            rows.extend(edited_rows(edit, index, &edited.document));
+            rows.extend(edited_rows(part, &edited.document));
         }
         let head_version = self.raise_head(&versions).map_err(|_| EditError::Unclear)?;
         Ok(EditReceipt {
@@ -193,15 +191,15 @@
         }
     }
 
-    fn check_conflicts(&self, edit: &TableEdit, indexes: &[usize]) -> Result<(), EditError> {
-        if indexes.len() == 1 {
+    fn check_conflicts(&self, parts: &[(usize, TableEdit)]) -> Result<(), EditError> {
+        if parts.len() == 1 {
             return Ok(());
         }
         let mut conflicts = Vec::new();
-        for &index in indexes {
-            match self.read_shard(index)?.document.apply(edit) {
+        for (index, part) in parts {
+            match self.read_shard(*index)?.document.apply(part) {
                 ShardOutcome::Conflicts(found) => conflicts.extend(found),
-                ShardOutcome::IdReused => return Err(EditError::IdReused(edit.id.clone())),
+                ShardOutcome::IdReused => return Err(EditError::IdReused(part.id.clone())),
                 ShardOutcome::Changed | ShardOutcome::Repeated => {}
             }
         }
@@ -297,10 +295,30 @@
     (shard_key(index) == key).then_some(index)
 }
 
+/// The parts of an edit by shard, in order.
+fn split_edit(edit: &TableEdit) -> Vec<(usize, TableEdit)> {
+    let changes = edit.changes.iter();
+    let mut changes: Vec<_> = changes
+        .map(|change| (shard_index(&change.key), change))
+        .collect();
+    changes.sort_by_key(|(index, _)| *index);
+    let parts = changes.chunk_by(|a, b| a.0 == b.0);
+    let part = |part: &[(usize, &RowChange)]| {
+        let changes = part.iter().map(|(_, change)| (*change).clone()).collect();
+        let part_edit = TableEdit {
+            id: edit.id.clone(),
+            who: edit.who.clone(),
+            changes,
+            ..*edit
+        };
+        (part[0].0, part_edit)
+    };
+    parts.map(part).collect()
+}
+
 /// The changed rows of one shard with their versions.
-fn edited_rows(edit: &TableEdit, index: usize, document: &ShardDocument) -> Vec<(RowKey, u64)> {
-    let keys = edit.changes.iter().map(|change| &change.key);
-    let keys = keys.filter(|key| shard_index(key) == index);
+fn edited_rows(part: &TableEdit, document: &ShardDocument) -> Vec<(RowKey, u64)> {
+    let keys = part.changes.iter().map(|change| &change.key);
     let version = |key| document.row(key).map_or(0, |stored| stored.version);
     keys.map(|key| (key.clone(), version(key))).collect()
 }
--- a/crates/table/src/problem.rs
+++ b/crates/table/src/problem.rs
@@ -24,7 +24,7 @@
     /// An error in `column` of the row `row`.
     pub(crate) fn new(row: &RowKey, column: &str, found: &str, allowed: &str) -> Self {
         Self {
-            row: row.to_string(),
+            row: row.to_string().escape_debug().to_string(),
             column: column.to_owned(),
             found: found.to_owned(),
             allowed: allowed.to_owned(),
--- a/crates/table/src/sheet.rs
+++ b/crates/table/src/sheet.rs
@@ -8,7 +8,7 @@
     RowError, StoredRow,
 };
 use berylmount_model::{RowKey, RowKind, TableRow};
-use csv::{ReaderBuilder, StringRecord, Trim, Writer};
+use csv::{ErrorKind, ReaderBuilder, StringRecord, Trim, Writer};
 use serde::{Deserialize, Serialize};
 use strum::{Display, IntoEnumIterator, IntoStaticStr};
 
@@ -236,6 +236,14 @@
 
 fn csv_error(error: &csv::Error) -> RowError {
     let line = error.position().map_or(0, csv::Position::line);
-    let allowed = "a CSV sheet in UTF-8 whose lines all have as many cells as the first";
-    sheet_error(line, "(all)", &error.to_string(), allowed)
+    match error.kind() {
+        ErrorKind::UnequalLengths {
+            expected_len, len, ..
+        } => {
+            let allowed = format!("{expected_len} cells, as in the first line");
+            sheet_error(line, "(all)", &format!("{len} cells"), &allowed)
+        }
+        ErrorKind::Utf8 { .. } => sheet_error(line, "(all)", "other bytes", "text in UTF-8"),
+        _ => sheet_error(line, "(all)", &error.to_string(), "a CSV sheet"),
+    }
 }
