Ask another dispatch process after one was lost twice

The test that kills a dispatch process failed in 3 of 12 runs: 'the answer was lost: connection reset'. Cause: something before the dead process (here the fault proxy) still accepts connections, so resuming never failed as not sent, and all four recoveries went to the dead process within milliseconds. Ruled out: a race in adoption, since the log shows no adoption was tried. Now the second recovery without a new token waits 50 ms a try and asks another holder, if there is one.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -21,7 +21,7 @@
     AdoptCall, PeerCall, PeerService, PromptCall, ResumeCall, StartedRun, WireFault, WorkReply,
     WorkRequest,
 };
-use std::{sync::Arc, time::Duration};
+use std::{sync::Arc, thread, time::Duration};
 
 /// Dispatch processes asked before a prompt is refused.
 const MAX_ROUTES: usize = 3;
@@ -29,6 +29,9 @@
 /// Times that a lost answer is taken up again without a new token.
 const MAX_RECOVERIES: u32 = 4;
 
+/// Wait before a second recovery, times the number of recoveries.
+const RECOVERY_DELAY: Duration = Duration::from_millis(50);
+
 /// Attempt numbers between two runs that the entry orders.
 const RERUN_STRIDE: u32 = 1_000;
 
@@ -158,7 +161,7 @@
                 target: "entry", attempt:% = self.attempt, offset = self.offset;
                 "lost the call to dispatch: {fault}; recovering"
             );
-            end = match self.recover() {
+            end = match self.recover(recoveries) {
                 Ok(call) => self.receive_all(call, sink),
                 Err(CallEnd::Lost(_)) => Err(CallEnd::Lost(fault)),
                 Err(other) => Err(other),
@@ -282,11 +285,21 @@
     }
 
     /// Takes up a lost answer: resumes it, adopts it, or runs it again.
-    fn recover(&mut self) -> Result<PeerCall, CallEnd> {
+    ///
+    /// `tries` counts the recoveries without a new token, this one included.
+    /// A process that was lost twice may be gone although something before it
+    /// still accepts connections, so another is asked then, if there is one.
+    fn recover(&mut self, tries: u32) -> Result<PeerCall, CallEnd> {
         let Some(route) = self.route.clone() else {
             let fault = WireFault::Lost("no route".to_owned());
             return Err(CallEnd::Lost(fault));
         };
+        if tries > 1 {
+            thread::sleep(RECOVERY_DELAY * tries);
+            if self.has_other_holder(&route.member) {
+                self.avoid_members.push(route.member.name.clone());
+            }
+        }
         if !self.avoid_members.contains(&route.member.name) {
             match self.resume(&route.member) {
                 Ok(call) => return Ok(call),
@@ -297,6 +310,13 @@
         self.adopt_or_rerun()
     }
 
+    /// Whether another dispatch process than `member` could go on.
+    fn has_other_holder(&self, member: &MemberEntry) -> bool {
+        let list = self.shared.list();
+        let holders = list.holders(self.attempt.request, &self.avoid_members);
+        holders.iter().any(|holder| holder.name != member.name)
+    }
+
     /// Goes on with an answer that the dispatch process `member` holds.
     fn resume(&self, member: &MemberEntry) -> Result<PeerCall, WireFault> {
         self.note_retry("resume");
