Add read safety of kept cache

Cause: a store reuses slots, loses its index and writes by halves, and the engine copies whatever lies there, so a freed or partly written block could reach a run.

Change: names with nonce and generation, seals on which engine and store must agree, a staged import that is confirmed under the same incarnation before it is committed, and frees that wait for the longest transfer. PieceRegistry has the decisions without I/O; KeptCache has find, fetch, keep, retire, free_due.

Also: whole calls were cut by the gap limit; they have their own limit now. Pieces in the stand-ins are 16 KiB, since one chunk could not be half written.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -78,7 +78,7 @@
             decode_ms: 2.0,
             max_batch: 32,
             cache_pieces: 64,
-            piece_bytes: 4096,
+            piece_bytes: 16 * 1024,
             load_lag_ms: 0,
             event_lag_ms: 0,
             event_gap_every: 0,
--- a/crates/targets/src/fault.rs
+++ b/crates/targets/src/fault.rs
@@ -22,6 +22,8 @@
     NoLookUp,
     /// The target has no room.
     Full,
+    /// The store has the piece already.
+    Exists,
     /// The target failed, or gave a reason that we do not know.
     Failed,
 }
@@ -34,7 +36,7 @@
 }
 
 /// What kind of fault ended a call.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Display, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum FaultKind {
     /// No connection was made, so nothing was sent.
@@ -48,6 +50,7 @@
     /// The answer broke the protocol or a bound.
     BadAnswer,
     /// The target refused or failed the request.
+    #[strum(to_string = "rejected: {0}")]
     Rejected(RejectReason),
 }
 
@@ -87,6 +90,11 @@
         Self::after_send(FaultKind::BadAnswer, detail)
     }
 
+    /// Whether a store refused because it has the piece already.
+    pub(crate) fn is_present(&self) -> bool {
+        self.kind == FaultKind::Rejected(RejectReason::Exists)
+    }
+
     /// The fault of a call about a request that was sent before.
     ///
     /// That this call was not run says nothing about the request.
--- a/crates/targets/src/http.rs
+++ b/crates/targets/src/http.rs
@@ -32,6 +32,9 @@
     pub gap: Duration,
     /// Longest time of a whole call that is not a stream.
     pub call: Duration,
+    /// Longest time that an engine and a store move one piece; engines give up
+    /// after it, and a retired name is freed only after it.
+    pub transfer: Duration,
 }
 
 impl Default for TargetTimeouts {
@@ -40,6 +43,7 @@
             connect: Duration::from_millis(250),
             gap: Duration::from_millis(1_000),
             call: Duration::from_millis(5_000),
+            transfer: Duration::from_millis(30_000),
         }
     }
 }
@@ -109,7 +113,10 @@
             .map_err(|e| TargetFault::not_sent(FaultKind::BadRequest, e.to_string()))?;
         let mut request = self.agent.configure_request(request);
         if let Some(limit) = limit {
-            request = request.timeout_global(Some(limit));
+            // A whole answer may keep its caller waiting for all of its time.
+            request = request
+                .timeout_global(Some(limit))
+                .timeout_per_read(Some(limit));
         }
         let answer = self.agent.run(request.build());
         let answer = answer.map_err(TargetFault::from_http)?;
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -7,6 +7,7 @@
 mod engine;
 mod fault;
 mod http;
+pub mod kept;
 mod service;
 mod stream;
 
--- a/crates/targets/tests/service_calls.rs
+++ b/crates/targets/tests/service_calls.rs
@@ -59,7 +59,7 @@
     service.set_leaving(true);
     let key = key("20261204-a/b");
     let fault = client.call(&key, &json!({}), LOST_ANSWER).unwrap_err();
-    insta::assert_snapshot!(fault, @"rejected (not_run): the target answered 503 Service Unavailable");
+    insta::assert_snapshot!(fault, @"rejected: leaving (not_run): the target answered 503 Service Unavailable");
     assert_eq!(client.look_up(&key).unwrap(), KeyOutcome::Unsupported);
     service.set_leaving(false);
     client.call(&key, &json!({}), LOST_ANSWER).unwrap();
