--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -4,7 +4,7 @@
     calls::serve_calls,
     order_sweep::sweep_orders,
     shared::{DispatchShared, LOOK_INTERVAL},
-    watch::{watch_groups, watch_list},
+    watch::{read_list, watch_groups, watch_list},
 };
 use berylmount_platform::ObjectStore;
 use berylmount_settings::ProcessSettings;
@@ -49,6 +49,8 @@
         spawn_duty("calls", &shared, move |shared| {
             serve_calls(shared, &inbound)
         })?;
+        // Runners are known before the first call comes, if the platform answers.
+        read_list(&shared);
         spawn_duty("list", &shared, watch_list)?;
         spawn_duty("groups", &shared, watch_groups)?;
         let own = server.address();
