--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -271,11 +271,16 @@
             "timeouts": { "locate_ttl": self.config.locate_ttl },
             "trace": { "sample": 0.0 },
         });
-        let path = self.folder.join(format!("instance-{place}.json"));
+        let path = self.settings(place);
         std::fs::write(&path, settings.to_string())?;
         Ok(path)
     }
 
+    /// The settings file of instance `place`.
+    pub fn settings(&self, place: usize) -> PathBuf {
+        self.folder.join(format!("instance-{place}.json"))
+    }
+
     /// Publishes the platform's list.
     pub fn publish(&self) {
         self.platform.store().set_instances(&self.records);
