Let orders run between the faults of the process test

Change: four orders must run between two faults, and a call takes the service 60 ms. Ruled out: more faults, which only made more refusals.

--- a/crates/berylmount/tests/orders.rs
+++ b/crates/berylmount/tests/orders.rs
@@ -22,6 +22,8 @@
 
 /// Kills, pauses and platform faults in one run.
 const FAULTS: usize = 14;
+/// Orders that must run between two faults.
+const RUNS_BETWEEN: usize = 4;
 /// Callers at once.
 const CALLERS: usize = 6;
 /// Longest pause of a caller before it comes back.
@@ -230,6 +232,7 @@
 struct CrowdState {
     entries: Mutex<Vec<SocketAddr>>,
     answers: AtomicUsize,
+    ran: AtomicUsize,
     calm: AtomicBool,
 }
 
@@ -248,7 +251,10 @@
             self.answers.fetch_add(1, Ordering::SeqCst);
             calm_tries += usize::from(calm);
             match (status, answer["verdict"].as_str()) {
-                (200, _) => return Told::Ran(answer),
+                (200, _) => {
+                    self.ran.fetch_add(1, Ordering::SeqCst);
+                    return Told::Ran(answer);
+                }
                 (_, Some("not_run")) if gives_up && !may_have_run => return Told::NotRun,
                 (_, Some("may_have_run")) if calm_tries > 6 => return Told::MayHaveRun,
                 (_, Some("ran")) => panic!("ran, but without an answer: {answer}"),
@@ -264,12 +270,11 @@
 /// Brings one fault on, lets callers get some answers, and heals it where that is possible.
 fn inject(fleet: &mut TestFleet, crowd: &CrowdState, draw: usize) {
     let place = draw / 7 % fleet.entries.len();
-    let progress = |count| {
-        let start = crowd.answers.load(Ordering::SeqCst);
-        wait_until("answers of any kind", || {
-            crowd.answers.load(Ordering::SeqCst) >= start + count
-        });
+    let wait_for = |what: &str, counter: &AtomicUsize, count: usize| {
+        let start = counter.load(Ordering::SeqCst);
+        wait_until(what, || counter.load(Ordering::SeqCst) >= start + count);
     };
+    let progress = |count| wait_for("answers of any kind", &crowd.answers, count);
     match draw % 7 {
         0 | 1 => {
             fleet.dispatches[place].kill();
@@ -300,7 +305,7 @@
             fleet.platform.store().set_outage(false);
         }
     }
-    progress(2);
+    wait_for("orders that ran", &crowd.ran, RUNS_BETWEEN);
 }
 
 #[test]
@@ -309,13 +314,14 @@
     let mut fleet = fleet(
         3,
         ServiceConfig {
-            call_ms: 20,
+            call_ms: 60,
             ..ServiceConfig::default()
         },
     );
     let crowd = CrowdState {
         entries: Mutex::new((0..3).map(|place| fleet.callers(place)).collect()),
         answers: AtomicUsize::new(0),
+        ran: AtomicUsize::new(0),
         calm: AtomicBool::new(false),
     };
     let told: Vec<(String, Told)> = thread::scope(|scope| {
