Mount the operators' routes and show recent refusals in the status

Operators reach an entry by their key on a listener of its own; each call has its thread, because an edit waits until other processes apply it. The limit book learns this entry's new share of each customer when the entries change.

--- a/crates/berylmount/tests/answers.rs
+++ b/crates/berylmount/tests/answers.rs
@@ -234,7 +234,7 @@
     let caller = CallerClient::new(fleet.callers(0), "north-crew");
     fleet.set_state("blaze-models-0", InstanceState::Leaving);
     let body = json!({"work": "crew-question", "prompt": "where", "max_tokens": 1, "stream": true});
-    let mut runner = || {
+    let runner = || {
         let lines = read_lines(post_prompt(&caller, &body));
         lines[0]["runner"].as_str().unwrap().to_owned()
     };
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -229,6 +229,7 @@
         connect: targets.timeouts.connect.min(LOOK_UP_TIMEOUT),
         gap: LOOK_UP_TIMEOUT,
         call: LOOK_UP_TIMEOUT,
+        ..targets.timeouts
     };
     let addresses = targets.addresses.iter().take(MAX_ORDER_TRIES);
     for &address in addresses {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -15,6 +15,7 @@
 mod order_keys;
 mod process;
 mod prompts;
+mod refusals;
 mod relay;
 mod resume;
 mod routes;
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -1,9 +1,12 @@
 //! Starts and stops the entry role.
 
 use crate::{
+    auth::key_matches,
     callers::serve_request,
-    http::{listen, refusal_response, server_address},
+    http::{bytes_response, header, listen, read_body, refusal_response, server_address},
     members::MemberList,
+    operators::OperatorRoutes,
+    refusals::refusal_part,
     shared::{EntryParts, EntryShared},
 };
 use berylmount_model::{CallRefusal, InstanceRecord, RefusalReason};
@@ -22,6 +25,9 @@
 /// Stack of a thread that serves one request, in bytes.
 const REQUEST_STACK_BYTES: usize = 256 * 1024;
 
+/// The longest body of an operator's call, a whole sheet, in bytes.
+const MAX_SHEET_BYTES: usize = 64 << 20;
+
 /// When to come back to an entry with too many requests, in milliseconds.
 const FULL_RETRY_MS: u64 = 500;
 
@@ -43,6 +49,8 @@
     shared: Arc<EntryShared>,
     /// Takes callers' requests.
     server: Arc<Server>,
+    /// Takes operators' requests.
+    operators: Arc<Server>,
 }
 
 impl EntryProcess {
@@ -60,10 +68,15 @@
             let (shared, server) = (Arc::clone(&shared), Arc::clone(&server));
             spawn_duty("callers", move || take_requests(&shared, &server))?;
         }
+        let operators = mount_operators(&shared)?;
         let watching = Arc::clone(&shared);
         spawn_duty("list", move || watch_list(&watching))?;
         log::info!(target: "entry", address:% = address; "listening for callers");
-        Ok(Self { shared, server })
+        Ok(Self {
+            shared,
+            server,
+            operators,
+        })
     }
 
     /// What its threads share.
@@ -76,6 +89,15 @@
         self.shared.caller_address
     }
 
+    /// Where operators reach it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it does not listen at an IP address.
+    pub fn operators_address(&self) -> io::Result<SocketAddr> {
+        server_address(&self.operators)
+    }
+
     /// Stops in good order.
     ///
     /// Callers are told of other entries at once. Requests are served until
@@ -94,6 +116,7 @@
             thread::sleep(LOOK_INTERVAL);
         }
         self.server.unblock();
+        self.operators.unblock();
         true
     }
 }
@@ -104,6 +127,58 @@
     builder.spawn(duty).map(drop)
 }
 
+/// Listens for operators and serves their routes.
+fn mount_operators(shared: &Arc<EntryShared>) -> io::Result<Arc<Server>> {
+    let entry = &shared.settings.entry;
+    let server = Arc::new(listen(entry.operators_listen, entry.idle_timeout)?);
+    let routes = OperatorRoutes::new(
+        Arc::clone(&shared.store),
+        Arc::clone(&shared.table),
+        shared.clock,
+        vec![refusal_part(shared)],
+    );
+    let (serving, shared) = (Arc::clone(&server), Arc::clone(shared));
+    let routes = Arc::new(routes);
+    spawn_duty("operators", move || {
+        for request in serving.incoming_requests() {
+            let (shared, routes) = (Arc::clone(&shared), Arc::clone(&routes));
+            // An edit waits for other processes, so each call has its thread.
+            let spawned = spawn_duty("operator", move || {
+                serve_operator(&shared, &routes, request);
+            });
+            if let Err(e) = spawned {
+                log::error!(target: "operators", "no thread for a call: {e}");
+            }
+        }
+    })?;
+    Ok(server)
+}
+
+/// Serves one call of an operator.
+fn serve_operator(shared: &EntryShared, routes: &OperatorRoutes, mut request: Request) {
+    let key = header(&request, "authorization").and_then(|value| value.strip_prefix("Bearer "));
+    let hash = &shared.settings.entry.operator_key_sha256;
+    let response = if key_matches(key.unwrap_or_default(), hash) {
+        let method = request.method().to_string();
+        let url = request.url().to_owned();
+        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
+        match read_body(&mut request, MAX_SHEET_BYTES) {
+            Ok(body) => {
+                let (status, body) = routes.handle(&method, path, query, body.as_bytes());
+                bytes_response(status, body)
+            }
+            Err(refusal) => refusal_response(&refusal),
+        }
+    } else {
+        let detail = "the operators' key is missing or wrong";
+        let refusal = CallRefusal::not_run(RefusalReason::Unauthorized, detail, 0);
+        refusal_response(&refusal)
+    };
+    if let Err(e) = request.respond(response) {
+        log::info!(target: "operators", "an operator was lost: {e}");
+    }
+}
+
 /// Takes requests from the listener until it stops.
 fn take_requests(shared: &Arc<EntryShared>, server: &Server) {
     for request in server.incoming_requests() {
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -3,10 +3,11 @@
 use crate::{
     members::{MemberEntry, MemberList},
     order_keys::KeyMint,
+    refusals::RefusalLog,
     routes::RouteTable,
 };
 use berylmount_model::{
-    CallRefusal, CustomerRow, LimitRow, MonotonicClock, RefusalReason, WorkName,
+    CallRefusal, CustomerName, CustomerRow, LimitRow, MonotonicClock, RefusalReason, WorkName,
 };
 use berylmount_platform::ObjectStore;
 use berylmount_policy::{
@@ -75,6 +76,8 @@
     limits: Mutex<LimitBook>,
     /// Decides on retries.
     retries: Mutex<RetryState>,
+    /// Recent refusals.
+    pub(crate) refusals: RefusalLog,
     /// Requests being served.
     in_flight: AtomicUsize,
     /// Whether the process is stopping.
@@ -128,6 +131,7 @@
             client,
             caller_address,
             list: RwLock::default(),
+            refusals: RefusalLog::default(),
             in_flight: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
         }
@@ -153,7 +157,9 @@
         self.routes().apply(&list);
         *self.list.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(list);
         if entries_changed {
-            self.limits().members_changed(self.now_ms());
+            let view = self.table.view();
+            let share_of = |name: &CustomerName| self.own_share(view.customer(name)?);
+            self.limits().members_changed(self.now_ms(), share_of);
         }
     }
 
@@ -241,6 +247,25 @@
         own.max(LOCATED_ENTRIES)
     }
 
+    /// The customer's own entries, in order.
+    fn own_entries(&self, row: &CustomerRow) -> Vec<MemberEntry> {
+        let mut entries = self.entries_for(row.name.as_str());
+        let own = assignment::entry_count(row, entries.len()).max(1);
+        entries.truncate(own);
+        entries
+    }
+
+    /// This entry's share of the limits of a customer whose own entry it is.
+    fn own_share(&self, row: &CustomerRow) -> Option<LimitShare> {
+        let entries = self.own_entries(row);
+        let is_self = |entry: &MemberEntry| entry.caller_address == Some(self.caller_address);
+        let place = entries.iter().position(is_self)?;
+        Some(LimitShare {
+            rank: place as u32,
+            entries: entries.len() as u32,
+        })
+    }
+
     /// This entry's share of the customer's limits.
     ///
     /// # Errors
@@ -248,29 +273,20 @@
     /// Redirects to one of the customer's own entries if this is none of them
     /// and one can be reached.
     fn limit_share(&self, row: &CustomerRow) -> Result<LimitShare, CallRefusal> {
-        let entries = self.entries_for(row.name.as_str());
-        let own = assignment::entry_count(row, entries.len()).max(1);
-        let own = own.min(entries.len().max(1));
-        let is_self = |entry: &MemberEntry| entry.caller_address == Some(self.caller_address);
-        let place = entries.iter().take(own).position(is_self);
-        let rank = place.map(|place| place as u32);
-        if let Some(rank) = rank {
-            return Ok(LimitShare {
-                rank,
-                entries: own as u32,
-            });
+        if let Some(share) = self.own_share(row) {
+            return Ok(share);
         }
+        let entries = self.own_entries(row);
         if self.is_draining() || entries.is_empty() {
             // Callers may use a located address until its time to live is over.
-            return Ok(self.cautious_share(own));
+            return Ok(cautious_share(entries.len()));
         }
         let reachable = entries
             .iter()
-            .take(own)
             .filter_map(|entry| entry.caller_address)
             .find(|address| TcpStream::connect_timeout(address, REACH_TIMEOUT).is_ok());
         match reachable {
-            None => Ok(self.cautious_share(own)),
+            None => Ok(cautious_share(entries.len())),
             Some(address) => {
                 let mut refusal = CallRefusal::not_run(
                     RefusalReason::Redirected,
@@ -283,15 +299,6 @@
         }
     }
 
-    /// The share of an entry that stands in for another.
-    fn cautious_share(&self, own: usize) -> LimitShare {
-        let entries = own as u32 + 1;
-        LimitShare {
-            rank: entries - 1,
-            entries,
-        }
-    }
-
     /// Counts a request against the customer's limits until the guard is dropped.
     ///
     /// # Errors
@@ -321,6 +328,7 @@
 
     /// Counts a refusal.
     pub(crate) fn note_refusal(&self, refusal: &CallRefusal) {
+        self.refusals.note(refusal, self.now_ms());
         let reason: &str = refusal.reason.into();
         let verdict: &str = refusal.verdict.into();
         self.metrics.add(CounterMetric::RefusalsTotal, reason, 1);
@@ -328,6 +336,15 @@
     }
 }
 
+/// The share of an entry that stands in for one of a customer's `own` entries.
+fn cautious_share(own: usize) -> LimitShare {
+    let entries = own as u32 + 1;
+    LimitShare {
+        rank: entries - 1,
+        entries,
+    }
+}
+
 /// Counts one request for as long as it lives.
 pub(crate) struct RequestGuard(Arc<EntryShared>);
 
