Fetch kept cache before a run and keep it after

A prompt that returns after its pieces were evicted is fetched from a store when the link is expected to beat the prefill; keeping is done behind a bounded channel after the run. Cause: the hint that the runner still held the pieces was up to 500 ms old, so nothing seemed missing. Ruled out: the store lacked them (it held all three pieces). Change: the granted runner's cache events are read once more before the decision, one short call for prompts of at least one piece.

--- a/crates/berylmount/src/role.rs
+++ b/crates/berylmount/src/role.rs
@@ -3,7 +3,7 @@
 //! Once it listens, the process prints its addresses as one line of JSON. A
 //! SIGTERM or SIGINT is the planned stop.
 
-use berylmount_dispatch::DispatchProcess;
+use berylmount_dispatch::{DispatchParts, DispatchProcess};
 use berylmount_entry::{EntryParts, EntryProcess};
 use berylmount_model::MonotonicClock;
 use berylmount_platform::{ObjectStore, PlatformClient};
@@ -186,9 +186,15 @@
 
 /// Runs the dispatch role; returns whether it stopped without cutting requests.
 fn run_dispatch(base: ProcessBase) -> Result<bool, StartFault> {
-    let metrics = Arc::clone(&base.metrics);
-    let store = Arc::clone(&base.store);
-    let dispatch = DispatchProcess::start(&base.settings, store, metrics, base.seed)?;
+    let clock = MonotonicClock::start();
+    let dispatch = DispatchProcess::start(DispatchParts {
+        settings: base.settings.clone(),
+        store: Arc::clone(&base.store),
+        table: start_table(&base.store, clock)?,
+        metrics: Arc::clone(&base.metrics),
+        clock,
+        seed: base.seed,
+    })?;
     announce(&ListenLine {
         callers: None,
         operators: None,
--- a/crates/dispatch/src/groups.rs
+++ b/crates/dispatch/src/groups.rs
@@ -11,6 +11,7 @@
     pacing::LONGEST_RETURN_MS, RunnerBoard, RunnerChoice, RunnerId, RunnerQuery, RunnerReport,
     RunnerSettings, WorkItem, WorkQueue, WorkTicket,
 };
+use berylmount_targets::CacheEvent;
 use rand_pcg::Pcg64Mcg;
 use std::{
     net::SocketAddr,
@@ -83,6 +84,8 @@
     address: SocketAddr,
     /// The version it reported; unknown until its first report.
     version: Option<VersionName>,
+    /// The number of the last cache event taken from it.
+    last_event: u64,
 }
 
 /// Everything of a group that one lock guards.
@@ -203,20 +206,40 @@
         state.serve_waiting(now_ms);
     }
 
-    /// Takes a runner's cache events: `(key, added)`.
-    pub fn apply_events(&self, runner: &InstanceName, events: &[(PieceKey, bool)]) {
+    /// The number of the last cache event taken from a runner.
+    pub fn last_event(&self, runner: &InstanceName) -> u64 {
+        let state = self.lock();
+        let slot = state.runner_slot(runner);
+        slot.map_or(0, |slot| state.runners[slot].last_event)
+    }
+
+    /// Takes a runner's cache events, in order; those taken before are skipped.
+    pub fn apply_events(&self, runner: &InstanceName, events: &[CacheEvent]) {
         let mut state = self.lock();
         let Ok(slot) = state.runner_slot(runner) else {
             return;
         };
-        let id = state.runners[slot].id;
+        let GroupRunner { id, last_event, .. } = state.runners[slot];
+        let fresh = events.iter().filter(|event| event.seq > last_event);
         let prefixes = state.board.prefixes_mut();
-        for (key, added) in events {
-            match added {
-                true => prefixes.note_kept(id, std::slice::from_ref(key)),
-                false => prefixes.note_dropped(id, *key),
+        let mut last = last_event;
+        for event in fresh {
+            last = last.max(event.seq);
+            match event.added {
+                true => prefixes.note_kept(id, std::slice::from_ref(&event.key)),
+                false => prefixes.note_dropped(id, event.key),
             }
         }
+        state.runners[slot].last_event = last;
+    }
+
+    /// How many leading `pieces` the granted runner is thought to hold.
+    pub fn held_pieces(&self, grant: &RunGrant, pieces: &[PieceKey]) -> usize {
+        let mut found = Vec::new();
+        let mut state = self.lock();
+        state.board.prefixes_mut().held_pieces(pieces, &mut found);
+        let slot = found.binary_search_by_key(&grant.choice.runner, |(runner, _)| *runner);
+        slot.map_or(0, |slot| found[slot].1)
     }
 
     /// Refuses what can no longer be in time, and serves what can.
@@ -271,6 +294,7 @@
                     name: record.name.clone(),
                     address: record.address,
                     version: None,
+                    last_event: 0,
                 };
                 self.runners.insert(slot, runner);
                 slot
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 mod answers;
 mod calls;
 mod groups;
+mod kept;
 mod order_sweep;
 mod orders;
 mod process;
@@ -19,8 +20,9 @@
 pub use crate::{
     answers::{AnswerBook, AnswerEnd, AnswerPart, AnswerReader, HeldAnswer},
     groups::{RunGrant, RunnerGroup, WorkOffer},
+    kept::KeptDesk,
     orders::{run_order, OrderTargets},
     process::DispatchProcess,
     roster::TargetRoster,
-    shared::DispatchShared,
+    shared::{DispatchParts, DispatchShared},
 };
--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -2,13 +2,11 @@
 
 use crate::{
     calls::serve_calls,
+    kept::serve_wishes,
     order_sweep::sweep_orders,
-    shared::{DispatchShared, LOOK_INTERVAL},
+    shared::{DispatchParts, DispatchShared, LOOK_INTERVAL},
     watch::{read_list, watch_groups, watch_list},
 };
-use berylmount_platform::ObjectStore;
-use berylmount_settings::ProcessSettings;
-use berylmount_telemetry::MetricSet;
 use berylmount_wire::{InboundCall, PeerServer, WireConfig, WireRuntime};
 use std::{
     io,
@@ -35,22 +33,19 @@
     /// # Errors
     ///
     /// Returns the system's error if an address or a thread can't be had.
-    pub fn start(
-        settings: &ProcessSettings,
-        store: Arc<dyn ObjectStore>,
-        metrics: Arc<MetricSet>,
-        seed: u64,
-    ) -> io::Result<Self> {
-        let shared = Arc::new(DispatchShared::new(settings, store, metrics, seed)?);
+    pub fn start(parts: DispatchParts) -> io::Result<Self> {
+        let (shared, wishes) = DispatchShared::new(parts)?;
+        let shared = Arc::new(shared);
         let (calls, inbound) = sync_channel::<InboundCall>(CALLS_WAITING);
         let runtime = Arc::new(WireRuntime::start()?);
-        let address = settings.dispatch.peer_listen;
+        let address = shared.settings.dispatch.peer_listen;
         let server = PeerServer::bind(runtime, WireConfig::default(), address, calls)?;
         spawn_duty("calls", &shared, move |shared| {
             serve_calls(shared, &inbound)
         })?;
         // Runners are known before the first call comes, if the platform answers.
         read_list(&shared);
+        spawn_duty("kept", &shared, move |shared| serve_wishes(shared, &wishes))?;
         spawn_duty("list", &shared, watch_list)?;
         spawn_duty("groups", &shared, watch_groups)?;
         let own = server.address();
--- a/crates/dispatch/src/run.rs
+++ b/crates/dispatch/src/run.rs
@@ -6,13 +6,18 @@
 //! connection, because the engine goes on with it.
 
 use crate::{
+    kept::FetchOrder,
     shared::{DispatchShared, LOOK_INTERVAL},
+    watch::read_events,
     AnswerEnd, HeldAnswer, RunGrant, RunnerGroup, WorkOffer,
 };
 use berylmount_model::{
     piece_chain, AttemptId, CallRefusal, InstanceName, PieceKey, RefusalReason, RequestVerdict,
+    PIECE_TOKENS,
+};
+use berylmount_policy::{
+    assignment, retries::FailedAttempt, RetryDecision, RunnerSettings, TargetGroup,
 };
-use berylmount_policy::{assignment, retries::FailedAttempt, RetryDecision, TargetGroup};
 use berylmount_targets::{
     EngineClient, EngineStream, FaultKind, RejectReason, StreamEvent, StreamOrder, TargetFault,
 };
@@ -67,6 +72,7 @@
     avoid: Vec<InstanceName>,
     arrived_ms: u64,
     seen_first: bool,
+    fetched_tokens: u64,
 }
 
 impl PromptRun {
@@ -89,6 +95,7 @@
             avoid: Vec::new(),
             arrived_ms: shared.now_ms(),
             seen_first: false,
+            fetched_tokens: 0,
             shared: Arc::clone(shared),
             call: call.clone(),
             answer: Arc::clone(answer),
@@ -182,7 +189,11 @@
         let outcome = self.run_on(&client, &grant);
         let now_ms = self.shared.now_ms();
         match &outcome {
-            Ok(_) => self.group.finish(&grant, &self.pieces, now_ms),
+            Ok(_) => {
+                self.group.finish(&grant, &self.pieces, now_ms);
+                let kept = &self.shared.kept;
+                kept.wish_to_keep(grant.address, &self.pieces);
+            }
             Err(failed) if failed.is_free => self.group.finish(&grant, &[], now_ms),
             Err(failed) if !failed.may_retry => self.group.finish(&grant, &[], now_ms),
             Err(_) => self.group.fail(&grant, now_ms),
@@ -225,6 +236,7 @@
 
     /// Starts the engine's stream and follows it to its end.
     fn run_on(&mut self, client: &EngineClient, grant: &RunGrant) -> Result<AnswerEnd, FailedRun> {
+        self.fetched_tokens = self.fetch_kept(client, grant);
         let order = StreamOrder {
             attempt: self.call.attempt,
             prompt: &self.call.prompt,
@@ -270,6 +282,24 @@
         Err(self.failed_run(&fault, grant, client))
     }
 
+    /// Has the runner fetch kept cache, if that is faster; returns the tokens.
+    fn fetch_kept(&self, client: &EngineClient, grant: &RunGrant) -> u64 {
+        if self.pieces.is_empty() {
+            return 0;
+        }
+        // A hint of a piece that was evicted since would cost its recompute.
+        read_events(&self.group, client, &grant.runner);
+        let now_ms = self.shared.now_ms();
+        let due_ms = self.arrived_ms + self.call.first_token_ms;
+        let order = FetchOrder {
+            pieces: &self.pieces,
+            held: self.group.held_pieces(grant, &self.pieces),
+            piece_ms: RunnerSettings::default().prefill_ms(PIECE_TOKENS as u32),
+            left_ms: due_ms.saturating_sub(now_ms),
+        };
+        self.shared.kept.fetch(&self.shared, client, &order)
+    }
+
     /// Passes a stream's events into the answer.
     fn follow(
         &mut self,
@@ -311,9 +341,14 @@
     fn note_admitted(&self, grant: &RunGrant, cached_tokens: u32, prompt_tokens: u32) {
         let recomputed = prompt_tokens - cached_tokens;
         let metrics = &self.shared.metrics;
-        let sources = [("recomputed", recomputed), ("runner", cached_tokens)];
+        let fetched_tokens = self.fetched_tokens.min(cached_tokens.into());
+        let sources = [
+            ("recomputed", recomputed.into()),
+            ("runner", u64::from(cached_tokens) - fetched_tokens),
+            ("store", fetched_tokens),
+        ];
         for (source, tokens) in sources {
-            metrics.add(CounterMetric::PromptTokensTotal, source, tokens.into());
+            metrics.add(CounterMetric::PromptTokensTotal, source, tokens);
         }
         self.answer.start(&StartedRun {
             attempt: self.call.attempt,
@@ -321,7 +356,7 @@
             address: grant.address,
             prompt_tokens: prompt_tokens.into(),
             cached_tokens: cached_tokens.into(),
-            fetched_tokens: 0,
+            fetched_tokens,
             group_waits_ms: self.group.waits_ms(self.shared.now_ms()),
         });
     }
--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -1,11 +1,12 @@
 //! What the threads of a dispatch process share.
 
-use crate::{AnswerBook, RunnerGroup, TargetRoster};
+use crate::{kept::KeepWish, AnswerBook, KeptDesk, RunnerGroup, TargetRoster};
 use berylmount_ledger::{LedgerConfig, OrderLedger};
 use berylmount_model::{CallRefusal, InstanceRecord, InstanceRole, MonotonicClock, RefusalReason};
 use berylmount_platform::ObjectStore;
 use berylmount_policy::{assignment, RetryBudget, RunnerSettings, TargetGroup};
 use berylmount_settings::ProcessSettings;
+use berylmount_table::TableReplica;
 use berylmount_targets::TargetTimeouts;
 use berylmount_telemetry::MetricSet;
 use rand_pcg::Pcg64Mcg;
@@ -13,6 +14,7 @@
     io,
     sync::{
         atomic::{AtomicBool, AtomicUsize, Ordering},
+        mpsc::Receiver,
         Arc, Mutex, MutexGuard, PoisonError,
     },
     time::Duration,
@@ -33,6 +35,22 @@
     pub(crate) rng: Pcg64Mcg,
 }
 
+/// What a dispatch process is made of.
+pub struct DispatchParts {
+    /// The checked settings.
+    pub settings: ProcessSettings,
+    /// The platform's object API.
+    pub store: Arc<dyn ObjectStore>,
+    /// The operators' table.
+    pub table: Arc<TableReplica>,
+    /// Metrics.
+    pub metrics: Arc<MetricSet>,
+    /// The process's clock; the table's replica runs on it too.
+    pub clock: MonotonicClock,
+    /// Differs between incarnations; seeds what is random.
+    pub seed: u64,
+}
+
 /// What the threads of a dispatch process share.
 pub struct DispatchShared {
     /// The checked settings.
@@ -45,6 +63,10 @@
     pub store: Arc<dyn ObjectStore>,
     /// The targets known.
     pub roster: TargetRoster,
+    /// The operators' table.
+    pub table: Arc<TableReplica>,
+    /// Kept cache.
+    pub kept: KeptDesk,
     /// Records of orders.
     pub ledger: OrderLedger,
     /// Answers held.
@@ -65,19 +87,25 @@
     /// # Errors
     ///
     /// Returns the system's error if the ledger's threads can't be had.
-    pub fn new(
-        settings: &ProcessSettings,
-        store: Arc<dyn ObjectStore>,
-        metrics: Arc<MetricSet>,
-        seed: u64,
-    ) -> io::Result<Self> {
+    pub(crate) fn new(parts: DispatchParts) -> io::Result<(Self, Receiver<KeepWish>)> {
+        let DispatchParts {
+            settings,
+            store,
+            table,
+            metrics,
+            clock,
+            seed,
+        } = parts;
         let dispatch = &settings.dispatch;
         let ledger = OrderLedger::new(Arc::clone(&store), LedgerConfig::for_process(seed))?;
-        Ok(Self {
-            settings: settings.clone(),
-            clock: MonotonicClock::start(),
+        let timeouts = target_timeouts(&settings);
+        let (kept, wishes) = KeptDesk::new(seed, timeouts);
+        let shared = Self {
+            clock,
             metrics,
             store,
+            table,
+            kept,
             roster: TargetRoster::default(),
             ledger,
             answers: AnswerBook::new(dispatch.answer_hold_bytes, dispatch.answer_hold_time),
@@ -88,7 +116,9 @@
             }),
             in_flight: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
-        })
+            settings,
+        };
+        Ok((shared, wishes))
     }
 
     /// The process's time, in milliseconds.
@@ -98,11 +128,7 @@
 
     /// Time limits of calls to targets.
     pub fn target_timeouts(&self) -> TargetTimeouts {
-        TargetTimeouts {
-            connect: self.settings.timeouts.connect,
-            gap: self.settings.timeouts.silent_gap,
-            ..TargetTimeouts::default()
-        }
+        target_timeouts(&self.settings)
     }
 
     /// Locks what decides on retries.
@@ -192,6 +218,15 @@
     }
 }
 
+/// Time limits of calls to targets.
+fn target_timeouts(settings: &ProcessSettings) -> TargetTimeouts {
+    TargetTimeouts {
+        connect: settings.timeouts.connect,
+        gap: settings.timeouts.silent_gap,
+        ..TargetTimeouts::default()
+    }
+}
+
 /// Counts one call for as long as it lives.
 pub struct CallGuard(Arc<DispatchShared>);
 
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -4,7 +4,7 @@
     shared::{DispatchShared, LOOK_INTERVAL},
     RunnerGroup,
 };
-use berylmount_model::InstanceRecord;
+use berylmount_model::{InstanceName, InstanceRecord};
 use berylmount_policy::{RunnerReport, TargetGroup};
 use berylmount_targets::{EngineClient, TargetTimeouts};
 use berylmount_telemetry::GaugeMetric;
@@ -77,6 +77,7 @@
                 }
             }
         }
+        shared.kept.free_due();
         shared.answers.drop_expired(shared.now_ms());
         let held = i64::try_from(shared.answers.bytes()).unwrap_or(i64::MAX);
         shared.metrics.set(GaugeMetric::HeldBytes, "", held);
@@ -93,21 +94,11 @@
         call: REPORT_TIMEOUT,
         ..shared.target_timeouts()
     };
-    let mut seen: Vec<(InstanceRecord, u64)> = Vec::new();
     loop {
-        let records = shared.group_records(name);
-        seen.retain(|(record, _)| records.iter().any(|(r, _)| r == record));
-        for (record, _) in records {
-            let slot = match seen.iter().position(|(known, _)| *known == record) {
-                Some(slot) => slot,
-                None => {
-                    seen.push((record.clone(), 0));
-                    seen.len() - 1
-                }
-            };
+        for (record, _) in shared.group_records(name) {
             let client = EngineClient::new(record.address, timeouts);
             read_load(shared, group, &client, &record);
-            read_events(group, &client, &record, &mut seen[slot].1);
+            read_events(group, &client, &record.name);
         }
         group.tick(shared.now_ms());
         thread::sleep(REPORT_INTERVAL);
@@ -142,16 +133,10 @@
 }
 
 /// Reads one runner's cache events.
-fn read_events(
-    group: &RunnerGroup,
-    client: &EngineClient,
-    record: &InstanceRecord,
-    after: &mut u64,
-) {
-    let Ok(events) = client.events(*after) else {
-        return;
-    };
-    *after = events.iter().map(|event| event.seq).fold(*after, u64::max);
-    let changes: Vec<_> = events.iter().map(|e| (e.key, e.added)).collect();
-    group.apply_events(&record.name, &changes);
+///
+/// A runner that does not answer leaves the hints as they are.
+pub(crate) fn read_events(group: &RunnerGroup, client: &EngineClient, runner: &InstanceName) {
+    if let Ok(events) = client.events(group.last_event(runner)) {
+        group.apply_events(runner, &events);
+    }
 }
