Add fencing of orders and the rollout planner

Cause: a holder of a lease that was paused still believes it holds it, some targets take every order, and more loads at once than a pool's bound make every load slower.

Change: OrderFence decides right before a send; send_order tells an order that took longer than one may be in flight; RolloutPlanner orders what differs from the reports, within the bound, and so corrects stale orders too.

Found by fuzzing: a new holder that had a fresh report of one runner only ordered more loads than the bound, because others still loaded what the last holder had ordered. Runners that have not reported since count as loading now.

--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -6,15 +6,22 @@
 
 mod engine;
 mod fault;
+mod fence;
 mod http;
 pub mod kept;
+mod rollout;
 mod service;
 mod stream;
 
 pub use crate::{
     engine::{CacheEvent, EngineClient, EngineRole, LoadReport, StreamOrder, TargetOrder},
     fault::{FaultKind, RejectReason, TargetFault},
+    fence::{
+        send_order, FenceCheck, FenceRefusal, LeaseGrant, OrderFault, OrderFence,
+        MAX_DRIFT_PER_MILLE,
+    },
     http::TargetTimeouts,
+    rollout::{PlannedOrder, RolloutPlanner, RolloutSettings, RunnerView, WantedVersion},
     service::{KeyOutcome, ServiceClient},
     stream::{EngineStream, StreamEvent},
 };
