--- a/crates/berylmount/tests/orders.rs
+++ b/crates/berylmount/tests/orders.rs
@@ -14,7 +14,7 @@
     net::SocketAddr,
     sync::{
         atomic::{AtomicBool, AtomicUsize, Ordering},
-        Mutex,
+        Mutex, OnceLock,
     },
     thread,
     time::Duration,
@@ -29,8 +29,10 @@
 /// Longest pause of a caller before it comes back.
 const MAX_PAUSE: Duration = Duration::from_millis(20);
 
+/// The day on which the tests started, so that midnight changes no key.
 fn today() -> LedgerDay {
-    LedgerDay::of_unix_ms(unix_ms())
+    static DAY: OnceLock<LedgerDay> = OnceLock::new();
+    *DAY.get_or_init(|| LedgerDay::of_unix_ms(unix_ms()))
 }
 
 fn fleet(instances: usize, service: ServiceConfig) -> TestFleet {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 pub use crate::{
     answers::{AnswerBook, AnswerEnd, AnswerPart, AnswerReader, HeldAnswer},
     groups::{RunGrant, RunnerGroup, WorkOffer},
+    order_sweep::{sweep_share, SweepReport},
     orders::{run_order, OrderTargets},
     process::DispatchProcess,
     roster::TargetRoster,
--- a/crates/dispatch/src/order_sweep.rs
+++ b/crates/dispatch/src/order_sweep.rs
@@ -8,7 +8,7 @@
 use crate::{
     orders::{look_up_key, OrderTargets},
     services::live_services,
-    shared::DispatchShared,
+    shared::{DispatchShared, LOOK_INTERVAL},
 };
 use berylmount_ledger::{
     service_key, settle_entry, unsettled_below, ChangeReply, LedgerConfig, LedgerDay, OrderEntry,
@@ -16,6 +16,7 @@
 };
 use berylmount_model::{unix_ms, InstanceRole, InstanceState};
 use berylmount_policy::{assignment::rank_members, MemberWeight};
+use berylmount_telemetry::CounterMetric;
 use std::{
     net::SocketAddr,
     sync::Arc,
@@ -30,11 +31,11 @@
 
 /// What a sweep found.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(crate) struct SweepReport {
+pub struct SweepReport {
     /// Orders that a look-up settled.
-    settled: usize,
+    pub settled: usize,
     /// Orders that wait for an operator.
-    unsettled: usize,
+    pub unsettled: usize,
 }
 
 /// Sweeps now and then until the process, a peer at `own`, stops.
@@ -42,7 +43,8 @@
     while !shared.is_draining() {
         let end = Instant::now() + SWEEP_INTERVAL;
         while Instant::now() < end && !shared.is_draining() {
-            thread::sleep(crate::shared::LOOK_INTERVAL);
+            thread::sleep(LOOK_INTERVAL);
+            count_writes(shared);
         }
         match sweep_share(shared, own) {
             Ok(report) if report == SweepReport::default() => {}
@@ -58,8 +60,27 @@
     }
 }
 
-/// Sweeps this process's share of yesterday's, today's and tomorrow's orders.
-fn sweep_share(shared: &DispatchShared, own: SocketAddr) -> Result<SweepReport, ReadError> {
+/// Shows the ledger's conditional writes as metrics.
+fn count_writes(shared: &DispatchShared) {
+    let counts = shared.ledger.take_writes();
+    let outcomes = [
+        ("stored", counts.stored),
+        ("conflict", counts.conflicts),
+        ("unknown", counts.unclear),
+    ];
+    for (outcome, count) in outcomes.into_iter().filter(|(_, count)| *count > 0) {
+        let metric = CounterMetric::LedgerWritesTotal;
+        shared.metrics.add(metric, outcome, count);
+    }
+}
+
+/// Sweeps the share of yesterday's, today's and tomorrow's orders that falls to
+/// the process whose peer address is `own`.
+///
+/// # Errors
+///
+/// [`ReadError`] if the platform fails; the next sweep starts anew.
+pub fn sweep_share(shared: &DispatchShared, own: SocketAddr) -> Result<SweepReport, ReadError> {
     let today = LedgerDay::of_unix_ms(unix_ms());
     let mut report = SweepReport::default();
     let addresses = dispatch_addresses(shared)?;
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -26,6 +26,12 @@
 const LOOK_UP_TIMEOUT: Duration = Duration::from_millis(200);
 /// When to come back after a call that certainly did not run, in milliseconds.
 const NOT_RUN_RETRY_MS: u64 = 500;
+/// Longest wait for the record that an order did not run.
+const GIVE_BACK_TIMEOUT: Duration = Duration::from_millis(500);
+/// Age of an attempt that may still be at the service, in milliseconds.
+const BUSY_AGE_MS: u64 = 10_000;
+/// When to come back for an order that may still be at the service, in milliseconds.
+const BUSY_RETRY_MS: u64 = 500;
 /// When to come back for an outcome that is not known yet, in milliseconds.
 const UNKNOWN_RETRY_MS: u64 = 5_000;
 
@@ -119,12 +125,11 @@
         for &address in self.targets.addresses.iter().take(MAX_ORDER_TRIES) {
             let now_ms = self.clock.now_ms();
             let limit = Duration::from_millis(self.deadline_ms.saturating_sub(now_ms));
-            let permit = if limit.is_zero() {
-                None
-            } else {
-                token.permit(now_ms)
-            };
-            let Some(sent) = permit else {
+            if limit.is_zero() {
+                refusal = timed_out();
+                break;
+            }
+            let Some(sent) = token.permit(now_ms) else {
                 return Err(timed_out());
             };
             match self
@@ -142,6 +147,8 @@
                 }
             }
         }
+        // The record first, so that the caller's next call, elsewhere too, runs the order.
+        token.give_back(GIVE_BACK_TIMEOUT);
         Err(refusal)
     }
 
@@ -179,10 +186,16 @@
     /// Asks the service what became of an earlier attempt.
     fn ask(&self, attempt: EarlierAttempt) -> Result<AnswerBody, CallRefusal> {
         let Some(answer) = self.look_up() else {
+            let age_ms = unix_ms().saturating_sub(attempt.since_unix_ms);
+            let busy = age_ms < BUSY_AGE_MS;
             return Err(CallRefusal::may_have_run(
                 RefusalReason::OutcomeUnknown,
                 "an earlier call with this key has no known outcome yet",
-                UNKNOWN_RETRY_MS,
+                if busy {
+                    BUSY_RETRY_MS
+                } else {
+                    UNKNOWN_RETRY_MS
+                },
             ));
         };
         let text = answer.to_string();
@@ -229,6 +242,7 @@
         connect: targets.timeouts.connect.min(LOOK_UP_TIMEOUT),
         gap: LOOK_UP_TIMEOUT,
         call: LOOK_UP_TIMEOUT,
+        ..targets.timeouts
     };
     let addresses = targets.addresses.iter().take(MAX_ORDER_TRIES);
     for &address in addresses {
--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -15,12 +15,15 @@
     net::SocketAddr,
     sync::{mpsc::sync_channel, Arc},
     thread,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 /// Calls that wait to be taken from the wire.
 const CALLS_WAITING: usize = 256;
 
+/// Shortest wait for order outcomes to be written at a stop.
+const OWED_WAIT: Duration = Duration::from_secs(2);
+
 /// A running dispatch role.
 pub struct DispatchProcess {
     /// What its threads share.
@@ -71,15 +74,12 @@
         self.shared.drain();
         log::info!(target: "dispatch", in_flight = self.shared.in_flight(); "draining");
         let end = Instant::now() + self.shared.settings.timeouts.drain;
-        while self.shared.in_flight() > 0 {
-            if Instant::now() >= end {
-                return false;
-            }
+        while self.shared.in_flight() > 0 && Instant::now() < end {
             thread::sleep(LOOK_INTERVAL);
         }
         let rest = end.saturating_duration_since(Instant::now());
-        self.shared.ledger.stop(rest);
-        true
+        self.shared.ledger.stop(rest.max(OWED_WAIT));
+        self.shared.in_flight() == 0
     }
 }
 
--- a/crates/dispatch/src/services.rs
+++ b/crates/dispatch/src/services.rs
@@ -6,6 +6,7 @@
 };
 use berylmount_model::{CallRefusal, InstanceRole, PoolName, RefusalReason};
 use berylmount_targets::{FaultKind, RejectReason, ServiceClient, TargetFault};
+use berylmount_telemetry::CounterMetric;
 use berylmount_wire::{AnswerBody, OrderCall, ReadCall, WorkReply};
 use std::{net::SocketAddr, time::Duration};
 
@@ -85,7 +86,14 @@
         timeouts: shared.target_timeouts(),
         on_fault: &|address, fault| note_leaving(shared, address, fault),
     };
-    match run_order(&shared.ledger, &targets, &shared.clock, order) {
+    let outcome = run_order(&shared.ledger, &targets, &shared.clock, order);
+    let label = match &outcome {
+        Ok(answer) if answer.recorded => "recorded",
+        Ok(_) => "ran",
+        Err(refusal) => refusal.verdict.into(),
+    };
+    shared.metrics.add(CounterMetric::OrdersTotal, label, 1);
+    match outcome {
         Ok(answer) => WorkReply::Answer(answer),
         Err(refusal) => WorkReply::Refused(refusal),
     }
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -51,5 +51,6 @@
     settle::{change_once, expire_day, settle_entry, DayExpiry},
     token::{IntentToken, SentToken},
     verify::{decode_segment, verify_segment, SegmentFault},
+    worker::WriteCounts,
     writer::{CallReply, ChangeTicket, SegmentCall},
 };
--- a/crates/ledger/src/order_ledger.rs
+++ b/crates/ledger/src/order_ledger.rs
@@ -1,8 +1,9 @@
 //! The ledger as the dispatch role uses it.
 
 use crate::{
-    worker::LaneHandle, ChangeReply, ChangeRequest, IntentToken, KeyError, KeyPlace, LedgerChange,
-    LedgerConfig, LedgerDay, OrderIntent, OrderOutcome, OutcomeSource, RecordedAnswer, WriterNonce,
+    worker::{LaneHandle, WriteCounts},
+    ChangeReply, ChangeRequest, IntentToken, KeyError, KeyPlace, LedgerChange, LedgerConfig,
+    LedgerDay, OrderIntent, OrderOutcome, OutcomeSource, RecordedAnswer, WriterNonce,
 };
 use berylmount_model::{CallRefusal, RefusalReason};
 use berylmount_platform::ObjectStore;
@@ -251,6 +252,15 @@
         self.lanes.iter().map(|lane| lane.owed()).sum()
     }
 
+    /// Conditional writes since the last call.
+    pub fn take_writes(&self) -> WriteCounts {
+        let mut counts = WriteCounts::default();
+        for lane in &self.lanes {
+            lane.take_writes(&mut counts);
+        }
+        counts
+    }
+
     /// Writes what is owed for at most `wait`, and ends the lanes' threads.
     pub fn stop(&self, wait: Duration) {
         let deadline = Instant::now() + wait;
--- a/crates/ledger/src/token.rs
+++ b/crates/ledger/src/token.rs
@@ -6,10 +6,10 @@
 //! before that abandons its attempt.
 
 use crate::{
-    worker::LaneHandle, ChangeRequest, KeyPlace, LedgerChange, OrderIntent, OrderOutcome,
-    WriterNonce,
+    worker::LaneHandle, ChangeReply, ChangeRequest, KeyPlace, LedgerChange, OrderIntent,
+    OrderOutcome, WriterNonce,
 };
-use std::{fmt, sync::Arc};
+use std::{fmt, sync::Arc, time::Duration};
 
 /// What both tokens know.
 struct TokenBody {
@@ -75,6 +75,19 @@
         self.body = None;
     }
 
+    /// Gives the permission back and waits at most `wait` for the record of it.
+    ///
+    /// Returns whether the record stands, so that any process would let a new
+    /// call run the order. It follows later if it does not stand yet.
+    pub fn give_back(mut self, wait: Duration) -> bool {
+        let Some(body) = self.body.take() else {
+            return true;
+        };
+        let change = LedgerChange::Abandon(body.intent.clone());
+        let reply = body.lane.ask(body.request(change), wait);
+        reply == Some(ChangeReply::Recorded)
+    }
+
     /// Uses the token for a call that starts at the monotonic time `now_ms`.
     ///
     /// A holder that was paused beyond the token's time gets `None`, and the
--- a/crates/ledger/src/worker.rs
+++ b/crates/ledger/src/worker.rs
@@ -1,10 +1,12 @@
 //! The thread of a lane and the handle by which others reach it.
 
-use crate::{calls::make_call, ChangeReply, ChangeRequest, ChangeTicket, LedgerConfig, LedgerLane};
+use crate::{
+    calls::make_call, CallReply, ChangeReply, ChangeRequest, ChangeTicket, LedgerConfig, LedgerLane,
+};
 use berylmount_platform::ObjectStore;
 use std::{
     sync::{
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TryRecvError, TrySendError},
         Arc, Mutex, PoisonError,
     },
@@ -28,6 +30,33 @@
 struct LaneStatus {
     down: AtomicBool,
     owed: AtomicUsize,
+    stored: AtomicU64,
+    conflicts: AtomicU64,
+    unclear: AtomicU64,
+}
+
+impl LaneStatus {
+    /// Counts a conditional write by what came of it.
+    fn count_write(&self, reply: &CallReply) {
+        let counter = match reply {
+            CallReply::Written(_) => &self.stored,
+            CallReply::Conflict => &self.conflicts,
+            CallReply::Unclear => &self.unclear,
+            _ => return,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Conditional writes by what came of them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WriteCounts {
+    /// Writes that the platform confirmed.
+    pub stored: u64,
+    /// Writes refused because another writer was faster.
+    pub conflicts: u64,
+    /// Writes whose answer was lost.
+    pub unclear: u64,
 }
 
 /// The way to a lane's thread.
@@ -78,6 +107,14 @@
         self.status.owed.load(Ordering::Relaxed)
     }
 
+    /// Adds the lane's conditional writes since the last call to `counts`.
+    pub(crate) fn take_writes(&self, counts: &mut WriteCounts) {
+        let take = |counter: &AtomicU64| counter.swap(0, Ordering::Relaxed);
+        counts.stored += take(&self.status.stored);
+        counts.conflicts += take(&self.status.conflicts);
+        counts.unclear += take(&self.status.unclear);
+    }
+
     /// Sends a change and waits at most `wait` for its reply.
     ///
     /// `None` says that nothing is known of the change yet.
@@ -140,6 +177,7 @@
             let now_ms = self.start.elapsed().as_millis() as u64;
             if let Some(call) = self.lane.next_call(now_ms) {
                 let reply = make_call(self.store.as_ref(), &call);
+                self.status.count_write(&reply);
                 let now_ms = self.start.elapsed().as_millis() as u64;
                 self.lane.take_reply(reply, now_ms);
             }
