Refuse a seen key as "may have run" while the platform is down

Ruled out: answering from the cached segments, which are lost with each failed call, and "may have run" for every order in an outage, which would make each new order look like a risk. What stays: a key that only another process saw is refused as "not run", which then speaks of that call; orders of a segment go to one process, so this needs a change of members too. A caller joins the verdicts of its calls, and the page for callers must say so.

--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -25,6 +25,7 @@
 mod order_ledger;
 mod place;
 mod read;
+mod recent;
 mod segment;
 mod settle;
 mod token;
--- a/crates/ledger/src/order_ledger.rs
+++ b/crates/ledger/src/order_ledger.rs
@@ -1,6 +1,7 @@
 //! The ledger as the dispatch role uses it.
 
 use crate::{
+    recent::RecentKeys,
     worker::{LaneHandle, WriteCounts},
     ChangeReply, ChangeRequest, IntentToken, KeyError, KeyPlace, LedgerChange, LedgerConfig,
     LedgerDay, OrderIntent, OrderOutcome, OutcomeSource, RecordedAnswer, WriterNonce,
@@ -79,6 +80,7 @@
     config: LedgerConfig,
     lanes: Vec<Arc<LaneHandle>>,
     attempts: AtomicU64,
+    recent: RecentKeys,
 }
 
 impl OrderLedger {
@@ -95,6 +97,7 @@
             config,
             lanes,
             attempts: AtomicU64::new(0),
+            recent: RecentKeys::new(),
         })
     }
 
@@ -114,7 +117,7 @@
         let place = self.check_key(order, time.unix_ms)?;
         let lane = self.lane(&place);
         if lane.is_down() {
-            return Err(self.unavailable());
+            return Err(self.unavailable(&place));
         }
         let nonce = self.next_nonce();
         let request = ChangeRequest {
@@ -136,13 +139,16 @@
         );
         let wait = Duration::from_millis(self.config.begin_wait_ms);
         match lane.ask(request, wait) {
-            Some(ChangeReply::Recorded) => Ok(BeginOutcome::Fresh(token)),
+            Some(ChangeReply::Recorded) => {
+                self.recent.insert(&place);
+                Ok(BeginOutcome::Fresh(token))
+            }
             Some(reply) => {
                 token.disarm();
-                self.refuse(reply)
+                self.refuse(&place, reply)
             }
             // The token's drop abandons the attempt.
-            None => Err(self.unavailable()),
+            None => Err(self.unavailable(&place)),
         }
     }
 
@@ -173,18 +179,24 @@
     }
 
     /// Translates a reply that gives no permission to send.
-    fn refuse(&self, reply: ChangeReply) -> Result<BeginOutcome, CallRefusal> {
+    fn refuse(&self, place: &KeyPlace, reply: ChangeReply) -> Result<BeginOutcome, CallRefusal> {
         let refusal =
             |reason, detail, retry_ms| Err(CallRefusal::not_run(reason, detail, retry_ms));
         match reply {
-            ChangeReply::Finished(answer) => Ok(BeginOutcome::Finished(answer)),
+            ChangeReply::Finished(answer) => {
+                self.recent.insert(place);
+                Ok(BeginOutcome::Finished(answer))
+            }
             ChangeReply::Unknown {
                 nonce,
                 since_unix_ms,
-            } => Ok(BeginOutcome::Unknown(EarlierAttempt {
-                nonce,
-                since_unix_ms,
-            })),
+            } => {
+                self.recent.insert(place);
+                Ok(BeginOutcome::Unknown(EarlierAttempt {
+                    nonce,
+                    since_unix_ms,
+                }))
+            }
             ChangeReply::KeyMismatch => refusal(
                 RefusalReason::KeyMismatch,
                 "the order key was used with another body or kind of work",
@@ -196,22 +208,28 @@
                 "other orders kept changing the ledger segment",
                 CONTENDED_RETRY_MS,
             ),
-            ChangeReply::Malformed => refusal(
+            ChangeReply::Malformed => Err(CallRefusal::may_have_run(
                 RefusalReason::Internal,
-                "the ledger segment on the platform cannot be read",
+                "the ledger segment on the platform is damaged; this call does not run, an \
+                 earlier one with this key may have",
                 0,
-            ),
-            _ => Err(self.unavailable()),
+            )),
+            _ => Err(self.unavailable(place)),
         }
     }
 
     /// The refusal while the platform does not answer.
-    fn unavailable(&self) -> CallRefusal {
-        CallRefusal::not_run(
-            RefusalReason::PlatformUnavailable,
-            "the platform does not take the order's record",
-            2 * self.config.probe_ms,
-        )
+    ///
+    /// This call never leads to a run; an earlier one with the key may have.
+    fn unavailable(&self, place: &KeyPlace) -> CallRefusal {
+        let reason = RefusalReason::PlatformUnavailable;
+        let retry_ms = 2 * self.config.probe_ms;
+        if self.recent.contains(place) {
+            let detail = "the platform cannot tell what became of an earlier call with this key";
+            return CallRefusal::may_have_run(reason, detail, retry_ms);
+        }
+        let detail = "the platform does not take the order's record, so this call does not run";
+        CallRefusal::not_run(reason, detail, retry_ms)
     }
 
     /// Records what a look-up by key says of an earlier attempt.
