--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
     answers::{AnswerBook, AnswerEnd, AnswerPart, AnswerReader, HeldAnswer},
     groups::{RunGrant, RunnerGroup, WorkOffer},
     kept::KeptDesk,
+    order_sweep::{sweep_share, SweepReport},
     orders::{run_order, OrderTargets},
     process::DispatchProcess,
     roster::TargetRoster,
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -25,6 +25,7 @@
 mod order_ledger;
 mod place;
 mod read;
+mod recent;
 mod segment;
 mod settle;
 mod token;
@@ -51,5 +52,6 @@
     settle::{change_once, expire_day, settle_entry, DayExpiry},
     token::{IntentToken, SentToken},
     verify::{decode_segment, verify_segment, SegmentFault},
+    worker::WriteCounts,
     writer::{CallReply, ChangeTicket, SegmentCall},
 };
