Order weights under a lease with a fencing number

Nothing loaded the version that the table names: after a model's row changed, every prompt was refused, because no runner had the version. Runners are shared among versions by the weight of the customers that see each. Ruled out: every dispatch process ordering its own groups, since a pool's bound on parallel loads spans them. A lease is taken only after its version stood still for its length by the candidate's own clock.

--- a/crates/dispatch/src/kept.rs
+++ b/crates/dispatch/src/kept.rs
@@ -42,7 +42,7 @@
 
 /// A wish to keep the pieces that a runner holds.
 #[derive(Clone, Debug)]
-pub(crate) struct KeepWish {
+pub struct KeepWish {
     /// The runner.
     runner: SocketAddr,
     /// The pieces, in prompt order.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,15 +15,18 @@
 mod run;
 mod services;
 mod shared;
+mod versions;
 mod watch;
+mod weights;
 
 pub use crate::{
     answers::{AnswerBook, AnswerEnd, AnswerPart, AnswerReader, HeldAnswer},
     groups::{RunGrant, RunnerGroup, WorkOffer},
-    kept::KeptDesk,
+    kept::{KeepWish, KeptDesk},
     order_sweep::{sweep_share, SweepReport},
     orders::{run_order, OrderTargets},
     process::DispatchProcess,
     roster::TargetRoster,
     shared::{DispatchParts, DispatchShared},
+    versions::{runner_counts, version_shares, wanted_versions, VersionShare},
 };
--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -6,6 +6,7 @@
     order_sweep::sweep_orders,
     shared::{DispatchParts, DispatchShared, LOOK_INTERVAL},
     watch::{read_list, watch_groups, watch_list},
+    weights::watch_weights,
 };
 use berylmount_wire::{InboundCall, PeerServer, WireConfig, WireRuntime};
 use std::{
@@ -50,6 +51,7 @@
         read_list(&shared);
         spawn_duty("kept", &shared, move |shared| serve_wishes(shared, &wishes))?;
         spawn_duty("list", &shared, watch_list)?;
+        spawn_duty("weights", &shared, |shared| watch_weights(shared))?;
         spawn_duty("groups", &shared, watch_groups)?;
         let own = server.address();
         spawn_duty("orders", &shared, move |shared| sweep_orders(shared, own))?;
--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -2,7 +2,10 @@
 
 use crate::{kept::KeepWish, AnswerBook, KeptDesk, RunnerGroup, TargetRoster};
 use berylmount_ledger::{LedgerConfig, OrderLedger};
-use berylmount_model::{CallRefusal, InstanceRecord, InstanceRole, MonotonicClock, RefusalReason};
+use berylmount_model::{
+    CallRefusal, InstanceName, InstanceRecord, InstanceRole, InstanceState, MonotonicClock,
+    RefusalReason,
+};
 use berylmount_platform::ObjectStore;
 use berylmount_policy::{assignment, RetryBudget, RunnerSettings, TargetGroup};
 use berylmount_settings::ProcessSettings;
@@ -57,10 +60,14 @@
     pub settings: ProcessSettings,
     /// The process's clock.
     pub clock: MonotonicClock,
+    /// Differs between incarnations of this process.
+    pub origin: u64,
     /// Metrics.
     pub metrics: Arc<MetricSet>,
     /// The platform's object API.
     pub store: Arc<dyn ObjectStore>,
+    /// Live dispatch processes by the platform's list, sorted.
+    dispatches: Mutex<Vec<InstanceName>>,
     /// The targets known.
     pub roster: TargetRoster,
     /// The operators' table.
@@ -87,7 +94,7 @@
     /// # Errors
     ///
     /// Returns the system's error if the ledger's threads can't be had.
-    pub(crate) fn new(parts: DispatchParts) -> io::Result<(Self, Receiver<KeepWish>)> {
+    pub fn new(parts: DispatchParts) -> io::Result<(Self, Receiver<KeepWish>)> {
         let DispatchParts {
             settings,
             store,
@@ -102,8 +109,10 @@
         let (kept, wishes) = KeptDesk::new(seed, timeouts);
         let shared = Self {
             clock,
+            origin: seed,
             metrics,
             store,
+            dispatches: Mutex::default(),
             table,
             kept,
             roster: TargetRoster::default(),
@@ -126,6 +135,34 @@
         self.clock.now_ms()
     }
 
+    /// This process's name in the platform's list.
+    pub fn name(&self) -> InstanceName {
+        self.settings.process_name(InstanceRole::Dispatch)
+    }
+
+    /// Live dispatch processes by the platform's list, sorted.
+    pub fn dispatches(&self) -> Vec<InstanceName> {
+        let names = self.dispatches.lock();
+        names.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Takes in the platform's list of instances.
+    pub fn apply_list(&self, records: &[InstanceRecord]) {
+        let live = records.iter().filter(|record| {
+            record.role == InstanceRole::Dispatch && record.state == InstanceState::Live
+        });
+        let mut names: Vec<_> = live.map(|record| record.name.clone()).collect();
+        names.sort();
+        *self
+            .dispatches
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = names;
+        self.roster.apply_list(records);
+        for (name, group) in self.groups() {
+            group.apply_runners(&self.group_records(&name), self.now_ms());
+        }
+    }
+
     /// Time limits of calls to targets.
     pub fn target_timeouts(&self) -> TargetTimeouts {
         target_timeouts(&self.settings)
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -44,7 +44,7 @@
 pub(crate) fn read_list(shared: &DispatchShared) -> usize {
     match shared.store.instances() {
         Ok(records) => {
-            apply_list(shared, &records);
+            shared.apply_list(&records);
             records.len()
         }
         Err(fault) => {
@@ -54,14 +54,6 @@
     }
 }
 
-/// Takes the list into the roster and the open groups.
-fn apply_list(shared: &DispatchShared, records: &[InstanceRecord]) {
-    shared.roster.apply_list(records);
-    for (name, group) in shared.groups() {
-        group.apply_runners(&shared.group_records(&name), shared.now_ms());
-    }
-}
-
 /// Opens a watching thread for each new group, until the process ends.
 pub(crate) fn watch_groups(shared: &Arc<DispatchShared>) {
     let mut watched: Vec<TargetGroup> = Vec::new();
--- a/crates/dispatch/tests/orders.rs
+++ b/crates/dispatch/tests/orders.rs
@@ -1,6 +1,8 @@
 //! One order against a service stand-in and a platform in memory.
 
-use berylmount_dispatch::{run_order, sweep_share, DispatchShared, OrderTargets, SweepReport};
+use berylmount_dispatch::{
+    run_order, sweep_share, DispatchParts, DispatchShared, OrderTargets, SweepReport,
+};
 use berylmount_ledger::{
     unsettled_orders, BeginOutcome, BodyDigest, LedgerConfig, LedgerDay, LedgerTime, OrderIntent,
     OrderLedger, RecordedAnswer, MAX_ANSWER_BYTES,
@@ -11,6 +13,7 @@
 };
 use berylmount_settings::ProcessSettings;
 use berylmount_standins::{MemoryStore, ServiceConfig, ServiceFault, ServiceServer};
+use berylmount_table::TableReplica;
 use berylmount_targets::TargetTimeouts;
 use berylmount_telemetry::MetricSet;
 use berylmount_wire::{AnswerBody, OrderCall};
@@ -253,7 +256,15 @@
     let settings = include_str!("orders.settings.json");
     let settings = ProcessSettings::parse(settings).unwrap();
     let metrics = Arc::new(MetricSet::new().unwrap());
-    let shared = DispatchShared::new(&settings, bench.store.clone(), metrics, 1).unwrap();
+    let parts = DispatchParts {
+        settings,
+        store: bench.store.clone(),
+        table: Arc::new(TableReplica::new(0)),
+        metrics,
+        clock: MonotonicClock::start(),
+        seed: 1,
+    };
+    let (shared, _wishes) = DispatchShared::new(parts).unwrap();
     shared.roster.apply_list(&records);
     let sweep = |own| sweep_share(&shared, own).unwrap();
     assert_eq!(sweep(service), SweepReport::default(), "not its share");
--- a/crates/model/src/instance.rs
+++ b/crates/model/src/instance.rs
@@ -68,3 +68,18 @@
     /// Whether it takes new work.
     pub state: InstanceState,
 }
+
+impl InstanceName {
+    /// The name of the process of `role` on `instance`.
+    ///
+    /// ```
+    /// use berylmount_model::{InstanceName, InstanceRole};
+    ///
+    /// let instance = InstanceName::new("ridge-1").unwrap();
+    /// let process = InstanceName::of_process(&instance, InstanceRole::Entry);
+    /// assert_eq!(process.as_str(), "ridge-1-entry");
+    /// ```
+    pub fn of_process(instance: &Self, role: InstanceRole) -> Self {
+        instance.with_suffix(role.into())
+    }
+}
--- a/crates/model/src/names.rs
+++ b/crates/model/src/names.rs
@@ -126,3 +126,10 @@
     /// A caller's idempotency key: `YYYYMMDD-` and a text of the caller's.
     OrderKey
 }
+
+impl InstanceName {
+    /// This name, a dash and `suffix`, which has only allowed characters.
+    pub(crate) fn with_suffix(&self, suffix: &'static str) -> Self {
+        Self(format!("{}-{suffix}", self.0))
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -14,10 +14,12 @@
 
 mod client;
 mod counts;
+mod lease;
 mod store;
 
 pub use crate::{
     client::PlatformClient,
     counts::{CallCounts, CallKind},
+    lease::{HeldLease, PlatformLease},
     store::{ObjectHead, ObjectStore, StoreError, StoredObject, MAX_VALUE_BYTES},
 };
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -5,7 +5,7 @@
     verify::verify_settings,
     SettingsError, SettingsFault,
 };
-use berylmount_model::{DataCentre, InstanceName};
+use berylmount_model::{DataCentre, InstanceName, InstanceRole};
 use jsonc_parser::{
     ast::{Object, Value},
     parse_to_ast, CollectOptions, ParseOptions,
@@ -158,6 +158,11 @@
 }
 
 impl ProcessSettings {
+    /// The name of the instance's process of `role` in the platform's list.
+    pub fn process_name(&self, role: InstanceRole) -> InstanceName {
+        InstanceName::of_process(&self.instance, role)
+    }
+
     /// Reads, parses and checks the settings file at `path`.
     ///
     /// # Errors
