Spread probes over the second and order members by a hash

Cause: three probes at once each second let evidence of heads grow old: with 420 processes the oldest of a majority's heads was 4071 ms old at the worst viewer, past the 3500 ms for which a table counts as fresh. Next members now follow a hash of the name, so that a data centre's members don't guard only each other. Records from pages are not queued again.

--- a/crates/peers/src/board.rs
+++ b/crates/peers/src/board.rs
@@ -288,8 +288,11 @@
         reply
             .changes
             .iter()
-            .chain(&reply.page)
             .for_each(|record| self.apply(record, now_ms));
+        reply
+            .page
+            .iter()
+            .for_each(|record| self.apply_page(record, now_ms));
         self.joined = true;
         let (head, load) = (reply.from.head, reply.from.load);
         if let Some(entry) = self.list.find_mut(name) {
--- a/crates/peers/src/changes.rs
+++ b/crates/peers/src/changes.rs
@@ -2,8 +2,8 @@
 
 use berylmount_model::InstanceName;
 
-/// Times that a change is sent, for each doubling of the members.
-const SENDS_PER_DOUBLING: u32 = 2;
+/// Times that a change is sent besides once for each doubling of the members.
+const MORE_SENDS: u32 = 2;
 
 /// Names whose records still have to be passed on.
 ///
@@ -49,7 +49,7 @@
         });
         let names = names.collect();
         self.0
-            .retain(|change| change.sends < SENDS_PER_DOUBLING * doublings);
+            .retain(|change| change.sends < doublings + MORE_SENDS);
         names
     }
 }
--- a/crates/peers/src/list.rs
+++ b/crates/peers/src/list.rs
@@ -30,12 +30,16 @@
     pub(crate) relayed: bool,
     pub(crate) evidence: HeadEvidence,
     pub(crate) segment: u8,
+    /// Place in the order in which members probe each other.
+    pub(crate) place: u64,
 }
 
 impl PeerEntry {
     pub(crate) fn new(record: PeerRecord, now_ms: u64) -> Self {
         let segment = segment_of(&record.name);
+        let place = place_of(&record.name);
         Self {
+            place,
             record,
             since_ms: now_ms,
             heard_ms: None,
@@ -57,9 +61,16 @@
     }
 }
 
+/// The place of a name in the order in which members probe each other.
+///
+/// A hash, so that members of one data centre don't follow each other.
+fn place_of(name: &InstanceName) -> u64 {
+    xxh3_64(name.as_str().as_bytes())
+}
+
 /// The segment of a name.
 pub(crate) fn segment_of(name: &InstanceName) -> u8 {
-    (xxh3_64(name.as_str().as_bytes()) % u64::from(SEGMENTS)) as u8
+    (place_of(name) % u64::from(SEGMENTS)) as u8
 }
 
 /// Entries sorted by name.
@@ -100,11 +111,17 @@
         self.0.binary_search_by(|entry| entry.record.name.cmp(name))
     }
 
-    /// The `count` members that are not dead and follow `name` in a ring.
+    /// The `count` members that are not dead and follow `name` in order of place.
     pub(crate) fn next_members(&self, name: &InstanceName, count: usize) -> Vec<&PeerEntry> {
-        let (Ok(start) | Err(start)) = self.slot(name);
-        let ring = self.0.iter().skip(start).chain(self.0.iter().take(start));
-        ring.filter(|entry| !entry.is_dead()).take(count).collect()
+        let own = place_of(name);
+        let mut next: Vec<&PeerEntry> = Vec::with_capacity(count + 1);
+        for entry in self.0.iter().filter(|entry| !entry.is_dead()) {
+            let distance = entry.place.wrapping_sub(own);
+            let slot = next.partition_point(|other| other.place.wrapping_sub(own) < distance);
+            next.insert(slot, entry);
+            next.truncate(count);
+        }
+        next
     }
 
     /// A page of a segment's records that are not dead, `own` among them.
--- a/crates/peers/src/merge.rs
+++ b/crates/peers/src/merge.rs
@@ -15,7 +15,17 @@
 const SMALL_LIST: usize = 8;
 
 impl PeerBoard {
-    /// Takes a record if it takes precedence over the known one.
+    /// Takes a record of a page, which others know as well.
+    pub(crate) fn apply_page(&mut self, record: &PeerRecord, now_ms: u64) {
+        let unknown = self.list.find(&record.name).is_none();
+        if unknown && record.name != self.own.record.name {
+            self.list.insert(PeerEntry::new(record.clone(), now_ms));
+        } else {
+            self.apply(record, now_ms);
+        }
+    }
+
+    /// Takes a record if it takes precedence over the known one, and queues it.
     pub(crate) fn apply(&mut self, record: &PeerRecord, now_ms: u64) {
         if record.name == self.own.record.name {
             self.apply_own(record);
--- a/crates/peers/src/sync.rs
+++ b/crates/peers/src/sync.rs
@@ -10,7 +10,7 @@
 use berylmount_model::InstanceName;
 
 /// Differing digests in a row after which a segment is pulled.
-const UNLIKE_REPLIES: u32 = 6;
+const UNLIKE_REPLIES: u32 = 15;
 
 /// A pull under way.
 #[derive(Clone, Debug)]
--- a/crates/peers/src/targets.rs
+++ b/crates/peers/src/targets.rs
@@ -20,15 +20,20 @@
 impl PeerBoard {
     /// Members and addresses for this round, each once.
     pub(crate) fn choose_targets(&mut self) -> Vec<ProbeTarget> {
+        let extra_round = self.round.is_multiple_of(self.config.next_rounds);
+        let pulling = self.sync.peer().cloned().filter(|_| extra_round);
+        let regular = if extra_round {
+            self.choose_next()
+        } else {
+            self.choose_random()
+        };
+        let suspect = if extra_round {
+            self.choose_suspect()
+        } else {
+            None
+        };
         let mut targets = Vec::new();
-        let pulling = self.sync.peer().cloned();
-        let next = self.choose_next();
-        let suspect = self.choose_members(1, |entry| entry.record.health == PeerHealth::Suspect);
-        let random = self.config.random_probes
-            - usize::from(pulling.is_some()).min(self.config.random_probes);
-        let random = self.choose_members(random, |entry| !entry.is_dead());
-        let members = pulling.into_iter().chain(next).chain(suspect).chain(random);
-        for name in members {
+        for name in pulling.into_iter().chain(regular).chain(suspect) {
             let target = ProbeTarget::Member(name);
             if !targets.contains(&target) {
                 targets.push(target);
@@ -36,7 +41,7 @@
         }
         let lost = match targets.len() {
             0 => FIRST_TRIES,
-            _ => usize::from(self.round.is_multiple_of(2)),
+            _ => usize::from(extra_round),
         };
         for _ in 0..lost {
             let lost = self.choose_lost();
@@ -50,8 +55,20 @@
         let next = self
             .list
             .next_members(&self.own.record.name, self.config.next_members);
-        let turn = (self.round as usize).checked_rem(next.len())?;
-        next.get(turn).map(|entry| entry.record.name.clone())
+        let turn = (self.round / self.config.next_rounds) as usize;
+        let entry = next.get(turn.checked_rem(next.len())?)?;
+        Some(entry.record.name.clone())
+    }
+
+    /// A random member that is not dead.
+    fn choose_random(&mut self) -> Option<InstanceName> {
+        self.choose_members(1, |entry| !entry.is_dead()).pop()
+    }
+
+    /// A random member that is suspected.
+    fn choose_suspect(&mut self) -> Option<InstanceName> {
+        let suspected = |entry: &PeerEntry| entry.record.health == PeerHealth::Suspect;
+        self.choose_members(1, suspected).pop()
     }
 
     /// Up to `count` random members that `wanted` accepts.
--- a/crates/peers/tests/fuzz.rs
+++ b/crates/peers/tests/fuzz.rs
@@ -74,7 +74,6 @@
             | Step::Leave(of)
             | Step::Stop(of)
             | Step::Head(of) => state.running[*of],
-            // The seeds run, or nobody could find the others after all stopped.
             Step::Boot(_)
             | Step::Run(_)
             | Step::Cut(..)
