--- /dev/null
+++ b/crates/dispatch/src/process.rs
@@ -0,0 +1,90 @@
+//! Starts and stops the dispatch role.
+
+use crate::{
+    calls::serve_calls,
+    kept::serve_wishes,
+    order_sweep::sweep_orders,
+    shared::{DispatchParts, DispatchShared, LOOK_INTERVAL},
+    watch::{read_list, watch_groups, watch_list},
+};
+use berylmount_wire::{InboundCall, PeerServer, WireConfig, WireRuntime};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{mpsc::sync_channel, Arc},
+    thread,
+    time::{Duration, Instant},
+};
+
+/// Calls that wait to be taken from the wire.
+const CALLS_WAITING: usize = 256;
+
+/// Shortest wait for order outcomes to be written at a stop.
+const OWED_WAIT: Duration = Duration::from_secs(2);
+
+/// A running dispatch role.
+pub struct DispatchProcess {
+    /// What its threads share.
+    shared: Arc<DispatchShared>,
+    /// Takes calls; dropped when the process stops.
+    server: PeerServer,
+}
+
+impl DispatchProcess {
+    /// Starts the role's threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if an address or a thread can't be had.
+    pub fn start(parts: DispatchParts) -> io::Result<Self> {
+        let (shared, wishes) = DispatchShared::new(parts)?;
+        let shared = Arc::new(shared);
+        let (calls, inbound) = sync_channel::<InboundCall>(CALLS_WAITING);
+        let runtime = Arc::new(WireRuntime::start()?);
+        let address = shared.settings.dispatch.peer_listen;
+        let server = PeerServer::bind(runtime, WireConfig::default(), address, calls)?;
+        spawn_duty("calls", &shared, move |shared| {
+            serve_calls(shared, &inbound)
+        })?;
+        // Runners are known before the first call comes, if the platform answers.
+        read_list(&shared);
+        spawn_duty("kept", &shared, move |shared| serve_wishes(shared, &wishes))?;
+        spawn_duty("list", &shared, watch_list)?;
+        spawn_duty("groups", &shared, watch_groups)?;
+        let own = server.address();
+        spawn_duty("orders", &shared, move |shared| sweep_orders(shared, own))?;
+        log::info!(target: "dispatch", address:% = server.address(); "listening for peers");
+        Ok(Self { shared, server })
+    }
+
+    /// Where it listens for peers.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Stops in good order: refuses new work and waits for what it has.
+    ///
+    /// Returns whether everything ended within the drain time.
+    pub fn stop(self) -> bool {
+        self.shared.drain();
+        log::info!(target: "dispatch", in_flight = self.shared.in_flight(); "draining");
+        let end = Instant::now() + self.shared.settings.timeouts.drain;
+        while self.shared.in_flight() > 0 && Instant::now() < end {
+            thread::sleep(LOOK_INTERVAL);
+        }
+        let rest = end.saturating_duration_since(Instant::now());
+        self.shared.ledger.stop(rest.max(OWED_WAIT));
+        self.shared.in_flight() == 0
+    }
+}
+
+/// Starts the thread of one duty.
+fn spawn_duty(
+    name: &str,
+    shared: &Arc<DispatchShared>,
+    duty: impl FnOnce(&Arc<DispatchShared>) + Send + 'static,
+) -> io::Result<()> {
+    let shared = Arc::clone(shared);
+    let builder = thread::Builder::new().name(name.to_owned());
+    builder.spawn(move || duty(&shared)).map(drop)
+}
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -25,6 +25,7 @@
 mod order_ledger;
 mod place;
 mod read;
+mod recent;
 mod segment;
 mod settle;
 mod token;
@@ -43,11 +44,14 @@
     },
     lane::{LaneCall, LedgerLane, PROBE_OBJECT},
     order_ledger::{BeginOutcome, EarlierAttempt, LedgerTime, OrderLedger},
-    place::{fresh_key, KeyError, KeyPlace, SegmentName, LEDGER_PREFIX, ROOT_SEGMENTS},
-    read::{read_entry, unsettled_orders, visit_day, ReadError},
+    place::{
+        fresh_key, service_key, KeyError, KeyPlace, SegmentName, LEDGER_PREFIX, ROOT_SEGMENTS,
+    },
+    read::{read_entry, unsettled_below, unsettled_orders, visit_day, ReadError},
     segment::{SegmentBody, SEGMENT_ENTRIES},
     settle::{change_once, expire_day, settle_entry, DayExpiry},
     token::{IntentToken, SentToken},
     verify::{decode_segment, verify_segment, SegmentFault},
+    worker::WriteCounts,
     writer::{CallReply, ChangeTicket, SegmentCall},
 };
--- a/crates/ledger/src/worker.rs
+++ b/crates/ledger/src/worker.rs
@@ -1,10 +1,12 @@
 //! The thread of a lane and the handle by which others reach it.
 
-use crate::{calls::make_call, ChangeReply, ChangeRequest, ChangeTicket, LedgerConfig, LedgerLane};
+use crate::{
+    calls::make_call, CallReply, ChangeReply, ChangeRequest, ChangeTicket, LedgerConfig, LedgerLane,
+};
 use berylmount_platform::ObjectStore;
 use std::{
     sync::{
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         mpsc::{sync_channel, Receiver, RecvTimeoutError, SyncSender, TryRecvError, TrySendError},
         Arc, Mutex, PoisonError,
     },
@@ -18,7 +20,7 @@
 /// A message to a lane's thread.
 enum LaneMessage {
     /// A change, and where its reply goes.
-    Change(ChangeRequest, Option<SyncSender<ChangeReply>>),
+    Change(Box<ChangeRequest>, Option<SyncSender<ChangeReply>>),
     /// Write what is owed until the deadline, then end.
     Stop(Instant),
 }
@@ -28,6 +30,33 @@
 struct LaneStatus {
     down: AtomicBool,
     owed: AtomicUsize,
+    stored: AtomicU64,
+    conflicts: AtomicU64,
+    unclear: AtomicU64,
+}
+
+impl LaneStatus {
+    /// Counts a conditional write by what came of it.
+    fn count_write(&self, reply: &CallReply) {
+        let counter = match reply {
+            CallReply::Written(_) => &self.stored,
+            CallReply::Conflict => &self.conflicts,
+            CallReply::Unclear => &self.unclear,
+            _ => return,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+/// Conditional writes by what came of them.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct WriteCounts {
+    /// Writes that the platform confirmed.
+    pub stored: u64,
+    /// Writes refused because another writer was faster.
+    pub conflicts: u64,
+    /// Writes whose answer was lost.
+    pub unclear: u64,
 }
 
 /// The way to a lane's thread.
@@ -78,12 +107,20 @@
         self.status.owed.load(Ordering::Relaxed)
     }
 
+    /// Adds the lane's conditional writes since the last call to `counts`.
+    pub(crate) fn take_writes(&self, counts: &mut WriteCounts) {
+        let take = |counter: &AtomicU64| counter.swap(0, Ordering::Relaxed);
+        counts.stored += take(&self.status.stored);
+        counts.conflicts += take(&self.status.conflicts);
+        counts.unclear += take(&self.status.unclear);
+    }
+
     /// Sends a change and waits at most `wait` for its reply.
     ///
     /// `None` says that nothing is known of the change yet.
     pub(crate) fn ask(&self, request: ChangeRequest, wait: Duration) -> Option<ChangeReply> {
         let (sender, receiver) = sync_channel(1);
-        let message = LaneMessage::Change(request, Some(sender));
+        let message = LaneMessage::Change(Box::new(request), Some(sender));
         match self.sender.try_send(message) {
             Ok(()) => receiver.recv_timeout(wait).ok(),
             Err(_) => Some(ChangeReply::Unavailable),
@@ -92,7 +129,7 @@
 
     /// Sends a change that nobody waits for.
     pub(crate) fn note(&self, request: ChangeRequest) {
-        let message = LaneMessage::Change(request, None);
+        let message = LaneMessage::Change(Box::new(request), None);
         match self.sender.try_send(message) {
             Ok(()) => {}
             Err(TrySendError::Full(_)) => {
@@ -140,6 +177,7 @@
             let now_ms = self.start.elapsed().as_millis() as u64;
             if let Some(call) = self.lane.next_call(now_ms) {
                 let reply = make_call(self.store.as_ref(), &call);
+                self.status.count_write(&reply);
                 let now_ms = self.start.elapsed().as_millis() as u64;
                 self.lane.take_reply(reply, now_ms);
             }
@@ -184,11 +222,11 @@
     fn take(&mut self, message: LaneMessage) {
         match message {
             LaneMessage::Stop(deadline) => self.stop = Some(deadline),
-            LaneMessage::Change(request, None) => self.lane.submit(0, request),
+            LaneMessage::Change(request, None) => self.lane.submit(0, *request),
             LaneMessage::Change(request, Some(sender)) => {
                 self.last_ticket += 1;
                 self.waiting.push((self.last_ticket, sender));
-                self.lane.submit(self.last_ticket, request);
+                self.lane.submit(self.last_ticket, *request);
             }
         }
     }
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -15,11 +15,13 @@
 /// Items that a queue holds at most.
 pub const MOST_ITEMS: usize = 4096;
 /// Part of a group's runners that long prefills may take.
-pub const LONG_PART: f64 = 0.5;
+pub const LONG_PART: f64 = 0.75;
+/// Prefill time of usual short work, in milliseconds.
+const USUAL_PREFILL_MS: f64 = 100.0;
 /// When to come back to a full queue, in milliseconds.
 const FULL_RETURN_MS: u64 = 1_000;
-/// Classes of work.
-const CLASSES: usize = 4;
+/// Classes of work; arrays by class are indexed by `class as usize`.
+pub const CLASSES: usize = 4;
 
 /// Share of `class` while all classes wait.
 fn class_weight(class: WorkClass) -> f64 {
@@ -64,17 +66,76 @@
 pub struct QueueCapacity {
     /// Healthy runners, a slow one counting for less than one.
     pub runners: f64,
-    /// Prefill time already sent to them and not done, in milliseconds.
-    pub in_flight_ms: f64,
+    /// Prefill time sent to them that goes before new work, by class, in milliseconds.
+    pub in_flight_ms: [f64; CLASSES],
+    /// When the first of them could begin new work, by class, in milliseconds.
+    pub soonest_ms: [f64; CLASSES],
 }
 
-/// For what the group has room now.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+impl QueueCapacity {
+    /// Idle healthy runners.
+    ///
+    /// ```
+    /// assert_eq!(berylmount_policy::QueueCapacity::idle(4.0).runners, 4.0);
+    /// ```
+    pub fn idle(runners: f64) -> Self {
+        Self {
+            runners,
+            in_flight_ms: [0.0; CLASSES],
+            soonest_ms: [0.0; CLASSES],
+        }
+    }
+
+    /// The wait of work of `class` with `ahead_ms` of prefill before it.
+    fn wait_ms(&self, class: WorkClass, ahead_ms: f64, part: f64) -> f64 {
+        let soonest = self.soonest_ms[class as usize];
+        if ahead_ms <= 0.0 {
+            return soonest;
+        }
+        let runners = self.runners.max(0.01);
+        let sent = self.in_flight_ms[class as usize] / runners;
+        soonest.max(sent + ahead_ms / (runners * part))
+    }
+}
+
+/// For what the group has room now, by class.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct QueueRoom {
     /// Some runner can take short work.
-    pub short: bool,
+    pub short: [bool; CLASSES],
     /// Some runner can take a long prefill.
-    pub long: bool,
+    pub long: [bool; CLASSES],
+}
+
+impl QueueRoom {
+    /// The same room for every class.
+    ///
+    /// ```
+    /// use berylmount_policy::QueueRoom;
+    ///
+    /// assert!(QueueRoom::same(true, false).short.iter().all(|&open| open));
+    /// ```
+    pub fn same(short: bool, long: bool) -> Self {
+        Self {
+            short: [short; CLASSES],
+            long: [long; CLASSES],
+        }
+    }
+
+    /// Room for short and for long work of `class`.
+    fn of_class(self, class: usize) -> LaneRoom {
+        LaneRoom {
+            short: self.short[class],
+            long: self.long[class],
+        }
+    }
+}
+
+/// Room for one class.
+#[derive(Clone, Copy, Debug)]
+struct LaneRoom {
+    short: bool,
+    long: bool,
 }
 
 /// A refusal of work that could not be served in time.
@@ -93,26 +154,28 @@
     customer: u64,
     weight: f64,
     pass: f64,
+    backlog_ms: f64,
     short: VecDeque<WorkItem>,
     long: VecDeque<WorkItem>,
 }
 
 impl CustomerLine {
-    fn backlog_ms(&self) -> f64 {
-        let items = self.short.iter().chain(&self.long);
-        items.map(|item| item.prefill_ms).sum()
-    }
-
     fn is_empty(&self) -> bool {
         self.short.is_empty() && self.long.is_empty()
     }
 
-    fn serves(&self, room: QueueRoom) -> bool {
+    fn serves(&self, room: LaneRoom) -> bool {
         (room.short && !self.short.is_empty()) || (room.long && !self.long.is_empty())
     }
 
     /// The next item that fits, short work first unless the long one is older.
-    fn take(&mut self, room: QueueRoom) -> Option<WorkItem> {
+    fn take(&mut self, room: LaneRoom) -> Option<WorkItem> {
+        let item = self.pop(room)?;
+        self.backlog_ms -= item.prefill_ms;
+        Some(item)
+    }
+
+    fn pop(&mut self, room: LaneRoom) -> Option<WorkItem> {
         let short = self.short.front().filter(|_| room.short);
         let long = self.long.front().filter(|_| room.long);
         match (short, long) {
@@ -150,6 +213,7 @@
                     customer: item.customer,
                     weight,
                     pass: self.clock,
+                    backlog_ms: 0.0,
                     short: VecDeque::new(),
                     long: VecDeque::new(),
                 };
@@ -168,18 +232,22 @@
             &mut line.short
         };
         lane.push_back(item);
+        line.backlog_ms += item.prefill_ms;
         self.items += 1;
         self.backlog_ms += item.prefill_ms;
     }
 
-    fn take(&mut self, room: QueueRoom) -> Option<WorkItem> {
+    fn take(&mut self, room: LaneRoom) -> Option<WorkItem> {
         let ready = self.lines.iter_mut().filter(|line| line.serves(room));
         let line = ready.min_by(|a, b| a.pass.total_cmp(&b.pass))?;
         let item = line.take(room)?;
         self.clock = self.clock.max(line.pass);
         line.pass += item.prefill_ms.max(1.0) / line.weight;
+        let done = line.is_empty();
         self.forget(&item);
-        self.drop_done();
+        if done {
+            self.drop_done();
+        }
         Some(item)
     }
 
@@ -209,6 +277,8 @@
                     lane.retain(|item| !gone(item));
                 }
             }
+            let left = line.short.iter().chain(&line.long);
+            line.backlog_ms = left.map(|item| item.prefill_ms).sum();
         }
         for item in &out[from..] {
             self.forget(item);
@@ -221,10 +291,10 @@
     /// Prefill time of this class served before a new item of `customer`.
     fn ahead_ms(&self, customer: u64, weight: f64, cost_ms: f64) -> f64 {
         let found = self.lines.binary_search_by_key(&customer, |l| l.customer);
-        let own = found.map_or(0.0, |place| self.lines[place].backlog_ms());
+        let own = found.map_or(0.0, |place| self.lines[place].backlog_ms);
         let others = self.lines.iter().filter(|line| line.customer != customer);
         let fair = |line: &CustomerLine| (own + cost_ms) * line.weight / weight;
-        let shared: f64 = others.map(|line| line.backlog_ms().min(fair(line))).sum();
+        let shared: f64 = others.map(|line| line.backlog_ms.min(fair(line))).sum();
         own + shared
     }
 }
@@ -236,7 +306,7 @@
 /// use berylmount_policy::{QueueCapacity, QueueRoom, WorkItem, WorkQueue, WorkTicket};
 ///
 /// let mut queue = WorkQueue::default();
-/// let capacity = QueueCapacity { runners: 1.0, in_flight_ms: 0.0 };
+/// let capacity = QueueCapacity::idle(1.0);
 /// let item = WorkItem {
 ///     ticket: WorkTicket(1),
 ///     customer: 7,
@@ -248,7 +318,7 @@
 /// queue.offer(item, &capacity, 0).unwrap();
 /// let slow = WorkItem { ticket: WorkTicket(2), due_ms: 150, ..item };
 /// assert_eq!(queue.offer(slow, &capacity, 0).unwrap_err().expected_ms, 200);
-/// let room = QueueRoom { short: true, long: false };
+/// let room = QueueRoom::same(true, false);
 /// assert_eq!(queue.take(room).map(|item| item.ticket), Some(WorkTicket(1)));
 /// ```
 #[derive(Clone, Debug, Default)]
@@ -287,9 +357,24 @@
         };
         let shared: f64 = others.map(share).sum();
         let part = if item.is_long() { LONG_PART } else { 1.0 };
-        let runners = capacity.runners.max(0.01);
-        let sent = capacity.in_flight_ms / runners;
-        sent + (ahead + shared) / (runners * part).max(0.01) + item.prefill_ms
+        capacity.wait_ms(item.class, ahead + shared, part) + item.prefill_ms
+    }
+
+    /// The wait that new short work of each class would meet, in milliseconds.
+    pub fn waits_ms(&self, capacity: &QueueCapacity) -> [f64; CLASSES] {
+        let mut waits = [0.0; CLASSES];
+        for class in WorkClass::iter() {
+            let item = WorkItem {
+                ticket: WorkTicket(0),
+                customer: u64::MAX,
+                weight: 1,
+                class,
+                prefill_ms: USUAL_PREFILL_MS,
+                due_ms: 0,
+            };
+            waits[class as usize] = self.estimate_ms(&item, capacity) - USUAL_PREFILL_MS;
+        }
+        waits
     }
 
     /// Takes `item` in, or refuses it because it could not be served in time.
@@ -340,12 +425,10 @@
     ///
     /// Call [`WorkQueue::expire`] first, so that nothing expired is served.
     pub fn take(&mut self, room: QueueRoom) -> Option<WorkItem> {
-        let mut order: Vec<usize> = (0..CLASSES)
-            .filter(|&c| self.classes[c].items > 0)
-            .collect();
+        let mut order: [usize; CLASSES] = std::array::from_fn(|class| class);
         order.sort_by(|&a, &b| self.classes[a].pass.total_cmp(&self.classes[b].pass));
         for place in order {
-            let Some(item) = self.classes[place].take(room) else {
+            let Some(item) = self.classes[place].take(room.of_class(place)) else {
                 continue;
             };
             let class = &mut self.classes[place];
--- a/crates/policy/src/runners.rs
+++ b/crates/policy/src/runners.rs
@@ -8,13 +8,16 @@
 
 use crate::{
     prefixes::PrefixIndex,
-    queue::{QueueCapacity, QueueRoom, WorkTicket, LONG_PART, LONG_PREFILL_MS},
+    queue::{QueueCapacity, QueueRoom, WorkTicket, CLASSES, LONG_PART, LONG_PREFILL_MS},
 };
 use berylmount_model::{PieceKey, WorkClass, PIECE_TOKENS};
 use rand::{Rng, RngExt};
+use strum::IntoEnumIterator;
 
 /// Added to both sides of an observed ratio, in milliseconds, against noise.
-const GRACE_MS: f64 = 40.0;
+const GRACE_MS: f64 = 10.0;
+/// Expected time at which an observation counts half, in milliseconds.
+const HALF_COUNT_MS: f64 = 40.0;
 /// Part of a new observation that counts if it is slower than before.
 const SLOWER_PART: f64 = 0.5;
 /// Part of a new observation that counts if it is faster than before.
@@ -27,8 +30,13 @@
 const PROBE_GAP_MS: u64 = 2_000;
 /// Prefill time that a lower class delays a higher one on a runner: one piece.
 const LOWER_CLASS_MS: f64 = 100.0;
+/// Age from which a report says nothing, in milliseconds.
+const REPORT_LIFE_MS: u64 = 10_000;
 /// Times the usual room that a runner may be sent for the sake of its cache.
 const CACHE_ROOM: f64 = 4.0;
+/// Added to the score of a group's last clear runner, which is kept for
+/// critical work, in milliseconds.
+const RESERVE_MS: f64 = 100.0;
 /// Scores within this part of the best are drawn evenly.
 const TIE_PART: f64 = 0.05;
 
@@ -197,8 +205,16 @@
         }
         let done = now_ms.saturating_sub(self.head_ms) as f64 / slowness;
         let own = (same - done).max(0.0) + f64::min(lower, LOWER_CLASS_MS);
-        let passed = now_ms.saturating_sub(self.report_ms) as f64 / slowness;
-        own + (self.foreign_ms - passed).max(0.0)
+        own + self.foreign_ms(slowness, now_ms)
+    }
+
+    /// Prefill time of others' work, as far as the last report still tells.
+    fn foreign_ms(&self, slowness: f64, now_ms: u64) -> f64 {
+        let age = now_ms.saturating_sub(self.report_ms);
+        if age > REPORT_LIFE_MS {
+            return 0.0;
+        }
+        (self.foreign_ms - age as f64 / slowness).max(0.0)
     }
 
     fn running(&self) -> u32 {
@@ -214,6 +230,16 @@
     }
 }
 
+/// What holds for all runners during one choice.
+struct BoardView<'a> {
+    /// Runners that hold a prefix of the prompt, with its pieces; sorted.
+    held: &'a [(RunnerId, usize)],
+    /// Whether another runner may take a long prefill.
+    long_open: bool,
+    /// Slowness from which a runner counts as a straggler.
+    straggling: f64,
+}
+
 /// The runners of one group, as one dispatch process sees them.
 ///
 /// ```
@@ -234,7 +260,7 @@
 /// board.set_leaving(first, true);
 /// let choice = board.choose(&query, 0, &mut rng).unwrap();
 /// assert_eq!(choice.runner, second);
-/// board.start(WorkTicket(1), &choice, WorkClass::Interactive, 0);
+/// board.start(WorkTicket(1), &choice, &query, 0);
 /// board.first_token(second, WorkTicket(1), 210);
 /// board.finish(second, WorkTicket(1), 900);
 /// ```
@@ -349,32 +375,59 @@
         now_ms: u64,
         rng: &mut impl Rng,
     ) -> Option<RunnerChoice> {
-        let long_open = self.long_open();
-        let mut best: Option<RunnerChoice> = None;
+        let mut best: Option<(f64, RunnerChoice)> = None;
         let mut ties = 0;
+        let straggling = STRAGGLER_RATIO * self.best_slowness();
+        let last_clear = self.last_clear(query.class, straggling);
+        let view = BoardView {
+            held,
+            long_open: self.long_open(),
+            straggling,
+        };
         for place in 0..self.runners.len() {
             let runner = RunnerId(place as u32);
             if query.avoid.contains(&runner) {
                 continue;
             }
-            let Some(choice) = self.weigh(runner, query, held, long_open, now_ms) else {
+            let Some(choice) = self.weigh(runner, query, &view, now_ms) else {
                 continue;
             };
             if choice.probe {
                 self.runners[place].probe_ms = now_ms + PROBE_GAP_MS;
                 return Some(choice);
             }
-            let limit = best.map_or(f64::INFINITY, |best| best.expected_ms);
-            if choice.expected_ms < limit * (1.0 - TIE_PART) {
-                (best, ties) = (Some(choice), 1);
-            } else if choice.expected_ms <= limit * (1.0 + TIE_PART) {
+            let reserved = if last_clear == Some(runner) {
+                RESERVE_MS
+            } else {
+                0.0
+            };
+            let score = choice.expected_ms + reserved;
+            let limit = best.map_or(f64::INFINITY, |(score, _)| score);
+            if score < limit * (1.0 - TIE_PART) {
+                (best, ties) = (Some((score, choice)), 1);
+            } else if score <= limit * (1.0 + TIE_PART) {
                 ties += 1;
                 if rng.random_range(0..ties) == 0 {
-                    best = Some(choice);
+                    best = Some((score, choice));
                 }
             }
         }
-        best
+        best.map(|(_, choice)| choice)
+    }
+
+    /// The only live runner without waiting work, for work that is not critical.
+    fn last_clear(&self, class: WorkClass, straggling: f64) -> Option<RunnerId> {
+        if class == WorkClass::Critical {
+            return None;
+        }
+        let clear = |state: &RunnerState| {
+            state.is_live()
+                && state.slowness < straggling
+                && !state.works.iter().any(SentWork::waits)
+        };
+        let mut places = (0..self.runners.len()).filter(|&place| clear(&self.runners[place]));
+        let first = places.next()?;
+        places.next().is_none().then_some(RunnerId(first as u32))
     }
 
     /// The choice of `runner`, unless it may not take the request.
@@ -382,22 +435,21 @@
         &self,
         runner: RunnerId,
         query: &RunnerQuery,
-        held: &[(RunnerId, usize)],
-        long_open: bool,
+        view: &BoardView,
         now_ms: u64,
     ) -> Option<RunnerChoice> {
         let state = &self.runners[runner.0 as usize];
         if !state.is_live() || state.running() >= self.settings.slots {
             return None;
         }
-        let found = held.binary_search_by_key(&runner, |&(r, _)| r);
-        let pieces = found.map_or(0, |place| held[place].1);
+        let found = view.held.binary_search_by_key(&runner, |&(r, _)| r);
+        let pieces = found.map_or(0, |place| view.held[place].1);
         let cached = ((pieces * PIECE_TOKENS) as u32).min(query.prompt_tokens);
         let prefill = self
             .settings
             .prefill_ms(query.prompt_tokens - cached)
             .max(1.0);
-        if prefill >= LONG_PREFILL_MS && (!long_open || state.has_long()) {
+        if prefill >= LONG_PREFILL_MS && (!view.long_open || state.has_long()) {
             return None;
         }
         let slowness = state.slowness(now_ms);
@@ -406,7 +458,7 @@
         if ahead > room {
             return None;
         }
-        let straggler = slowness > STRAGGLER_RATIO * self.best_slowness();
+        let straggler = slowness > view.straggling;
         let short = prefill < LONG_PREFILL_MS && query.class > WorkClass::Critical;
         let probe = straggler && query.may_probe && short && state.may_probe(now_ms);
         Some(RunnerChoice {
@@ -425,29 +477,33 @@
             .fold(f64::INFINITY, f64::min)
     }
 
-    /// Whether another runner may take a long prefill.
+    /// Whether another runner may take a long prefill; stragglers count for less.
     fn long_open(&self) -> bool {
         let live = self.runners.iter().filter(|runner| runner.is_live());
-        let (live, long) = live.fold((0, 0), |(live, long), runner| {
-            (live + 1, long + usize::from(runner.has_long()))
+        let (live, long) = live.fold((0.0, 0), |(live, long), runner| {
+            let part = 1.0 / runner.slowness.max(1.0);
+            (live + part, long + usize::from(runner.has_long()))
         });
-        let most = (live as f64 * LONG_PART).floor().max(1.0) as usize;
+        let most = (live * LONG_PART).round().max(1.0) as usize;
         long < most
     }
 
     /// For what the runners have room.
     pub fn room(&self, now_ms: u64) -> QueueRoom {
         let long_open = self.long_open();
-        let mut room = QueueRoom {
-            short: false,
-            long: false,
-        };
+        let mut room = QueueRoom::default();
         for state in self.runners.iter().filter(|runner| runner.is_live()) {
+            if state.running() >= self.settings.slots {
+                continue;
+            }
             let slowness = state.slowness(now_ms);
-            let ahead = state.ahead_ms(WorkClass::Bulk, slowness, now_ms);
-            let open = ahead <= self.settings.room_ms && state.running() < self.settings.slots;
-            room.short |= open;
-            room.long |= open && long_open && !state.has_long();
+            let long = long_open && !state.has_long();
+            for class in WorkClass::iter() {
+                let ahead = state.ahead_ms(class, slowness, now_ms);
+                let open = ahead <= self.settings.room_ms;
+                room.short[class as usize] |= open;
+                room.long[class as usize] |= open && long;
+            }
         }
         room
     }
@@ -456,30 +512,48 @@
     pub fn capacity(&self, now_ms: u64) -> QueueCapacity {
         let mut capacity = QueueCapacity {
             runners: 0.0,
-            in_flight_ms: 0.0,
+            in_flight_ms: [0.0; CLASSES],
+            soonest_ms: [f64::INFINITY; CLASSES],
         };
         for state in self.runners.iter().filter(|runner| runner.is_live()) {
             let slowness = state.slowness(now_ms);
             capacity.runners += 1.0 / slowness.max(1.0);
-            capacity.in_flight_ms += state.ahead_ms(WorkClass::Bulk, slowness, now_ms);
+            for class in WorkClass::iter() {
+                let ahead = state.ahead_ms(class, slowness, now_ms);
+                let soonest = &mut capacity.soonest_ms[class as usize];
+                *soonest = soonest.min(ahead * slowness);
+                capacity.in_flight_ms[class as usize] += ahead;
+            }
         }
         capacity
     }
 
     /// Counts work that was sent as `choice` says.
+    ///
+    /// The runner counts as holding the prompt's pieces from now on, so that
+    /// the same prompt waits for that prefill rather than being computed twice.
     pub fn start(
         &mut self,
         ticket: WorkTicket,
         choice: &RunnerChoice,
-        class: WorkClass,
+        query: &RunnerQuery,
         now_ms: u64,
     ) {
+        let class = query.class;
+        self.prefixes.note_kept(choice.runner, query.pieces);
         let Some(state) = self.runners.get_mut(choice.runner.0 as usize) else {
             return;
         };
         if !state.works.iter().any(SentWork::waits) {
             state.head_ms = now_ms;
         }
+        for work in state
+            .works
+            .iter_mut()
+            .filter(|work| work.waits() && work.class > class)
+        {
+            work.healthy_ms += choice.prefill_ms;
+        }
         state.works.push(SentWork {
             ticket,
             class,
@@ -504,9 +578,9 @@
             return;
         };
         work.first_ms = Some(now_ms);
-        let (ratio, probe) = (work.ratio(now_ms), work.probe);
+        let (ratio, probe, healthy) = (work.ratio(now_ms), work.probe, work.healthy_ms);
         state.head_ms = now_ms;
-        state.learn(ratio, probe);
+        state.learn(ratio, probe, healthy / (healthy + HALF_COUNT_MS));
     }
 
     /// Counts the end of `ticket`, whether it was served or not.
@@ -527,19 +601,20 @@
     pub fn fail(&mut self, runner: RunnerId, ticket: WorkTicket, now_ms: u64) {
         self.finish(runner, ticket, now_ms);
         if let Some(state) = self.runners.get_mut(runner.0 as usize) {
-            state.learn(2.0 * STRAGGLER_RATIO, false);
+            state.learn(2.0 * STRAGGLER_RATIO, false, 1.0);
             state.probe_ms = now_ms + PROBE_GAP_MS;
         }
     }
 }
 
 impl RunnerState {
-    fn learn(&mut self, ratio: f64, probe: bool) {
+    /// Takes in an observed `ratio` that counts for the part `trust`.
+    fn learn(&mut self, ratio: f64, probe: bool, trust: f64) {
         let part = match (probe, ratio > self.slowness) {
             (true, _) => PROBE_PART,
             (false, true) => SLOWER_PART,
             (false, false) => FASTER_PART,
         };
-        self.slowness = (self.slowness + part * (ratio - self.slowness)).clamp(0.5, 50.0);
+        self.slowness = (self.slowness + trust * part * (ratio - self.slowness)).clamp(0.5, 50.0);
     }
 }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -83,7 +83,7 @@
     let dropped = book.drop_idle(20_000);
     let idle = burst(&mut book, 20_000);
     assert_eq!(book.drop_idle(40_000), 1);
-    book.members_changed(40_000);
+    book.members_changed(40_000, |_| Some(LimitShare::WHOLE));
     let moved = burst(&mut book, 40_000);
     insta::assert_debug_snapshot!((at_start, later, dropped, idle, moved));
 }
@@ -91,10 +91,7 @@
 #[test]
 fn short_work_passes_a_long_prefill_and_classes_share() {
     let mut queue = WorkQueue::default();
-    let capacity = QueueCapacity {
-        runners: 4.0,
-        in_flight_ms: 0.0,
-    };
+    let capacity = QueueCapacity::idle(4.0);
     queue
         .offer(item(1, WorkClass::Bulk, 3000.0, 60_000), &capacity, 0)
         .unwrap();
@@ -115,7 +112,7 @@
         .unwrap();
     let mut order = Vec::new();
     for long in [false, false, true, true, true, true, true, true] {
-        let taken = queue.take(QueueRoom { short: true, long });
+        let taken = queue.take(QueueRoom::same(true, long));
         order.extend(taken.map(|item| item.ticket.0));
     }
     insta::assert_debug_snapshot!(order);
@@ -139,7 +136,7 @@
         ..query
     };
     let choice = board.choose(&avoid_fast, 0, &mut rng).unwrap();
-    board.start(WorkTicket(0), &choice, query.class, 0);
+    board.start(WorkTicket(0), &choice, &query, 0);
     board.report(
         slow,
         &RunnerReport {
@@ -156,7 +153,7 @@
     board.finish(slow, WorkTicket(0), 1_000);
     let probe = board.choose(&query, 5_000, &mut rng).unwrap();
     seen.push(("probe", probe.runner.0));
-    board.start(WorkTicket(1), &probe, query.class, 5_000);
+    board.start(WorkTicket(1), &probe, &query, 5_000);
     board.first_token(slow, WorkTicket(1), 5_100);
     board.finish(slow, WorkTicket(1), 5_200);
     seen.push((
@@ -165,3 +162,25 @@
     ));
     insta::assert_debug_snapshot!(seen);
 }
+
+#[test]
+fn a_report_that_is_never_renewed_does_not_shut_a_runner_out() {
+    let mut rng = Pcg32::seed_from_u64(7);
+    let mut board = RunnerBoard::new(RunnerSettings::default());
+    let runner = board.join();
+    let report = RunnerReport {
+        at_ms: 0,
+        waiting_tokens: 900_000,
+        running: 3,
+    };
+    board.report(runner, &report);
+    let query = RunnerQuery {
+        pieces: &[],
+        prompt_tokens: 1_000,
+        class: WorkClass::Interactive,
+        may_probe: true,
+        avoid: &[],
+    };
+    assert_eq!(board.choose(&query, 5_000, &mut rng), None);
+    assert!(board.choose(&query, 15_000, &mut rng).is_some());
+}
