Carry votes and platform confirmations on membership messages

Cause: the table's freshness rule needs, from each member, the applied head, whether it has a vote, and when the platform last confirmed it; membership carried only the head. A process now says all three of itself; only evidence of members with a vote is kept and passed on, and the youngest confirmation that any member told of stands in the view, dated from the sending of the probe.

--- a/crates/peers/src/board.rs
+++ b/crates/peers/src/board.rs
@@ -9,10 +9,10 @@
         PeerAnswer, PeerProbe, PeerReply, PeerRequest, ProbeId, ProbeReply, ProbeRequest,
         SyncCursor, MAX_MARKS, SEGMENTS,
     },
-    record::{LoadLevel, PeerHealth, PeerRecord, PeerStatus},
+    record::{PeerHealth, PeerRecord, PeerStatus, ProcessReport},
     sync::SyncState,
     targets::ProbeTarget,
-    view::{MemberInfo, MemberView},
+    view::{ConfirmedHead, MemberInfo, MemberView},
 };
 use berylmount_model::{InstanceName, InstanceRecord, InstanceRole};
 use rand::SeedableRng;
@@ -76,6 +76,8 @@
     pub(crate) answered_ms: Option<u64>,
     pub(crate) joined: bool,
     pub(crate) superseded: bool,
+    /// The youngest confirmation by the platform that a member told of.
+    confirmed: Option<ConfirmedHead>,
     next_id: u64,
     ticked_ms: u64,
 }
@@ -96,9 +98,9 @@
             config,
             own: PeerStatus {
                 record,
-                head: 0,
-                load: LoadLevel::Idle,
+                report: ProcessReport::default(),
             },
+            confirmed: None,
             list: PeerList::default(),
             changes: ChangeQueue::default(),
             seeds,
@@ -132,14 +134,12 @@
             .collect();
     }
 
-    /// Sets the version of the table head that this process applies.
-    pub fn set_head(&mut self, head: u64) {
-        self.own.head = head;
-    }
-
-    /// Sets how busy this process is.
-    pub fn set_load(&mut self, load: LoadLevel) {
-        self.own.load = load;
+    /// Sets what this process says of its table and its load.
+    ///
+    /// The confirmation's age counts from now, so call it before each
+    /// [`PeerBoard::tick`] and [`PeerBoard::answer`].
+    pub fn set_report(&mut self, report: ProcessReport) {
+        self.own.report = report;
     }
 
     /// Says from now on that this process takes nothing new.
@@ -294,18 +294,15 @@
             .iter()
             .for_each(|record| self.apply_page(record, now_ms));
         self.joined = true;
-        let (head, load) = (reply.from.head, reply.from.load);
+        let report = &reply.from.report;
         if let Some(entry) = self.list.find_mut(name) {
-            entry.add_evidence(HeadEvidence {
-                head,
-                load,
-                at_ms: Some(probe.sent_ms),
-            });
+            entry.add_evidence(HeadEvidence::of(report, probe.sent_ms));
             entry.relayed = probe.relay.is_some();
             if probe.relay.is_none() {
                 entry.heard_ms = Some(now_ms);
             }
         }
+        self.take_confirmation(name, report, probe.sent_ms);
         self.take_summary(probe, reply);
         match &probe.target {
             ProbeTarget::Member(target) => target == name,
@@ -313,6 +310,17 @@
         }
     }
 
+    /// Takes a member's word on when the platform confirmed its table.
+    fn take_confirmation(&mut self, name: &InstanceName, report: &ProcessReport, sent_ms: u64) {
+        let age_ms = report.confirmed_age_ms;
+        let at_ms = age_ms.and_then(|age_ms| sent_ms.checked_sub(age_ms));
+        let known = self.confirmed.as_ref().map(|confirmed| confirmed.at_ms);
+        if let Some(at_ms) = at_ms.filter(|at_ms| known < Some(*at_ms)) {
+            let (name, head) = (name.clone(), report.head);
+            self.confirmed = Some(ConfirmedHead { name, head, at_ms });
+        }
+    }
+
     /// Takes the heads of other members, and decides whether to pull a page.
     fn take_summary(&mut self, probe: &OutstandingProbe, reply: &ProbeReply) {
         let summary = &reply.summary;
@@ -406,11 +414,7 @@
     pub fn view(&self, now_ms: u64) -> MemberView {
         let own = PeerEntry {
             heard_ms: Some(now_ms),
-            evidence: HeadEvidence {
-                head: self.own.head,
-                load: self.own.load,
-                at_ms: Some(now_ms),
-            },
+            evidence: HeadEvidence::of(&self.own.report, now_ms),
             ..PeerEntry::new(self.own.record.clone(), now_ms)
         };
         let mut members: Vec<_> = self.list.entries().iter().map(member_info).collect();
@@ -418,6 +422,7 @@
         members.insert(slot, member_info(&own));
         MemberView {
             members,
+            confirmed: self.confirmed.clone(),
             superseded: self.superseded,
         }
     }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -29,6 +29,6 @@
         HeadSummary, PeerAnswer, PeerProbe, PeerReply, PeerRequest, ProbeId, ProbeReply,
         ProbeRequest, SegmentMarks, SyncCursor,
     },
-    record::{LoadLevel, MemberState, PeerHealth, PeerRecord, PeerStatus},
-    view::{MajorityHead, MemberInfo, MemberView},
+    record::{LoadLevel, MemberState, PeerHealth, PeerRecord, PeerStatus, ProcessReport},
+    view::{ConfirmedHead, MajorityHead, MemberInfo, MemberView},
 };
--- a/crates/peers/src/list.rs
+++ b/crates/peers/src/list.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     message::{SyncCursor, MAX_PAGE, SEGMENTS},
-    record::{LoadLevel, PeerHealth, PeerRecord},
+    record::{LoadLevel, PeerHealth, PeerRecord, ProcessReport},
 };
 use berylmount_model::InstanceName;
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
@@ -18,6 +18,17 @@
     pub(crate) at_ms: Option<u64>,
 }
 
+impl HeadEvidence {
+    /// Evidence of a report made at or after `at_ms`; none without a vote.
+    pub(crate) fn of(report: &ProcessReport, at_ms: u64) -> Self {
+        Self {
+            head: report.head,
+            load: report.load,
+            at_ms: report.voting.then_some(at_ms),
+        }
+    }
+}
+
 /// A known member other than the process itself.
 #[derive(Clone, Debug)]
 pub(crate) struct PeerEntry {
--- a/crates/peers/src/marks.rs
+++ b/crates/peers/src/marks.rs
@@ -44,11 +44,7 @@
         .collect();
     let name = &own.record.name;
     let slot = rows.partition_point(|row| row.name < name);
-    let evidence = HeadEvidence {
-        head: own.head,
-        load: own.load,
-        at_ms: Some(now_ms),
-    };
+    let evidence = HeadEvidence::of(&own.report, now_ms);
     rows.insert(
         slot,
         MarkRow {
--- a/crates/peers/src/record.rs
+++ b/crates/peers/src/record.rs
@@ -137,13 +137,24 @@
     }
 }
 
+/// What a process says of its table and its load.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ProcessReport {
+    /// Version of the table head that it applies.
+    pub head: u64,
+    /// Whether it has a vote on the table, see the `table` crate.
+    pub voting: bool,
+    /// How long ago the platform confirmed its table, in milliseconds.
+    pub confirmed_age_ms: Option<u64>,
+    /// How busy it is.
+    pub load: LoadLevel,
+}
+
 /// What a process says of itself in every message.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct PeerStatus {
     /// Its own record.
     pub record: PeerRecord,
-    /// Version of the table head that it applies.
-    pub head: u64,
-    /// How busy it is.
-    pub load: LoadLevel,
+    /// Its table and its load.
+    pub report: ProcessReport,
 }
--- a/crates/peers/src/view.rs
+++ b/crates/peers/src/view.rs
@@ -28,7 +28,7 @@
     /// Version of the table head that it applied at `head_ms`; zero when it has
     /// none or one much older than others.
     pub applied_head: u64,
-    /// When it surely had applied that head, none if never heard.
+    /// When it surely had applied that head and a vote, none if never heard.
     pub head_ms: Option<u64>,
     /// How busy it was.
     pub load: LoadLevel,
@@ -36,6 +36,17 @@
     pub heard_ms: Option<u64>,
 }
 
+/// A confirmation of a member's table by the platform.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ConfirmedHead {
+    /// The member that told of it.
+    pub name: InstanceName,
+    /// The table head that the member applied.
+    pub head: u64,
+    /// The platform was asked at or after this time of our own clock.
+    pub at_ms: u64,
+}
+
 /// The newest head among more than half of the known processes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct MajorityHead {
@@ -50,6 +61,8 @@
 pub struct MemberView {
     /// Members sorted by name.
     pub members: Vec<MemberInfo>,
+    /// The youngest confirmation by the platform that a member told of.
+    pub confirmed: Option<ConfirmedHead>,
     /// Whether a later process took this one's name; it has to stop.
     pub superseded: bool,
 }
--- a/crates/peers/tests/common/mod.rs
+++ b/crates/peers/tests/common/mod.rs
@@ -7,7 +7,7 @@
 };
 use berylmount_peers::{
     BoardConfig, MemberState, PeerAnswer, PeerBoard, PeerHealth, PeerProbe, PeerRecord, PeerReply,
-    PeerRequest, ProbeId,
+    PeerRequest, ProbeId, ProcessReport,
 };
 use berylmount_wire::encode_frame;
 use std::{
@@ -101,6 +101,15 @@
     }
 }
 
+/// The report of a process that applied `head`.
+pub fn report(head: u64) -> ProcessReport {
+    ProcessReport {
+        head,
+        voting: true,
+        ..ProcessReport::default()
+    }
+}
+
 pub fn listed(index: usize) -> InstanceRecord {
     let record = record(index, 0);
     InstanceRecord {
@@ -161,6 +170,9 @@
             seed,
             now_ms,
         ));
+        node.board
+            .iter_mut()
+            .for_each(|board| board.set_report(report(0)));
         node.generation += 1;
         node.paused_until = 0;
         node.heads.push((now_ms, 0));
@@ -182,7 +194,7 @@
         let now_ms = self.now_ms;
         let node = &mut self.nodes[index];
         if let Some(board) = &mut node.board {
-            board.set_head(head);
+            board.set_report(report(head));
             node.heads.push((now_ms, head));
         }
     }
