--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -109,6 +109,18 @@
     ///
     /// Fails when a process does not start or the table is refused.
     pub fn start(binary: &Path, config: FleetConfig, rows: &str) -> io::Result<Self> {
+        let fleet = Self::launch(binary, config)?;
+        fleet.import(rows)?;
+        fleet.wait_ready();
+        Ok(fleet)
+    }
+
+    /// Starts a fleet of `binary` with an empty table.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not start.
+    pub fn launch(binary: &Path, config: FleetConfig) -> io::Result<Self> {
         let number = FLEETS.fetch_add(1, Ordering::Relaxed);
         let name = format!("berylmount-{}-{number}", std::process::id());
         let folder = std::env::temp_dir().join(name);
@@ -137,8 +149,6 @@
             fleet.start_instance(place)?;
         }
         fleet.publish();
-        fleet.import(rows)?;
-        fleet.wait_ready();
         Ok(fleet)
     }
 
@@ -340,8 +350,8 @@
         editor.apply(&edit).map(drop).map_err(io::Error::other)
     }
 
-    /// Waits until every entry serves customers.
-    fn wait_ready(&self) {
+    /// Waits until every entry serves the customer `north-crew`.
+    pub fn wait_ready(&self) {
         for entry in &self.entries {
             let Some(address) = entry.addresses.callers else {
                 continue;
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -107,6 +107,12 @@
         state.keys.get(key).map_or(0, |runs| runs.runs)
     }
 
+    /// How often calls ran, over all keys.
+    pub fn total_runs(&self) -> u64 {
+        let state = lock(&self.state);
+        state.keys.values().map(|runs| runs.runs).sum()
+    }
+
     /// Makes the next `count` calls go wrong.
     pub fn inject(&self, fault: ServiceFault, count: u64) {
         let mut state = lock(&self.state);
