Continue the caller's trace in dispatch, with a span for the run

The dispatch role passed the entry's context straight on to the engine, so a trace showed no hop there.

--- a/crates/dispatch/src/run.rs
+++ b/crates/dispatch/src/run.rs
@@ -21,7 +21,7 @@
 use berylmount_targets::{
     EngineClient, EngineStream, FaultKind, RejectReason, StreamEvent, StreamOrder, TargetFault,
 };
-use berylmount_telemetry::{CounterMetric, HistogramMetric};
+use berylmount_telemetry::{next_traceparent, root_span, CounterMetric, HistogramMetric, Span};
 use berylmount_wire::{AdoptCall, PromptCall, StartedRun};
 use std::{
     net::SocketAddr,
@@ -63,6 +63,8 @@
 
 /// One prompt while it runs.
 pub(crate) struct PromptRun {
+    /// The hop's span; it ends with the run.
+    span: Span,
     shared: Arc<DispatchShared>,
     group: Arc<RunnerGroup>,
     call: PromptCall,
@@ -88,7 +90,11 @@
             index: call.group,
         });
         let words = call.prompt.split_whitespace().count();
+        let span = root_span("dispatch", Some(&call.traceparent), 0.0);
+        let mut call = call.clone();
+        call.traceparent = next_traceparent(&span).unwrap_or_default();
         Self {
+            span,
             group,
             pieces: piece_chain(&call.scope, &call.prompt),
             prompt_tokens: u32::try_from(words).unwrap_or(u32::MAX),
@@ -97,7 +103,7 @@
             seen_first: false,
             fetched_tokens: 0,
             shared: Arc::clone(shared),
-            call: call.clone(),
+            call,
             answer: Arc::clone(answer),
         }
     }
@@ -115,6 +121,8 @@
                 }
             }
         };
+        self.span
+            .add_property(|| ("attempts", (self.call.attempt.attempt + 1).to_string()));
         self.answer.end(end, self.shared.now_ms());
     }
 
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -291,6 +291,12 @@
         self.folder.join(format!("instance-{place}.json"))
     }
 
+    /// What the process of `role` on instance `place` has logged.
+    pub fn log(&self, role: &str, place: usize) -> String {
+        let path = self.folder.join(format!("{role}-{place}.log"));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
     /// Publishes the platform's list.
     pub fn publish(&self) {
         self.platform.store().set_instances(&self.records);
