--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -74,6 +74,11 @@
         })
     }
 
+    /// The system's number of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal by its name, such as `STOP`.
     ///
     /// # Errors
