--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -2,25 +2,27 @@
 
 use crate::{
     calls::serve_calls,
+    kept::serve_wishes,
     order_sweep::sweep_orders,
-    shared::{DispatchShared, LOOK_INTERVAL},
+    shared::{DispatchParts, DispatchShared, LOOK_INTERVAL},
     watch::{read_list, watch_groups, watch_list},
+    weights::watch_weights,
 };
-use berylmount_platform::ObjectStore;
-use berylmount_settings::ProcessSettings;
-use berylmount_telemetry::MetricSet;
 use berylmount_wire::{InboundCall, PeerServer, WireConfig, WireRuntime};
 use std::{
     io,
     net::SocketAddr,
     sync::{mpsc::sync_channel, Arc},
     thread,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 /// Calls that wait to be taken from the wire.
 const CALLS_WAITING: usize = 256;
 
+/// Shortest wait for order outcomes to be written at a stop.
+const OWED_WAIT: Duration = Duration::from_secs(2);
+
 /// A running dispatch role.
 pub struct DispatchProcess {
     /// What its threads share.
@@ -35,23 +37,21 @@
     /// # Errors
     ///
     /// Returns the system's error if an address or a thread can't be had.
-    pub fn start(
-        settings: &ProcessSettings,
-        store: Arc<dyn ObjectStore>,
-        metrics: Arc<MetricSet>,
-        seed: u64,
-    ) -> io::Result<Self> {
-        let shared = Arc::new(DispatchShared::new(settings, store, metrics, seed)?);
+    pub fn start(parts: DispatchParts) -> io::Result<Self> {
+        let (shared, wishes) = DispatchShared::new(parts)?;
+        let shared = Arc::new(shared);
         let (calls, inbound) = sync_channel::<InboundCall>(CALLS_WAITING);
         let runtime = Arc::new(WireRuntime::start()?);
-        let address = settings.dispatch.peer_listen;
+        let address = shared.settings.dispatch.peer_listen;
         let server = PeerServer::bind(runtime, WireConfig::default(), address, calls)?;
         spawn_duty("calls", &shared, move |shared| {
             serve_calls(shared, &inbound)
         })?;
         // Runners are known before the first call comes, if the platform answers.
         read_list(&shared);
+        spawn_duty("kept", &shared, move |shared| serve_wishes(shared, &wishes))?;
         spawn_duty("list", &shared, watch_list)?;
+        spawn_duty("weights", &shared, |shared| watch_weights(shared))?;
         spawn_duty("groups", &shared, watch_groups)?;
         let own = server.address();
         spawn_duty("orders", &shared, move |shared| sweep_orders(shared, own))?;
@@ -71,15 +71,12 @@
         self.shared.drain();
         log::info!(target: "dispatch", in_flight = self.shared.in_flight(); "draining");
         let end = Instant::now() + self.shared.settings.timeouts.drain;
-        while self.shared.in_flight() > 0 {
-            if Instant::now() >= end {
-                return false;
-            }
+        while self.shared.in_flight() > 0 && Instant::now() < end {
             thread::sleep(LOOK_INTERVAL);
         }
         let rest = end.saturating_duration_since(Instant::now());
-        self.shared.ledger.stop(rest);
-        true
+        self.shared.ledger.stop(rest.max(OWED_WAIT));
+        self.shared.in_flight() == 0
     }
 }
 
