Split the policy's and the bench's large modules

Cause: runners.rs had 620 lines, ours.rs 680, and queue.rs and limits.rs over 460, with more than one job each. Ruled out: splitting by public type, which would have moved names that other crates import; the crate root re-exports all of them as before.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -5,6 +5,7 @@
 
 mod cost;
 mod measures;
+mod our_groups;
 mod ours;
 mod plain;
 mod scenarios;
--- /dev/null
+++ b/crates/policy/src/buckets.rs
@@ -0,0 +1,115 @@
+//! Token buckets whose rate and size are passed in on each use.
+
+use crate::limits::LimitShare;
+
+/// Part of the burst with which a new bucket starts.
+const START_PART: f64 = 0.125;
+/// The longest time to come back, for limits of almost nothing, in milliseconds.
+pub(crate) const LONGEST_REFILL_MS: u64 = 60_000;
+
+/// A token bucket whose rate and size are passed in on each use.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct TokenBucket {
+    pub(crate) tokens: f64,
+    pub(crate) filled_ms: u64,
+}
+
+/// The rate and size of a bucket.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BucketShape {
+    pub(crate) rate_per_s: f64,
+    pub(crate) size: f64,
+}
+
+impl BucketShape {
+    pub(crate) fn new(rate_per_s: f64, burst: u32, share: LimitShare) -> Self {
+        Self {
+            rate_per_s: share.of_rate(rate_per_s),
+            size: f64::from(share.of_count(burst)),
+        }
+    }
+
+    /// Tokens of a bucket that is new to this entry.
+    pub(crate) fn start(self) -> f64 {
+        (self.size * START_PART).max(1.0).min(self.size)
+    }
+}
+
+impl TokenBucket {
+    /// A bucket that was untouched since `since_ms`.
+    pub(crate) fn untouched(shape: BucketShape, since_ms: u64) -> Self {
+        Self {
+            tokens: shape.start(),
+            filled_ms: since_ms,
+        }
+    }
+
+    pub(crate) fn fill(&mut self, shape: BucketShape, now_ms: u64) {
+        let passed = now_ms.saturating_sub(self.filled_ms) as f64 / 1000.0;
+        self.tokens = (self.tokens + passed * shape.rate_per_s).min(shape.size);
+        self.filled_ms = self.filled_ms.max(now_ms);
+    }
+
+    /// Milliseconds until one token is there; zero says now.
+    pub(crate) fn wait_ms(&self, shape: BucketShape) -> u64 {
+        if self.tokens >= 1.0 {
+            return 0;
+        }
+        if shape.rate_per_s <= 0.0 || shape.size < 1.0 {
+            return LONGEST_REFILL_MS;
+        }
+        let wait = (1.0 - self.tokens) * 1000.0 / shape.rate_per_s;
+        (wait.ceil() as u64).clamp(1, LONGEST_REFILL_MS)
+    }
+}
+
+/// A bucket with the limit that shapes it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LimitBucket {
+    pub(crate) bucket: TokenBucket,
+    pub(crate) rate_per_s: f64,
+    pub(crate) burst: u32,
+}
+
+impl LimitBucket {
+    pub(crate) fn shape(&self, share: LimitShare) -> BucketShape {
+        BucketShape::new(self.rate_per_s, self.burst, share)
+    }
+
+    pub(crate) fn fill(&mut self, share: LimitShare, now_ms: u64) {
+        self.bucket.fill(self.shape(share), now_ms);
+    }
+
+    pub(crate) fn restart(&mut self, share: LimitShare, now_ms: u64) {
+        self.bucket = TokenBucket::untouched(self.shape(share), now_ms);
+    }
+
+    pub(crate) fn is_full(&self, share: LimitShare, now_ms: u64) -> bool {
+        let shape = self.shape(share);
+        let mut bucket = self.bucket;
+        bucket.fill(shape, now_ms);
+        bucket.tokens >= shape.size
+    }
+
+    /// Whether a bucket made afresh would be full too.
+    pub(crate) fn is_full_afresh(&self, share: LimitShare, since_ms: u64, now_ms: u64) -> bool {
+        let mut fresh = *self;
+        fresh.restart(share, since_ms);
+        fresh.is_full(share, now_ms)
+    }
+}
+
+/// A bucket that was untouched since `since_ms`.
+pub(crate) fn new_bucket(
+    rate_per_s: f64,
+    burst: u32,
+    share: LimitShare,
+    since_ms: u64,
+) -> LimitBucket {
+    let shape = BucketShape::new(rate_per_s, burst, share);
+    LimitBucket {
+        bucket: TokenBucket::untouched(shape, since_ms),
+        rate_per_s,
+        burst,
+    }
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,7 +20,9 @@
 //! Everything here works on hints. A wrong hint costs time, never correctness.
 
 pub mod assignment;
+mod buckets;
 pub mod caching;
+mod class_line;
 pub mod groups;
 pub mod keeping;
 pub mod limits;
@@ -28,6 +30,8 @@
 pub mod prefixes;
 pub mod queue;
 pub mod retries;
+mod runner_query;
+mod runner_state;
 pub mod runners;
 
 pub use crate::{
@@ -40,5 +44,6 @@
     prefixes::PrefixIndex,
     queue::{QueueCapacity, QueueRefusal, QueueRoom, WorkItem, WorkQueue, WorkTicket},
     retries::{RetryBudget, RetryDecision},
-    runners::{RunnerBoard, RunnerChoice, RunnerId, RunnerQuery, RunnerReport, RunnerSettings},
+    runner_query::{RunnerChoice, RunnerId, RunnerQuery, RunnerReport, RunnerSettings},
+    runners::RunnerBoard,
 };
--- a/crates/policy/src/limits.rs
+++ b/crates/policy/src/limits.rs
@@ -6,17 +6,14 @@
 //! entry starts almost empty, so a moved owner or a restart gives no second
 //! burst.
 
+use crate::buckets::{new_bucket, LimitBucket, LONGEST_REFILL_MS};
 use berylmount_model::{CustomerName, CustomerRow, LimitRow, WorkName};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Part of the burst with which a new bucket starts.
-const START_PART: f64 = 0.125;
 /// Customers that a book tracks at most.
 pub const MOST_CUSTOMERS: usize = 65_536;
 /// When to come back to a limit of requests in flight, in milliseconds.
 const IN_FLIGHT_RETURN_MS: u64 = 250;
-/// The longest time to come back, for limits of almost nothing, in milliseconds.
-const LONGEST_REFILL_MS: u64 = 60_000;
 
 /// Which part of a customer's limits this entry holds.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -35,7 +32,7 @@
     };
 
     /// This entry's part of a rate.
-    fn of_rate(self, rate_per_s: f64) -> f64 {
+    pub(crate) fn of_rate(self, rate_per_s: f64) -> f64 {
         rate_per_s.max(0.0) / f64::from(self.entries.max(1))
     }
 
@@ -84,98 +81,6 @@
     }
 }
 
-/// A token bucket whose rate and size are passed in on each use.
-#[derive(Clone, Copy, Debug)]
-struct TokenBucket {
-    tokens: f64,
-    filled_ms: u64,
-}
-
-/// The rate and size of a bucket.
-#[derive(Clone, Copy, Debug)]
-struct BucketShape {
-    rate_per_s: f64,
-    size: f64,
-}
-
-impl BucketShape {
-    fn new(rate_per_s: f64, burst: u32, share: LimitShare) -> Self {
-        Self {
-            rate_per_s: share.of_rate(rate_per_s),
-            size: f64::from(share.of_count(burst)),
-        }
-    }
-
-    /// Tokens of a bucket that is new to this entry.
-    fn start(self) -> f64 {
-        (self.size * START_PART).max(1.0).min(self.size)
-    }
-}
-
-impl TokenBucket {
-    /// A bucket that was untouched since `since_ms`.
-    fn untouched(shape: BucketShape, since_ms: u64) -> Self {
-        Self {
-            tokens: shape.start(),
-            filled_ms: since_ms,
-        }
-    }
-
-    fn fill(&mut self, shape: BucketShape, now_ms: u64) {
-        let passed = now_ms.saturating_sub(self.filled_ms) as f64 / 1000.0;
-        self.tokens = (self.tokens + passed * shape.rate_per_s).min(shape.size);
-        self.filled_ms = self.filled_ms.max(now_ms);
-    }
-
-    /// Milliseconds until one token is there; zero says now.
-    fn wait_ms(&self, shape: BucketShape) -> u64 {
-        if self.tokens >= 1.0 {
-            return 0;
-        }
-        if shape.rate_per_s <= 0.0 || shape.size < 1.0 {
-            return LONGEST_REFILL_MS;
-        }
-        let wait = (1.0 - self.tokens) * 1000.0 / shape.rate_per_s;
-        (wait.ceil() as u64).clamp(1, LONGEST_REFILL_MS)
-    }
-}
-
-/// A bucket with the limit that shapes it.
-#[derive(Clone, Copy, Debug)]
-struct LimitBucket {
-    bucket: TokenBucket,
-    rate_per_s: f64,
-    burst: u32,
-}
-
-impl LimitBucket {
-    fn shape(&self, share: LimitShare) -> BucketShape {
-        BucketShape::new(self.rate_per_s, self.burst, share)
-    }
-
-    fn fill(&mut self, share: LimitShare, now_ms: u64) {
-        self.bucket.fill(self.shape(share), now_ms);
-    }
-
-    fn restart(&mut self, share: LimitShare, now_ms: u64) {
-        self.bucket = TokenBucket::untouched(self.shape(share), now_ms);
-    }
-
-    fn is_full(&self, share: LimitShare, now_ms: u64) -> bool {
-        let shape = self.shape(share);
-        let mut bucket = self.bucket;
-        bucket.fill(shape, now_ms);
-        bucket.tokens >= shape.size
-    }
-
-    /// Whether a bucket made afresh would be full too.
-    fn is_full_afresh(&self, share: LimitShare, since_ms: u64, now_ms: u64) -> bool {
-        let mut fresh = *self;
-        fresh.restart(share, since_ms);
-        fresh.is_full(share, now_ms)
-    }
-}
-
 /// One tracked customer.
 #[derive(Clone, Debug)]
 struct CustomerState {
@@ -433,16 +338,6 @@
     }
 }
 
-/// A bucket that was untouched since `since_ms`.
-fn new_bucket(rate_per_s: f64, burst: u32, share: LimitShare, since_ms: u64) -> LimitBucket {
-    let shape = BucketShape::new(rate_per_s, burst, share);
-    LimitBucket {
-        bucket: TokenBucket::untouched(shape, since_ms),
-        rate_per_s,
-        burst,
-    }
-}
-
 fn name_hash(customer: &CustomerName) -> u64 {
     xxh3_64(customer.as_str().as_bytes())
 }
--- a/crates/policy/src/prefixes.rs
+++ b/crates/policy/src/prefixes.rs
@@ -3,7 +3,7 @@
 //! A bounded index of hints, fed by finished runs and by cache events that come
 //! late and with gaps. The engine says on admission what it really found.
 
-use crate::runners::RunnerId;
+use crate::runner_query::RunnerId;
 use berylmount_model::PieceKey;
 use std::collections::{BTreeMap, VecDeque};
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -6,8 +6,8 @@
 //! a long prefill at the head. Invariant: every item comes out exactly once,
 //! through [`WorkQueue::take`], [`WorkQueue::expire`] or [`WorkQueue::remove`].
 
+use crate::class_line::{ClassLine, LaneRoom};
 use berylmount_model::WorkClass;
-use std::collections::VecDeque;
 use strum::IntoEnumIterator;
 
 /// Prefill time from which work counts as long, in milliseconds.
@@ -131,13 +131,6 @@
     }
 }
 
-/// Room for one class.
-#[derive(Clone, Copy, Debug)]
-struct LaneRoom {
-    short: bool,
-    long: bool,
-}
-
 /// A refusal of work that could not be served in time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("the first token would come in {expected_ms} ms; come back in {retry_after_ms} ms")]
@@ -148,157 +141,6 @@
     pub retry_after_ms: u64,
 }
 
-/// The waiting work of one customer in one class.
-#[derive(Clone, Debug)]
-struct CustomerLine {
-    customer: u64,
-    weight: f64,
-    pass: f64,
-    backlog_ms: f64,
-    short: VecDeque<WorkItem>,
-    long: VecDeque<WorkItem>,
-}
-
-impl CustomerLine {
-    fn is_empty(&self) -> bool {
-        self.short.is_empty() && self.long.is_empty()
-    }
-
-    fn serves(&self, room: LaneRoom) -> bool {
-        (room.short && !self.short.is_empty()) || (room.long && !self.long.is_empty())
-    }
-
-    /// The next item that fits, short work first unless the long one is older.
-    fn take(&mut self, room: LaneRoom) -> Option<WorkItem> {
-        let item = self.pop(room)?;
-        self.backlog_ms -= item.prefill_ms;
-        Some(item)
-    }
-
-    fn pop(&mut self, room: LaneRoom) -> Option<WorkItem> {
-        let short = self.short.front().filter(|_| room.short);
-        let long = self.long.front().filter(|_| room.long);
-        match (short, long) {
-            (Some(s), Some(l)) if l.due_ms < s.due_ms => self.long.pop_front(),
-            (Some(_), _) => self.short.pop_front(),
-            (None, Some(_)) => self.long.pop_front(),
-            (None, None) => None,
-        }
-    }
-}
-
-/// All waiting work of one class.
-#[derive(Clone, Debug, Default)]
-struct ClassLine {
-    /// Sorted by customer.
-    lines: Vec<CustomerLine>,
-    /// Virtual time within the class.
-    clock: f64,
-    /// Virtual time of the class among the classes.
-    pass: f64,
-    items: usize,
-    backlog_ms: f64,
-}
-
-impl ClassLine {
-    fn push(&mut self, item: WorkItem) {
-        let weight = f64::from(item.weight.max(1));
-        let found = self
-            .lines
-            .binary_search_by_key(&item.customer, |l| l.customer);
-        let place = match found {
-            Ok(place) => place,
-            Err(place) => {
-                let line = CustomerLine {
-                    customer: item.customer,
-                    weight,
-                    pass: self.clock,
-                    backlog_ms: 0.0,
-                    short: VecDeque::new(),
-                    long: VecDeque::new(),
-                };
-                self.lines.insert(place, line);
-                place
-            }
-        };
-        let line = &mut self.lines[place];
-        line.weight = weight;
-        if line.is_empty() {
-            line.pass = line.pass.max(self.clock);
-        }
-        let lane = if item.is_long() {
-            &mut line.long
-        } else {
-            &mut line.short
-        };
-        lane.push_back(item);
-        line.backlog_ms += item.prefill_ms;
-        self.items += 1;
-        self.backlog_ms += item.prefill_ms;
-    }
-
-    fn take(&mut self, room: LaneRoom) -> Option<WorkItem> {
-        let ready = self.lines.iter_mut().filter(|line| line.serves(room));
-        let line = ready.min_by(|a, b| a.pass.total_cmp(&b.pass))?;
-        let item = line.take(room)?;
-        self.clock = self.clock.max(line.pass);
-        line.pass += item.prefill_ms.max(1.0) / line.weight;
-        let done = line.is_empty();
-        self.forget(&item);
-        if done {
-            self.drop_done();
-        }
-        Some(item)
-    }
-
-    fn forget(&mut self, item: &WorkItem) {
-        self.items -= 1;
-        self.backlog_ms = if self.items == 0 {
-            0.0
-        } else {
-            self.backlog_ms - item.prefill_ms
-        };
-    }
-
-    /// Drops lines that are empty and have no service to their debit.
-    fn drop_done(&mut self) {
-        let (clock, idle) = (self.clock, self.items == 0);
-        self.lines
-            .retain(|line| !line.is_empty() || (line.pass > clock && !idle));
-    }
-
-    /// Takes out every item that `gone` picks.
-    fn sweep(&mut self, gone: impl Fn(&WorkItem) -> bool, out: &mut Vec<WorkItem>) {
-        let from = out.len();
-        for line in &mut self.lines {
-            for lane in [&mut line.short, &mut line.long] {
-                if lane.iter().any(&gone) {
-                    out.extend(lane.iter().filter(|item| gone(item)));
-                    lane.retain(|item| !gone(item));
-                }
-            }
-            let left = line.short.iter().chain(&line.long);
-            line.backlog_ms = left.map(|item| item.prefill_ms).sum();
-        }
-        for item in &out[from..] {
-            self.forget(item);
-        }
-        if out.len() > from {
-            self.drop_done();
-        }
-    }
-
-    /// Prefill time of this class served before a new item of `customer`.
-    fn ahead_ms(&self, customer: u64, weight: f64, cost_ms: f64) -> f64 {
-        let found = self.lines.binary_search_by_key(&customer, |l| l.customer);
-        let own = found.map_or(0.0, |place| self.lines[place].backlog_ms);
-        let others = self.lines.iter().filter(|line| line.customer != customer);
-        let fair = |line: &CustomerLine| (own + cost_ms) * line.weight / weight;
-        let shared: f64 = others.map(|line| line.backlog_ms.min(fair(line))).sum();
-        own + shared
-    }
-}
-
 /// The waiting work of one runner group.
 ///
 /// ```
--- a/crates/policy/src/runners.rs
+++ b/crates/policy/src/runners.rs
@@ -9,29 +9,19 @@
 use crate::{
     prefixes::PrefixIndex,
     queue::{QueueCapacity, QueueRoom, WorkTicket, CLASSES, LONG_PART, LONG_PREFILL_MS},
+    runner_query::{RunnerChoice, RunnerId, RunnerQuery, RunnerReport, RunnerSettings},
+    runner_state::{RunnerState, SentWork},
 };
-use berylmount_model::{PieceKey, WorkClass, PIECE_TOKENS};
+use berylmount_model::{WorkClass, PIECE_TOKENS};
 use rand::{Rng, RngExt};
 use strum::IntoEnumIterator;
 
-/// Added to both sides of an observed ratio, in milliseconds, against noise.
-const GRACE_MS: f64 = 10.0;
 /// Expected time at which an observation counts half, in milliseconds.
 const HALF_COUNT_MS: f64 = 40.0;
-/// Part of a new observation that counts if it is slower than before.
-const SLOWER_PART: f64 = 0.5;
-/// Part of a new observation that counts if it is faster than before.
-const FASTER_PART: f64 = 0.25;
-/// Part of a probe's observation that counts.
-const PROBE_PART: f64 = 0.7;
 /// Slowness over the best runner's from which a runner counts as a straggler.
 const STRAGGLER_RATIO: f64 = 2.0;
 /// Time between probes of one straggler, in milliseconds.
 const PROBE_GAP_MS: u64 = 2_000;
-/// Prefill time that a lower class delays a higher one on a runner: one piece.
-const LOWER_CLASS_MS: f64 = 100.0;
-/// Age from which a report says nothing, in milliseconds.
-const REPORT_LIFE_MS: u64 = 10_000;
 /// Times the usual room that a runner may be sent for the sake of its cache.
 const CACHE_ROOM: f64 = 4.0;
 /// Added to the score of a group's last clear runner, which is kept for
@@ -40,196 +30,6 @@
 /// Scores within this part of the best are drawn evenly.
 const TIE_PART: f64 = 0.05;
 
-/// A runner's dense id, given by [`RunnerBoard::join`].
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
-pub struct RunnerId(pub u32);
-
-/// What a board expects of healthy runners.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RunnerSettings {
-    /// Prompt tokens that a healthy runner prefills a second.
-    pub prefill_tokens_per_s: f64,
-    /// Requests that a runner batches at most.
-    pub slots: u32,
-    /// Prefill time that a runner is sent ahead, in milliseconds.
-    pub room_ms: f64,
-    /// Pieces that a runner's own cache holds.
-    pub cache_pieces: usize,
-}
-
-impl Default for RunnerSettings {
-    fn default() -> Self {
-        Self {
-            prefill_tokens_per_s: 10_000.0,
-            slots: 64,
-            room_ms: 250.0,
-            cache_pieces: 256,
-        }
-    }
-}
-
-impl RunnerSettings {
-    /// Expected prefill time of `tokens` on a healthy runner, in milliseconds.
-    ///
-    /// ```
-    /// let settings = berylmount_policy::RunnerSettings::default();
-    /// assert_eq!(settings.prefill_ms(1_000), 100.0);
-    /// ```
-    pub fn prefill_ms(&self, tokens: u32) -> f64 {
-        f64::from(tokens) * 1000.0 / self.prefill_tokens_per_s.max(1.0)
-    }
-}
-
-/// A runner's load report.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct RunnerReport {
-    /// When the runner made it: the time of arrival less its stated age.
-    pub at_ms: u64,
-    /// Prompt tokens that waited for prefill.
-    pub waiting_tokens: u64,
-    /// Requests that ran.
-    pub running: u32,
-}
-
-/// A request that needs a runner.
-#[derive(Clone, Copy, Debug)]
-pub struct RunnerQuery<'a> {
-    /// The prompt's piece keys in order.
-    pub pieces: &'a [PieceKey],
-    /// The prompt's length in tokens.
-    pub prompt_tokens: u32,
-    /// The class of work.
-    pub class: WorkClass,
-    /// Whether a straggler may be probed with it.
-    pub may_probe: bool,
-    /// Runners that failed it before.
-    pub avoid: &'a [RunnerId],
-}
-
-/// A chosen runner.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RunnerChoice {
-    /// The runner.
-    pub runner: RunnerId,
-    /// Prompt tokens that its cache probably holds.
-    pub cached_tokens: u32,
-    /// Prefill time of the rest on a healthy runner, in milliseconds.
-    pub prefill_ms: f64,
-    /// Expected time to the first token were it healthy, in milliseconds.
-    pub healthy_ms: f64,
-    /// Expected time to the first token, in milliseconds.
-    pub expected_ms: f64,
-    /// Whether it is a probe of a straggler.
-    pub probe: bool,
-}
-
-/// One request sent to a runner.
-#[derive(Clone, Copy, Debug)]
-struct SentWork {
-    ticket: WorkTicket,
-    class: WorkClass,
-    prefill_ms: f64,
-    healthy_ms: f64,
-    sent_ms: u64,
-    first_ms: Option<u64>,
-    probe: bool,
-}
-
-impl SentWork {
-    fn waits(&self) -> bool {
-        self.first_ms.is_none()
-    }
-
-    fn is_long(&self) -> bool {
-        self.waits() && self.prefill_ms >= LONG_PREFILL_MS
-    }
-
-    /// Observed over expected time to the first token, so far.
-    fn ratio(&self, now_ms: u64) -> f64 {
-        let seen = self.first_ms.unwrap_or(now_ms).saturating_sub(self.sent_ms);
-        (seen as f64 + GRACE_MS) / (self.healthy_ms + GRACE_MS)
-    }
-}
-
-/// One runner.
-#[derive(Clone, Debug)]
-struct RunnerState {
-    joined: bool,
-    leaving: bool,
-    works: Vec<SentWork>,
-    /// When the prefill at the head began, as far as known.
-    head_ms: u64,
-    slowness: f64,
-    probe_ms: u64,
-    foreign_ms: f64,
-    foreign_running: u32,
-    report_ms: u64,
-}
-
-impl RunnerState {
-    fn new() -> Self {
-        Self {
-            joined: true,
-            leaving: false,
-            works: Vec::new(),
-            head_ms: 0,
-            slowness: 1.0,
-            probe_ms: 0,
-            foreign_ms: 0.0,
-            foreign_running: 0,
-            report_ms: 0,
-        }
-    }
-
-    fn is_live(&self) -> bool {
-        self.joined && !self.leaving
-    }
-
-    /// Slowness with overdue work counted as observed.
-    fn slowness(&self, now_ms: u64) -> f64 {
-        let waiting = self.works.iter().filter(|work| work.waits());
-        let overdue = waiting.map(|work| work.ratio(now_ms)).fold(0.0, f64::max);
-        self.slowness.max(overdue)
-    }
-
-    /// Prefill time ahead of new work of `class`, on a healthy runner.
-    fn ahead_ms(&self, class: WorkClass, slowness: f64, now_ms: u64) -> f64 {
-        let waiting = self.works.iter().filter(|work| work.waits());
-        let (mut same, mut lower) = (0.0, 0.0);
-        for work in waiting {
-            if work.class <= class {
-                same += work.prefill_ms;
-            } else {
-                lower += work.prefill_ms;
-            }
-        }
-        let done = now_ms.saturating_sub(self.head_ms) as f64 / slowness;
-        let own = (same - done).max(0.0) + f64::min(lower, LOWER_CLASS_MS);
-        own + self.foreign_ms(slowness, now_ms)
-    }
-
-    /// Prefill time of others' work, as far as the last report still tells.
-    fn foreign_ms(&self, slowness: f64, now_ms: u64) -> f64 {
-        let age = now_ms.saturating_sub(self.report_ms);
-        if age > REPORT_LIFE_MS {
-            return 0.0;
-        }
-        (self.foreign_ms - age as f64 / slowness).max(0.0)
-    }
-
-    fn running(&self) -> u32 {
-        self.works.len() as u32 + self.foreign_running
-    }
-
-    fn has_long(&self) -> bool {
-        self.works.iter().any(SentWork::is_long)
-    }
-
-    fn may_probe(&self, now_ms: u64) -> bool {
-        now_ms >= self.probe_ms && !self.works.iter().any(SentWork::waits)
-    }
-}
-
 /// What holds for all runners during one choice.
 struct BoardView<'a> {
     /// Runners that hold a prefix of the prompt, with its pieces; sorted.
@@ -606,15 +406,3 @@
         }
     }
 }
-
-impl RunnerState {
-    /// Takes in an observed `ratio` that counts for the part `trust`.
-    fn learn(&mut self, ratio: f64, probe: bool, trust: f64) {
-        let part = match (probe, ratio > self.slowness) {
-            (true, _) => PROBE_PART,
-            (false, true) => SLOWER_PART,
-            (false, false) => FASTER_PART,
-        };
-        self.slowness = (self.slowness + trust * part * (ratio - self.slowness)).clamp(0.5, 50.0);
-    }
-}
