Give every public function of the policy a runnable example

Ruled out: examples on the types alone, which leave the units of a method's arguments to be guessed.

--- a/crates/bench/src/measures.rs
+++ b/crates/bench/src/measures.rs
@@ -3,7 +3,7 @@
 use crate::{
     scenarios::Scenario,
     targets::RUNNER_PIECES,
-    world::{piece_bytes, World, STORE_CENTRES},
+    world::{piece_bytes, Outcome, World, STORE_CENTRES},
 };
 use berylmount_model::WorkClass;
 use hdrhistogram::Histogram;
@@ -98,6 +98,9 @@
     let refused = world.outcomes.iter().filter(|o| o.refused_us.is_some());
     let served = world.outcomes.len().max(1) as f64;
     add("refused_pct", 100.0 * refused.count() as f64 / served);
+    let open = |o: &&Outcome| o.first_us.is_none() && o.refused_us.is_none();
+    let unanswered = world.outcomes.iter().filter(open).count();
+    add("unanswered_pct", 100.0 * unanswered as f64 / served);
     add("refusal_p99_ms", refusal_p99_ms(world));
     add("amplification", amplification(world));
     values
--- a/crates/policy/src/caching.rs
+++ b/crates/policy/src/caching.rs
@@ -113,6 +113,14 @@
 
 impl LinkBook {
     /// Adds a link of `bytes_per_s`; zero says that it has no bound.
+    ///
+    /// ```
+    /// use berylmount_policy::{LinkBook};
+    ///
+    /// let mut book = LinkBook::default();
+    /// let link = book.add_link(1_000_000);
+    /// assert_eq!(book.in_flight(link), 0);
+    /// ```
     pub fn add_link(&mut self, bytes_per_s: u64) -> LinkId {
         let unbounded = bytes_per_s == 0;
         let rate = if unbounded {
@@ -134,6 +142,14 @@
     ///
     /// While runners are short, pass more for `saved_ms` than the bare prefill
     /// time: a fetch frees a runner for others.
+    ///
+    /// ```
+    /// use berylmount_policy::{FetchPlan, LinkBook};
+    ///
+    /// let mut book = LinkBook::default();
+    /// let link = book.add_link(1_000_000);
+    /// assert!(matches!(book.plan(link, 500_000, 400.0, 0), FetchPlan::Recompute(_)));
+    /// ```
     pub fn plan(&self, link: LinkId, bytes: u64, saved_ms: f64, now_ms: u64) -> FetchPlan {
         let Some(state) = self.links.get(link.0 as usize) else {
             return FetchPlan::Recompute(RecomputeCause::NothingSaved);
@@ -173,6 +189,15 @@
     }
 
     /// Counts a fetch, or an export, of `bytes` that begins now.
+    ///
+    /// ```
+    /// use berylmount_policy::{LinkBook};
+    ///
+    /// let mut book = LinkBook::default();
+    /// let link = book.add_link(1_000_000);
+    /// book.begin(link, 1, 300_000, 0);
+    /// assert_eq!(book.in_flight(link), 1);
+    /// ```
     pub fn begin(&mut self, link: LinkId, ticket: u64, bytes: u64, now_ms: u64) {
         let Some(state) = self.links.get_mut(link.0 as usize) else {
             return;
@@ -190,6 +215,16 @@
     /// Counts the end of a fetch and learns from its time.
     ///
     /// A fetch that failed counts as one that was far too slow.
+    ///
+    /// ```
+    /// use berylmount_policy::{LinkBook};
+    ///
+    /// let mut book = LinkBook::default();
+    /// let link = book.add_link(1_000_000);
+    /// book.begin(link, 1, 300_000, 0);
+    /// book.finish(link, 1, true, 310);
+    /// assert_eq!(book.in_flight(link), 0);
+    /// ```
     pub fn finish(&mut self, link: LinkId, ticket: u64, arrived: bool, now_ms: u64) {
         let Some(state) = self.links.get_mut(link.0 as usize) else {
             return;
@@ -213,6 +248,14 @@
     }
 
     /// Fetches in flight on `link`.
+    ///
+    /// ```
+    /// use berylmount_policy::{LinkBook};
+    ///
+    /// let mut book = LinkBook::default();
+    /// let link = book.add_link(1_000_000);
+    /// assert_eq!(book.in_flight(link), 0);
+    /// ```
     pub fn in_flight(&self, link: LinkId) -> usize {
         let state = self.links.get(link.0 as usize);
         state.map_or(0, |state| state.fetches.len())
--- a/crates/policy/src/groups.rs
+++ b/crates/policy/src/groups.rs
@@ -104,6 +104,14 @@
 
 impl GroupBoard {
     /// Adds a group of `runners` that is `distance_ms` away.
+    ///
+    /// ```
+    /// use berylmount_policy::{GroupBoard, GroupId};
+    ///
+    /// let mut board = GroupBoard::default();
+    /// let group = board.add_group("models/north/0", 1.0, 4);
+    /// assert_eq!(group, GroupId(0));
+    /// ```
     pub fn add_group(&mut self, name: &str, distance_ms: f64, runners: u32) -> GroupId {
         self.groups.push(GroupState {
             name: name.to_owned(),
@@ -120,6 +128,14 @@
     }
 
     /// Says whether a group has an owner that can be reached.
+    ///
+    /// ```
+    /// use berylmount_policy::GroupBoard;
+    ///
+    /// let mut board = GroupBoard::default();
+    /// let group = board.add_group("models/north/0", 1.0, 4);
+    /// board.set_present(group, false);
+    /// ```
     pub fn set_present(&mut self, group: GroupId, present: bool) {
         if let Some(state) = self.groups.get_mut(group.0 as usize) {
             state.present = present;
@@ -129,6 +145,14 @@
     /// Takes in the waits by class that a group reported at `at_ms`.
     ///
     /// Own work sent after that time still counts on top.
+    ///
+    /// ```
+    /// use berylmount_policy::GroupBoard;
+    ///
+    /// let mut board = GroupBoard::default();
+    /// let group = board.add_group("models/north/0", 1.0, 4);
+    /// board.report(group, &[0.0, 10.0, 20.0, 400.0], 1_000);
+    /// ```
     pub fn report(&mut self, group: GroupId, waits_ms: &[f64; CLASSES], at_ms: u64) {
         if let Some(state) = self.groups.get_mut(group.0 as usize) {
             if at_ms >= state.report_at_ms {
@@ -140,6 +164,15 @@
     }
 
     /// Counts work of `prefill_ms` that was sent to `group`.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::GroupBoard;
+    ///
+    /// let mut board = GroupBoard::default();
+    /// let group = board.add_group("models/north/0", 1.0, 4);
+    /// board.note_sent(group, WorkClass::Standard, 120.0, 1_000);
+    /// ```
     pub fn note_sent(&mut self, group: GroupId, class: WorkClass, prefill_ms: f64, now_ms: u64) {
         if let Some(state) = self.groups.get_mut(group.0 as usize) {
             if state.sent.len() >= 1024 {
@@ -150,6 +183,14 @@
     }
 
     /// Notes that a call to `group` failed or was refused.
+    ///
+    /// ```
+    /// use berylmount_policy::GroupBoard;
+    ///
+    /// let mut board = GroupBoard::default();
+    /// let group = board.add_group("models/north/0", 1.0, 4);
+    /// board.note_failure(group, 1_000);
+    /// ```
     pub fn note_failure(&mut self, group: GroupId, now_ms: u64) {
         if let Some(state) = self.groups.get_mut(group.0 as usize) {
             state.failures = state.failures_at(now_ms) + 1.0;
@@ -160,6 +201,23 @@
     /// The group with the earliest expected first token.
     ///
     /// Groups in `query.avoid` are left out.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use rand::SeedableRng;
+    /// use berylmount_policy::{GroupBoard, GroupQuery};
+    ///
+    /// let mut board = GroupBoard::default();
+    /// let group = board.add_group("models/north/0", 1.0, 4);
+    /// let query = GroupQuery {
+    ///     first_piece: None,
+    ///     home_saves_ms: 0.0,
+    ///     class: WorkClass::Standard,
+    ///     avoid: &[group],
+    /// };
+    /// let mut rng = rand_pcg::Pcg32::seed_from_u64(1);
+    /// assert_eq!(board.choose(&query, 0, &mut rng), None);
+    /// ```
     pub fn choose(
         &self,
         query: &GroupQuery,
@@ -196,6 +254,16 @@
     }
 
     /// The home of the prompt whose first piece is `key`.
+    ///
+    /// ```
+    /// use berylmount_model::PieceKey;
+    /// use berylmount_policy::GroupBoard;
+    ///
+    /// let mut board = GroupBoard::default();
+    /// let group = board.add_group("models/north/0", 1.0, 4);
+    /// let key = PieceKey::try_from("11".repeat(32)).unwrap();
+    /// assert_eq!(board.home(&key), Some(group));
+    /// ```
     pub fn home(&self, key: &PieceKey) -> Option<GroupId> {
         let present = self.groups.iter().enumerate().filter(|(_, g)| g.present);
         let best = present.max_by_key(|(_, state)| pair_hash(key.as_bytes(), &state.name));
--- a/crates/policy/src/keeping.rs
+++ b/crates/policy/src/keeping.rs
@@ -138,6 +138,12 @@
 
 impl KeepBook {
     /// An empty book that knows at most `most_prompts`.
+    ///
+    /// ```
+    /// use berylmount_policy::KeepBook;
+    ///
+    /// assert!(KeepBook::new(Vec::new(), 1_000).is_empty());
+    /// ```
     pub fn new(stores: Vec<StoreShare>, most_prompts: usize) -> Self {
         let tiers = stores.iter().map(|_| Default::default()).collect();
         Self {
@@ -151,16 +157,41 @@
     }
 
     /// Where `prompt` is kept, as far as known.
+    ///
+    /// ```
+    /// use berylmount_policy::{keeping::StoreShare, KeepBook};
+    ///
+    /// let share = StoreShare { name: "keep-a".to_owned(), memory_bytes: 100, disk_bytes: 100 };
+    /// let mut book = KeepBook::new(vec![share], 1_000);
+    /// assert_eq!(book.place(1), None);
+    /// ```
     pub fn place(&self, prompt: u64) -> Option<KeptPlace> {
         self.prompts.get(&prompt).and_then(|state| state.place)
     }
 
     /// Prompts known.
+    ///
+    /// ```
+    /// use berylmount_policy::{keeping::StoreShare, KeepBook};
+    ///
+    /// let share = StoreShare { name: "keep-a".to_owned(), memory_bytes: 100, disk_bytes: 100 };
+    /// let mut book = KeepBook::new(vec![share], 1_000);
+    /// book.run_ended(1, 60, 0);
+    /// assert_eq!(book.len(), 1);
+    /// ```
     pub fn len(&self) -> usize {
         self.prompts.len()
     }
 
     /// Whether no prompt is known.
+    ///
+    /// ```
+    /// use berylmount_policy::{keeping::StoreShare, KeepBook};
+    ///
+    /// let share = StoreShare { name: "keep-a".to_owned(), memory_bytes: 100, disk_bytes: 100 };
+    /// let mut book = KeepBook::new(vec![share], 1_000);
+    /// assert!(book.is_empty());
+    /// ```
     pub fn is_empty(&self) -> bool {
         self.prompts.is_empty()
     }
@@ -169,6 +200,15 @@
     ///
     /// The book assumes that the plan is carried out; call
     /// [`KeepBook::note_lost`] if it is not.
+    ///
+    /// ```
+    /// use berylmount_policy::{keeping::StoreShare, KeepBook};
+    ///
+    /// let share = StoreShare { name: "keep-a".to_owned(), memory_bytes: 100, disk_bytes: 100 };
+    /// let mut book = KeepBook::new(vec![share], 1_000);
+    /// assert!(!book.run_ended(1, 60, 0).present);
+    /// assert!(book.run_ended(1, 60, 5_000).present);
+    /// ```
     pub fn run_ended(&mut self, prompt: u64, bytes: u64, now_ms: u64) -> KeepPlan {
         let before = self.place(prompt);
         self.unlink(prompt);
@@ -192,11 +232,31 @@
     }
 
     /// Forgets that `prompt` is kept, such as after its store died or refused.
+    ///
+    /// ```
+    /// use berylmount_policy::{keeping::StoreShare, KeepBook};
+    ///
+    /// let share = StoreShare { name: "keep-a".to_owned(), memory_bytes: 100, disk_bytes: 100 };
+    /// let mut book = KeepBook::new(vec![share], 1_000);
+    /// book.run_ended(1, 60, 0);
+    /// book.note_lost(1);
+    /// assert_eq!(book.place(1), None);
+    /// ```
     pub fn note_lost(&mut self, prompt: u64) {
         self.unlink(prompt);
     }
 
     /// Forgets all that `store` kept.
+    ///
+    /// ```
+    /// use berylmount_policy::{keeping::StoreShare, KeepBook, StoreId};
+    ///
+    /// let share = StoreShare { name: "keep-a".to_owned(), memory_bytes: 100, disk_bytes: 100 };
+    /// let mut book = KeepBook::new(vec![share], 1_000);
+    /// book.run_ended(1, 60, 0);
+    /// book.forget_store(StoreId(0));
+    /// assert_eq!(book.place(1), None);
+    /// ```
     pub fn forget_store(&mut self, store: StoreId) {
         let held = self.prompts.iter().filter(|(_, state)| {
             let place = state.place;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod prefixes;
 pub mod queue;
 pub mod retries;
+mod runner_events;
 mod runner_query;
 mod runner_state;
 pub mod runners;
--- a/crates/policy/src/prefixes.rs
+++ b/crates/policy/src/prefixes.rs
@@ -32,6 +32,12 @@
 
 impl PrefixIndex {
     /// An empty index with at most `most_pieces` for each runner.
+    ///
+    /// ```
+    /// use berylmount_policy::PrefixIndex;
+    ///
+    /// let index = PrefixIndex::new(256);
+    /// ```
     pub fn new(most_pieces: usize) -> Self {
         Self {
             pieces: BTreeMap::new(),
@@ -46,6 +52,15 @@
     ///
     /// The end of a prefix counts as older than its start, because the start
     /// serves more prompts.
+    ///
+    /// ```
+    /// use berylmount_model::PieceKey;
+    /// use berylmount_policy::{PrefixIndex, RunnerId};
+    ///
+    /// let key = PieceKey::try_from("11".repeat(32)).unwrap();
+    /// let mut index = PrefixIndex::new(8);
+    /// index.note_kept(RunnerId(3), &[key]);
+    /// ```
     pub fn note_kept(&mut self, runner: RunnerId, keys: &[PieceKey]) {
         let place = runner.0 as usize;
         if self.ages.len() <= place {
@@ -80,6 +95,16 @@
     }
 
     /// Notes that `runner` no longer holds `key`.
+    ///
+    /// ```
+    /// use berylmount_model::PieceKey;
+    /// use berylmount_policy::{PrefixIndex, RunnerId};
+    ///
+    /// let key = PieceKey::try_from("11".repeat(32)).unwrap();
+    /// let mut index = PrefixIndex::new(8);
+    /// index.note_kept(RunnerId(3), &[key]);
+    /// index.note_dropped(RunnerId(3), key);
+    /// ```
     pub fn note_dropped(&mut self, runner: RunnerId, key: PieceKey) {
         if self.pieces.remove(&(key, runner)).is_some() {
             self.held[runner.0 as usize] -= 1;
@@ -87,6 +112,16 @@
     }
 
     /// Forgets all about `runner`, such as after its restart.
+    ///
+    /// ```
+    /// use berylmount_model::PieceKey;
+    /// use berylmount_policy::{PrefixIndex, RunnerId};
+    ///
+    /// let key = PieceKey::try_from("11".repeat(32)).unwrap();
+    /// let mut index = PrefixIndex::new(8);
+    /// index.note_kept(RunnerId(3), &[key]);
+    /// index.forget_runner(RunnerId(3));
+    /// ```
     pub fn forget_runner(&mut self, runner: RunnerId) {
         let place = runner.0 as usize;
         if let Some(ages) = self.ages.get_mut(place) {
@@ -100,6 +135,17 @@
     /// Puts into `found` each runner that holds a prefix, with its pieces.
     ///
     /// The result is sorted by runner; `found` is cleared first.
+    ///
+    /// ```
+    /// use berylmount_model::PieceKey;
+    /// use berylmount_policy::{PrefixIndex, RunnerId};
+    ///
+    /// let key = PieceKey::try_from("11".repeat(32)).unwrap();
+    /// let mut index = PrefixIndex::new(8);
+    /// let mut found = Vec::new();
+    /// index.held_pieces(&[key], &mut found);
+    /// assert!(found.is_empty());
+    /// ```
     pub fn held_pieces(&self, keys: &[PieceKey], found: &mut Vec<(RunnerId, usize)>) {
         found.clear();
         for (depth, &key) in keys.iter().enumerate() {
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -56,6 +56,21 @@
 
 impl WorkItem {
     /// Whether it takes a long prefill.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{WorkItem, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// assert!(!item.is_long());
+    /// ```
     pub fn is_long(&self) -> bool {
         self.prefill_ms >= LONG_PREFILL_MS
     }
@@ -172,21 +187,76 @@
 
 impl WorkQueue {
     /// Items that wait.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// assert_eq!(queue.len(), 1);
+    /// ```
     pub fn len(&self) -> usize {
         self.classes.iter().map(|class| class.items).sum()
     }
 
     /// Whether nothing waits.
+    ///
+    /// ```
+    /// assert!(berylmount_policy::WorkQueue::default().is_empty());
+    /// ```
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
 
     /// Prefill time of all that waits, in milliseconds.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// assert_eq!(queue.backlog_ms(), 100.0);
+    /// ```
     pub fn backlog_ms(&self) -> f64 {
         self.classes.iter().map(|class| class.backlog_ms).sum()
     }
 
     /// The estimated time to the first token of `item`, in milliseconds.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{QueueCapacity, WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// assert_eq!(queue.estimate_ms(&item, &QueueCapacity::idle(2.0)), 150.0);
+    /// ```
     pub fn estimate_ms(&self, item: &WorkItem, capacity: &QueueCapacity) -> f64 {
         let weight = f64::from(item.weight.max(1));
         let own = &self.classes[item.class as usize];
@@ -203,6 +273,24 @@
     }
 
     /// The wait that new short work of each class would meet, in milliseconds.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{QueueCapacity, WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// let waits = queue.waits_ms(&QueueCapacity::idle(1.0));
+    /// assert_eq!(waits[WorkClass::Interactive as usize], 100.0);
+    /// ```
     pub fn waits_ms(&self, capacity: &QueueCapacity) -> [f64; CLASSES] {
         let mut waits = [0.0; CLASSES];
         for class in WorkClass::iter() {
@@ -224,6 +312,23 @@
     /// # Errors
     ///
     /// A refused item is not kept; the refusal says when to come back.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{QueueCapacity, WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// assert!(queue.offer(item, &QueueCapacity::idle(1.0), 750).is_err());
+    /// assert!(queue.offer(item, &QueueCapacity::idle(1.0), 0).is_ok());
+    /// ```
     pub fn offer(
         &mut self,
         item: WorkItem,
@@ -249,6 +354,23 @@
     }
 
     /// Takes `item` in without an estimate, such as one that failed to start.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// assert_eq!(queue.len(), 1);
+    /// ```
     pub fn restore(&mut self, item: WorkItem) {
         let class = &mut self.classes[item.class as usize];
         if class.items == 0 {
@@ -266,6 +388,24 @@
     /// The next item for which there is `room`.
     ///
     /// Call [`WorkQueue::expire`] first, so that nothing expired is served.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{QueueRoom, WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// assert_eq!(queue.take(QueueRoom::same(false, true)), None);
+    /// assert_eq!(queue.take(QueueRoom::same(true, true)), Some(item));
+    /// ```
     pub fn take(&mut self, room: QueueRoom) -> Option<WorkItem> {
         let mut order: [usize; CLASSES] = std::array::from_fn(|class| class);
         order.sort_by(|&a, &b| self.classes[a].pass.total_cmp(&self.classes[b].pass));
@@ -282,6 +422,25 @@
     }
 
     /// Moves every item whose first token can no longer be in time to `out`.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// let mut out = Vec::new();
+    /// queue.expire(800, &mut out);
+    /// assert_eq!(out, [item]);
+    /// ```
     pub fn expire(&mut self, now_ms: u64, out: &mut Vec<WorkItem>) {
         if self.is_empty() || now_ms < self.earliest_due_ms {
             return;
@@ -293,6 +452,24 @@
     }
 
     /// Takes out the item of `ticket`, such as one that its caller cancelled.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// assert_eq!(queue.remove(WorkTicket(1)), Some(item));
+    /// assert_eq!(queue.remove(WorkTicket(1)), None);
+    /// ```
     pub fn remove(&mut self, ticket: WorkTicket) -> Option<WorkItem> {
         let mut out = Vec::new();
         for class in &mut self.classes {
--- /dev/null
+++ b/crates/policy/src/runner_events.rs
@@ -0,0 +1,179 @@
+//! What a runner board learns: reports, work sent, first tokens, ends.
+
+use crate::{
+    queue::WorkTicket,
+    runner_query::{RunnerChoice, RunnerId, RunnerQuery, RunnerReport},
+    runner_state::SentWork,
+    runners::{RunnerBoard, PROBE_GAP_MS, STRAGGLER_RATIO},
+};
+
+/// Expected time at which an observation counts half, in milliseconds.
+const HALF_COUNT_MS: f64 = 40.0;
+
+impl RunnerBoard {
+    /// Takes in a report; one older than the last is dropped.
+    ///
+    /// ```
+    /// use berylmount_policy::{RunnerBoard, RunnerReport, RunnerSettings};
+    ///
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// let report = RunnerReport { at_ms: 0, waiting_tokens: 20_000, running: 3 };
+    /// board.report(runner, &report);
+    /// assert!(!board.room(0).short[0]);
+    /// ```
+    pub fn report(&mut self, runner: RunnerId, report: &RunnerReport) {
+        let settings = self.settings;
+        let Some(state) = self.runners.get_mut(runner.0 as usize) else {
+            return;
+        };
+        if report.at_ms < state.report_ms {
+            return;
+        }
+        let then = |work: &&SentWork| work.sent_ms <= report.at_ms;
+        let waited = |work: &&SentWork| work.first_ms.is_none_or(|first| first > report.at_ms);
+        let own_then = state.works.iter().filter(then);
+        let own_waiting: f64 = own_then.clone().filter(waited).map(|w| w.prefill_ms).sum();
+        let tokens = report.waiting_tokens.min(u64::from(u32::MAX)) as u32;
+        state.foreign_ms = (settings.prefill_ms(tokens) - own_waiting).max(0.0);
+        state.foreign_running = report.running.saturating_sub(own_then.count() as u32);
+        state.report_ms = report.at_ms;
+    }
+
+    /// Counts work that was sent as `choice` says.
+    ///
+    /// The runner counts as holding the prompt's pieces from now on, so that
+    /// the same prompt waits for that prefill rather than being computed twice.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{RunnerBoard, RunnerQuery, RunnerSettings, WorkTicket};
+    /// use rand::SeedableRng;
+    ///
+    /// let mut rng = rand_pcg::Pcg32::seed_from_u64(1);
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// let query = RunnerQuery::new(2_000, WorkClass::Interactive);
+    /// let choice = board.choose(&query, 0, &mut rng).unwrap();
+    /// board.start(WorkTicket(1), &choice, &query, 0);
+    /// assert_eq!(board.in_flight(runner), 1);
+    /// ```
+    pub fn start(
+        &mut self,
+        ticket: WorkTicket,
+        choice: &RunnerChoice,
+        query: &RunnerQuery,
+        now_ms: u64,
+    ) {
+        let class = query.class;
+        self.prefixes.note_kept(choice.runner, query.pieces);
+        let Some(state) = self.runners.get_mut(choice.runner.0 as usize) else {
+            return;
+        };
+        if !state.works.iter().any(SentWork::waits) {
+            state.head_ms = now_ms;
+        }
+        for work in state
+            .works
+            .iter_mut()
+            .filter(|work| work.waits() && work.class > class)
+        {
+            work.healthy_ms += choice.prefill_ms;
+        }
+        state.works.push(SentWork {
+            ticket,
+            class,
+            prefill_ms: choice.prefill_ms,
+            healthy_ms: choice.healthy_ms,
+            sent_ms: now_ms,
+            first_ms: None,
+            probe: choice.probe,
+        });
+    }
+
+    /// Notes the first token of `ticket`, and learns from its time.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{RunnerBoard, RunnerQuery, RunnerSettings, WorkTicket};
+    /// use rand::SeedableRng;
+    ///
+    /// let mut rng = rand_pcg::Pcg32::seed_from_u64(1);
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// let query = RunnerQuery::new(2_000, WorkClass::Interactive);
+    /// let choice = board.choose(&query, 0, &mut rng).unwrap();
+    /// board.start(WorkTicket(1), &choice, &query, 0);
+    /// board.first_token(runner, WorkTicket(1), 1_000);
+    /// assert!(board.slowness(runner, 1_000) > 2.0);
+    /// ```
+    pub fn first_token(&mut self, runner: RunnerId, ticket: WorkTicket, now_ms: u64) {
+        let Some(state) = self.runners.get_mut(runner.0 as usize) else {
+            return;
+        };
+        let Some(work) = state
+            .works
+            .iter_mut()
+            .find(|w| w.ticket == ticket && w.waits())
+        else {
+            return;
+        };
+        work.first_ms = Some(now_ms);
+        let (ratio, probe, healthy) = (work.ratio(now_ms), work.probe, work.healthy_ms);
+        state.head_ms = now_ms;
+        state.learn(ratio, probe, healthy / (healthy + HALF_COUNT_MS));
+    }
+
+    /// Counts the end of `ticket`, whether it was served or not.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{RunnerBoard, RunnerQuery, RunnerSettings, WorkTicket};
+    /// use rand::SeedableRng;
+    ///
+    /// let mut rng = rand_pcg::Pcg32::seed_from_u64(1);
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// let query = RunnerQuery::new(2_000, WorkClass::Interactive);
+    /// let choice = board.choose(&query, 0, &mut rng).unwrap();
+    /// board.start(WorkTicket(1), &choice, &query, 0);
+    /// board.finish(runner, WorkTicket(1), 900);
+    /// assert_eq!(board.in_flight(runner), 0);
+    /// ```
+    pub fn finish(&mut self, runner: RunnerId, ticket: WorkTicket, now_ms: u64) {
+        let Some(state) = self.runners.get_mut(runner.0 as usize) else {
+            return;
+        };
+        let Some(place) = state.works.iter().position(|work| work.ticket == ticket) else {
+            return;
+        };
+        let work = state.works.swap_remove(place);
+        if work.waits() {
+            state.head_ms = now_ms;
+        }
+    }
+
+    /// Notes that `ticket` failed or fell silent on `runner`.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{RunnerBoard, RunnerQuery, RunnerSettings, WorkTicket};
+    /// use rand::SeedableRng;
+    ///
+    /// let mut rng = rand_pcg::Pcg32::seed_from_u64(1);
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// let query = RunnerQuery::new(2_000, WorkClass::Interactive);
+    /// let choice = board.choose(&query, 0, &mut rng).unwrap();
+    /// board.start(WorkTicket(1), &choice, &query, 0);
+    /// board.fail(runner, WorkTicket(1), 900);
+    /// assert!(board.slowness(runner, 900) > 1.0);
+    /// ```
+    pub fn fail(&mut self, runner: RunnerId, ticket: WorkTicket, now_ms: u64) {
+        self.finish(runner, ticket, now_ms);
+        if let Some(state) = self.runners.get_mut(runner.0 as usize) {
+            state.learn(2.0 * STRAGGLER_RATIO, false, 1.0);
+            state.probe_ms = now_ms + PROBE_GAP_MS;
+        }
+    }
+}
--- a/crates/policy/src/runner_query.rs
+++ b/crates/policy/src/runner_query.rs
@@ -68,6 +68,26 @@
     pub avoid: &'a [RunnerId],
 }
 
+impl<'a> RunnerQuery<'a> {
+    /// A request without cached pieces that may go to any runner but for probes.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::RunnerQuery;
+    ///
+    /// assert!(RunnerQuery::new(2_000, WorkClass::Standard).avoid.is_empty());
+    /// ```
+    pub fn new(prompt_tokens: u32, class: WorkClass) -> Self {
+        Self {
+            pieces: &[],
+            prompt_tokens,
+            class,
+            may_probe: false,
+            avoid: &[],
+        }
+    }
+}
+
 /// A chosen runner.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RunnerChoice {
--- a/crates/policy/src/runners.rs
+++ b/crates/policy/src/runners.rs
@@ -8,20 +8,18 @@
 
 use crate::{
     prefixes::PrefixIndex,
-    queue::{QueueCapacity, QueueRoom, WorkTicket, CLASSES, LONG_PART, LONG_PREFILL_MS},
-    runner_query::{RunnerChoice, RunnerId, RunnerQuery, RunnerReport, RunnerSettings},
+    queue::{QueueCapacity, QueueRoom, CLASSES, LONG_PART, LONG_PREFILL_MS},
+    runner_query::{RunnerChoice, RunnerId, RunnerQuery, RunnerSettings},
     runner_state::{RunnerState, SentWork},
 };
 use berylmount_model::{WorkClass, PIECE_TOKENS};
 use rand::{Rng, RngExt};
 use strum::IntoEnumIterator;
 
-/// Expected time at which an observation counts half, in milliseconds.
-const HALF_COUNT_MS: f64 = 40.0;
 /// Slowness over the best runner's from which a runner counts as a straggler.
-const STRAGGLER_RATIO: f64 = 2.0;
+pub(crate) const STRAGGLER_RATIO: f64 = 2.0;
 /// Time between probes of one straggler, in milliseconds.
-const PROBE_GAP_MS: u64 = 2_000;
+pub(crate) const PROBE_GAP_MS: u64 = 2_000;
 /// Times the usual room that a runner may be sent for the sake of its cache.
 const CACHE_ROOM: f64 = 4.0;
 /// Added to the score of a group's last clear runner, which is kept for
@@ -50,13 +48,7 @@
 /// let mut rng = rand_pcg::Pcg32::seed_from_u64(1);
 /// let mut board = RunnerBoard::new(RunnerSettings::default());
 /// let (first, second) = (board.join(), board.join());
-/// let query = RunnerQuery {
-///     pieces: &[],
-///     prompt_tokens: 2_000,
-///     class: WorkClass::Interactive,
-///     may_probe: true,
-///     avoid: &[],
-/// };
+/// let query = RunnerQuery::new(2_000, WorkClass::Interactive);
 /// board.set_leaving(first, true);
 /// let choice = board.choose(&query, 0, &mut rng).unwrap();
 /// assert_eq!(choice.runner, second);
@@ -66,15 +58,23 @@
 /// ```
 #[derive(Clone, Debug)]
 pub struct RunnerBoard {
-    settings: RunnerSettings,
-    runners: Vec<RunnerState>,
-    prefixes: PrefixIndex,
+    pub(crate) settings: RunnerSettings,
+    pub(crate) runners: Vec<RunnerState>,
+    pub(crate) prefixes: PrefixIndex,
     /// Reused on each choice.
-    held: Vec<(RunnerId, usize)>,
+    pub(crate) held: Vec<(RunnerId, usize)>,
 }
 
 impl RunnerBoard {
     /// A board without runners.
+    ///
+    /// ```
+    /// use berylmount_policy::{RunnerBoard, RunnerSettings};
+    ///
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// assert!(board.is_live(runner));
+    /// ```
     pub fn new(settings: RunnerSettings) -> Self {
         Self {
             settings,
@@ -85,6 +85,14 @@
     }
 
     /// Adds a runner; ids of removed runners are given out again.
+    ///
+    /// ```
+    /// use berylmount_policy::{RunnerBoard, RunnerSettings};
+    ///
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// assert_ne!(board.join(), runner);
+    /// ```
     pub fn join(&mut self) -> RunnerId {
         let free = self.runners.iter().position(|runner| !runner.joined);
         let place = free.unwrap_or(self.runners.len());
@@ -97,6 +105,15 @@
     }
 
     /// Removes a runner with all that was sent to it.
+    ///
+    /// ```
+    /// use berylmount_policy::{RunnerBoard, RunnerSettings};
+    ///
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// board.remove(runner);
+    /// assert!(!board.is_live(runner));
+    /// ```
     pub fn remove(&mut self, runner: RunnerId) {
         if let Some(state) = self.runners.get_mut(runner.0 as usize) {
             state.joined = false;
@@ -106,6 +123,15 @@
     }
 
     /// Marks a runner as leaving, or as live again.
+    ///
+    /// ```
+    /// use berylmount_policy::{RunnerBoard, RunnerSettings};
+    ///
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// board.set_leaving(runner, true);
+    /// assert!(!board.is_live(runner));
+    /// ```
     pub fn set_leaving(&mut self, runner: RunnerId, leaving: bool) {
         if let Some(state) = self.runners.get_mut(runner.0 as usize) {
             state.leaving = leaving;
@@ -113,48 +139,80 @@
     }
 
     /// Whether `runner` may be sent new work; ask again right before sending.
+    ///
+    /// ```
+    /// use berylmount_policy::{RunnerBoard, RunnerSettings};
+    ///
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// assert!(board.is_live(runner));
+    /// ```
     pub fn is_live(&self, runner: RunnerId) -> bool {
         let state = self.runners.get(runner.0 as usize);
         state.is_some_and(RunnerState::is_live)
     }
 
     /// Hints of which runner holds which pieces.
+    ///
+    /// ```
+    /// use berylmount_policy::{RunnerBoard, RunnerSettings};
+    ///
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// board.prefixes_mut().forget_runner(runner);
+    /// ```
     pub fn prefixes_mut(&mut self) -> &mut PrefixIndex {
         &mut self.prefixes
     }
 
     /// Requests of ours that `runner` has.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{RunnerBoard, RunnerQuery, RunnerSettings, WorkTicket};
+    /// use rand::SeedableRng;
+    ///
+    /// let mut rng = rand_pcg::Pcg32::seed_from_u64(1);
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// let query = RunnerQuery::new(2_000, WorkClass::Interactive);
+    /// let choice = board.choose(&query, 0, &mut rng).unwrap();
+    /// board.start(WorkTicket(1), &choice, &query, 0);
+    /// assert_eq!(board.in_flight(runner), 1);
+    /// ```
     pub fn in_flight(&self, runner: RunnerId) -> usize {
         let state = self.runners.get(runner.0 as usize);
         state.map_or(0, |state| state.works.len())
     }
 
     /// Observed over expected time to the first token of `runner`.
+    ///
+    /// ```
+    /// use berylmount_policy::{RunnerBoard, RunnerSettings};
+    ///
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// assert_eq!(board.slowness(runner, 0), 1.0);
+    /// ```
     pub fn slowness(&self, runner: RunnerId, now_ms: u64) -> f64 {
         let state = self.runners.get(runner.0 as usize);
         state.map_or(1.0, |state| state.slowness(now_ms))
     }
 
-    /// Takes in a report; one older than the last is dropped.
-    pub fn report(&mut self, runner: RunnerId, report: &RunnerReport) {
-        let settings = self.settings;
-        let Some(state) = self.runners.get_mut(runner.0 as usize) else {
-            return;
-        };
-        if report.at_ms < state.report_ms {
-            return;
-        }
-        let then = |work: &&SentWork| work.sent_ms <= report.at_ms;
-        let waited = |work: &&SentWork| work.first_ms.is_none_or(|first| first > report.at_ms);
-        let own_then = state.works.iter().filter(then);
-        let own_waiting: f64 = own_then.clone().filter(waited).map(|w| w.prefill_ms).sum();
-        let tokens = report.waiting_tokens.min(u64::from(u32::MAX)) as u32;
-        state.foreign_ms = (settings.prefill_ms(tokens) - own_waiting).max(0.0);
-        state.foreign_running = report.running.saturating_sub(own_then.count() as u32);
-        state.report_ms = report.at_ms;
-    }
-
     /// The runner with the earliest expected first token, if one may take it.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{RunnerBoard, RunnerQuery, RunnerSettings, WorkTicket};
+    /// use rand::SeedableRng;
+    ///
+    /// let mut rng = rand_pcg::Pcg32::seed_from_u64(1);
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// let query = RunnerQuery::new(2_000, WorkClass::Interactive);
+    /// let choice = board.choose(&query, 0, &mut rng).unwrap();
+    /// assert_eq!((choice.runner, choice.expected_ms), (runner, 200.0));
+    /// ```
     pub fn choose(
         &mut self,
         query: &RunnerQuery,
@@ -289,6 +347,15 @@
     }
 
     /// For what the runners have room.
+    ///
+    /// ```
+    /// use berylmount_policy::{RunnerBoard, RunnerSettings};
+    ///
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// board.set_leaving(runner, true);
+    /// assert!(!board.room(0).short[0]);
+    /// ```
     pub fn room(&self, now_ms: u64) -> QueueRoom {
         let long_open = self.long_open();
         let mut room = QueueRoom::default();
@@ -309,6 +376,15 @@
     }
 
     /// What the runners can serve, for the queue's estimates.
+    ///
+    /// ```
+    /// use berylmount_policy::{RunnerBoard, RunnerSettings};
+    ///
+    /// let mut board = RunnerBoard::new(RunnerSettings::default());
+    /// let runner = board.join();
+    /// assert!(board.is_live(runner));
+    /// assert_eq!(board.capacity(0).runners, 1.0);
+    /// ```
     pub fn capacity(&self, now_ms: u64) -> QueueCapacity {
         let mut capacity = QueueCapacity {
             runners: 0.0,
@@ -327,82 +403,4 @@
         }
         capacity
     }
-
-    /// Counts work that was sent as `choice` says.
-    ///
-    /// The runner counts as holding the prompt's pieces from now on, so that
-    /// the same prompt waits for that prefill rather than being computed twice.
-    pub fn start(
-        &mut self,
-        ticket: WorkTicket,
-        choice: &RunnerChoice,
-        query: &RunnerQuery,
-        now_ms: u64,
-    ) {
-        let class = query.class;
-        self.prefixes.note_kept(choice.runner, query.pieces);
-        let Some(state) = self.runners.get_mut(choice.runner.0 as usize) else {
-            return;
-        };
-        if !state.works.iter().any(SentWork::waits) {
-            state.head_ms = now_ms;
-        }
-        for work in state
-            .works
-            .iter_mut()
-            .filter(|work| work.waits() && work.class > class)
-        {
-            work.healthy_ms += choice.prefill_ms;
-        }
-        state.works.push(SentWork {
-            ticket,
-            class,
-            prefill_ms: choice.prefill_ms,
-            healthy_ms: choice.healthy_ms,
-            sent_ms: now_ms,
-            first_ms: None,
-            probe: choice.probe,
-        });
-    }
-
-    /// Notes the first token of `ticket`, and learns from its time.
-    pub fn first_token(&mut self, runner: RunnerId, ticket: WorkTicket, now_ms: u64) {
-        let Some(state) = self.runners.get_mut(runner.0 as usize) else {
-            return;
-        };
-        let Some(work) = state
-            .works
-            .iter_mut()
-            .find(|w| w.ticket == ticket && w.waits())
-        else {
-            return;
-        };
-        work.first_ms = Some(now_ms);
-        let (ratio, probe, healthy) = (work.ratio(now_ms), work.probe, work.healthy_ms);
-        state.head_ms = now_ms;
-        state.learn(ratio, probe, healthy / (healthy + HALF_COUNT_MS));
-    }
-
-    /// Counts the end of `ticket`, whether it was served or not.
-    pub fn finish(&mut self, runner: RunnerId, ticket: WorkTicket, now_ms: u64) {
-        let Some(state) = self.runners.get_mut(runner.0 as usize) else {
-            return;
-        };
-        let Some(place) = state.works.iter().position(|work| work.ticket == ticket) else {
-            return;
-        };
-        let work = state.works.swap_remove(place);
-        if work.waits() {
-            state.head_ms = now_ms;
-        }
-    }
-
-    /// Notes that `ticket` failed or fell silent on `runner`.
-    pub fn fail(&mut self, runner: RunnerId, ticket: WorkTicket, now_ms: u64) {
-        self.finish(runner, ticket, now_ms);
-        if let Some(state) = self.runners.get_mut(runner.0 as usize) {
-            state.learn(2.0 * STRAGGLER_RATIO, false, 1.0);
-            state.probe_ms = now_ms + PROBE_GAP_MS;
-        }
-    }
 }
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -1,11 +1,12 @@
 //! Snapshots of single decisions.
 
-use berylmount_model::{CustomerName, CustomerRow, InstanceName, WorkClass, WorkName};
+use berylmount_model::{CustomerName, CustomerRow, InstanceName, PieceKey, WorkClass, WorkName};
 use berylmount_policy::{
     assignment::{rank_members, split_groups, GROUP_RUNNERS},
     keeping::StoreShare,
-    KeepBook, LimitBook, LimitShare, MemberWeight, QueueCapacity, QueueRoom, RunnerBoard,
-    RunnerQuery, RunnerReport, RunnerSettings, WorkItem, WorkQueue, WorkTicket,
+    GroupBoard, GroupQuery, KeepBook, LimitBook, LimitShare, LinkBook, MemberWeight, QueueCapacity,
+    QueueRoom, ReturnPacer, RunnerBoard, RunnerQuery, RunnerReport, RunnerSettings, WorkItem,
+    WorkQueue, WorkTicket,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
@@ -204,3 +205,73 @@
     }
     insta::assert_debug_snapshot!(seen);
 }
+
+#[test]
+fn a_wave_of_refusals_does_not_return_as_a_wave() {
+    let mut rng = Pcg32::seed_from_u64(7);
+    let mut pacer = ReturnPacer::default();
+    let mut seconds = [0; 40];
+    for _ in 0..400 {
+        let back = pacer.next_return(1_000, 20.0, 0, &mut rng);
+        seconds[back as usize / 1000] += 1;
+    }
+    assert!(seconds.iter().all(|&count| count <= 25));
+    insta::assert_debug_snapshot!(seconds.map(|count| count.to_string()).join(" "));
+}
+
+#[test]
+fn a_prompt_leaves_its_home_when_the_wait_costs_more() {
+    let mut rng = Pcg32::seed_from_u64(7);
+    let mut board = GroupBoard::default();
+    let near = board.add_group("models/north/0", 1.0, 4);
+    let far = board.add_group("models/south/0", 5.0, 4);
+    let key = PieceKey::try_from("77".repeat(32)).unwrap();
+    let query = GroupQuery {
+        first_piece: Some(&key),
+        home_saves_ms: 300.0,
+        class: WorkClass::Interactive,
+        avoid: &[],
+    };
+    let home = board.home(&key).unwrap();
+    let mut seen = Vec::new();
+    let mut look = |board: &GroupBoard, event, now_ms| {
+        let choice = board.choose(&query, now_ms, &mut rng).unwrap();
+        seen.push((event, choice.home, choice.expected_ms as u64));
+    };
+    look(&board, "idle", 0);
+    board.report(home, &[0.0, 250.0, 0.0, 0.0], 0);
+    look(&board, "home waits 250 ms", 0);
+    board.note_sent(home, WorkClass::Standard, 400.0, 10);
+    look(&board, "standard work was sent to it", 10);
+    board.note_sent(home, WorkClass::Critical, 400.0, 10);
+    look(&board, "critical work was sent to it", 10);
+    look(&board, "the report is old", 400);
+    board.note_failure(home, 400);
+    look(&board, "a call to it failed", 400);
+    look(&board, "the failure is long ago", 9_400);
+    board.set_present(home, false);
+    look(&board, "it has no owner", 9_400);
+    assert!(home == near || home == far);
+    insta::assert_debug_snapshot!(seen);
+}
+
+#[test]
+fn a_fetch_is_weighed_against_what_the_link_has_promised() {
+    let mut book = LinkBook::default();
+    let link = book.add_link(1_000_000);
+    let mut seen = vec![("idle", book.plan(link, 100_000, 400.0, 0))];
+    book.begin(link, 1, 300_000, 0);
+    seen.push(("300 kB promised", book.plan(link, 100_000, 400.0, 0)));
+    seen.push(("most has arrived", book.plan(link, 100_000, 400.0, 250)));
+    seen.push((
+        "the fetch is overdue",
+        book.plan(link, 100_000, 400.0, 2_500),
+    ));
+    book.finish(link, 1, false, 2_500);
+    seen.push(("it failed", book.plan(link, 100_000, 400.0, 2_500)));
+    for ticket in 2..40 {
+        book.begin(link, ticket, 0, 2_500);
+    }
+    seen.push(("too many in flight", book.plan(link, 1, 400.0, 2_500)));
+    insta::assert_debug_snapshot!(seen);
+}
