Count foreign work by requests, and share a runner's room between classes

The refusals showed 10 to 20 s of prefill in flight before critical work: a load report counts whole prompts, cached or not, and work that has ended since, while the board took off only its own uncached, unfinished part; the rest passed for other people's work. Then, with that mended, standard work waited 20 s inside engines, overtaken by interactive work that was sent without end because it saw room. Change: a report is compared with own whole prompts at its time, work that has ended since included, and no foreign request means no foreign work; interactive and standard work share the room on a runner.

--- a/crates/bench/src/plain.rs
+++ b/crates/bench/src/plain.rs
@@ -60,6 +60,7 @@
 
     fn arrive(&mut self, world: &mut World, arrival: usize) {
         let request = world.arrival(arrival).clone();
+        world.outcomes[arrival].asked_us = request.at_us;
         if !request.idempotent && world.orders_blocked() {
             // The order waits for the platform and is late.
             let wait = world.scenario.outage_us.1 - world.now;
--- a/crates/bench/src/scenarios.rs
+++ b/crates/bench/src/scenarios.rs
@@ -18,6 +18,8 @@
     Returning,
     /// Several times the load within seconds, with long reports.
     Swing,
+    /// A swing beyond what the runners can serve at all, on a weekend's work.
+    Overload,
     /// Few long reports among short work.
     LongReports,
     /// The short work of `long-reports` alone.
@@ -275,6 +277,12 @@
                     scenario.outage_us = (25 * SECOND, 40 * SECOND);
                 }
             }
+            ScenarioName::Overload => {
+                scenario.runners = 18;
+                let rate = swing(40.0, 320.0);
+                scenario.arrivals = arrivals(&usual, 60.0, 320.0, rate, &mut rng);
+                scenario.crest_us = (23 * SECOND, 43 * SECOND);
+            }
             ScenarioName::LongReports | ScenarioName::ShortAlone => {
                 scenario.arrivals = arrivals(&usual, 300.0, 30.0, |_| 30.0, &mut rng);
                 if name == ScenarioName::ShortAlone {
--- a/crates/bench/src/targets.rs
+++ b/crates/bench/src/targets.rs
@@ -18,6 +18,8 @@
 const DECODES_TO_HALVE: f64 = 64.0;
 /// Bytes of kept cache of one piece.
 pub(crate) const PIECE_BYTES: u64 = 8 << 20;
+/// Requests that a runner batches at most; the scenarios stay below.
+pub(crate) const RUNNER_SLOTS: u32 = 512;
 /// Pieces that a runner's own cache holds.
 pub(crate) const RUNNER_PIECES: usize = 256;
 
--- a/crates/bench/src/world.rs
+++ b/crates/bench/src/world.rs
@@ -32,6 +32,8 @@
 const REPORT_US: u64 = 1_000_000;
 /// Time until a dead instance's work has moved.
 pub(crate) const TAKEOVER_US: u64 = 1_000_000;
+/// Times that a refused caller comes back.
+const MOST_RETURNS: u32 = 3;
 /// Delay of reading from a store's disk.
 pub(crate) const DISK_US: u64 = 15_000;
 
@@ -108,6 +110,11 @@
     pub(crate) refused_us: Option<u64>,
     pub(crate) retry_ms: u64,
     pub(crate) tries: u32,
+    /// When it was last asked.
+    pub(crate) asked_us: u64,
+    /// How often it came back when told, and how often that was in time.
+    pub(crate) returns: u32,
+    pub(crate) good_returns: u32,
 }
 
 /// Tokens counted over a run.
@@ -295,15 +302,34 @@
         let seen = self.now.max(state.held_until_us);
         let entry = self.entry_of(arrival).1;
         let hop = self.hop_us(centre, entry);
+        let limit_us = 1000 * self.arrival(arrival).limit_ms;
         let outcome = &mut self.outcomes[arrival];
+        if outcome.first_us.is_none() && outcome.returns > 0 {
+            let waited = seen + hop - outcome.asked_us;
+            outcome.good_returns += u32::from(waited <= limit_us);
+        }
         outcome.first_us = outcome.first_us.or(Some(seen + hop));
     }
 
-    /// Refuses a request for good.
+    /// Refuses a request; its caller comes back when told, a few times.
     pub(crate) fn refuse(&mut self, arrival: usize, retry_ms: u64) {
         let outcome = &mut self.outcomes[arrival];
         outcome.refused_us = outcome.refused_us.or(Some(self.now));
         outcome.retry_ms = retry_ms;
+        if retry_ms > 0 && outcome.returns < MOST_RETURNS {
+            outcome.returns += 1;
+            self.after(1000 * retry_ms, Event::Arrive(arrival));
+        }
+    }
+
+    /// Notes that a caller asks.
+    pub(crate) fn note_asked(&mut self, arrival: usize) {
+        self.outcomes[arrival].asked_us = self.now;
+    }
+
+    /// When the first token of a request is due, in milliseconds.
+    pub(crate) fn due_ms(&self, arrival: usize) -> u64 {
+        self.outcomes[arrival].asked_us / 1000 + self.arrival(arrival).limit_ms
     }
 
     /// Whether an order cannot be recorded now.
--- a/crates/policy/src/runner_events.rs
+++ b/crates/policy/src/runner_events.rs
@@ -30,13 +30,18 @@
         if report.at_ms < state.report_ms {
             return;
         }
-        let then = |work: &&SentWork| work.sent_ms <= report.at_ms;
-        let waited = |work: &&SentWork| work.first_ms.is_none_or(|first| first > report.at_ms);
-        let own_then = state.works.iter().filter(then);
-        let own_waiting: f64 = own_then.clone().filter(waited).map(|w| w.prefill_ms).sum();
-        let tokens = report.waiting_tokens.min(u64::from(u32::MAX)) as u32;
-        state.foreign_ms = (settings.prefill_ms(tokens) - own_waiting).max(0.0);
-        state.foreign_running = report.running.saturating_sub(own_then.count() as u32);
+        let (own, own_tokens) = state.own_at(report.at_ms);
+        // Engines count whole prompts, cached or not, so only whole prompts of
+        // ours may be taken off, and without foreign requests nothing is left.
+        state.foreign_running = report.running.saturating_sub(own);
+        let others = report.waiting_tokens.saturating_sub(own_tokens);
+        let tokens = if state.foreign_running == 0 {
+            0
+        } else {
+            others
+        };
+        let tokens = tokens.min(u64::from(u32::MAX)) as u32;
+        state.foreign_ms = settings.prefill_ms(tokens);
         state.report_ms = report.at_ms;
     }
 
@@ -83,6 +88,7 @@
         state.works.push(SentWork {
             ticket,
             class,
+            prompt_tokens: query.prompt_tokens,
             prefill_ms: choice.prefill_ms,
             healthy_ms: choice.healthy_ms,
             sent_ms: now_ms,
@@ -148,6 +154,7 @@
             return;
         };
         let work = state.works.swap_remove(place);
+        state.note_ended(work, now_ms);
         if work.waits() {
             state.head_ms = now_ms;
         }
--- a/crates/policy/src/runner_state.rs
+++ b/crates/policy/src/runner_state.rs
@@ -3,6 +3,7 @@
 
 use crate::queue::{WorkTicket, LONG_PREFILL_MS};
 use berylmount_model::WorkClass;
+use std::collections::VecDeque;
 
 /// Added to both sides of an observed ratio, in milliseconds, against noise.
 const GRACE_MS: f64 = 10.0;
@@ -14,6 +15,8 @@
 const PROBE_PART: f64 = 0.7;
 /// Prefill time that a lower class delays a higher one on a runner: one piece.
 const LOWER_CLASS_MS: f64 = 100.0;
+/// Ended work that is remembered for late reports.
+const MOST_ENDED: usize = 256;
 /// Age from which a report says nothing, in milliseconds.
 const REPORT_LIFE_MS: u64 = 10_000;
 
@@ -22,6 +25,7 @@
 pub(crate) struct SentWork {
     pub(crate) ticket: WorkTicket,
     pub(crate) class: WorkClass,
+    pub(crate) prompt_tokens: u32,
     pub(crate) prefill_ms: f64,
     pub(crate) healthy_ms: f64,
     pub(crate) sent_ms: u64,
@@ -51,6 +55,8 @@
     pub(crate) joined: bool,
     pub(crate) leaving: bool,
     pub(crate) works: Vec<SentWork>,
+    /// Work that ended lately, with the time, oldest first.
+    pub(crate) ended: VecDeque<(SentWork, u64)>,
     /// When the prefill at the head began, as far as known.
     pub(crate) head_ms: u64,
     pub(crate) slowness: f64,
@@ -66,6 +72,7 @@
             joined: true,
             leaving: false,
             works: Vec::new(),
+            ended: VecDeque::new(),
             head_ms: 0,
             slowness: 1.0,
             probe_ms: 0,
@@ -102,6 +109,40 @@
         own + self.foreign_ms(slowness, now_ms)
     }
 
+    /// Remembers ended work for as long as a report may still count it.
+    pub(crate) fn note_ended(&mut self, work: SentWork, now_ms: u64) {
+        self.ended.push_back((work, now_ms));
+        let old = |&(_, ended): &(SentWork, u64)| ended + REPORT_LIFE_MS < now_ms;
+        while self.ended.len() > MOST_ENDED || self.ended.front().is_some_and(old) {
+            self.ended.pop_front();
+        }
+    }
+
+    /// Own requests on the runner at `at_ms`, and their tokens before prefill.
+    pub(crate) fn own_at(&self, at_ms: u64) -> (u32, u64) {
+        let over = self.ended.iter().filter(|(_, ended)| *ended > at_ms);
+        let works = self.works.iter().chain(over.map(|(work, _)| work));
+        let sent = works.filter(|work| work.sent_ms <= at_ms);
+        sent.fold((0, 0), |(count, tokens), work| {
+            let waited = work.first_ms.is_none_or(|first| first > at_ms);
+            let more = if waited { work.prompt_tokens } else { 0 };
+            (count + 1, tokens + u64::from(more))
+        })
+    }
+
+    /// Prefill time that counts against the room for new work of `class`.
+    ///
+    /// Short work of every class shares the room, whatever its priority in the
+    /// engine, or else a stream of higher work would hold back lower work that
+    /// was sent before; only critical work counts nothing but its own.
+    pub(crate) fn load_ms(&self, class: WorkClass, slowness: f64, now_ms: u64) -> f64 {
+        let shared = match class {
+            WorkClass::Critical | WorkClass::Bulk => class,
+            WorkClass::Interactive | WorkClass::Standard => WorkClass::Standard,
+        };
+        self.ahead_ms(shared, slowness, now_ms)
+    }
+
     /// Prefill time of others' work, as far as the last report still tells.
     pub(crate) fn foreign_ms(&self, slowness: f64, now_ms: u64) -> f64 {
         let age = now_ms.saturating_sub(self.report_ms);
--- a/crates/policy/src/runners.rs
+++ b/crates/policy/src/runners.rs
@@ -313,7 +313,7 @@
         let slowness = state.slowness(now_ms);
         let ahead = state.ahead_ms(query.class, slowness, now_ms);
         let room = if pieces > 0 { CACHE_ROOM } else { 1.0 } * self.settings.room_ms;
-        if ahead > room {
+        if state.load_ms(query.class, slowness, now_ms) > room {
             return None;
         }
         let straggler = slowness > view.straggling;
@@ -366,8 +366,8 @@
             let slowness = state.slowness(now_ms);
             let long = long_open && !state.has_long();
             for class in WorkClass::iter() {
-                let ahead = state.ahead_ms(class, slowness, now_ms);
-                let open = ahead <= self.settings.room_ms;
+                let load = state.load_ms(class, slowness, now_ms);
+                let open = load <= self.settings.room_ms;
                 room.short[class as usize] |= open;
                 room.long[class as usize] |= open && long;
             }
