Refuse waiting work before it is too late to be served

Change: an item expires when its prefill at the runners' mean speed and the soonest start that the runners told would pass its limit; estimates scale the item's own prefill by the mean slowness.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -18,6 +18,8 @@
 pub const LONG_PART: f64 = 0.75;
 /// Prefill time of usual short work, in milliseconds.
 const USUAL_PREFILL_MS: f64 = 100.0;
+/// Longest wait in the engine that counts against waiting work, in milliseconds.
+const LONGEST_START_MS: f64 = 500.0;
 /// When to come back to a full queue, in milliseconds.
 const FULL_RETURN_MS: u64 = 1_000;
 /// Classes of work; arrays by class are indexed by `class as usize`.
@@ -83,6 +85,8 @@
     pub runners: f64,
     /// Prefill time sent to them that goes before new work, by class, in milliseconds.
     pub in_flight_ms: [f64; CLASSES],
+    /// Mean slowness of the runners; a healthy one has 1.
+    pub slowness: f64,
     /// When the first of them could begin new work, by class, in milliseconds.
     pub soonest_ms: [f64; CLASSES],
 }
@@ -96,11 +100,19 @@
     pub fn idle(runners: f64) -> Self {
         Self {
             runners,
+            slowness: 1.0,
             in_flight_ms: [0.0; CLASSES],
             soonest_ms: [0.0; CLASSES],
         }
     }
 
+    /// When `item` must leave the queue for its first token to be in time.
+    fn latest_take_ms(&self, item: &WorkItem) -> u64 {
+        let soonest = self.soonest_ms[item.class as usize].min(LONGEST_START_MS);
+        let taken = soonest + item.prefill_ms * self.slowness;
+        item.due_ms.saturating_sub(taken as u64)
+    }
+
     /// The wait of work of `class` with `ahead_ms` of prefill before it.
     fn wait_ms(&self, class: WorkClass, ahead_ms: f64, part: f64) -> f64 {
         let soonest = self.soonest_ms[class as usize];
@@ -178,11 +190,24 @@
 /// let room = QueueRoom::same(true, false);
 /// assert_eq!(queue.take(room).map(|item| item.ticket), Some(WorkTicket(1)));
 /// ```
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct WorkQueue {
     classes: [ClassLine; CLASSES],
     clock: f64,
-    earliest_due_ms: u64,
+    earliest_take_ms: u64,
+    /// What the runners could serve when work was last offered.
+    capacity: QueueCapacity,
+}
+
+impl Default for WorkQueue {
+    fn default() -> Self {
+        Self {
+            classes: Default::default(),
+            clock: 0.0,
+            earliest_take_ms: 0,
+            capacity: QueueCapacity::idle(1.0),
+        }
+    }
 }
 
 impl WorkQueue {
@@ -269,7 +294,7 @@
         };
         let shared: f64 = others.map(share).sum();
         let part = if item.is_long() { LONG_PART } else { 1.0 };
-        capacity.wait_ms(item.class, ahead + shared, part) + item.prefill_ms
+        capacity.wait_ms(item.class, ahead + shared, part) + item.prefill_ms * capacity.slowness
     }
 
     /// The wait that new short work of each class would meet, in milliseconds.
@@ -302,7 +327,8 @@
                 prefill_ms: USUAL_PREFILL_MS,
                 due_ms: 0,
             };
-            waits[class as usize] = self.estimate_ms(&item, capacity) - USUAL_PREFILL_MS;
+            waits[class as usize] =
+                self.estimate_ms(&item, capacity) - USUAL_PREFILL_MS * capacity.slowness;
         }
         waits
     }
@@ -335,6 +361,7 @@
         capacity: &QueueCapacity,
         now_ms: u64,
     ) -> Result<(), QueueRefusal> {
+        self.capacity = *capacity;
         let expected = self.estimate_ms(&item, capacity).min(1e12) as u64;
         let left = item.due_ms.saturating_sub(now_ms);
         if self.len() >= MOST_ITEMS {
@@ -377,11 +404,12 @@
             class.pass = class.pass.max(self.clock);
         }
         class.push(item);
-        let none = self.earliest_due_ms == 0;
-        self.earliest_due_ms = if none {
-            item.due_ms
+        let latest = self.capacity.latest_take_ms(&item);
+        let none = self.earliest_take_ms == 0;
+        self.earliest_take_ms = if none {
+            latest
         } else {
-            self.earliest_due_ms.min(item.due_ms)
+            self.earliest_take_ms.min(latest)
         };
     }
 
@@ -442,13 +470,15 @@
     /// assert_eq!(out, [item]);
     /// ```
     pub fn expire(&mut self, now_ms: u64, out: &mut Vec<WorkItem>) {
-        if self.is_empty() || now_ms < self.earliest_due_ms {
+        if self.is_empty() || now_ms < self.earliest_take_ms {
             return;
         }
+        let capacity = self.capacity;
         for class in &mut self.classes {
-            class.sweep(|item| item.due_ms <= now_ms, out);
+            class.sweep(|item| capacity.latest_take_ms(item) <= now_ms, out);
         }
-        self.earliest_due_ms = self.items().map(|item| item.due_ms).min().unwrap_or(0);
+        let latest = self.items().map(|item| capacity.latest_take_ms(item));
+        self.earliest_take_ms = latest.min().unwrap_or(0);
     }
 
     /// Takes out the item of `ticket`, such as one that its caller cancelled.
--- a/crates/policy/src/runners.rs
+++ b/crates/policy/src/runners.rs
@@ -388,11 +388,14 @@
     pub fn capacity(&self, now_ms: u64) -> QueueCapacity {
         let mut capacity = QueueCapacity {
             runners: 0.0,
+            slowness: 1.0,
             in_flight_ms: [0.0; CLASSES],
             soonest_ms: [f64::INFINITY; CLASSES],
         };
+        let mut live = 0.0;
         for state in self.runners.iter().filter(|runner| runner.is_live()) {
             let slowness = state.slowness(now_ms);
+            live += 1.0;
             capacity.runners += 1.0 / slowness.max(1.0);
             for class in WorkClass::iter() {
                 let ahead = state.ahead_ms(class, slowness, now_ms);
@@ -401,6 +404,9 @@
                 capacity.in_flight_ms[class as usize] += ahead;
             }
         }
+        if live > 0.0 {
+            capacity.slowness = live / capacity.runners;
+        }
         capacity
     }
 }
