Bound heads and connections of callers with hyper

A head without end was read for ever: a test sent 64 MiB of it and the entry took them all. Cause: tiny_http, the base of rouille, bounds neither heads nor connections, and its idle timeout could only be had through the listener's socket options. Ruled out: a limit in front of it, since it accepts by itself; rouille, which also holds a streamed answer back. A call that was dropped unanswered is never said not to have run.

--- a/crates/berylmount/src/role.rs
+++ b/crates/berylmount/src/role.rs
@@ -173,7 +173,7 @@
     })?;
     announce(&ListenLine {
         callers: Some(entry.address()),
-        operators: Some(entry.operators_address()?),
+        operators: Some(entry.operators_address()),
         peers: base.settings.entry.peer_listen,
         metrics: base.server.address(),
     })?;
--- a/crates/berylmount/tests/callers.rs
+++ b/crates/berylmount/tests/callers.rs
@@ -218,3 +218,25 @@
     let caller = CallerClient::new(address, "north-crew");
     assert_eq!(caller.ask(&body()).0, 200);
 }
+
+/// Resident memory of a process, in bytes.
+fn memory_of(pid: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kib = line.unwrap().split_whitespace().nth(1).unwrap();
+    kib.parse::<u64>().unwrap() * 1024
+}
+
+#[test]
+fn a_head_without_end_is_cut_off() {
+    let fleet = fleet();
+    let before = memory_of(fleet.entries[0].id());
+    let mut stream = TcpStream::connect(fleet.callers(0)).unwrap();
+    stream.set_write_timeout(Some(LONG)).unwrap();
+    let part = vec![b'a'; 1 << 20];
+    let sent = (0..64).take_while(|_| stream.write_all(&part).is_ok());
+    let sent = sent.count();
+    let grown = memory_of(fleet.entries[0].id()).saturating_sub(before);
+    assert!(sent < 64, "the entry read a head of 64 MiB");
+    assert!(grown < 16 << 20, "the entry grew by {grown} bytes");
+}
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -12,18 +12,18 @@
 
 use crate::{
     auth::find_customer,
-    http::{bad_request, header, json_response, query_value, refusal_response, JsonResponse},
+    http::{bad_request, json_answer, query_value, refusal_answer},
     prompts::{post_prompt, resume_prompt},
     resume::cancel_request,
     services::{get_read, post_order},
     shared::EntryShared,
 };
+use berylmount_http::{HttpAnswer, HttpCall, Method};
 use berylmount_model::{unix_ms, CallRefusal, CustomerRow, RefusalReason, RequestId};
 use berylmount_policy::assignment;
 use berylmount_telemetry::root_span;
 use serde::Serialize;
 use std::{io, net::SocketAddr, sync::Arc};
-use tiny_http::{Method, Request};
 
 /// The answer to `GET /v1/locate`.
 #[derive(Debug, Serialize)]
@@ -35,14 +35,15 @@
 }
 
 /// Serves one request.
-pub(crate) fn serve_request(shared: &Arc<EntryShared>, request: Request) {
+pub(crate) fn serve_request(shared: &Arc<EntryShared>, call: HttpCall) {
     let sample = shared.settings.trace.sample;
-    let span = root_span("entry", header(&request, "traceparent"), sample);
-    let url = request.url().to_owned();
-    let (path, query) = url.split_once('?').unwrap_or((&url, ""));
-    let outcome = match (request.method(), path) {
-        (Method::Get, "/v1/locate") => request.respond(locate(shared, query)),
-        _ => serve_customer(shared, path, query, request, &span),
+    let span = root_span("entry", call.header("traceparent"), sample);
+    let outcome = match (call.method(), call.path()) {
+        (&Method::GET, "/v1/locate") => {
+            let answer = locate(shared, call.query());
+            call.respond(answer)
+        }
+        _ => serve_customer(shared, call, &span),
     };
     if let Err(e) = outcome {
         log::info!(target: "entry", "a caller was lost: {e}");
@@ -50,7 +51,7 @@
 }
 
 /// Answers with the entries that a customer should use.
-fn locate(shared: &EntryShared, query: &str) -> JsonResponse {
+fn locate(shared: &EntryShared, query: &str) -> HttpAnswer {
     let customer = query_value(query, "customer").unwrap_or_default();
     let entries = shared.entries_for(customer);
     let view = shared.table.view();
@@ -63,55 +64,52 @@
         addresses: addresses.take(count).collect(),
         ttl_ms: shared.settings.timeouts.locate_ttl.as_millis() as u64,
     };
-    json_response(200, &answer)
+    json_answer(200, &answer)
 }
 
 /// Serves a request that needs a customer.
 fn serve_customer(
     shared: &Arc<EntryShared>,
-    path: &str,
-    query: &str,
-    mut request: Request,
+    call: HttpCall,
     span: &berylmount_telemetry::Span,
 ) -> io::Result<()> {
     let view = shared.table.view();
     let found = shared
         .check_table()
-        .and_then(|()| find_customer(&view, header(&request, "authorization")).cloned());
+        .and_then(|()| find_customer(&view, call.header("authorization")).cloned());
     let customer = match found {
         Ok(customer) => customer,
         Err(refusal) => {
             shared.note_refusal(&refusal);
-            return request.respond(refusal_response(&refusal));
+            return call.respond(refusal_answer(&refusal));
         }
     };
-    let route = path.strip_prefix("/v1/").unwrap_or_default();
+    let route = call.path().strip_prefix("/v1/").unwrap_or_default();
     let (head, rest) = route.split_once('/').unwrap_or((route, ""));
-    match (request.method(), head, rest) {
-        (Method::Post, "prompts", "") => post_prompt(shared, &view, &customer, request, span),
-        (Method::Get, "prompts", id) => resume_prompt(shared, &customer.name, id, query, request),
-        (Method::Delete, "prompts", id) => {
-            let response = cancel(shared, &customer, id);
-            request.respond(response)
+    let answer = match (call.method(), head, rest) {
+        (&Method::POST, "prompts", "") => {
+            return post_prompt(shared, &view, &customer, call, span);
         }
-        (Method::Post, "order-keys", "") => request.respond(new_order_key(shared)),
-        (Method::Post, "orders", key) => {
-            let response = post_order(shared, &view, &customer, key, &mut request, span);
-            request.respond(response)
+        (&Method::GET, "prompts", id) => {
+            let id = id.to_owned();
+            return resume_prompt(shared, &customer.name, &id, call);
         }
-        (Method::Get, "reads", rest) => {
-            let response = get_read(shared, &view, &customer, rest, query, span);
-            request.respond(response)
+        (&Method::DELETE, "prompts", id) => cancel(shared, &customer, id),
+        (&Method::POST, "order-keys", "") => new_order_key(shared),
+        (&Method::POST, "orders", key) => post_order(shared, &view, &customer, key, &call, span),
+        (&Method::GET, "reads", rest) => {
+            get_read(shared, &view, &customer, rest, call.query(), span)
         }
-        _ => request.respond(refusal_response(&unknown_route())),
-    }
+        _ => refusal_answer(&unknown_route()),
+    };
+    call.respond(answer)
 }
 
 /// Gives out an order key, which writes nothing.
-fn new_order_key(shared: &EntryShared) -> JsonResponse {
+fn new_order_key(shared: &EntryShared) -> HttpAnswer {
     match shared.key_mint.next_key(unix_ms()) {
-        Some(key) => json_response(200, &serde_json::json!({ "key": key })),
-        None => refusal_response(&CallRefusal::not_run(
+        Some(key) => json_answer(200, &serde_json::json!({ "key": key })),
+        None => refusal_answer(&CallRefusal::not_run(
             RefusalReason::Internal,
             "no order key could be made",
             0,
@@ -120,14 +118,14 @@
 }
 
 /// Cancels a request.
-fn cancel(shared: &EntryShared, customer: &CustomerRow, id: &str) -> JsonResponse {
+fn cancel(shared: &EntryShared, customer: &CustomerRow, id: &str) -> HttpAnswer {
     let Ok(id) = id.parse::<RequestId>() else {
-        return refusal_response(&bad_request("a request id has 32 hexadecimal digits"));
+        return refusal_answer(&bad_request("a request id has 32 hexadecimal digits"));
     };
     let refusal = cancel_request(shared, &customer.name, id);
     match refusal.reason {
-        RefusalReason::Cancelled => json_response(200, &refusal),
-        _ => refusal_response(&refusal),
+        RefusalReason::Cancelled => json_answer(200, &refusal),
+        _ => refusal_answer(&refusal),
     }
 }
 
--- a/crates/entry/src/http.rs
+++ b/crates/entry/src/http.rs
@@ -1,119 +1,57 @@
-//! HTTP towards callers and operators, over `tiny_http`.
-//!
-//! `tiny_http` streams an answer only through a request's writer, and only
-//! when every write is followed by a flush, so streamed answers write their
-//! own head and chunks here. Bodies are bounded before they are read.
+//! Answers in HTTP and JSON, and the bounds of the listeners.
 
+use berylmount_http::{AnswerWriter, BodyFault, HttpAnswer, HttpCall, HttpConfig};
 use berylmount_model::{CallRefusal, RefusalReason};
+use berylmount_settings::EntrySettings;
 use serde::Serialize;
-use socket2::{Domain, Protocol, Socket, Type};
-use std::{
-    io::{self, Cursor, Read, Write},
-    net::{SocketAddr, TcpListener},
-    time::Duration,
-};
-use tiny_http::{Header, Request, Response, Server};
-
-/// Connections that wait to be accepted.
-const ACCEPT_BACKLOG: i32 = 1_024;
-
-/// A JSON answer.
-pub(crate) type JsonResponse = Response<Cursor<Vec<u8>>>;
-
-/// Listens at `address` with `idle` as the limit of every read and write.
-///
-/// Accepted sockets inherit the listener's timeouts, which is the only way to
-/// bound idle and slow callers: `tiny_http` sets none.
-///
-/// # Errors
-///
-/// Returns the system's error if the address can't be listened at.
-pub(crate) fn listen(address: SocketAddr, idle: Duration) -> io::Result<Server> {
-    let socket = Socket::new(
-        Domain::for_address(address),
-        Type::STREAM,
-        Some(Protocol::TCP),
-    )?;
-    socket.set_reuse_address(true)?;
-    socket.set_read_timeout(Some(idle))?;
-    socket.set_write_timeout(Some(idle))?;
-    socket.set_tcp_nodelay(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(ACCEPT_BACKLOG)?;
-    let listener = TcpListener::from(socket);
-    Server::from_listener(listener, None).map_err(io::Error::other)
-}
-
-/// Where a server listens.
-///
-/// # Errors
-///
-/// Returns an error if it does not listen at an IP address.
-pub(crate) fn server_address(server: &Server) -> io::Result<SocketAddr> {
-    let address = server.server_addr().to_ip();
-    address.ok_or_else(|| io::Error::other("the server has no IP address"))
+use std::io;
+
+/// When to come back to an entry whose threads are all busy, in milliseconds.
+const BUSY_RETRY_MS: u64 = 500;
+
+/// The bounds of a listener whose bodies have at most `max_body` bytes.
+pub(crate) fn http_config(settings: &EntrySettings, max_body: usize) -> HttpConfig {
+    let busy = "the entry has too many requests";
+    let dropped = "the entry lost the request";
+    HttpConfig {
+        max_connections: settings.max_connections,
+        max_head: settings.max_header,
+        max_body,
+        idle_timeout: settings.idle_timeout,
+        busy: refusal_answer(&busy_refusal(busy)),
+        dropped: refusal_answer(&CallRefusal::may_have_run(
+            RefusalReason::Internal,
+            dropped,
+            BUSY_RETRY_MS,
+        )),
+    }
 }
 
-/// The value of a request's header, if it has one.
-pub(crate) fn header<'a>(request: &'a Request, name: &'static str) -> Option<&'a str> {
-    let found = request.headers().iter().find(|h| h.field.equiv(name));
-    found.map(|header| header.value.as_str())
+/// The refusal of a request that found no room.
+pub(crate) fn busy_refusal(detail: &str) -> CallRefusal {
+    CallRefusal::not_run(RefusalReason::Overloaded, detail, BUSY_RETRY_MS)
 }
 
-/// Reads a request's body.
+/// The body of a call as text.
 ///
 /// # Errors
 ///
-/// Refuses a body longer than `max_bytes`, one that is not text, and one that
-/// does not come.
-pub(crate) fn read_body(request: &mut Request, max_bytes: usize) -> Result<String, CallRefusal> {
-    let bad = |detail: &str| CallRefusal::not_run(RefusalReason::BadRequest, detail, 0);
-    let too_long = || bad(&format!("a body has at most {max_bytes} bytes"));
-    if request
-        .body_length()
-        .is_some_and(|length| length > max_bytes)
-    {
-        return Err(too_long());
-    }
-    let mut body = Vec::new();
-    let mut reader = request.as_reader().take(max_bytes as u64 + 1);
-    reader
-        .read_to_end(&mut body)
-        .map_err(|e| bad(&format!("the body did not come: {e}")))?;
-    if body.len() > max_bytes {
-        return Err(too_long());
-    }
-    String::from_utf8(body).map_err(|_| bad("the body is not UTF-8"))
+/// Refuses a body that is too long, does not come or is not text.
+pub(crate) fn call_text(call: &HttpCall) -> Result<&str, CallRefusal> {
+    call.text()
+        .map_err(|fault: BodyFault| bad_request(&fault.to_string()))
 }
 
 /// The value of `name` in a query such as `a=1&b=2`.
 pub(crate) fn query_value<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs
-        .into_iter()
-        .find(|(key, _)| *key == name)
-        .map(|(_, value)| value)
-}
-
-/// A header that is known to be well formed, or none.
-fn plain_header(name: &str, value: &str) -> Option<Header> {
-    Header::from_bytes(name, value).ok()
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
 }
 
 /// A JSON answer with `status`.
-pub(crate) fn json_response<T: Serialize>(status: u16, body: &T) -> JsonResponse {
+pub(crate) fn json_answer<T: Serialize>(status: u16, body: &T) -> HttpAnswer {
     // Every answer is made of strings and numbers, which always serialize.
-    let text = serde_json::to_string(body).unwrap_or_default();
-    bytes_response(status, text.into_bytes())
-}
-
-/// A JSON answer from bytes.
-pub(crate) fn bytes_response(status: u16, body: Vec<u8>) -> JsonResponse {
-    let mut response = Response::from_data(body).with_status_code(status);
-    if let Some(header) = plain_header("content-type", "application/json") {
-        response.add_header(header);
-    }
-    response
+    HttpAnswer::json(status, serde_json::to_vec(body).unwrap_or_default())
 }
 
 /// The HTTP status that fits a refusal.
@@ -139,62 +77,49 @@
 }
 
 /// The answer to a refused request.
-pub(crate) fn refusal_response(refusal: &CallRefusal) -> JsonResponse {
-    let mut response = json_response(refusal_status(refusal), refusal);
-    if refusal.retry_after_ms > 0 {
-        let seconds = refusal.retry_after_ms.div_ceil(1_000).to_string();
-        if let Some(header) = plain_header("retry-after", &seconds) {
-            response.add_header(header);
-        }
+pub(crate) fn refusal_answer(refusal: &CallRefusal) -> HttpAnswer {
+    let answer = json_answer(refusal_status(refusal), refusal);
+    match refusal.retry_after_ms {
+        0 => answer,
+        ms => answer.with_header("retry-after", &ms.div_ceil(1_000).to_string()),
     }
-    response
 }
 
-/// Writes one answer line by line as it comes.
-pub(crate) struct LineWriter {
-    writer: Box<dyn Write + Send + 'static>,
+/// A refusal of a malformed request.
+pub(crate) fn bad_request(detail: &str) -> CallRefusal {
+    CallRefusal::not_run(RefusalReason::BadRequest, detail, 0)
 }
 
+/// Writes one answer line by line as it comes.
+pub(crate) struct LineWriter(AnswerWriter);
+
 impl LineWriter {
-    /// Answers `request` with status 200 and lines to follow.
+    /// Answers `call` with status 200 and lines to follow.
     ///
     /// # Errors
     ///
-    /// Returns the connection's error.
-    pub(crate) fn start(request: Request) -> io::Result<Self> {
-        let mut writer = request.into_writer();
-        let head = "HTTP/1.1 200 OK\r\n\
-                    content-type: application/x-ndjson\r\n\
-                    cache-control: no-store\r\n\
-                    transfer-encoding: chunked\r\n\r\n";
-        writer.write_all(head.as_bytes())?;
-        Ok(Self { writer })
+    /// Fails when the caller is gone.
+    pub(crate) fn start(call: HttpCall) -> io::Result<Self> {
+        call.start("application/x-ndjson").map(Self)
     }
 
-    /// Writes one line as one chunk and flushes it.
+    /// Writes one line; it is sent at once.
     ///
     /// # Errors
     ///
-    /// Returns the connection's error.
+    /// Fails when the caller is gone or does not read.
     pub(crate) fn write_line<T: Serialize>(&mut self, line: &T) -> io::Result<()> {
-        let mut text = serde_json::to_string(line).map_err(io::Error::other)?;
-        text.push('\n');
-        write!(self.writer, "{:x}\r\n{text}\r\n", text.len())?;
-        self.writer.flush()
+        let mut text = serde_json::to_vec(line).map_err(io::Error::other)?;
+        text.push(b'\n');
+        self.0.write(text)
     }
 
     /// Ends the answer.
     ///
     /// # Errors
     ///
-    /// Returns the connection's error.
-    pub(crate) fn finish(mut self) -> io::Result<()> {
-        self.writer.write_all(b"0\r\n\r\n")?;
-        self.writer.flush()
+    /// Fails when the caller is gone.
+    pub(crate) fn finish(self) -> io::Result<()> {
+        self.0.finish()
     }
 }
-
-/// A refusal of a malformed request.
-pub(crate) fn bad_request(detail: &str) -> CallRefusal {
-    CallRefusal::not_run(RefusalReason::BadRequest, detail, 0)
-}
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -3,24 +3,27 @@
 use crate::{
     auth::key_matches,
     callers::serve_request,
-    http::{bytes_response, header, listen, read_body, refusal_response, server_address},
+    http::{busy_refusal, call_text, http_config, refusal_answer},
     members::MemberList,
     operators::OperatorRoutes,
     refusals::refusal_part,
     shared::{EntryParts, EntryShared},
 };
+use berylmount_http::{HttpAnswer, HttpCall, HttpServer};
 use berylmount_model::{CallRefusal, InstanceRecord, RefusalReason};
 use std::{
     io,
     net::SocketAddr,
-    sync::Arc,
+    sync::{
+        mpsc::{sync_channel, Receiver},
+        Arc,
+    },
     thread,
     time::{Duration, Instant},
 };
-use tiny_http::{Request, Server};
 
-/// Threads that take requests from the listener.
-const TAKING_THREADS: usize = 2;
+/// Requests that wait for the thread that takes them.
+const REQUESTS_WAITING: usize = 256;
 
 /// Stack of a thread that serves one request, in bytes.
 const REQUEST_STACK_BYTES: usize = 256 * 1024;
@@ -28,9 +31,6 @@
 /// The longest body of an operator's call, a whole sheet, in bytes.
 const MAX_SHEET_BYTES: usize = 64 << 20;
 
-/// When to come back to an entry with too many requests, in milliseconds.
-const FULL_RETRY_MS: u64 = 500;
-
 /// Shortest time between two reads of the platform's list, in milliseconds.
 const MIN_LIST_INTERVAL_MS: u64 = 1_000;
 
@@ -48,9 +48,9 @@
     /// What its threads share.
     shared: Arc<EntryShared>,
     /// Takes callers' requests.
-    server: Arc<Server>,
+    server: HttpServer,
     /// Takes operators' requests.
-    operators: Arc<Server>,
+    operators: HttpServer,
 }
 
 impl EntryProcess {
@@ -61,17 +61,16 @@
     /// Returns the system's error if an address or a thread can't be had.
     pub fn start(parts: EntryParts) -> io::Result<Self> {
         let entry = &parts.settings.entry;
-        let server = Arc::new(listen(entry.callers_listen, entry.idle_timeout)?);
-        let address = server_address(&server)?;
-        let shared = Arc::new(EntryShared::new(parts, address));
-        for _ in 0..TAKING_THREADS {
-            let (shared, server) = (Arc::clone(&shared), Arc::clone(&server));
-            spawn_duty("callers", move || take_requests(&shared, &server))?;
-        }
+        let (calls, requests) = sync_channel(REQUESTS_WAITING);
+        let config = http_config(entry, entry.max_body);
+        let server = HttpServer::start(entry.callers_listen, config, calls)?;
+        let shared = Arc::new(EntryShared::new(parts, server.address()));
+        let taking = Arc::clone(&shared);
+        spawn_duty("callers", move || take_requests(&taking, &requests))?;
         let operators = mount_operators(&shared)?;
         let watching = Arc::clone(&shared);
         spawn_duty("list", move || watch_list(&watching))?;
-        log::info!(target: "entry", address:% = address; "listening for callers");
+        log::info!(target: "entry", address:% = server.address(); "listening for callers");
         Ok(Self {
             shared,
             server,
@@ -90,12 +89,8 @@
     }
 
     /// Where operators reach it.
-    ///
-    /// # Errors
-    ///
-    /// Returns an error if it does not listen at an IP address.
-    pub fn operators_address(&self) -> io::Result<SocketAddr> {
-        server_address(&self.operators)
+    pub fn operators_address(&self) -> SocketAddr {
+        self.operators.address()
     }
 
     /// Stops in good order.
@@ -115,8 +110,7 @@
             }
             thread::sleep(LOOK_INTERVAL);
         }
-        self.server.unblock();
-        self.operators.unblock();
+        log::info!(target: "entry", address:% = self.server.address(); "closing");
         true
     }
 }
@@ -128,23 +122,25 @@
 }
 
 /// Listens for operators and serves their routes.
-fn mount_operators(shared: &Arc<EntryShared>) -> io::Result<Arc<Server>> {
+fn mount_operators(shared: &Arc<EntryShared>) -> io::Result<HttpServer> {
     let entry = &shared.settings.entry;
-    let server = Arc::new(listen(entry.operators_listen, entry.idle_timeout)?);
+    let (calls, requests) = sync_channel::<HttpCall>(REQUESTS_WAITING);
+    let config = http_config(entry, MAX_SHEET_BYTES);
+    let server = HttpServer::start(entry.operators_listen, config, calls)?;
     let routes = OperatorRoutes::new(
         Arc::clone(&shared.store),
         Arc::clone(&shared.table),
         shared.clock,
         vec![refusal_part(shared)],
     );
-    let (serving, shared) = (Arc::clone(&server), Arc::clone(shared));
+    let shared = Arc::clone(shared);
     let routes = Arc::new(routes);
     spawn_duty("operators", move || {
-        for request in serving.incoming_requests() {
+        for call in requests {
             let (shared, routes) = (Arc::clone(&shared), Arc::clone(&routes));
             // An edit waits for other processes, so each call has its thread.
             let spawned = spawn_duty("operator", move || {
-                serve_operator(&shared, &routes, request);
+                serve_operator(&shared, &routes, call);
             });
             if let Err(e) = spawned {
                 log::error!(target: "operators", "no thread for a call: {e}");
@@ -155,35 +151,38 @@
 }
 
 /// Serves one call of an operator.
-fn serve_operator(shared: &EntryShared, routes: &OperatorRoutes, mut request: Request) {
-    let key = header(&request, "authorization").and_then(|value| value.strip_prefix("Bearer "));
+fn serve_operator(shared: &EntryShared, routes: &OperatorRoutes, call: HttpCall) {
+    let answer =
+        operator_answer(shared, routes, &call).unwrap_or_else(|refusal| refusal_answer(&refusal));
+    if let Err(e) = call.respond(answer) {
+        log::info!(target: "operators", "an operator was lost: {e}");
+    }
+}
+
+/// Checks the operators' key and answers the call.
+fn operator_answer(
+    shared: &EntryShared,
+    routes: &OperatorRoutes,
+    call: &HttpCall,
+) -> Result<HttpAnswer, CallRefusal> {
+    let key = call.header("authorization");
+    let key = key.and_then(|value| value.strip_prefix("Bearer "));
     let hash = &shared.settings.entry.operator_key_sha256;
-    let response = if key_matches(key.unwrap_or_default(), hash) {
-        let method = request.method().to_string();
-        let url = request.url().to_owned();
-        let (path, query) = url.split_once('?').unwrap_or((&url, ""));
-        match read_body(&mut request, MAX_SHEET_BYTES) {
-            Ok(body) => {
-                let (status, body) = routes.handle(&method, path, query, body.as_bytes());
-                bytes_response(status, body)
-            }
-            Err(refusal) => refusal_response(&refusal),
-        }
-    } else {
+    if !key_matches(key.unwrap_or_default(), hash) {
         let detail = "the operators' key is missing or wrong";
-        let refusal = CallRefusal::not_run(RefusalReason::Unauthorized, detail, 0);
-        refusal_response(&refusal)
-    };
-    if let Err(e) = request.respond(response) {
-        log::info!(target: "operators", "an operator was lost: {e}");
+        return Err(CallRefusal::not_run(RefusalReason::Unauthorized, detail, 0));
     }
+    let body = call_text(call)?.as_bytes();
+    let method = call.method().as_str();
+    let (status, body) = routes.handle(method, call.path(), call.query(), body);
+    Ok(HttpAnswer::json(status, body))
 }
 
 /// Takes requests from the listener until it stops.
-fn take_requests(shared: &Arc<EntryShared>, server: &Server) {
-    for request in server.incoming_requests() {
+fn take_requests(shared: &Arc<EntryShared>, requests: &Receiver<HttpCall>) {
+    for call in requests {
         if shared.in_flight() >= shared.settings.entry.max_in_flight {
-            refuse_full(shared, request);
+            refuse_full(shared, call);
             continue;
         }
         let guard = shared.count_request();
@@ -193,7 +192,7 @@
             .stack_size(REQUEST_STACK_BYTES);
         let spawned = builder.spawn(move || {
             let _guard = guard;
-            serve_request(&serving, request);
+            serve_request(&serving, call);
         });
         if let Err(e) = spawned {
             log::error!(target: "entry", "no thread for a request: {e}");
@@ -202,14 +201,10 @@
 }
 
 /// Refuses a request because too many are in flight.
-fn refuse_full(shared: &EntryShared, request: Request) {
-    let refusal = CallRefusal::not_run(
-        RefusalReason::Overloaded,
-        "the entry has too many requests",
-        FULL_RETRY_MS,
-    );
+fn refuse_full(shared: &EntryShared, call: HttpCall) {
+    let refusal = busy_refusal("the entry has too many requests in flight");
     shared.note_refusal(&refusal);
-    if let Err(e) = request.respond(refusal_response(&refusal)) {
+    if let Err(e) = call.respond(refusal_answer(&refusal)) {
         log::info!(target: "entry", "a caller was lost: {e}");
     }
 }
--- a/crates/entry/src/prompts.rs
+++ b/crates/entry/src/prompts.rs
@@ -1,14 +1,12 @@
 //! Callers' prompts: checks, streams and whole answers.
 
 use crate::{
-    http::{
-        bad_request, json_response, query_value, read_body, refusal_response, JsonResponse,
-        LineWriter,
-    },
+    http::{bad_request, call_text, json_answer, query_value, refusal_answer, LineWriter},
     relay::{PromptRelay, RelayFailure, RelayPart},
     resume::AnswerResume,
     shared::EntryShared,
 };
+use berylmount_http::HttpCall;
 use berylmount_model::{
     AttemptId, CallRefusal, CustomerName, CustomerRow, InstanceName, PieceScope, RefusalReason,
     RequestId, WorkClass, WorkName, WorkRow,
@@ -18,7 +16,6 @@
 use berylmount_wire::{PromptCall, StartedRun};
 use serde::{Deserialize, Serialize};
 use std::{io, sync::Arc};
-use tiny_http::Request;
 
 /// A caller's prompt.
 #[derive(Debug, Deserialize)]
@@ -213,32 +210,31 @@
     shared: &Arc<EntryShared>,
     view: &TableView,
     customer: &CustomerRow,
-    mut request: Request,
+    call: HttpCall,
     span: &Span,
 ) -> io::Result<()> {
-    let max_body = shared.settings.entry.max_body;
-    let prepared = read_body(&mut request, max_body)
+    let prepared = call_text(&call)
         .and_then(|text| {
-            serde_json::from_str::<PromptBody>(&text).map_err(|e| bad_request(&e.to_string()))
+            serde_json::from_str::<PromptBody>(text).map_err(|e| bad_request(&e.to_string()))
         })
         .and_then(|body| {
             let stream = body.stream;
-            let call = make_call(shared, view, customer, body, span)?;
-            let limit = view.limit(&customer.name, &call.work);
-            let guard = shared.admit(customer, &call.work, limit)?;
-            Ok((call, stream, guard))
+            let prompt = make_call(shared, view, customer, body, span)?;
+            let limit = view.limit(&customer.name, &prompt.work);
+            let guard = shared.admit(customer, &prompt.work, limit)?;
+            Ok((prompt, stream, guard))
         });
-    let (call, stream, _guard) = match prepared {
+    let (prompt, stream, _guard) = match prepared {
         Ok(prepared) => prepared,
         Err(refusal) => {
             shared.note_refusal(&refusal);
-            return request.respond(refusal_response(&refusal));
+            return call.respond(refusal_answer(&refusal));
         }
     };
-    let class = call.class;
+    let class = prompt.class;
     let began_ms = shared.now_ms();
-    let mut relay = PromptRelay::new(shared, call);
-    let mut answer = AnswerSink::new(request, stream);
+    let mut relay = PromptRelay::new(shared, prompt);
+    let mut answer = AnswerSink::new(call, stream);
     let outcome = relay.run(&mut |part| answer.take(&part));
     let seconds = (shared.now_ms() - began_ms) as f64 / 1e3;
     note_outcome(shared, class, &outcome, seconds);
@@ -269,10 +265,9 @@
     shared: &EntryShared,
     customer: &CustomerName,
     id: &str,
-    query: &str,
-    request: Request,
+    call: HttpCall,
 ) -> io::Result<()> {
-    let number = |name: &str| match query_value(query, name) {
+    let number = |name: &str| match query_value(call.query(), name) {
         None => Ok(0),
         Some(text) => text
             .parse::<u64>()
@@ -284,7 +279,7 @@
         .and_then(|request| Ok((request, number("attempt")?, number("offset")?)));
     let (id, attempt, offset) = match parsed {
         Ok(parsed) => parsed,
-        Err(refusal) => return request.respond(refusal_response(&refusal)),
+        Err(refusal) => return call.respond(refusal_answer(&refusal)),
     };
     let attempt = AttemptId {
         request: id,
@@ -296,7 +291,7 @@
         attempt,
         offset,
     };
-    let mut answer = AnswerSink::new(request, true);
+    let mut answer = AnswerSink::new(call, true);
     let outcome = resume.run(&mut |part| answer.take(&part));
     answer.close(outcome)
 }
@@ -304,28 +299,28 @@
 /// Where an answer goes: to a stream as it comes, or to one body at its end.
 enum AnswerSink {
     /// Nothing was written yet; lines will follow.
-    Waiting(Option<Request>),
+    Waiting(Option<HttpCall>),
     /// Lines are being written.
     Lines(LineWriter),
     /// The answer is collected.
-    Whole(Request, Box<WholeAnswer>),
+    Whole(HttpCall, Box<WholeAnswer>),
 }
 
 impl AnswerSink {
-    /// A sink that answers `request`, token by token or whole.
-    fn new(request: Request, stream: bool) -> Self {
+    /// A sink that answers `call`, token by token or whole.
+    fn new(call: HttpCall, stream: bool) -> Self {
         match stream {
-            true => Self::Waiting(Some(request)),
-            false => Self::Whole(request, Box::default()),
+            true => Self::Waiting(Some(call)),
+            false => Self::Whole(call, Box::default()),
         }
     }
 
     /// Takes the next part; an error says that the caller is gone.
     fn take(&mut self, part: &RelayPart<'_>) -> io::Result<()> {
-        if let Self::Waiting(request) = self {
-            let request = request.take();
-            let request = request.ok_or_else(|| io::Error::other("the answer has begun"))?;
-            *self = Self::Lines(LineWriter::start(request)?);
+        if let Self::Waiting(call) = self {
+            let call = call.take();
+            let call = call.ok_or_else(|| io::Error::other("the answer has begun"))?;
+            *self = Self::Lines(LineWriter::start(call)?);
         }
         match self {
             Self::Lines(writer) => writer.write_line(&AnswerLine::from(part)),
@@ -350,16 +345,11 @@
                 writer.finish()
             }
             (Self::Lines(writer), None) => writer.finish(),
-            (Self::Whole(request, answer), None) => request.respond(whole_response(&answer)),
-            (Self::Whole(request, _) | Self::Waiting(Some(request)), Some(refusal)) => {
-                request.respond(refusal_response(&refusal))
+            (Self::Whole(call, answer), None) => call.respond(json_answer(200, &*answer)),
+            (Self::Whole(call, _) | Self::Waiting(Some(call)), Some(refusal)) => {
+                call.respond(refusal_answer(&refusal))
             }
             (Self::Waiting(_), _) => Ok(()),
         }
     }
 }
-
-/// The response that carries a whole answer.
-fn whole_response(answer: &WholeAnswer) -> JsonResponse {
-    json_response(200, answer)
-}
--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -1,12 +1,13 @@
 //! Callers' orders and reads to plain services.
 
 use crate::{
-    http::{bad_request, bytes_response, read_body, refusal_response, JsonResponse},
+    http::{bad_request, call_text, refusal_answer},
     members::MemberEntry,
     order_keys::order_route,
     prompts::find_work,
     shared::EntryShared,
 };
+use berylmount_http::{HttpAnswer, HttpCall};
 use berylmount_model::{
     CallRefusal, CustomerRow, OrderKey, PoolName, RefusalReason, RequestId, WorkName, WorkRow,
 };
@@ -19,7 +20,6 @@
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use std::{sync::Arc, time::Duration};
-use tiny_http::Request;
 
 /// Dispatch processes asked before a call is refused.
 const MAX_MEMBERS: usize = 3;
@@ -103,20 +103,17 @@
 }
 
 /// The response to a service call, counted.
-fn respond(shared: &EntryShared, outcome: Result<AnswerBody, CallRefusal>) -> JsonResponse {
+fn respond(shared: &EntryShared, outcome: Result<AnswerBody, CallRefusal>) -> HttpAnswer {
     match outcome {
         Ok(answer) => {
             shared.metrics.add(CounterMetric::RequestsTotal, "ran", 1);
             let recorded = if answer.recorded { "true" } else { "false" };
-            let mut response = bytes_response(200, answer.body.into_bytes());
-            if let Ok(header) = tiny_http::Header::from_bytes("berylmount-recorded", recorded) {
-                response.add_header(header);
-            }
-            response
+            HttpAnswer::json(200, answer.body.into_bytes())
+                .with_header("berylmount-recorded", recorded)
         }
         Err(refusal) => {
             shared.note_refusal(&refusal);
-            refusal_response(&refusal)
+            refusal_answer(&refusal)
         }
     }
 }
@@ -127,10 +124,10 @@
     view: &TableView,
     customer: &CustomerRow,
     key: &str,
-    request: &mut Request,
+    call: &HttpCall,
     span: &Span,
-) -> JsonResponse {
-    let outcome = order(shared, view, customer, key, request, span);
+) -> HttpAnswer {
+    let outcome = order(shared, view, customer, key, call, span);
     respond(shared, outcome)
 }
 
@@ -140,12 +137,12 @@
     view: &TableView,
     customer: &CustomerRow,
     key: &str,
-    request: &mut Request,
+    call: &HttpCall,
     span: &Span,
 ) -> Result<AnswerBody, CallRefusal> {
     let key = OrderKey::new(key).map_err(|e| bad_request(&e.to_string()))?;
-    let text = read_body(request, shared.settings.entry.max_body)?;
-    let body: OrderBody = serde_json::from_str(&text).map_err(|e| bad_request(&e.to_string()))?;
+    let body: OrderBody =
+        serde_json::from_str(call_text(call)?).map_err(|e| bad_request(&e.to_string()))?;
     let work = find_service_work(view, &body.work)?;
     let limit = view.limit(&customer.name, &work.name);
     let _guard = shared.admit(customer, &work.name, limit)?;
@@ -183,7 +180,7 @@
     rest: &str,
     query: &str,
     span: &Span,
-) -> JsonResponse {
+) -> HttpAnswer {
     let outcome = read(shared, view, customer, rest, query, span);
     respond(shared, outcome)
 }
