Run membership over calls between processes

Cause: the state machine had no I/O. One thread begins rounds, six send probes from a bounded channel, and the callers' threads answer; a probe that finds the channel full is withdrawn and accuses nobody. Tested with real processes: a kill, a restart under the same name and a SIGSTOP with SIGCONT are seen by a fifth process, and a stop in good order is told as such. Whoever mounts it routes calls of PeerService::Probe to PeerMembership::serve, on entries through a server that they don't have yet.

--- a/crates/peers/src/board.rs
+++ b/crates/peers/src/board.rs
@@ -274,6 +274,11 @@
         self.take_silence(&probe, now_ms)
     }
 
+    /// Forgets a probe that was never sent; nobody is accused for it.
+    pub fn withdraw(&mut self, id: ProbeId) {
+        self.outstanding.retain(|probe| probe.id != id);
+    }
+
     /// Takes a reply; returns whether the probe's target sent it.
     fn take_reply(&mut self, probe: &OutstandingProbe, reply: &ProbeReply, now_ms: u64) -> bool {
         let name = &reply.from.record.name;
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -1,7 +1,7 @@
 //! Membership of the system's own processes.
 //!
 //! [`PeerBoard`] is a pure state machine: time, randomness and messages are
-//! passed in, probes and replies come out. [`PeerThread`] runs it over the
+//! passed in, probes and replies come out. [`PeerMembership`] runs it over the
 //! `wire` crate. Readers get a [`MemberView`], a sorted snapshot.
 //!
 //! Each round a process probes a few random and a few next-in-order members;
@@ -15,6 +15,7 @@
 mod config;
 mod list;
 mod marks;
+mod membership;
 mod merge;
 mod message;
 mod record;
@@ -25,6 +26,7 @@
 pub use crate::{
     board::PeerBoard,
     config::BoardConfig,
+    membership::{MembershipParts, PeerMembership},
     message::{
         HeadSummary, PeerAnswer, PeerProbe, PeerReply, PeerRequest, ProbeId, ProbeReply,
         ProbeRequest, SegmentMarks, SyncCursor,
--- a/crates/peers/src/record.rs
+++ b/crates/peers/src/record.rs
@@ -3,7 +3,7 @@
 use berylmount_model::{DataCentre, InstanceName, InstanceRole};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use strum::{Display, FromRepr, IntoStaticStr};
+use strum::{Display, EnumIter, FromRepr, IntoStaticStr};
 
 /// Whether a member answers.
 ///
@@ -32,7 +32,7 @@
 }
 
 /// State of a member as readers see it.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Display, IntoStaticStr)]
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Display, EnumIter, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum MemberState {
     /// It takes work.
