Send short notes of members that the receiver knows

Suspicions and deaths, and a sender's word of itself once it was answered, now travel as a hash of the name and what changes (22 bytes for about 70); a message has room for one whole record and one short note, or four short ones. A process that restarted is introduced anew. Ruled out: an index in the list for a name, since lists differ just while changes spread.

--- a/crates/peers/src/board.rs
+++ b/crates/peers/src/board.rs
@@ -9,7 +9,7 @@
         PeerAnswer, PeerProbe, PeerReply, PeerRequest, ProbeId, ProbeReply, ProbeRequest,
         SyncCursor, MAX_MARKS, SEGMENTS,
     },
-    record::{PeerHealth, PeerRecord, PeerStatus, ProcessReport},
+    record::{PeerHealth, PeerNote, PeerRecord, PeerStatus, ProcessReport},
     sync::SyncState,
     targets::ProbeTarget,
     view::{ConfirmedHead, MemberInfo, MemberView},
@@ -63,7 +63,8 @@
 #[derive(Clone, Debug)]
 pub struct PeerBoard {
     pub(crate) config: BoardConfig,
-    pub(crate) own: PeerStatus,
+    pub(crate) own: PeerRecord,
+    report: ProcessReport,
     pub(crate) list: PeerList,
     pub(crate) changes: ChangeQueue,
     pub(crate) seeds: Vec<SocketAddr>,
@@ -96,10 +97,8 @@
     ) -> Self {
         Self {
             config,
-            own: PeerStatus {
-                record,
-                report: ProcessReport::default(),
-            },
+            own: record,
+            report: ProcessReport::default(),
             confirmed: None,
             list: PeerList::default(),
             changes: ChangeQueue::default(),
@@ -119,7 +118,7 @@
 
     /// This process's own record.
     pub fn own(&self) -> &PeerRecord {
-        &self.own.record
+        &self.own
     }
 
     /// Takes the platform's list: addresses to try, and nothing more.
@@ -139,21 +138,21 @@
     /// The confirmation's age counts from now, so call it before each
     /// [`PeerBoard::tick`] and [`PeerBoard::answer`].
     pub fn set_report(&mut self, report: ProcessReport) {
-        self.own.report = report;
+        self.report = report;
     }
 
     /// Says from now on that this process takes nothing new.
     pub fn leave(&mut self) {
-        if !self.own.record.leaving {
-            self.own.record.leaving = true;
-            self.own.record.refutation += 1;
+        if !self.own.leaving {
+            self.own.leaving = true;
+            self.own.refutation += 1;
         }
     }
 
     /// Says that this process stops now; returns the last probes to send.
     pub fn stop(&mut self, now_ms: u64) -> Vec<PeerProbe> {
         self.leave();
-        self.own.record.health = PeerHealth::Dead;
+        self.own.health = PeerHealth::Dead;
         let targets = self.choose_targets();
         targets
             .into_iter()
@@ -240,13 +239,27 @@
     }
 
     fn probe_request(&mut self, receiver: Option<&InstanceName>) -> ProbeRequest {
+        let entry = receiver.and_then(|name| self.list.find(name));
+        let introduced = entry.is_some_and(|entry| entry.introduced);
         ProbeRequest {
-            from: self.own.clone(),
+            from: self.status(!introduced),
             changes: self.take_changes(receiver, None),
             sync: self.sync.cursor_for(receiver),
         }
     }
 
+    /// What this process says of itself, as a whole note or a short one.
+    fn status(&self, whole: bool) -> PeerStatus {
+        let note = match whole {
+            true => PeerNote::Whole(self.own.clone()),
+            false => PeerNote::short(&self.own),
+        };
+        PeerStatus {
+            note,
+            report: self.report,
+        }
+    }
+
     fn note_probe(&mut self, probe: OutstandingProbe) -> ProbeId {
         let id = ProbeId(self.next_id);
         self.next_id += 1;
@@ -281,19 +294,18 @@
 
     /// Takes a reply; returns whether the probe's target sent it.
     fn take_reply(&mut self, probe: &OutstandingProbe, reply: &ProbeReply, now_ms: u64) -> bool {
-        let name = &reply.from.record.name;
-        if *name == self.own.record.name
-            && reply.from.record.incarnation == self.own.record.incarnation
-        {
+        let Some(sender) = self.list.resolve(&self.own, &reply.from.note) else {
+            // Forgotten meanwhile.
+            return true;
+        };
+        let name = &sender.name;
+        if *name == self.own.name && sender.incarnation == self.own.incarnation {
             // An address of our own.
             return true;
         }
         self.answered_ms = Some(now_ms);
-        self.apply(&reply.from.record, now_ms);
-        reply
-            .changes
-            .iter()
-            .for_each(|record| self.apply(record, now_ms));
+        self.apply(&sender, now_ms);
+        self.apply_notes(&reply.changes, now_ms);
         reply
             .page
             .iter()
@@ -302,13 +314,14 @@
         let report = &reply.from.report;
         if let Some(entry) = self.list.find_mut(name) {
             entry.add_evidence(HeadEvidence::of(report, probe.sent_ms));
+            entry.introduced |= sender.incarnation == entry.record.incarnation;
             entry.relayed = probe.relay.is_some();
             if probe.relay.is_none() {
                 entry.heard_ms = Some(now_ms);
             }
         }
         self.take_confirmation(name, report, probe.sent_ms);
-        self.take_summary(probe, reply);
+        self.take_summary(probe, name, reply);
         match &probe.target {
             ProbeTarget::Member(target) => target == name,
             ProbeTarget::Address(_) => true,
@@ -327,9 +340,15 @@
     }
 
     /// Takes the heads of other members, and decides whether to pull a page.
-    fn take_summary(&mut self, probe: &OutstandingProbe, reply: &ProbeReply) {
+    fn take_summary(&mut self, probe: &OutstandingProbe, name: &InstanceName, reply: &ProbeReply) {
         let summary = &reply.summary;
-        let unlike = take_marks(&mut self.list, &self.own, summary, probe.sent_ms);
+        let unlike = take_marks(
+            &mut self.list,
+            &self.own,
+            &self.report,
+            summary,
+            probe.sent_ms,
+        );
         if let Some(cursor) = &probe.cursor {
             self.sync.take_page(cursor, &reply.page);
         }
@@ -341,10 +360,9 @@
             .count();
         let theirs: usize = summary.segments.iter().map(|marks| marks.marks.len()).sum();
         let short = theirs > 2 * (live + 1);
-        let alike = summary.digest == self.list.digest(&self.own.record);
+        let alike = summary.digest == self.list.digest(&self.own);
         let segments: Vec<_> = unlike.iter().map(|(segment, _)| *segment).collect();
-        self.sync
-            .compare(&reply.from.record.name, alike, &segments, short);
+        self.sync.compare(name, alike, &segments, short);
     }
 
     /// Takes it that a probe was not answered.
@@ -393,24 +411,25 @@
     }
 
     fn reply(&mut self, probe: &ProbeRequest, now_ms: u64) -> ProbeReply {
-        let sender = &probe.from.record;
-        self.apply(sender, now_ms);
-        probe
-            .changes
-            .iter()
-            .for_each(|record| self.apply(record, now_ms));
-        if let Some(entry) = self.list.find_mut(&sender.name) {
+        let sender = self.list.resolve(&self.own, &probe.from.note);
+        if let Some(sender) = &sender {
+            self.apply(sender, now_ms);
+        }
+        self.apply_notes(&probe.changes, now_ms);
+        let name = sender.as_ref().map(|sender| &sender.name);
+        if let Some(entry) = name.and_then(|name| self.list.find_mut(name)) {
             entry.heard_ms = Some(now_ms);
         }
-        let changes = self.take_changes(Some(&sender.name), Some(sender));
+        let whole = matches!(probe.from.note, PeerNote::Whole(_));
+        let changes = self.take_changes(name, sender.as_ref());
         let cursor = probe.sync.as_ref();
-        let page = cursor.map(|cursor| self.list.page(&self.own.record, cursor));
+        let page = cursor.map(|cursor| self.list.page(&self.own, cursor));
         let room = if page.is_some() { 0 } else { MAX_MARKS };
         let start = (self.next_id % u64::from(SEGMENTS)) as u8;
         ProbeReply {
-            from: self.own.clone(),
+            from: self.status(whole),
             changes,
-            summary: summarise(&self.list, &self.own, now_ms, start, room),
+            summary: summarise(&self.list, &self.own, &self.report, now_ms, start, room),
             page: page.unwrap_or_default(),
         }
     }
@@ -419,8 +438,8 @@
     pub fn view(&self, now_ms: u64) -> MemberView {
         let own = PeerEntry {
             heard_ms: Some(now_ms),
-            evidence: HeadEvidence::of(&self.own.report, now_ms),
-            ..PeerEntry::new(self.own.record.clone(), now_ms)
+            evidence: HeadEvidence::of(&self.report, now_ms),
+            ..PeerEntry::new(self.own.clone(), now_ms)
         };
         let mut members: Vec<_> = self.list.entries().iter().map(member_info).collect();
         let slot = members.partition_point(|member| member.name < own.record.name);
--- a/crates/peers/src/changes.rs
+++ b/crates/peers/src/changes.rs
@@ -38,18 +38,26 @@
         }
     }
 
-    /// Takes up to `count` names for a message among `members` processes.
-    pub(crate) fn take(&mut self, count: usize, members: usize) -> Vec<InstanceName> {
-        let doublings = members.max(1).ilog2() + 1;
+    /// Takes names for a message among `members` processes, until the next one
+    /// does not fit in `room`; `size` gives the room that a name takes.
+    pub(crate) fn take(
+        &mut self,
+        mut room: usize,
+        members: usize,
+        size: impl Fn(&InstanceName) -> usize,
+    ) -> Vec<InstanceName> {
+        let sends = members.max(1).ilog2() + 1 + MORE_SENDS;
         self.0.sort_by_key(|change| change.sends);
-        let chosen = self.0.iter_mut().take(count);
-        let names = chosen.map(|change| {
+        let mut names = Vec::new();
+        for change in &mut self.0 {
+            let Some(rest) = room.checked_sub(size(&change.name)) else {
+                break;
+            };
+            room = rest;
             change.sends += 1;
-            change.name.clone()
-        });
-        let names = names.collect();
-        self.0
-            .retain(|change| change.sends < doublings + MORE_SENDS);
+            names.push(change.name.clone());
+        }
+        self.0.retain(|change| change.sends < sends);
         names
     }
 }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -31,6 +31,6 @@
         HeadSummary, PeerAnswer, PeerProbe, PeerReply, PeerRequest, ProbeId, ProbeReply,
         ProbeRequest, SegmentMarks, SyncCursor,
     },
-    record::{LoadLevel, MemberState, PeerHealth, PeerRecord, PeerStatus, ProcessReport},
+    record::{LoadLevel, MemberState, PeerHealth, PeerNote, PeerRecord, PeerStatus, ProcessReport},
     view::{ConfirmedHead, MajorityHead, MemberInfo, MemberView},
 };
--- a/crates/peers/src/list.rs
+++ b/crates/peers/src/list.rs
@@ -2,10 +2,10 @@
 
 use crate::{
     message::{SyncCursor, MAX_PAGE, SEGMENTS},
-    record::{LoadLevel, PeerHealth, PeerRecord, ProcessReport},
+    record::{place_of, LoadLevel, PeerHealth, PeerNote, PeerRecord, ProcessReport},
 };
 use berylmount_model::InstanceName;
-use xxhash_rust::xxh3::{xxh3_64, Xxh3};
+use xxhash_rust::xxh3::Xxh3;
 
 /// What was last heard of a member's table head.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -37,6 +37,8 @@
     pub(crate) since_ms: u64,
     /// When it last answered a probe, or probed, without a relay.
     pub(crate) heard_ms: Option<u64>,
+    /// Whether it knows this process, because it answered a whole note.
+    pub(crate) introduced: bool,
     /// Whether the last probe needed a relay.
     pub(crate) relayed: bool,
     pub(crate) evidence: HeadEvidence,
@@ -54,6 +56,7 @@
             record,
             since_ms: now_ms,
             heard_ms: None,
+            introduced: false,
             relayed: false,
             evidence: HeadEvidence::default(),
             segment,
@@ -72,13 +75,6 @@
     }
 }
 
-/// The place of a name in the order in which members probe each other.
-///
-/// A hash, so that members of one data centre don't follow each other.
-fn place_of(name: &InstanceName) -> u64 {
-    xxh3_64(name.as_str().as_bytes())
-}
-
 /// The segment of a name.
 pub(crate) fn segment_of(name: &InstanceName) -> u8 {
     (place_of(name) % u64::from(SEGMENTS)) as u8
@@ -107,6 +103,30 @@
         self.0.get_mut(index)
     }
 
+    /// The record that `note` stands for, none if it is of nobody known.
+    pub(crate) fn resolve(&self, own: &PeerRecord, note: &PeerNote) -> Option<PeerRecord> {
+        let (place, incarnation, refutation, health, leaving) = match note {
+            PeerNote::Whole(record) => return Some(record.clone()),
+            PeerNote::Short {
+                place,
+                incarnation,
+                refutation,
+                health,
+                leaving,
+            } => (*place, *incarnation, *refutation, *health, *leaving),
+        };
+        let entry = self.0.iter().find(|entry| entry.place == place);
+        let own = (place == place_of(&own.name)).then_some(own);
+        let known = own.or(entry.map(|entry| &entry.record))?;
+        Some(PeerRecord {
+            incarnation,
+            refutation,
+            health,
+            leaving,
+            ..known.clone()
+        })
+    }
+
     pub(crate) fn insert(&mut self, entry: PeerEntry) {
         match self.slot(&entry.record.name) {
             Ok(index) => self.0[index] = entry,
--- a/crates/peers/src/marks.rs
+++ b/crates/peers/src/marks.rs
@@ -11,7 +11,7 @@
 use crate::{
     list::{segment_of, HeadEvidence, PeerList},
     message::{HeadSummary, SegmentMarks, MAX_HEADS, SEGMENTS},
-    record::{LoadLevel, PeerStatus},
+    record::{LoadLevel, PeerRecord, ProcessReport},
 };
 use berylmount_model::InstanceName;
 use xxhash_rust::xxh3::Xxh3;
@@ -33,7 +33,12 @@
 }
 
 /// Every member that is not dead, the process itself among them, by name.
-fn mark_rows<'a>(list: &'a PeerList, own: &'a PeerStatus, now_ms: u64) -> Vec<MarkRow<'a>> {
+fn mark_rows<'a>(
+    list: &'a PeerList,
+    own: &'a PeerRecord,
+    report: &ProcessReport,
+    now_ms: u64,
+) -> Vec<MarkRow<'a>> {
     let known = list.entries().iter().filter(|entry| !entry.is_dead());
     let mut rows: Vec<_> = known
         .map(|entry| MarkRow {
@@ -42,9 +47,9 @@
             evidence: entry.evidence,
         })
         .collect();
-    let name = &own.record.name;
+    let name = &own.name;
     let slot = rows.partition_point(|row| row.name < name);
-    let evidence = HeadEvidence::of(&own.report, now_ms);
+    let evidence = HeadEvidence::of(report, now_ms);
     rows.insert(
         slot,
         MarkRow {
@@ -80,12 +85,13 @@
 /// Summarises what `list` knows in at most `room` marks, from segment `start` on.
 pub(crate) fn summarise(
     list: &PeerList,
-    own: &PeerStatus,
+    own: &PeerRecord,
+    report: &ProcessReport,
     now_ms: u64,
     start: u8,
     mut room: usize,
 ) -> HeadSummary {
-    let rows = mark_rows(list, own, now_ms);
+    let rows = mark_rows(list, own, report, now_ms);
     let heads = newest_heads(&rows);
     let mut segments = Vec::new();
     for step in 0..SEGMENTS {
@@ -105,7 +111,7 @@
             marks,
         });
     }
-    let digest = list.digest(&own.record);
+    let digest = list.digest(own);
     HeadSummary {
         digest,
         heads,
@@ -134,13 +140,14 @@
 /// whose names don't agree, with the number of marks that they had.
 pub(crate) fn take_marks(
     list: &mut PeerList,
-    own: &PeerStatus,
+    own: &PeerRecord,
+    report: &ProcessReport,
     summary: &HeadSummary,
     sent_ms: u64,
 ) -> Vec<(u8, usize)> {
     let mut unlike = Vec::new();
     let mut taken = Vec::new();
-    let rows = mark_rows(list, own, sent_ms);
+    let rows = mark_rows(list, own, report, sent_ms);
     for segment in &summary.segments {
         if segment.order != order_hash(&rows, segment.segment) {
             unlike.push((segment.segment, segment.marks.len()));
--- a/crates/peers/src/merge.rs
+++ b/crates/peers/src/merge.rs
@@ -3,8 +3,8 @@
 use crate::{
     board::PeerBoard,
     list::PeerEntry,
-    message::MAX_CHANGES,
-    record::{PeerHealth, PeerRecord},
+    message::{CHANGE_ROOM, WHOLE_ROOM},
+    record::{PeerHealth, PeerNote, PeerRecord},
 };
 use berylmount_model::InstanceName;
 
@@ -14,11 +14,28 @@
 /// suspicions would have to be refuted by everybody once it is back.
 const SMALL_LIST: usize = 8;
 
+/// The note of a change; who was live before may be new to the receiver.
+fn note_of(record: &PeerRecord) -> PeerNote {
+    match record.health {
+        PeerHealth::Live => PeerNote::Whole(record.clone()),
+        PeerHealth::Suspect | PeerHealth::Dead => PeerNote::short(record),
+    }
+}
+
 impl PeerBoard {
+    /// Takes changes; those of nobody known are dropped.
+    pub(crate) fn apply_notes(&mut self, notes: &[PeerNote], now_ms: u64) {
+        for note in notes {
+            if let Some(record) = self.list.resolve(&self.own, note) {
+                self.apply(&record, now_ms);
+            }
+        }
+    }
+
     /// Takes a record of a page, which others know as well.
     pub(crate) fn apply_page(&mut self, record: &PeerRecord, now_ms: u64) {
         let unknown = self.list.find(&record.name).is_none();
-        if unknown && record.name != self.own.record.name {
+        if unknown && record.name != self.own.name {
             self.list.insert(PeerEntry::new(record.clone(), now_ms));
         } else {
             self.apply(record, now_ms);
@@ -27,7 +44,7 @@
 
     /// Takes a record if it takes precedence over the known one, and queues it.
     pub(crate) fn apply(&mut self, record: &PeerRecord, now_ms: u64) {
-        if record.name == self.own.record.name {
+        if record.name == self.own.name {
             self.apply_own(record);
             return;
         }
@@ -43,6 +60,8 @@
             if entry.record.health != record.health {
                 entry.since_ms = now_ms;
             }
+            // A later process of the name doesn't know this one.
+            entry.introduced &= record.incarnation == entry.record.incarnation;
             entry.record = record.clone();
             self.changes.push(&record.name);
         } else if new < old {
@@ -53,7 +72,7 @@
 
     /// Answers what others say of this process.
     fn apply_own(&mut self, record: &PeerRecord) {
-        let own = &mut self.own.record;
+        let own = &mut self.own;
         if record.incarnation > own.incarnation {
             if self.joined {
                 self.superseded = true;
@@ -78,20 +97,26 @@
         &mut self,
         receiver: Option<&InstanceName>,
         sent: Option<&PeerRecord>,
-    ) -> Vec<PeerRecord> {
+    ) -> Vec<PeerNote> {
         let entry = receiver.and_then(|name| self.list.find(name));
         let known = entry.map(|entry| &entry.record);
         let contested = known.filter(|known| match sent {
             Some(sent) => known.precedence() > sent.precedence(),
             None => known.health != PeerHealth::Live,
         });
-        let mut records: Vec<_> = contested.cloned().into_iter().collect();
+        let mut notes: Vec<_> = contested.map(PeerNote::short).into_iter().collect();
         let members = self.list.entries().len() + 1;
-        let names = self.changes.take(MAX_CHANGES - records.len(), members);
+        let list = &self.list;
+        let health = |name: &InstanceName| list.find(name).map(|entry| entry.record.health);
+        let size = |name: &InstanceName| match health(name) {
+            Some(PeerHealth::Live) => WHOLE_ROOM,
+            _ => 1,
+        };
+        let names = self.changes.take(CHANGE_ROOM - notes.len(), members, size);
         for name in names.iter().filter(|name| Some(*name) != receiver) {
-            records.extend(self.list.find(name).map(|entry| entry.record.clone()));
+            notes.extend(self.list.find(name).map(|entry| note_of(&entry.record)));
         }
-        records
+        notes
     }
 
     /// Suspects a member that answered neither directly nor through others.
--- a/crates/peers/src/message.rs
+++ b/crates/peers/src/message.rs
@@ -4,13 +4,19 @@
 //! protocol version. [`PeerRequest::is_bounded`] and [`PeerReply::is_bounded`]
 //! refuse what no correct process sends.
 
-use crate::record::{PeerRecord, PeerStatus};
+use crate::record::{PeerNote, PeerRecord, PeerStatus};
 use berylmount_model::InstanceName;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// Changes on one message.
-pub(crate) const MAX_CHANGES: usize = 3;
+pub(crate) const MAX_CHANGES: usize = 4;
+
+/// Room for changes on one message; a short note takes one.
+pub(crate) const CHANGE_ROOM: usize = 4;
+
+/// Room that a whole note takes.
+pub(crate) const WHOLE_ROOM: usize = 3;
 
 /// Records on one page of a synchronisation.
 pub(crate) const MAX_PAGE: usize = 24;
@@ -61,7 +67,7 @@
     /// The sender.
     pub from: PeerStatus,
     /// Changes of membership.
-    pub changes: Vec<PeerRecord>,
+    pub changes: Vec<PeerNote>,
     /// Asks for a page of the receiver's members.
     pub sync: Option<SyncCursor>,
 }
@@ -90,7 +96,7 @@
     /// The replying process.
     pub from: PeerStatus,
     /// Changes of membership.
-    pub changes: Vec<PeerRecord>,
+    pub changes: Vec<PeerNote>,
     /// Table heads of other members, without marks when a page is sent.
     pub summary: HeadSummary,
     /// The page that was asked for.
--- a/crates/peers/src/record.rs
+++ b/crates/peers/src/record.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use strum::{Display, EnumIter, FromRepr, IntoStaticStr};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Whether a member answers.
 ///
@@ -137,6 +138,46 @@
     }
 }
 
+/// A record as it travels.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum PeerNote {
+    /// All of it, for receivers that may not know the member.
+    Whole(PeerRecord),
+    /// What changes of it, for receivers that know the member.
+    Short {
+        /// Hash of the name.
+        place: u64,
+        /// As in the record.
+        incarnation: u64,
+        /// As in the record.
+        refutation: u32,
+        /// As in the record.
+        health: PeerHealth,
+        /// As in the record.
+        leaving: bool,
+    },
+}
+
+impl PeerNote {
+    /// The short form of `record`.
+    pub(crate) fn short(record: &PeerRecord) -> Self {
+        Self::Short {
+            place: place_of(&record.name),
+            incarnation: record.incarnation,
+            refutation: record.refutation,
+            health: record.health,
+            leaving: record.leaving,
+        }
+    }
+}
+
+/// The place of a name in the order in which members probe each other.
+///
+/// A hash, so that members of one data centre don't follow each other.
+pub(crate) fn place_of(name: &InstanceName) -> u64 {
+    xxh3_64(name.as_str().as_bytes())
+}
+
 /// What a process says of its table and its load.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct ProcessReport {
@@ -154,7 +195,7 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct PeerStatus {
     /// Its own record.
-    pub record: PeerRecord,
+    pub note: PeerNote,
     /// Its table and its load.
     pub report: ProcessReport,
 }
--- a/crates/peers/src/targets.rs
+++ b/crates/peers/src/targets.rs
@@ -54,7 +54,7 @@
     fn choose_next(&self) -> Option<InstanceName> {
         let next = self
             .list
-            .next_members(&self.own.record.name, self.config.next_members);
+            .next_members(&self.own.name, self.config.next_members);
         let turn = (self.round / self.config.next_rounds) as usize;
         let entry = next.get(turn.checked_rem(next.len())?)?;
         Some(entry.record.name.clone())
@@ -91,7 +91,7 @@
     fn choose_lost(&mut self) -> Option<ProbeTarget> {
         let known = |address: &SocketAddr| {
             let mut live = self.list.entries().iter().filter(|entry| !entry.is_dead());
-            *address == self.own.record.peer_address
+            *address == self.own.peer_address
                 || live.any(|entry| entry.record.peer_address == *address)
         };
         let addresses = self
