Let a prompt wait for its cache as long as that saves

A second request for a long prompt that was being computed went elsewhere and computed it again, since the runner with the cache was open only up to four times the usual room, one second, while the prefill takes three. Ruled out: fetching it, as it is kept only when the run ends. Change: the room on a runner grows by the prefill time that its cache saves; the choice still takes the earliest expected first token.

--- a/crates/policy/src/runners.rs
+++ b/crates/policy/src/runners.rs
@@ -20,8 +20,6 @@
 pub(crate) const STRAGGLER_RATIO: f64 = 2.0;
 /// Time between probes of one straggler, in milliseconds.
 pub(crate) const PROBE_GAP_MS: u64 = 2_000;
-/// Times the usual room that a runner may be sent for the sake of its cache.
-const CACHE_ROOM: f64 = 4.0;
 /// Added to the score of a group's last clear runner, which is kept for
 /// critical work, in milliseconds.
 const RESERVE_MS: f64 = 100.0;
@@ -312,7 +310,7 @@
         }
         let slowness = state.slowness(now_ms);
         let ahead = state.ahead_ms(query.class, slowness, now_ms);
-        let room = if pieces > 0 { CACHE_ROOM } else { 1.0 } * self.settings.room_ms;
+        let room = self.settings.room_ms + self.settings.prefill_ms(cached);
         if state.load_ms(query.class, slowness, now_ms) > room {
             return None;
         }
