Probe stragglers with standard work before interactive work

Cause: with two of eighteen runners five times slower, interactive p99 was 470 ms against 255 ms healthy, as two thirds of all work is interactive and so paid for most probes, one for each straggler every two seconds. Ruled out: probing less often, which finds a recovered runner later. Change: interactive work probes only if no other class did for four seconds more.

--- a/crates/policy/src/runner_state.rs
+++ b/crates/policy/src/runner_state.rs
@@ -15,6 +15,8 @@
 const PROBE_PART: f64 = 0.7;
 /// Prefill time that a lower class delays a higher one on a runner: one piece.
 const LOWER_CLASS_MS: f64 = 100.0;
+/// Time that interactive work leaves a probe to other classes, in milliseconds.
+const INTERACTIVE_PROBE_MS: u64 = 4_000;
 /// Ended work that is remembered for late reports.
 const MOST_ENDED: usize = 256;
 /// Age from which a report says nothing, in milliseconds.
@@ -160,8 +162,16 @@
         self.works.iter().any(SentWork::is_long)
     }
 
-    pub(crate) fn may_probe(&self, now_ms: u64) -> bool {
-        now_ms >= self.probe_ms && !self.works.iter().any(SentWork::waits)
+    /// Whether work of `class` may probe it now.
+    ///
+    /// Work that a person waits for probes only if no other did for a while.
+    pub(crate) fn may_probe(&self, class: WorkClass, now_ms: u64) -> bool {
+        let from_ms = match class {
+            WorkClass::Critical => return false,
+            WorkClass::Interactive => self.probe_ms + INTERACTIVE_PROBE_MS,
+            WorkClass::Standard | WorkClass::Bulk => self.probe_ms,
+        };
+        now_ms >= from_ms && !self.works.iter().any(SentWork::waits)
     }
 
     /// Takes in an observed `ratio` that counts for the part `trust`.
--- a/crates/policy/src/runners.rs
+++ b/crates/policy/src/runners.rs
@@ -315,8 +315,8 @@
             return None;
         }
         let straggler = slowness > view.straggling;
-        let short = prefill < LONG_PREFILL_MS && query.class > WorkClass::Critical;
-        let probe = straggler && query.may_probe && short && state.may_probe(now_ms);
+        let short = prefill < LONG_PREFILL_MS;
+        let probe = straggler && query.may_probe && short && state.may_probe(query.class, now_ms);
         Some(RunnerChoice {
             runner,
             cached_tokens: cached,
