--- a/crates/bench/src/ours.rs
+++ b/crates/bench/src/ours.rs
@@ -3,7 +3,7 @@
 use crate::{
     our_groups::GroupState,
     targets::PREFILL_TOKENS_PER_S,
-    world::{report, Event, World, DATA_CENTRES, ENTRIES, TAKEOVER_US},
+    world::{report, Event, World, DATA_CENTRES, ENTRIES, STORE_CENTRES, TAKEOVER_US},
 };
 use berylmount_model::{CustomerName, CustomerRow, RequestVerdict, WorkName, PIECE_TOKENS};
 use berylmount_policy::{
@@ -17,6 +17,9 @@
 /// Time between two reports of a group to the entries.
 const GROUP_REPORT_US: u64 = 1_000_000;
 
+/// Weight of a runner as a home of prompts if a store is near it.
+const NEAR_STORE_WEIGHT: u32 = 2;
+
 /// One entry process.
 pub(crate) struct EntryState {
     pub(crate) groups: GroupBoard,
@@ -69,11 +72,14 @@
             let mut board = GroupBoard::default();
             for (group, runners) in runners.iter().enumerate() {
                 let near = entry % DATA_CENTRES == group;
-                board.add_group(
+                let id = board.add_group(
                     &format!("group-{group}"),
                     if near { 1.0 } else { 8.0 },
                     runners.len() as u32,
                 );
+                if STORE_CENTRES.contains(&group) {
+                    board.set_home_weight(id, NEAR_STORE_WEIGHT * runners.len() as u32);
+                }
             }
             EntryState {
                 groups: board,
--- a/crates/policy/src/assignment.rs
+++ b/crates/policy/src/assignment.rs
@@ -53,7 +53,7 @@
 }
 
 /// The weighted rendezvous score; the highest wins.
-fn score(key: &[u8], member: MemberWeight) -> f64 {
+pub(crate) fn score(key: &[u8], member: MemberWeight) -> f64 {
     let hash = pair_hash(key, member.name);
     let unit = ((hash >> 11) as f64 + 0.5) / (1u64 << 53) as f64;
     -f64::from(member.weight) / unit.ln()
--- a/crates/policy/src/groups.rs
+++ b/crates/policy/src/groups.rs
@@ -4,7 +4,10 @@
 //! It goes elsewhere when waiting there, the distance or failures cost more
 //! than the prefill that the home would save.
 
-use crate::{assignment::pair_hash, queue::CLASSES};
+use crate::{
+    assignment::{score, MemberWeight},
+    queue::CLASSES,
+};
 use berylmount_model::{PieceKey, WorkClass};
 use rand::{Rng, RngExt};
 
@@ -49,6 +52,7 @@
     name: String,
     distance_ms: f64,
     runners: f64,
+    home_weight: u32,
     present: bool,
     reported_ms: [f64; CLASSES],
     report_at_ms: u64,
@@ -117,6 +121,7 @@
             name: name.to_owned(),
             distance_ms,
             runners: f64::from(runners),
+            home_weight: runners,
             present: true,
             reported_ms: [0.0; CLASSES],
             report_at_ms: 0,
@@ -127,6 +132,24 @@
         GroupId(self.groups.len() as u32 - 1)
     }
 
+    /// Sets how many prompts have their home in `group`, relative to others.
+    ///
+    /// The default is its runners. Give more to a group with a store near it,
+    /// and the same from every entry, since a prompt has one home.
+    ///
+    /// ```
+    /// use berylmount_policy::GroupBoard;
+    ///
+    /// let mut board = GroupBoard::default();
+    /// let group = board.add_group("models/north/0", 1.0, 4);
+    /// board.set_home_weight(group, 16);
+    /// ```
+    pub fn set_home_weight(&mut self, group: GroupId, weight: u32) {
+        if let Some(state) = self.groups.get_mut(group.0 as usize) {
+            state.home_weight = weight;
+        }
+    }
+
     /// Says whether a group has an owner that can be reached.
     ///
     /// ```
@@ -266,7 +289,14 @@
     /// ```
     pub fn home(&self, key: &PieceKey) -> Option<GroupId> {
         let present = self.groups.iter().enumerate().filter(|(_, g)| g.present);
-        let best = present.max_by_key(|(_, state)| pair_hash(key.as_bytes(), &state.name));
+        let scored = present.map(|(place, state)| {
+            let member = MemberWeight {
+                name: &state.name,
+                weight: state.home_weight,
+            };
+            (place, score(key.as_bytes(), member))
+        });
+        let best = scored.max_by(|a, b| a.1.total_cmp(&b.1));
         best.map(|(place, _)| GroupId(place as u32))
     }
 }
