Join the processes by membership, and count table votes over all of them

An edit could not be accepted, since entries did not hear of each other. One listener now takes every call of a peer: probes and table questions are answered in the shell of the process, work goes to the role. What the members say of each other goes before the platform's lagging list for choosing entries and dispatch processes. Found on the way: an entry that had just started counted itself as the only process and accepted an edit 'in force on 1 of 1'; the processes that the platform lists now count as members before anybody has heard of them.

--- a/crates/berylmount/src/main.rs
+++ b/crates/berylmount/src/main.rs
@@ -17,12 +17,14 @@
 //! answers, 9 for a status that asks for an operator.
 
 mod check_settings;
+mod membership;
 mod operator_client;
 mod operator_flags;
 mod orders_command;
 mod role;
 mod status_command;
 mod table_command;
+mod table_share;
 
 use crate::{
     check_settings::check_settings, orders_command::run_orders, role::run_role,
--- /dev/null
+++ b/crates/berylmount/src/membership.rs
@@ -0,0 +1,378 @@
+//! Joins a role with the system's other processes.
+//!
+//! One listener takes every call of a peer: probes and table questions are
+//! answered here, work goes on to the role. Membership feeds two consumers: the
+//! role, which chooses among processes, and the table's freshness clock, which
+//! counts who has applied what.
+
+use crate::table_share::{answer_table, TableFollower};
+use berylmount_model::{InstanceName, InstanceRecord, InstanceRole, MonotonicClock};
+use berylmount_peers::{
+    BoardConfig, LoadLevel, MemberState, MemberView, MembershipParts, PeerHealth, PeerMembership,
+    PeerRecord, ProcessReport,
+};
+use berylmount_platform::ObjectStore;
+use berylmount_settings::ProcessSettings;
+use berylmount_table::{PeerReport, TableReplica};
+use berylmount_telemetry::{GaugeMetric, MetricSet};
+use berylmount_wire::{InboundCall, PeerServer, PeerService, WireConfig, WireRuntime};
+use signal_hook::{consts::SIGTERM, low_level::raise};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        mpsc::{sync_channel, Receiver, SyncSender},
+        Arc, Mutex, PoisonError,
+    },
+    thread,
+    time::Duration,
+};
+
+/// Calls of peers that wait to be taken.
+const CALLS_WAITING: usize = 256;
+
+/// Threads that answer probes and table questions.
+const ANSWER_THREADS: usize = 2;
+
+/// Shortest time between two reads of the platform's list, in milliseconds.
+const MIN_LIST_INTERVAL_MS: u64 = 1_000;
+
+/// Longest time between two reads of the platform's list, in milliseconds.
+const MAX_LIST_INTERVAL_MS: u64 = 60_000;
+
+/// Time between reads of the list for each instance in it, in milliseconds.
+///
+/// The list grows with the fleet and every process reads it, so its share of
+/// the control traffic is kept even by reading a long list less often.
+const LIST_INTERVAL_PER_INSTANCE_MS: u64 = 40;
+
+/// Time between two updates of the gauges.
+const GAUGE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Takes the platform's list of instances.
+pub(crate) type ListSink = Box<dyn Fn(&[InstanceRecord]) + Send + Sync>;
+
+/// Takes what a role is told of processes and targets.
+pub(crate) struct RoleObserver {
+    /// Takes the platform's list.
+    pub(crate) list: ListSink,
+    /// Takes the members' snapshot.
+    pub(crate) view: Box<dyn Fn(&MemberView) + Send + Sync>,
+    /// Requests in flight.
+    pub(crate) in_flight: Box<dyn Fn() -> usize + Send + Sync>,
+}
+
+/// What a process joins with.
+pub(crate) struct JoinParts {
+    pub(crate) role: InstanceRole,
+    pub(crate) settings: ProcessSettings,
+    pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) table: Arc<TableReplica>,
+    pub(crate) metrics: Arc<MetricSet>,
+    pub(crate) clock: MonotonicClock,
+    pub(crate) runtime: Arc<WireRuntime>,
+    pub(crate) seed: u64,
+}
+
+/// A bound listener for peers, whose calls are not answered yet.
+pub(crate) struct PeerListener {
+    server: PeerServer,
+    calls: Receiver<InboundCall>,
+}
+
+impl PeerListener {
+    /// Listens at `address`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the address can't be had.
+    pub(crate) fn bind(runtime: &Arc<WireRuntime>, address: SocketAddr) -> io::Result<Self> {
+        let (sender, calls) = sync_channel(CALLS_WAITING);
+        let runtime = Arc::clone(runtime);
+        let server = PeerServer::bind(runtime, WireConfig::default(), address, sender)?;
+        Ok(Self { server, calls })
+    }
+
+    /// Where it listens.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+}
+
+/// A process that has joined the others.
+pub(crate) struct JoinedProcess {
+    membership: Arc<PeerMembership>,
+    _server: PeerServer,
+}
+
+impl JoinedProcess {
+    /// Tells the others that this process takes nothing new.
+    pub(crate) fn leave(&self) {
+        self.membership.leave();
+    }
+
+    /// Tells the others that this process ends now.
+    pub(crate) fn stop(&self) {
+        self.membership.stop();
+    }
+}
+
+/// Joins the other processes; calls for work go to `work`.
+///
+/// # Errors
+///
+/// Returns the system's error if a thread can't be had.
+pub(crate) fn join_peers(
+    parts: JoinParts,
+    listener: PeerListener,
+    caller_address: Option<SocketAddr>,
+    observer: RoleObserver,
+    work: Option<SyncSender<InboundCall>>,
+) -> io::Result<JoinedProcess> {
+    let observer = Arc::new(observer);
+    let listed: Arc<Mutex<Vec<InstanceName>>> = Arc::default();
+    let follower = TableFollower::new(&parts.runtime, &parts.table, parts.clock)?;
+    let membership = Arc::new(PeerMembership::start(MembershipParts {
+        record: own_record(&parts, &listener, caller_address),
+        seeds: parts.settings.seeds.clone(),
+        config: BoardConfig {
+            refute_ms: parts.settings.timeouts.peer_dead.as_millis() as u64,
+            ..BoardConfig::default()
+        },
+        seed: parts.seed,
+        runtime: Arc::clone(&parts.runtime),
+        metrics: Arc::clone(&parts.metrics),
+        clock: parts.clock,
+        report: report_source(&parts, &observer),
+        observe: view_sink(&parts, &observer, &listed, follower),
+    })?);
+    let PeerListener { server, calls } = listener;
+    route_calls(calls, &membership, &parts.table, work)?;
+    let listing = Arc::clone(&membership);
+    let (store, list_observer) = (Arc::clone(&parts.store), Arc::clone(&observer));
+    spawn("list", move || {
+        watch_list(&*store, &listing, &list_observer, &listed);
+    })?;
+    spawn("gauges", move || set_gauges(&parts, &observer))?;
+    Ok(JoinedProcess {
+        membership,
+        _server: server,
+    })
+}
+
+/// Starts a thread.
+fn spawn(name: &str, duty: impl FnOnce() + Send + 'static) -> io::Result<()> {
+    let builder = thread::Builder::new().name(name.to_owned());
+    builder.spawn(duty).map(drop)
+}
+
+/// What this process says of itself.
+fn own_record(
+    parts: &JoinParts,
+    listener: &PeerListener,
+    caller_address: Option<SocketAddr>,
+) -> PeerRecord {
+    let advertised = match parts.role {
+        InstanceRole::Entry => parts.settings.entry.peer_advertised,
+        _ => parts.settings.dispatch.peer_advertised,
+    };
+    PeerRecord {
+        name: parts.settings.process_name(parts.role),
+        // Later processes of the name started at a later time.
+        incarnation: berylmount_model::unix_ms(),
+        refutation: 0,
+        health: PeerHealth::Live,
+        leaving: false,
+        role: parts.role,
+        data_centre: parts.settings.data_centre.clone(),
+        peer_address: advertised.unwrap_or(listener.address()),
+        caller_address,
+    }
+}
+
+/// Says what the probes tell of this process's table and load.
+fn report_source(
+    parts: &JoinParts,
+    observer: &Arc<RoleObserver>,
+) -> Box<dyn Fn(u64) -> ProcessReport + Send + Sync> {
+    let (table, observer) = (Arc::clone(&parts.table), Arc::clone(observer));
+    let bound = match parts.role {
+        InstanceRole::Entry => parts.settings.entry.max_in_flight,
+        _ => parts.settings.dispatch.max_in_flight,
+    };
+    Box::new(move |now_ms| {
+        let report = table.report_to_peer(now_ms);
+        ProcessReport {
+            head: report.head,
+            voting: report.joined,
+            confirmed_age_ms: report.confirmed_age_ms,
+            load: LoadLevel::of((observer.in_flight)(), bound),
+        }
+    })
+}
+
+/// Takes the members' snapshots into the table's clock and the role.
+fn view_sink(
+    parts: &JoinParts,
+    observer: &Arc<RoleObserver>,
+    listed: &Arc<Mutex<Vec<InstanceName>>>,
+    follower: TableFollower,
+) -> Box<dyn Fn(&MemberView) + Send + Sync> {
+    let own = parts.settings.process_name(parts.role);
+    let table = Arc::clone(&parts.table);
+    let (observer, listed) = (Arc::clone(observer), Arc::clone(listed));
+    Box::new(move |view| {
+        if view.superseded {
+            log::error!(target: "peers", "another process has this one's name; stopping");
+            let _ = raise(SIGTERM);
+        }
+        let listed = listed
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone();
+        note_members(&table, view, &own, &listed);
+        follower.note_view(view, &own);
+        (observer.view)(view);
+    })
+}
+
+/// Tells the table's freshness clock who is there and what each has applied.
+///
+/// Processes that the platform lists count before anybody has heard of them,
+/// and dead ones until the list has dropped them. Otherwise a process that has
+/// just started, or the smaller side of a partition, would take itself for more
+/// than half and accept an edit that the others never see.
+fn note_members(
+    table: &TableReplica,
+    view: &MemberView,
+    own: &InstanceName,
+    listed: &[InstanceName],
+) {
+    let others = view.members.iter().filter(|member| {
+        let counts = member.state != MemberState::Dead || listed.contains(&member.name);
+        member.name != *own && !member.left && counts
+    });
+    let unheard = listed
+        .iter()
+        .filter(|name| *name != own && view.find(name).is_none());
+    let names: Vec<InstanceName> = others
+        .map(|member| &member.name)
+        .chain(unheard)
+        .cloned()
+        .collect();
+    if !names.is_empty() || listed.contains(own) {
+        table.set_peers(&names);
+    }
+    for member in &view.members {
+        if let Some(head_ms) = member.head_ms {
+            let report = PeerReport {
+                head: member.applied_head,
+                joined: true,
+                confirmed_age_ms: None,
+            };
+            table.peer_report(&member.name, report, head_ms);
+        }
+    }
+    if let Some(confirmed) = &view.confirmed {
+        let report = PeerReport {
+            head: confirmed.head,
+            joined: true,
+            confirmed_age_ms: Some(0),
+        };
+        table.peer_report(&confirmed.name, report, confirmed.at_ms);
+    }
+}
+
+/// Answers probes and table questions; passes work on.
+fn route_calls(
+    calls: Receiver<InboundCall>,
+    membership: &Arc<PeerMembership>,
+    table: &Arc<TableReplica>,
+    work: Option<SyncSender<InboundCall>>,
+) -> io::Result<()> {
+    let (to_answer, answers) = sync_channel::<InboundCall>(CALLS_WAITING);
+    let answers = Arc::new(Mutex::new(answers));
+    for _ in 0..ANSWER_THREADS {
+        let (membership, table) = (Arc::clone(membership), Arc::clone(table));
+        let answers = Arc::clone(&answers);
+        spawn("answer", move || loop {
+            let next = answers
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .recv();
+            let Ok(InboundCall { service, call }) = next else {
+                return;
+            };
+            let answered = match service {
+                PeerService::Probe => membership.serve(call),
+                _ => answer_table(&table, call),
+            };
+            if let Err(fault) = answered {
+                log::debug!(target: "peers", "a peer's call failed: {fault}");
+            }
+        })?;
+    }
+    spawn("peers", move || {
+        for inbound in calls {
+            let taken = match (inbound.service, &work) {
+                (PeerService::Work, Some(work)) => work.try_send(inbound),
+                // Dropping the call resets it: an entry takes no work.
+                (PeerService::Work, None) => Ok(()),
+                (PeerService::Probe | PeerService::Table, _) => to_answer.try_send(inbound),
+            };
+            if taken.is_err() {
+                log::warn!(target: "peers", "too many calls of peers wait; one is dropped");
+            }
+        }
+    })
+}
+
+/// Reads the platform's list of instances until the process ends.
+fn watch_list(
+    store: &dyn ObjectStore,
+    membership: &PeerMembership,
+    observer: &RoleObserver,
+    listed: &Mutex<Vec<InstanceName>>,
+) {
+    loop {
+        let interval_ms = match store.instances() {
+            Ok(records) => {
+                let own = records.iter().filter(|record| is_process(record.role));
+                let names = own.map(|record| record.name.clone()).collect();
+                *listed.lock().unwrap_or_else(PoisonError::into_inner) = names;
+                membership.set_listed(&records);
+                (observer.list)(&records);
+                LIST_INTERVAL_PER_INSTANCE_MS * records.len() as u64
+            }
+            Err(fault) => {
+                log::warn!(target: "peers", "reading the list of instances failed: {fault}");
+                MIN_LIST_INTERVAL_MS
+            }
+        };
+        let interval_ms = interval_ms.clamp(MIN_LIST_INTERVAL_MS, MAX_LIST_INTERVAL_MS);
+        thread::sleep(Duration::from_millis(interval_ms));
+    }
+}
+
+/// Whether instances of `role` are processes of ours.
+fn is_process(role: InstanceRole) -> bool {
+    match role {
+        InstanceRole::Entry | InstanceRole::Dispatch => true,
+        InstanceRole::Runner | InstanceRole::Store | InstanceRole::Service => false,
+    }
+}
+
+/// Keeps the gauges of the table and the load until the process ends.
+fn set_gauges(parts: &JoinParts, observer: &RoleObserver) {
+    loop {
+        let report = parts.table.report(parts.clock.now_ms());
+        let metrics = &parts.metrics;
+        metrics.set(GaugeMetric::TableVersion, "", report.applied as i64);
+        if let Some(age_ms) = report.confirmed_age_ms {
+            metrics.set(GaugeMetric::TableAgeMs, "", age_ms as i64);
+        }
+        let in_flight = (observer.in_flight)();
+        metrics.set(GaugeMetric::InFlight, "", in_flight as i64);
+        thread::sleep(GAUGE_INTERVAL);
+    }
+}
--- a/crates/berylmount/src/role.rs
+++ b/crates/berylmount/src/role.rs
@@ -3,9 +3,10 @@
 //! Once it listens, the process prints its addresses as one line of JSON. A
 //! SIGTERM or SIGINT is the planned stop.
 
+use crate::membership::{join_peers, JoinParts, PeerListener, RoleObserver};
 use berylmount_dispatch::{DispatchParts, DispatchProcess};
 use berylmount_entry::{EntryParts, EntryProcess};
-use berylmount_model::MonotonicClock;
+use berylmount_model::{InstanceRole, MonotonicClock};
 use berylmount_platform::{ObjectStore, PlatformClient};
 use berylmount_settings::{ProcessSettings, SettingsError};
 use berylmount_table::TableReplica;
@@ -23,7 +24,7 @@
     io::{self, Write},
     net::{SocketAddr, TcpListener},
     path::Path,
-    sync::{atomic::AtomicBool, Arc},
+    sync::{atomic::AtomicBool, mpsc::sync_channel, Arc},
     thread,
     time::{SystemTime, UNIX_EPOCH},
 };
@@ -40,6 +41,9 @@
 /// Exit code for a stop that had to cut requests.
 const EXIT_CUT: u8 = 4;
 
+/// Calls for work that wait to be taken.
+const CALLS_WAITING: usize = 256;
+
 /// A role of the binary.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ProcessRole {
@@ -162,52 +166,104 @@
 fn run_entry(base: ProcessBase) -> Result<bool, StartFault> {
     let clock = MonotonicClock::start();
     let runtime = Arc::new(WireRuntime::start()?);
+    let listener = PeerListener::bind(&runtime, base.settings.entry.peer_listen)?;
+    let peers = listener.address();
+    let table = start_table(&base.store, clock)?;
     let entry = EntryProcess::start(EntryParts {
         settings: base.settings.clone(),
         metrics: Arc::clone(&base.metrics),
         store: Arc::clone(&base.store),
-        table: start_table(&base.store, clock)?,
-        client: PeerClient::new(runtime, WireConfig::default()),
+        table: Arc::clone(&table),
+        client: PeerClient::new(Arc::clone(&runtime), WireConfig::default()),
         clock,
         seed: base.seed,
     })?;
+    let shared = || Arc::clone(entry.shared());
+    let (listing, viewing, counting) = (shared(), shared(), shared());
+    let observer = RoleObserver {
+        list: Box::new(move |records| listing.apply_records(records)),
+        view: Box::new(move |view| viewing.apply_view(view)),
+        in_flight: Box::new(move || counting.in_flight()),
+    };
+    let parts = base.join_parts(InstanceRole::Entry, &table, clock, &runtime);
+    let joined = join_peers(parts, listener, Some(entry.address()), observer, None)?;
     announce(&ListenLine {
         callers: Some(entry.address()),
         operators: Some(entry.operators_address()),
-        peers: base.settings.entry.peer_listen,
+        peers,
         metrics: base.server.address(),
     })?;
     base.health.set(HealthState::Ready);
     wait_for_stop()?;
     base.health.set(HealthState::Leaving);
+    joined.leave();
     let clean = entry.stop();
+    joined.stop();
     Ok(end(clean))
 }
 
 /// Runs the dispatch role; returns whether it stopped without cutting requests.
 fn run_dispatch(base: ProcessBase) -> Result<bool, StartFault> {
     let clock = MonotonicClock::start();
-    let dispatch = DispatchProcess::start(DispatchParts {
+    let runtime = Arc::new(WireRuntime::start()?);
+    let listener = PeerListener::bind(&runtime, base.settings.dispatch.peer_listen)?;
+    let peers = listener.address();
+    let table = start_table(&base.store, clock)?;
+    let (work, calls) = sync_channel(CALLS_WAITING);
+    let parts = DispatchParts {
         settings: base.settings.clone(),
         store: Arc::clone(&base.store),
-        table: start_table(&base.store, clock)?,
+        table: Arc::clone(&table),
         metrics: Arc::clone(&base.metrics),
         clock,
         seed: base.seed,
-    })?;
+    };
+    let dispatch = DispatchProcess::start(parts, calls, peers)?;
+    let (listing, counting) = (Arc::clone(dispatch.shared()), Arc::clone(dispatch.shared()));
+    let observer = RoleObserver {
+        list: Box::new(move |records| listing.apply_list(records)),
+        view: Box::new(|_| {}),
+        in_flight: Box::new(move || counting.in_flight()),
+    };
+    let parts = base.join_parts(InstanceRole::Dispatch, &table, clock, &runtime);
+    let joined = join_peers(parts, listener, None, observer, Some(work))?;
     announce(&ListenLine {
         callers: None,
         operators: None,
-        peers: dispatch.address(),
+        peers,
         metrics: base.server.address(),
     })?;
     base.health.set(HealthState::Ready);
     wait_for_stop()?;
     base.health.set(HealthState::Leaving);
+    joined.leave();
     let clean = dispatch.stop();
+    joined.stop();
     Ok(end(clean))
 }
 
+impl ProcessBase {
+    /// What the process joins the others with.
+    fn join_parts(
+        &self,
+        role: InstanceRole,
+        table: &Arc<TableReplica>,
+        clock: MonotonicClock,
+        runtime: &Arc<WireRuntime>,
+    ) -> JoinParts {
+        JoinParts {
+            role,
+            settings: self.settings.clone(),
+            store: Arc::clone(&self.store),
+            table: Arc::clone(table),
+            metrics: Arc::clone(&self.metrics),
+            clock,
+            runtime: Arc::clone(runtime),
+            seed: self.seed,
+        }
+    }
+}
+
 /// Prints the addresses of a process that listens.
 fn announce(line: &ListenLine) -> io::Result<()> {
     let text = serde_json::to_string(line).map_err(io::Error::other)?;
--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -5,21 +5,18 @@
     kept::serve_wishes,
     order_sweep::sweep_orders,
     shared::{DispatchParts, DispatchShared, LOOK_INTERVAL},
-    watch::{read_list, watch_groups, watch_list},
+    watch::{read_list, watch_groups},
     weights::watch_weights,
 };
-use berylmount_wire::{InboundCall, PeerServer, WireConfig, WireRuntime};
+use berylmount_wire::InboundCall;
 use std::{
     io,
     net::SocketAddr,
-    sync::{mpsc::sync_channel, Arc},
+    sync::{mpsc::Receiver, Arc},
     thread,
     time::{Duration, Instant},
 };
 
-/// Calls that wait to be taken from the wire.
-const CALLS_WAITING: usize = 256;
-
 /// Shortest wait for order outcomes to be written at a stop.
 const OWED_WAIT: Duration = Duration::from_secs(2);
 
@@ -27,8 +24,6 @@
 pub struct DispatchProcess {
     /// What its threads share.
     shared: Arc<DispatchShared>,
-    /// Takes calls; dropped when the process stops.
-    server: PeerServer,
 }
 
 impl DispatchProcess {
@@ -37,31 +32,32 @@
     /// # Errors
     ///
     /// Returns the system's error if an address or a thread can't be had.
-    pub fn start(parts: DispatchParts) -> io::Result<Self> {
+    ///
+    /// Calls for work come through `calls`; `address` is where peers reach the
+    /// process.
+    pub fn start(
+        parts: DispatchParts,
+        calls: Receiver<InboundCall>,
+        address: SocketAddr,
+    ) -> io::Result<Self> {
         let (shared, wishes) = DispatchShared::new(parts)?;
         let shared = Arc::new(shared);
-        let (calls, inbound) = sync_channel::<InboundCall>(CALLS_WAITING);
-        let runtime = Arc::new(WireRuntime::start()?);
-        let address = shared.settings.dispatch.peer_listen;
-        let server = PeerServer::bind(runtime, WireConfig::default(), address, calls)?;
-        spawn_duty("calls", &shared, move |shared| {
-            serve_calls(shared, &inbound)
-        })?;
+        spawn_duty("calls", &shared, move |shared| serve_calls(shared, &calls))?;
         // Runners are known before the first call comes, if the platform answers.
         read_list(&shared);
         spawn_duty("kept", &shared, move |shared| serve_wishes(shared, &wishes))?;
-        spawn_duty("list", &shared, watch_list)?;
         spawn_duty("weights", &shared, |shared| watch_weights(shared))?;
         spawn_duty("groups", &shared, watch_groups)?;
-        let own = server.address();
-        spawn_duty("orders", &shared, move |shared| sweep_orders(shared, own))?;
-        log::info!(target: "dispatch", address:% = server.address(); "listening for peers");
-        Ok(Self { shared, server })
+        spawn_duty("orders", &shared, move |shared| {
+            sweep_orders(shared, address);
+        })?;
+        log::info!(target: "dispatch", address:% = address; "listening for peers");
+        Ok(Self { shared })
     }
 
-    /// Where it listens for peers.
-    pub fn address(&self) -> SocketAddr {
-        self.server.address()
+    /// What its threads share.
+    pub fn shared(&self) -> &Arc<DispatchShared> {
+        &self.shared
     }
 
     /// Stops in good order: refuses new work and waits for what it has.
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -10,18 +10,6 @@
 use berylmount_telemetry::GaugeMetric;
 use std::{sync::Arc, thread, time::Duration};
 
-/// Shortest time between two reads of the platform's list, in milliseconds.
-const MIN_LIST_INTERVAL_MS: u64 = 1_000;
-
-/// Longest time between two reads of the platform's list, in milliseconds.
-const MAX_LIST_INTERVAL_MS: u64 = 60_000;
-
-/// Time between reads of the list for each instance in it, in milliseconds.
-///
-/// The list grows with the fleet and every process reads it, so its share of
-/// the control traffic is kept even by reading a long list less often.
-const LIST_INTERVAL_PER_INSTANCE_MS: u64 = 40;
-
 /// Time between two load reports of a runner.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -31,25 +19,12 @@
 /// How late a load report is taken to be, in milliseconds.
 const REPORT_LAG_MS: u64 = 500;
 
-/// Reads the platform's list of instances until the process ends.
-pub(crate) fn watch_list(shared: &Arc<DispatchShared>) {
-    loop {
-        let interval_ms = LIST_INTERVAL_PER_INSTANCE_MS * read_list(shared) as u64;
-        let interval_ms = interval_ms.clamp(MIN_LIST_INTERVAL_MS, MAX_LIST_INTERVAL_MS);
-        thread::sleep(Duration::from_millis(interval_ms));
-    }
-}
-
-/// Reads the platform's list once; returns its length, zero if it did not come.
-pub(crate) fn read_list(shared: &DispatchShared) -> usize {
+/// Reads the platform's list once.
+pub(crate) fn read_list(shared: &DispatchShared) {
     match shared.store.instances() {
-        Ok(records) => {
-            shared.apply_list(&records);
-            records.len()
-        }
+        Ok(records) => shared.apply_list(&records),
         Err(fault) => {
             log::warn!(target: "dispatch", "reading the list of instances failed: {fault}");
-            0
         }
     }
 }
@@ -73,8 +48,6 @@
         shared.answers.drop_expired(shared.now_ms());
         let held = i64::try_from(shared.answers.bytes()).unwrap_or(i64::MAX);
         shared.metrics.set(GaugeMetric::HeldBytes, "", held);
-        let in_flight = i64::try_from(shared.in_flight()).unwrap_or(i64::MAX);
-        shared.metrics.set(GaugeMetric::InFlight, "", in_flight);
         thread::sleep(LOOK_INTERVAL);
     }
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -24,7 +24,7 @@
 
 pub use crate::{
     auth::key_matches,
-    members::{origin_of, GroupEntry, MemberEntry, MemberList},
+    members::{origin_of, GroupEntry, MemberEntry, MemberList, SeenInstances},
     operator_messages::{
         ChangedRow, EditAnswer, EditRequest, EditState, ExportAnswer, ImportAnswer, ImportRequest,
         OperatorReason, OperatorRefusal, RowAnswer, RowHistory, RowList, RowSource, StatusAnswer,
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -3,6 +3,7 @@
 use berylmount_model::{
     DataCentre, InstanceName, InstanceRecord, InstanceRole, InstanceState, PoolName, RequestId,
 };
+use berylmount_peers::{MemberState, MemberView};
 use berylmount_policy::{
     assignment::{self, MemberWeight},
     TargetGroup,
@@ -49,17 +50,71 @@
     assignment::pair_hash(name.as_str().as_bytes(), "origin")
 }
 
-impl MemberList {
-    /// The list that the platform's records show.
-    pub fn from_records(records: &[InstanceRecord]) -> Self {
-        Self {
-            entries: members(records, InstanceRole::Entry, InstanceState::Live),
-            dispatches: members(records, InstanceRole::Dispatch, InstanceState::Live),
-            leaving: members(records, InstanceRole::Dispatch, InstanceState::Leaving),
-            groups: runner_groups(records),
+/// What was last seen of processes and targets.
+#[derive(Clone, Debug, Default)]
+pub struct SeenInstances {
+    /// The platform's list, which lags.
+    pub records: Vec<InstanceRecord>,
+    /// What the members say of each other.
+    pub view: MemberView,
+}
+
+impl SeenInstances {
+    /// The list that both together show.
+    ///
+    /// What the members say of a process goes before the platform's list,
+    /// which only tells of processes that no member has heard of yet.
+    pub fn combine(&self) -> MemberList {
+        MemberList {
+            entries: self.members(InstanceRole::Entry, InstanceState::Live),
+            dispatches: self.members(InstanceRole::Dispatch, InstanceState::Live),
+            leaving: self.members(InstanceRole::Dispatch, InstanceState::Leaving),
+            groups: runner_groups(&self.records),
         }
     }
 
+    /// The processes of `role` and `state`, sorted by name.
+    fn members(&self, role: InstanceRole, state: InstanceState) -> Vec<MemberEntry> {
+        let heard = self
+            .view
+            .members
+            .iter()
+            .filter(|member| member.role == role && known_state(member.state) == Some(state));
+        let heard = heard.map(|member| MemberEntry {
+            name: member.name.clone(),
+            data_centre: member.data_centre.clone(),
+            address: member.peer_address,
+            caller_address: member.caller_address,
+        });
+        let listed = self.records.iter().filter(|record| {
+            let unheard = self.view.find(&record.name).is_none();
+            unheard && record.role == role && record.state == state
+        });
+        let listed = listed.map(|record| MemberEntry {
+            name: record.name.clone(),
+            data_centre: record.data_centre.clone(),
+            address: record.address,
+            caller_address: record.caller_address,
+        });
+        let mut members: Vec<_> = heard.chain(listed).collect();
+        members.sort_by(|a, b| a.name.cmp(&b.name));
+        members
+    }
+}
+
+/// The state of a process as work sees it; none for one that is gone.
+///
+/// A suspected process still counts as live: it may only be slow, and moving
+/// its work costs cache. A call that it does not take goes elsewhere by itself.
+fn known_state(state: MemberState) -> Option<InstanceState> {
+    match state {
+        MemberState::Live | MemberState::Suspect => Some(InstanceState::Live),
+        MemberState::Leaving => Some(InstanceState::Leaving),
+        MemberState::Dead => None,
+    }
+}
+
+impl MemberList {
     /// The dispatch process that owns `group`, leaving out those in `avoid`.
     pub fn owner(&self, group: &TargetGroup, avoid: &[InstanceName]) -> Option<&MemberEntry> {
         let left: Vec<&MemberEntry> = self
@@ -100,27 +155,6 @@
     }
 }
 
-/// The processes of `role` and `state`, sorted by name.
-fn members(
-    records: &[InstanceRecord],
-    role: InstanceRole,
-    state: InstanceState,
-) -> Vec<MemberEntry> {
-    let chosen = records
-        .iter()
-        .filter(|r| r.role == role && r.state == state);
-    let mut members: Vec<_> = chosen
-        .map(|record| MemberEntry {
-            name: record.name.clone(),
-            data_centre: record.data_centre.clone(),
-            address: record.address,
-            caller_address: record.caller_address,
-        })
-        .collect();
-    members.sort_by(|a, b| a.name.cmp(&b.name));
-    members
-}
-
 /// The runner groups, sorted by group.
 fn runner_groups(records: &[InstanceRecord]) -> Vec<GroupEntry> {
     let mut runners: Vec<_> = records
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -4,13 +4,12 @@
     auth::key_matches,
     callers::serve_request,
     http::{busy_refusal, call_text, http_config, refusal_answer},
-    members::MemberList,
     operators::OperatorRoutes,
     refusals::refusal_part,
     shared::{EntryParts, EntryShared},
 };
 use berylmount_http::{HttpAnswer, HttpCall, HttpServer};
-use berylmount_model::{CallRefusal, InstanceRecord, RefusalReason};
+use berylmount_model::{CallRefusal, RefusalReason};
 use std::{
     io,
     net::SocketAddr,
@@ -31,15 +30,6 @@
 /// The longest body of an operator's call, a whole sheet, in bytes.
 const MAX_SHEET_BYTES: usize = 64 << 20;
 
-/// Shortest time between two reads of the platform's list, in milliseconds.
-const MIN_LIST_INTERVAL_MS: u64 = 1_000;
-
-/// Longest time between two reads of the platform's list, in milliseconds.
-const MAX_LIST_INTERVAL_MS: u64 = 60_000;
-
-/// Time between reads of the list for each instance in it, in milliseconds.
-const LIST_INTERVAL_PER_INSTANCE_MS: u64 = 40;
-
 /// Time between two looks at the process's state while it stops.
 const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -68,8 +58,6 @@
         let taking = Arc::clone(&shared);
         spawn_duty("callers", move || take_requests(&taking, &requests))?;
         let operators = mount_operators(&shared)?;
-        let watching = Arc::clone(&shared);
-        spawn_duty("list", move || watch_list(&watching))?;
         log::info!(target: "entry", address:% = server.address(); "listening for callers");
         Ok(Self {
             shared,
@@ -208,27 +196,3 @@
         log::info!(target: "entry", "a caller was lost: {e}");
     }
 }
-
-/// Reads the platform's list of instances until the process ends.
-fn watch_list(shared: &EntryShared) {
-    loop {
-        let interval_ms = match shared.store.instances() {
-            Ok(records) => {
-                shared.set_list(MemberList::from_records(&records));
-                list_interval_ms(&records)
-            }
-            Err(fault) => {
-                log::warn!(target: "entry", "reading the list of instances failed: {fault}");
-                MIN_LIST_INTERVAL_MS
-            }
-        };
-        thread::sleep(Duration::from_millis(interval_ms));
-    }
-}
-
-/// Time to the next read of a list; a long one is read less often, so that
-/// control traffic stays even as the fleet grows.
-fn list_interval_ms(records: &[InstanceRecord]) -> u64 {
-    let interval_ms = LIST_INTERVAL_PER_INSTANCE_MS * records.len() as u64;
-    interval_ms.clamp(MIN_LIST_INTERVAL_MS, MAX_LIST_INTERVAL_MS)
-}
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -1,14 +1,16 @@
 //! What the threads of an entry process share.
 
 use crate::{
-    members::{MemberEntry, MemberList},
+    members::{MemberEntry, MemberList, SeenInstances},
     order_keys::KeyMint,
     refusals::RefusalLog,
     routes::RouteTable,
 };
 use berylmount_model::{
-    CallRefusal, CustomerName, CustomerRow, LimitRow, MonotonicClock, RefusalReason, WorkName,
+    CallRefusal, CustomerName, CustomerRow, InstanceRecord, LimitRow, MonotonicClock,
+    RefusalReason, WorkName,
 };
+use berylmount_peers::MemberView;
 use berylmount_platform::ObjectStore;
 use berylmount_policy::{
     assignment::{self, MemberWeight},
@@ -68,6 +70,8 @@
     pub client: PeerClient,
     /// Where callers reach this entry.
     pub caller_address: SocketAddr,
+    /// What was last seen of processes and targets.
+    seen: Mutex<SeenInstances>,
     /// Processes and groups.
     list: RwLock<Arc<MemberList>>,
     /// Chooses groups.
@@ -130,6 +134,7 @@
             table,
             client,
             caller_address,
+            seen: Mutex::default(),
             list: RwLock::default(),
             refusals: RefusalLog::default(),
             in_flight: AtomicUsize::new(0),
@@ -148,8 +153,27 @@
         Arc::clone(&list)
     }
 
+    /// Takes in the platform's list of instances.
+    pub fn apply_records(&self, records: &[InstanceRecord]) {
+        let mut seen = self.seen();
+        seen.records = records.to_vec();
+        self.set_list(seen.combine());
+    }
+
+    /// Takes in what the members say of each other.
+    pub fn apply_view(&self, view: &MemberView) {
+        let mut seen = self.seen();
+        seen.view = view.clone();
+        self.set_list(seen.combine());
+    }
+
+    /// Locks what was last seen of processes and targets.
+    fn seen(&self) -> MutexGuard<'_, SeenInstances> {
+        self.seen.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Takes in a newer list of processes and groups.
-    pub fn set_list(&self, list: MemberList) {
+    fn set_list(&self, list: MemberList) {
         if *self.list() == list {
             return;
         }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,9 +1,9 @@
 //! Accepts connections and hands their calls to a bounded channel.
 
 use crate::{answer::AnswerBody, connections::ConnectionTable, BodyFault, HttpAnswer, HttpCall};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
@@ -28,6 +28,9 @@
 /// The least room for a request's head that the HTTP library takes, in bytes.
 const MIN_HEAD_BYTES: usize = 8_192;
 
+/// Bytes of a body beyond its bound that are read and thrown away.
+const MAX_DISCARDED_BYTES: usize = 8 << 20;
+
 /// Wait before accepting again after accepting failed.
 const ACCEPT_RETRY: Duration = Duration::from_millis(100);
 
@@ -239,13 +242,29 @@
 
 /// Reads a body within its bounds.
 async fn read_body(body: Incoming, config: &HttpConfig) -> Result<Bytes, BodyFault> {
-    let limited = Limited::new(body, config.max_body);
-    match timeout(config.idle_timeout, limited.collect()).await {
-        Err(_) => Err(BodyFault::NotRead("it took too long".to_owned())),
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(e)) if e.downcast_ref::<LengthLimitError>().is_some() => {
-            Err(BodyFault::TooLong(config.max_body))
+    let read = timeout(config.idle_timeout, collect_body(body, config.max_body)).await;
+    read.unwrap_or_else(|_| Err(BodyFault::NotRead("it took too long".to_owned())))
+}
+
+/// Collects a body of at most `max_body` bytes.
+///
+/// A longer one is read on for a while and thrown away: a caller that is still
+/// sending when the connection closes would lose the refusal.
+async fn collect_body(mut body: Incoming, max_body: usize) -> Result<Bytes, BodyFault> {
+    let mut collected = BytesMut::new();
+    let mut length = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| BodyFault::NotRead(e.to_string()))?;
+        let data = frame.data_ref().map(Bytes::as_ref).unwrap_or_default();
+        length += data.len();
+        if length <= max_body {
+            collected.extend_from_slice(data);
+        } else if length > max_body + MAX_DISCARDED_BYTES {
+            break;
         }
-        Ok(Err(e)) => Err(BodyFault::NotRead(e.to_string())),
+    }
+    match length > max_body {
+        true => Err(BodyFault::TooLong(max_body)),
+        false => Ok(collected.freeze()),
     }
 }
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -55,6 +55,8 @@
     pub operators_listen: SocketAddr,
     /// Where it listens for peers.
     pub peer_listen: SocketAddr,
+    /// Where peers reach it, if that is not the address it listens on.
+    pub peer_advertised: Option<SocketAddr>,
     /// Where it serves metrics.
     pub metrics_listen: SocketAddr,
     /// Longest request body, in bytes.
@@ -76,6 +78,8 @@
 pub struct DispatchSettings {
     /// Where it listens for peers.
     pub peer_listen: SocketAddr,
+    /// Where peers reach it, if that is not the address it listens on.
+    pub peer_advertised: Option<SocketAddr>,
     /// Where it serves metrics.
     pub metrics_listen: SocketAddr,
     /// Requests in flight at targets.
@@ -320,6 +324,11 @@
         operators_listen: section
             .address("operators_listen", "Where the entry listens for operators."),
         peer_listen: section.address("peer_listen", "Where the entry listens for peers."),
+        peer_advertised: section.optional_address(
+            "peer_advertised",
+            "peer_listen",
+            "Where peers reach the entry.",
+        ),
         metrics_listen: section.address(
             "metrics_listen",
             "Where the entry serves `/metrics` and `/healthz`.",
@@ -359,6 +368,11 @@
 fn read_dispatch(section: &mut SectionReader<'_, '_>) -> DispatchSettings {
     DispatchSettings {
         peer_listen: section.address("peer_listen", "Where the dispatch listens for peers."),
+        peer_advertised: section.optional_address(
+            "peer_advertised",
+            "peer_listen",
+            "Where peers reach the dispatch.",
+        ),
         metrics_listen: section.address(
             "metrics_listen",
             "Where the dispatch serves `/metrics` and `/healthz`.",
--- a/crates/settings/src/verify.rs
+++ b/crates/settings/src/verify.rs
@@ -73,11 +73,19 @@
     fn check_reachable(&mut self, settings: &ProcessSettings) {
         let entry = &settings.entry;
         let peers = [
-            ("entry.peer_listen", entry.peer_listen),
-            ("dispatch.peer_listen", settings.dispatch.peer_listen),
+            (
+                "entry.peer_listen",
+                entry.peer_listen,
+                entry.peer_advertised,
+            ),
+            (
+                "dispatch.peer_listen",
+                settings.dispatch.peer_listen,
+                settings.dispatch.peer_advertised,
+            ),
         ];
-        for (key, address) in peers {
-            if address.ip().is_unspecified() {
+        for (key, address, advertised) in peers {
+            if address.ip().is_unspecified() && advertised.is_none() {
                 self.add(
                     key,
                     address,
--- a/crates/settings/tests/pages.rs
+++ b/crates/settings/tests/pages.rs
@@ -21,7 +21,7 @@
         for line in settings_table().lines().skip(2) {
             let key = line.split('`').nth(1).unwrap();
             let last = key.rsplit('.').next().unwrap();
-            let optional = last == "callers_advertised";
+            let optional = ["callers_advertised", "peer_advertised"].contains(&last);
             assert!(
                 optional || text.contains(&format!("\"{last}\"")),
                 "{name} lacks {key}"
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -219,7 +219,12 @@
 
     /// Starts a process and lists it.
     fn start_process(&mut self, role: &str, place: usize) -> io::Result<TestProcess> {
-        let settings = self.write_settings(place)?;
+        // The proxy's address is advertised, so it is there before the process.
+        let proxy = match self.config.proxied && role == "dispatch" {
+            true => Some(FaultProxy::start(self.platform.address())?),
+            false => None,
+        };
+        let settings = self.write_settings(place, proxy.as_ref().map(FaultProxy::address))?;
         let log = self.folder.join(format!("{role}-{place}.log"));
         let process = TestProcess::start(&self.binary, role, &settings, &log)?;
         let kind = match role {
@@ -229,9 +234,10 @@
         let name = format!("instance-{place}-{role}");
         let mut record = self.record(&name, kind, role, place, process.addresses.peers);
         record.caller_address = process.addresses.callers;
-        if self.config.proxied && kind == InstanceRole::Dispatch {
-            let proxy = FaultProxy::start(process.addresses.peers)?;
+        if let Some(proxy) = proxy {
+            proxy.retarget(process.addresses.peers);
             record.address = proxy.address();
+            self.dispatch_proxies.truncate(place);
             self.dispatch_proxies.push(proxy);
         }
         self.records.retain(|known| known.name != record.name);
@@ -262,9 +268,9 @@
     }
 
     /// Writes the settings of instance `place`.
-    fn write_settings(&self, place: usize) -> io::Result<PathBuf> {
+    fn write_settings(&self, place: usize, advertised: Option<SocketAddr>) -> io::Result<PathBuf> {
         let any = "127.0.0.1:0";
-        let settings = json!({
+        let mut settings = json!({
             "deployment": "test",
             "instance": format!("instance-{place}"),
             "data_centre": self.data_centre(place),
@@ -281,6 +287,9 @@
             "timeouts": { "locate_ttl": self.config.locate_ttl },
             "trace": { "sample": 0.0 },
         });
+        if let Some(address) = advertised {
+            settings["dispatch"]["peer_advertised"] = json!(address);
+        }
         let path = self.settings(place);
         std::fs::write(&path, settings.to_string())?;
         Ok(path)
@@ -370,6 +379,10 @@
                 })
             });
             wait_until("an entry that has the table", || has_table(address));
+            let processes = self.entries.len() + self.dispatches.len();
+            wait_until("an entry that knows every process", || {
+                live_members(entry.addresses.metrics) == processes
+            });
         }
     }
 
@@ -421,6 +434,16 @@
     answer.is_ok_and(|answer| answer.status() == 404)
 }
 
+/// Live processes that the process with the metrics at `address` knows.
+fn live_members(address: SocketAddr) -> usize {
+    let page = http_agent().get(format!("http://{address}/metrics")).call();
+    let page = page.and_then(|mut page| page.body_mut().read_to_string());
+    let page = page.unwrap_or_default();
+    let mut lines = page.lines();
+    let count = lines.find_map(|line| line.strip_prefix("berylmount_members{state=\"live\"} "));
+    count.and_then(|count| count.parse().ok()).unwrap_or(0)
+}
+
 /// Reads JSON from `address`, if it answers.
 fn get_json(address: SocketAddr, path: &str) -> Option<Value> {
     let url = format!("http://{address}{path}");
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -61,7 +61,7 @@
 /// The state shared by the copying threads.
 #[derive(Debug)]
 struct ProxyShared {
-    target: SocketAddr,
+    target: Mutex<SocketAddr>,
     stopping: AtomicBool,
     state: Mutex<ProxyState>,
 }
@@ -71,6 +71,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// What it stands before now.
+    fn target(&self) -> SocketAddr {
+        *self.target.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Closes both ends of every connection.
     fn cut(&self) {
         for link in self.lock().links.drain(..) {
@@ -90,7 +95,7 @@
         if self.lock().faults.refuse {
             return Ok(());
         }
-        let target = TcpStream::connect(self.target)?;
+        let target = TcpStream::connect(self.target())?;
         client.set_nodelay(true)?;
         target.set_nodelay(true)?;
         let mut state = self.lock();
@@ -191,7 +196,7 @@
         let listener = TcpListener::bind(listen)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(ProxyShared {
-            target,
+            target: Mutex::new(target),
             stopping: AtomicBool::new(false),
             state: Mutex::default(),
         });
@@ -216,6 +221,12 @@
         self.address
     }
 
+    /// Stands before another target from now on.
+    pub fn retarget(&self, target: SocketAddr) {
+        let current = self.shared.target.lock();
+        *current.unwrap_or_else(PoisonError::into_inner) = target;
+    }
+
     /// Sets the faults that hold from now on.
     pub fn set(&self, faults: ProxyFaults) {
         self.shared.lock().faults = faults;
