--- a/crates/table/src/fresh.rs
+++ b/crates/table/src/fresh.rs
@@ -10,7 +10,7 @@
 //! 2. *Peers.* More than half of the members (the entry and dispatch processes
 //!    that it knows, itself included) have answered a question that it asked
 //!    within the last [`FRESHNESS_MS`] with an applied head that is not newer
-//!    than its own. A process that has not *joined* gets no vote, its own
+//!    than its own. A process that has not *joined* has no vote, its own
 //!    included.
 //!
 //! Otherwise it refuses new requests as not run. An edit is reported accepted
@@ -44,12 +44,13 @@
 //!
 //! # What it rests on
 //!
-//! The two majorities overlap if both are taken over the same members. The
-//! caller must keep a member until the platform's list no longer has it, and
-//! add those that it learns of from peers. When more members than half were
-//! replaced while some were cut off from the platform and from all the new
-//! ones, the two need not overlap; this case is not covered. Clocks need not
-//! agree, only run at the same speed over a few seconds.
+//! The two majorities overlap if both are taken over the same members. So the
+//! caller passes members only after it has learned all that some peer knows,
+//! and keeps a silent member for as long as a partition may last, unless it
+//! left in good order. When half of the members or more were replaced while
+//! some were cut off from the platform and from all the new ones, or when a cut
+//! outlasts the memory of members, the two need not overlap; this is not
+//! covered. Clocks need not agree, only run at the same speed over a few seconds.
 
 use berylmount_model::InstanceName;
 use serde::{Deserialize, Serialize};
@@ -199,13 +200,21 @@
             joined,
         });
         let confirmed = report.confirmed_age_ms;
-        let sent_ms = confirmed.and_then(|age_ms| asked_ms.checked_sub(age_ms));
-        if let Some(sent_ms) = sent_ms.filter(|&sent_ms| sent_ms >= self.started_ms) {
-            if head <= self.applied {
-                self.confirm(sent_ms);
-            } else {
-                self.pend(HeadMark { sent_ms, head });
-            }
+        if let Some(sent_ms) = confirmed.and_then(|age_ms| asked_ms.checked_sub(age_ms)) {
+            self.confirmed_by_peer(sent_ms, head);
+        }
+    }
+
+    /// Takes a peer's word that a call of its, sent at or after `sent_ms` by
+    /// this process's clock, showed no head newer than `head`.
+    pub fn confirmed_by_peer(&mut self, sent_ms: u64, head: u64) {
+        if sent_ms < self.started_ms {
+            return;
+        }
+        if head <= self.applied {
+            self.confirm(sent_ms);
+        } else {
+            self.pend(HeadMark { sent_ms, head });
         }
     }
 
--- a/crates/table/src/replica.rs
+++ b/crates/table/src/replica.rs
@@ -295,6 +295,12 @@
         self.lock().clock.peer_report(name, report, asked_ms);
     }
 
+    /// Takes a peer's word that a call of its, sent at or after `sent_ms` by
+    /// this process's clock, showed no head newer than `head`.
+    pub fn confirmed_by_peer(&self, sent_ms: u64, head: u64) {
+        self.lock().clock.confirmed_by_peer(sent_ms, head);
+    }
+
     /// What to tell a peer that asks at `now_ms`.
     pub fn report_to_peer(&self, now_ms: u64) -> PeerReport {
         self.lock().clock.report(now_ms)
