--- a/crates/berylmount/src/table_command.rs
+++ b/crates/berylmount/src/table_command.rs
@@ -355,7 +355,10 @@
 }
 
 fn refusal_text(refusal: &OperatorRefusal) -> String {
-    let mut text = format!("refused: {}\n", refusal.detail);
+    let mut text = match refusal.errors.is_empty() {
+        true => format!("refused: {}\n", refusal.detail),
+        false => "refused; nothing was stored\n".to_owned(),
+    };
     for error in &refusal.errors {
         let _ = writeln!(text, "  {error}");
     }
