Carry small edits in the head, so that nobody reads a whole shard for them

Weighed: more shards (as many more reads at a restart), history in an object of its own (two writes that can part). Change: the head, which everybody watches anyway, carries the rows of the last small edits with the shard versions before and after, within 4 KB; whoever has the version before applies them, all others load the shard. The fuzz now compares rows with the stored ones at equal versions; taken out one at a time, the check of the version before, the handling of deletions and the exact new version fail it ('a version that was never stored'); all 15 older mutants still fail. One mutant survives, an edit read back after a lost answer that claims the version below as its base: versions of one shard are hardly ever next to each other, as the head takes one between.

--- a/crates/table/examples/table_size.rs
+++ b/crates/table/examples/table_size.rs
@@ -17,7 +17,7 @@
 };
 
 /// Copies of the table that are loaded to tell the memory of one.
-const COPIES: usize = 4;
+const COPIES: usize = 6;
 /// Look-ups that are timed.
 const LOOKUPS: u32 = 1_000_000;
 
@@ -67,6 +67,14 @@
     value.and_then(|text| text.parse().ok()).unwrap_or(0)
 }
 
+fn load_copies(store: &MemoryStore) -> Result<Vec<TableReplica>, Box<dyn Error>> {
+    let copies: Vec<_> = (0..COPIES).map(|_| TableReplica::new(0)).collect();
+    for copy in &copies {
+        copy.poll(store, 0, Duration::ZERO)?;
+    }
+    Ok(copies)
+}
+
 fn main() -> Result<(), Box<dyn Error>> {
     let argument = std::env::args()
         .nth(1)
@@ -103,14 +111,13 @@
     replica.poll(&store, 0, Duration::ZERO)?;
     println!("load of all shards: {:?}", start.elapsed());
 
+    // The first copies fill what the import had freed.
+    let filling = load_copies(&store)?;
     let before_kib = resident_kib();
-    let copies: Vec<_> = (0..COPIES).map(|_| TableReplica::new(0)).collect();
-    for copy in &copies {
-        copy.poll(&store, 0, Duration::ZERO)?;
-    }
+    let copies = load_copies(&store)?;
     let grown_kib = resident_kib().saturating_sub(before_kib);
     println!("memory of one copy: {} KiB", grown_kib / COPIES as u64);
-    drop(copies);
+    drop((filling, copies));
 
     let start = Instant::now();
     editor.apply(&edit("one", &table[2..3], 1))?;
@@ -118,6 +125,8 @@
     let start = Instant::now();
     replica.poll(&store, 0, Duration::ZERO)?;
     println!("one edit: {edited:?}, its load: {:?}", start.elapsed());
+    let edited_bytes = store.get(HEAD_KEY)?.map_or(0, |head| head.value.len());
+    println!("bytes that a process reads for it: {edited_bytes}");
 
     let start = Instant::now();
     let errors = replica.rule_errors().len();
--- a/crates/table/src/editor.rs
+++ b/crates/table/src/editor.rs
@@ -10,12 +10,16 @@
 //! After the shards the head is raised, which is what processes watch.
 
 use crate::{
-    shard::ShardOutcome, shard_index, shard_key, RowChange, RowConflict, ShardDocument, ShardError,
-    TableEdit, TableHead, HEAD_KEY, SHARD_PREFIX,
+    head::{DeltaRow, ShardDelta},
+    shard::ShardOutcome,
+    shard_index, shard_key, RowChange, RowConflict, ShardDocument, ShardError, TableEdit,
+    TableHead, HEAD_KEY, SHARD_PREFIX,
 };
 use berylmount_model::RowKey;
 use berylmount_platform::{ObjectStore, StoreError, MAX_VALUE_BYTES};
 
+/// The most rows of an edit that travels in the head.
+const MAX_DELTA_ROWS: usize = 8;
 /// Tries at one object before an edit gives up against others' writes.
 const MAX_TRIES: usize = 32;
 
@@ -85,7 +89,8 @@
 /// A shard that holds an edit.
 struct EditedShard {
     version: u64,
-    repeated: bool,
+    /// The version that the edit changed, if this try stored it.
+    from: Option<u64>,
     document: ShardDocument,
 }
 
@@ -137,27 +142,23 @@
     pub fn apply(&self, edit: &TableEdit) -> Result<EditReceipt, EditError> {
         let parts = split_edit(edit);
         self.check_conflicts(&parts)?;
-        let mut versions = Vec::new();
-        let mut rows = Vec::new();
-        let mut repeated = true;
+        let mut stored = StoredParts::default();
         for (index, part) in &parts {
             let edited = self.edit_shard(*index, part).map_err(|error| {
-                if versions.is_empty() {
-                    error
-                } else {
-                    log::warn!(target: "table", shard = *index, error:% = error; "edit is stored in part");
-                    EditError::Unclear
+                if stored.versions.is_empty() {
+                    return error;
                 }
+                log::warn!(target: "table", shard = *index, error:% = error; "edit is stored in part");
+                EditError::Unclear
             })?;
-            versions.push((*index, edited.version));
-            repeated &= edited.repeated;
-            rows.extend(edited_rows(part, &edited.document));
+            stored.add(*index, part, edited);
         }
-        let head_version = self.raise_head(&versions).map_err(|_| EditError::Unclear)?;
+        let head_version = self.raise_head(&stored.versions, &stored.deltas);
+        let head_version = head_version.map_err(|_| EditError::Unclear)?;
         Ok(EditReceipt {
             head_version,
-            repeated,
-            rows,
+            repeated: stored.written == 0,
+            rows: stored.rows,
         })
     }
 
@@ -171,7 +172,7 @@
         let versions = heads
             .iter()
             .filter_map(|head| Some((listed_index(&head.key)?, head.version)));
-        self.raise_head(&versions.collect::<Vec<_>>())
+        self.raise_head(&versions.collect::<Vec<_>>(), &[])
     }
 
     fn read_shard(&self, index: usize) -> Result<ReadShard, EditError> {
@@ -224,10 +225,9 @@
             } = read;
             match document.apply(edit) {
                 ShardOutcome::Repeated => {
-                    let repeated = true;
                     return Ok(EditedShard {
                         version,
-                        repeated,
+                        from: None,
                         document,
                     });
                 }
@@ -238,11 +238,10 @@
             let bytes = document.encode_within(MAX_VALUE_BYTES);
             let bytes = bytes.ok_or(settle(EditError::Full(index), unclear))?;
             match self.store.put(&key, version, &bytes) {
-                Ok(version) => {
-                    let repeated = false;
+                Ok(new_version) => {
                     return Ok(EditedShard {
-                        version,
-                        repeated,
+                        version: new_version,
+                        from: Some(version),
                         document,
                     });
                 }
@@ -262,12 +261,17 @@
         Err(settle(EditError::Busy, unclear))
     }
 
-    fn raise_head(&self, versions: &[(usize, u64)]) -> Result<u64, EditError> {
+    fn raise_head(
+        &self,
+        versions: &[(usize, u64)],
+        deltas: &[ShardDelta],
+    ) -> Result<u64, EditError> {
         for _ in 0..MAX_TRIES {
             let mut head = self.read_head()?;
             if !head.raise(versions) {
                 return Ok(head.version);
             }
+            head.add_deltas(deltas);
             match self.store.put(HEAD_KEY, head.version, &head.encode()) {
                 Ok(version) => return Ok(version),
                 Err(StoreError::Conflict { .. } | StoreError::Unclear) => {}
@@ -295,6 +299,47 @@
     (shard_key(index) == key).then_some(index)
 }
 
+/// The parts of an edit that are stored so far.
+#[derive(Default)]
+struct StoredParts {
+    versions: Vec<(usize, u64)>,
+    deltas: Vec<ShardDelta>,
+    rows: Vec<(RowKey, u64)>,
+    written: usize,
+}
+
+impl StoredParts {
+    /// Adds the part in shard `index`.
+    fn add(&mut self, index: usize, part: &TableEdit, edited: EditedShard) {
+        let EditedShard {
+            version,
+            from,
+            document,
+        } = edited;
+        self.versions.push((index, version));
+        let rows = part.changes.iter().map(|change| DeltaRow {
+            key: change.key.clone(),
+            stored: document.row(&change.key).cloned(),
+        });
+        let rows: Vec<_> = rows.collect();
+        let row_version = |row: &DeltaRow| row.stored.as_ref().map_or(0, |stored| stored.version);
+        let versions = rows.iter().map(|row| (row.key.clone(), row_version(row)));
+        self.rows.extend(versions);
+        let Some(from) = from else {
+            return;
+        };
+        self.written += 1;
+        if rows.len() <= MAX_DELTA_ROWS {
+            self.deltas.push(ShardDelta {
+                shard: index,
+                from,
+                to: version,
+                rows,
+            });
+        }
+    }
+}
+
 /// The parts of an edit by shard, in order.
 fn split_edit(edit: &TableEdit) -> Vec<(usize, TableEdit)> {
     let changes = edit.changes.iter();
@@ -316,13 +361,6 @@
     parts.map(part).collect()
 }
 
-/// The changed rows of one shard with their versions.
-fn edited_rows(part: &TableEdit, document: &ShardDocument) -> Vec<(RowKey, u64)> {
-    let keys = part.changes.iter().map(|change| &change.key);
-    let version = |key| document.row(key).map_or(0, |stored| stored.version);
-    keys.map(|key| (key.clone(), version(key))).collect()
-}
-
 /// What a failed read says about the edit.
 fn read_failure(error: StoreError) -> EditError {
     log::warn!(target: "table", error:% = error; "platform did not answer the editor");
--- a/crates/table/src/head.rs
+++ b/crates/table/src/head.rs
@@ -1,6 +1,10 @@
-//! The head object: the newest version of each shard.
+//! The head object: the newest version of each shard, and the last small edits.
+//!
+//! Every process watches the head. A process that has the shard version before
+//! a small edit takes the edit from the head, and need not read the whole shard.
 
-use crate::ShardError;
+use crate::{shard_index, ShardError, StoredRow};
+use berylmount_model::RowKey;
 use serde::{Deserialize, Serialize};
 
 /// The number of table shards; it is part of the stored format.
@@ -10,22 +14,65 @@
 /// What the shards' keys at the platform begin with.
 pub const SHARD_PREFIX: &str = "table/shard/";
 
+/// The bound of the edits in the head, in bytes.
+const DELTA_BYTES: usize = 4_096;
+
+/// One row of an edit in the head.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DeltaRow {
+    /// The row's key.
+    pub key: RowKey,
+    /// The row after the edit; `None` if it was deleted.
+    pub stored: Option<StoredRow>,
+}
+
+/// What turned one version of a shard into the next.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ShardDelta {
+    /// The shard.
+    pub shard: usize,
+    /// The shard object's version before.
+    pub from: u64,
+    /// The shard object's version after.
+    pub to: u64,
+    /// The rows that changed.
+    pub rows: Vec<DeltaRow>,
+}
+
+impl ShardDelta {
+    /// Whether every row is one of the shard's, under its own key.
+    fn is_sound(&self) -> bool {
+        let sound = |row: &DeltaRow| {
+            let stored = row.stored.as_ref();
+            let keyed = |stored: &StoredRow| stored.key == row.key && stored.row.key() == row.key;
+            shard_index(&row.key) == self.shard && stored.is_none_or(keyed)
+        };
+        self.from < self.to && self.rows.iter().all(sound)
+    }
+}
+
 /// The head as it was read: its version and each shard's.
 ///
 /// Heads of one table are ordered by version, and with the head's version no
 /// shard's version ever falls.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TableHead {
     /// The head object's version at the platform; zero before the first edit.
     pub version: u64,
     /// Each shard's version; zero for a shard without an object.
     pub shards: Vec<u64>,
+    /// The last small edits, oldest first.
+    pub deltas: Vec<ShardDelta>,
 }
 
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct HeadDocument {
     shards: Vec<u64>,
+    #[serde(default)]
+    deltas: Vec<ShardDelta>,
 }
 
 impl Default for TableHead {
@@ -33,6 +80,7 @@
         Self {
             version: 0,
             shards: vec![0; SHARD_COUNT],
+            deltas: Vec::new(),
         }
     }
 }
@@ -54,17 +102,25 @@
     pub fn decode(version: u64, bytes: &[u8]) -> Result<Self, ShardError> {
         let document: HeadDocument =
             serde_json::from_slice(bytes).map_err(|error| ShardError::Syntax(error.to_string()))?;
-        let shards = document.shards;
+        let HeadDocument { shards, deltas } = document;
         if shards.len() != SHARD_COUNT {
             return Err(ShardError::Count(shards.len()));
         }
-        Ok(Self { version, shards })
+        if let Some(delta) = deltas.iter().find(|delta| !delta.is_sound()) {
+            return Err(ShardError::Delta(delta.shard));
+        }
+        Ok(Self {
+            version,
+            shards,
+            deltas,
+        })
     }
 
     /// The value to store.
     pub fn encode(&self) -> Vec<u8> {
         let document = HeadDocument {
             shards: self.shards.clone(),
+            deltas: self.deltas.clone(),
         };
         serde_json::to_vec(&document).unwrap_or_default()
     }
@@ -80,4 +136,21 @@
         }
         raised
     }
+
+    /// Adds edits, and drops the oldest over the bound.
+    pub(crate) fn add_deltas(&mut self, deltas: &[ShardDelta]) {
+        self.deltas.extend_from_slice(deltas);
+        let mut left = DELTA_BYTES;
+        let mut kept = 0;
+        for delta in self.deltas.iter().rev() {
+            let bytes = serde_json::to_vec(delta).map_or(usize::MAX, |bytes| bytes.len());
+            let Some(rest) = left.checked_sub(bytes) else {
+                break;
+            };
+            left = rest;
+            kept += 1;
+        }
+        let dropped = self.deltas.len() - kept;
+        self.deltas.drain(..dropped);
+    }
 }
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -2,8 +2,8 @@
 //!
 //! Rows hash into [`SHARD_COUNT`] table shards. Each shard is one object of the
 //! platform with one version, and a small head object names each shard's
-//! version. A process watches the head alone, and loads the shards that the
-//! head says are newer.
+//! version. A process watches the head alone. Small edits travel in the head;
+//! of the other shards that the head says are newer, a process loads the whole.
 //!
 //! Invariants:
 //!
@@ -35,7 +35,7 @@
     columns::{ColumnName, RowCell, RowCells},
     editor::{EditError, EditReceipt, TableEditor},
     fresh::{ForceReport, FreshnessClock, FreshnessState, PeerReport, FRESHNESS_MS},
-    head::{TableHead, HEAD_KEY, SHARD_COUNT, SHARD_PREFIX},
+    head::{DeltaRow, ShardDelta, TableHead, HEAD_KEY, SHARD_COUNT, SHARD_PREFIX},
     problem::{RowConflict, RowError, ShardError},
     replica::{ReplicaError, ReplicaReport, TableReplica, WATCH_WAIT},
     shard::{
--- a/crates/table/src/problem.rs
+++ b/crates/table/src/problem.rs
@@ -72,6 +72,9 @@
     /// The head names another number of shards.
     #[error("the head names {0} shards")]
     Count(usize),
+    /// The head carries an edit that does not fit its shard.
+    #[error("the head carries an edit that does not fit shard {0}")]
+    Delta(usize),
     /// A row is out of order, in the wrong shard, or not the one that its key names.
     #[error("row {0} is misplaced")]
     Misplaced(RowKey),
--- a/crates/table/src/replica.rs
+++ b/crates/table/src/replica.rs
@@ -212,6 +212,7 @@
                 let head = TableHead::decode(object.version, &object.value);
                 let head = head.map_err(|error| damaged(HEAD_KEY, error))?;
                 self.adopt_head(&head);
+                self.apply_deltas(&head);
                 head.version
             }
         };
@@ -241,6 +242,17 @@
         result
     }
 
+    /// Applies the edits that the head carries, where they fit the version here.
+    fn apply_deltas(&self, head: &TableHead) {
+        for delta in &head.deltas {
+            let view = self.view();
+            let rows = view.shard(delta.shard).and_then(|rows| rows.after(delta));
+            if let Some(rows) = rows {
+                self.apply_shards(vec![(delta.shard, rows)]);
+            }
+        }
+    }
+
     /// Takes a head if it is newer than the known one.
     fn adopt_head(&self, head: &TableHead) {
         let mut state = self.lock();
@@ -331,9 +343,12 @@
         verify_rows(view.rows().map(|stored| &stored.row))
     }
 
-    /// The newest head that is known, for a peer.
+    /// The newest head that is known, for a peer; without the edits in it.
     pub fn offer(&self) -> TableHead {
-        self.lock().head.clone()
+        TableHead {
+            deltas: Vec::new(),
+            ..self.lock().head.clone()
+        }
     }
 
     /// One shard as it is applied, for a peer: version and document.
--- a/crates/table/src/view.rs
+++ b/crates/table/src/view.rs
@@ -1,6 +1,6 @@
 //! Immutable snapshots of the table.
 
-use crate::{shard_index, ShardDocument, ShardError, StoredRow, SHARD_COUNT};
+use crate::{shard_index, ShardDelta, ShardDocument, ShardError, StoredRow, SHARD_COUNT};
 use berylmount_model::{
     CustomerName, CustomerRow, LimitRow, ModelName, ModelRow, PoolName, PoolRow, RowKey, RowKind,
     TableRow, WorkName, WorkRow,
@@ -31,6 +31,29 @@
         })
     }
 
+    /// The rows after an edit, if this is the version that the edit changed.
+    pub(crate) fn after(&self, delta: &ShardDelta) -> Option<Self> {
+        if self.version != delta.from {
+            return None;
+        }
+        let mut rows = self.clone();
+        rows.version = delta.to;
+        for row in &delta.rows {
+            let found = rows
+                .rows
+                .binary_search_by(|stored| stored.key.cmp(&row.key));
+            match (found, row.stored.clone()) {
+                (Ok(at), Some(stored)) => rows.rows[at] = stored,
+                (Ok(at), None) => drop(rows.rows.remove(at)),
+                (Err(at), Some(stored)) => rows.rows.insert(at, stored),
+                (Err(_), None) => {}
+            }
+            let version = row.stored.as_ref().map_or(0, |stored| stored.version);
+            rows.edit_count = rows.edit_count.max(version);
+        }
+        Some(rows)
+    }
+
     /// The rows as a document without history, for a peer.
     pub fn encode(&self, index: usize) -> Vec<u8> {
         ShardDocument::from_rows(index, self.edit_count, self.rows.clone()).encode()
--- a/crates/table/tests/fuzz_table.rs
+++ b/crates/table/tests/fuzz_table.rs
@@ -515,6 +515,7 @@
 
     fn check(&mut self) {
         self.check_rise();
+        self.check_rows();
         self.check_accepted();
         self.check_stored();
     }
@@ -532,6 +533,26 @@
         }
     }
 
+    /// A shard at the stored version has the stored rows, however it came.
+    fn check_rows(&self) {
+        for index in self.keys.iter().map(shard_index) {
+            let stored = self
+                .store
+                .peek(&shard_key(index))
+                .map_or(0, |object| object.version);
+            let document = self.document(index);
+            for process in &self.processes {
+                let view = process.replica.view();
+                let version = view.shard(index).unwrap().version();
+                assert!(version <= stored, "a version that was never stored");
+                if version == stored {
+                    let rows = view.rows().filter(|row| shard_index(&row.key) == index);
+                    assert!(rows.eq(document.rows()), "rows differ from the stored ones");
+                }
+            }
+        }
+    }
+
     /// Accepts what is in force, then: past the time nobody serves by older rows.
     fn check_accepted(&mut self) {
         for process in &mut self.processes {
