Keep no second name of a row, in memory or in shards

Cause: one copy of the table at 41,000 customers with a limit each took 25.0 MB of the 32 MB that a process may use. Ruled out: a vector for each kind of row, which would save a little more but change what all users of a view see. Change: a stored row compares with a key by its own fields; the key is made only where it is shown. All tests of table and entry pass.

--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -126,7 +126,7 @@
         };
         let view = self.table.view();
         let rows = view.rows();
-        let rows = rows.filter(|stored| kind.is_none_or(|kind| kind == stored.key.kind));
+        let rows = rows.filter(|stored| kind.is_none_or(|kind| kind == stored.key().kind));
         let mut rows: Vec<_> = rows
             .map(|row| row_answer(row, RowSource::Copy, None))
             .collect();
@@ -310,16 +310,12 @@
 
 /// The rows of `view` with `changes` made.
 fn changed_rows<'a>(view: &'a TableView, changes: &'a [RowChange]) -> Vec<&'a TableRow> {
-    let mut changes: Vec<_> = changes.iter().collect();
-    changes.sort_by(|a, b| a.key.cmp(&b.key));
-    let kept = |stored: &&StoredRow| {
-        changes
-            .binary_search_by(|c| c.key.cmp(&stored.key))
-            .is_err()
-    };
-    let rows = view.rows().filter(kept).map(|stored| &stored.row);
-    rows.chain(changes.iter().filter_map(|change| change.row.as_ref()))
-        .collect()
+    let mut keys: Vec<_> = changes.iter().map(|change| &change.key).collect();
+    keys.sort();
+    let kept = |row: &&TableRow| keys.binary_search(&&row.key()).is_err();
+    let rows = view.rows().map(|stored| &stored.row).filter(kept);
+    let changed = changes.iter().filter_map(|change| change.row.as_ref());
+    rows.chain(changed).collect()
 }
 
 /// Cells by their columns; a key becomes its hash.
@@ -369,7 +365,7 @@
 
 fn row_answer(stored: &StoredRow, source: RowSource, force: Option<ForceReport>) -> RowAnswer {
     RowAnswer {
-        key: stored.key.clone(),
+        key: stored.key(),
         version: stored.version,
         cells: row_cells(&stored.row),
         source,
--- a/crates/table/src/head.rs
+++ b/crates/table/src/head.rs
@@ -46,7 +46,7 @@
     fn is_sound(&self) -> bool {
         let sound = |row: &DeltaRow| {
             let stored = row.stored.as_ref();
-            let keyed = |stored: &StoredRow| stored.key == row.key && stored.row.key() == row.key;
+            let keyed = |stored: &StoredRow| stored.key() == row.key;
             shard_index(&row.key) == self.shard && stored.is_none_or(keyed)
         };
         self.from < self.to && self.rows.iter().all(sound)
--- a/crates/table/src/shard.rs
+++ b/crates/table/src/shard.rs
@@ -1,8 +1,9 @@
 //! Table shards: their document, and how an edit changes it.
 
 use crate::{row_cells, ColumnName, RowCells, RowConflict, ShardError, SHARD_COUNT, SHARD_PREFIX};
-use berylmount_model::{RowKey, TableRow};
+use berylmount_model::{RowKey, RowKind, TableRow};
 use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The format that this program writes.
@@ -31,17 +32,42 @@
     format!("{SHARD_PREFIX}{index:03}")
 }
 
-/// A row with its key and version.
+/// A row with its version.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StoredRow {
-    /// The row's key.
-    pub key: RowKey,
     /// The shard's count of edits when the row was changed last.
     pub version: u64,
     /// The row.
     pub row: TableRow,
 }
 
+impl StoredRow {
+    /// The row's key.
+    pub fn key(&self) -> RowKey {
+        self.row.key()
+    }
+
+    /// Compares the row's key with `key`, without making one.
+    pub(crate) fn cmp_key(&self, key: &RowKey) -> Ordering {
+        let (kind, name, rest) = match &self.row {
+            TableRow::Customer(row) => (RowKind::Customer, row.name.as_str(), None),
+            TableRow::Work(row) => (RowKind::Work, row.name.as_str(), None),
+            TableRow::Limit(row) => {
+                let work = row.work.as_str();
+                (RowKind::Limit, row.customer.as_str(), Some(work))
+            }
+            TableRow::Model(row) => (RowKind::Model, row.name.as_str(), None),
+            TableRow::Pool(row) => (RowKind::Pool, row.name.as_str(), None),
+        };
+        let rest = rest
+            .into_iter()
+            .flat_map(|rest| b"/".iter().chain(rest.as_bytes()));
+        let name = name.as_bytes().iter().chain(rest);
+        kind.cmp(&key.kind)
+            .then_with(|| name.cmp(key.name.as_bytes()))
+    }
+}
+
 /// One changed cell.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct CellChange {
@@ -188,17 +214,18 @@
             return Err(ShardError::Index { expected, found });
         }
         for stored in &self.rows {
-            if stored.key != stored.row.key() || shard_index(&stored.key) != index {
-                return Err(ShardError::Misplaced(stored.key.clone()));
+            if shard_index(&stored.key()) != index {
+                return Err(ShardError::Misplaced(stored.key()));
             }
             if stored.version > self.edit_count {
-                return Err(ShardError::Version(stored.key.clone()));
+                return Err(ShardError::Version(stored.key()));
             }
         }
-        let unsorted = self.rows.windows(2).find(|pair| pair[0].key >= pair[1].key);
-        unsorted.map_or(Ok(()), |pair| {
-            Err(ShardError::Misplaced(pair[1].key.clone()))
-        })
+        let unsorted = self
+            .rows
+            .windows(2)
+            .find(|pair| pair[0].cmp_key(&pair[1].key()).is_ge());
+        unsorted.map_or(Ok(()), |pair| Err(ShardError::Misplaced(pair[1].key())))
     }
 
     /// The value to store.
@@ -247,7 +274,7 @@
     }
 
     fn find(&self, key: &RowKey) -> Result<usize, usize> {
-        self.rows.binary_search_by(|stored| stored.key.cmp(key))
+        self.rows.binary_search_by(|stored| stored.cmp_key(key))
     }
 
     /// Applies the part of `edit` that falls into this shard: all of it or nothing.
@@ -314,7 +341,6 @@
             changes: cell_changes(before, change.row.as_ref()),
         };
         let stored = change.row.clone().map(|row| StoredRow {
-            key: change.key.clone(),
             version: self.edit_count,
             row,
         });
--- a/crates/table/src/sheet.rs
+++ b/crates/table/src/sheet.rs
@@ -105,13 +105,13 @@
     delete_missing: bool,
 ) -> (Vec<RowDiff>, Vec<RowChange>) {
     let mut stored: Vec<_> = rows.into_iter().collect();
-    stored.sort_by(|a, b| a.key.cmp(&b.key));
+    stored.sort_by(|a, b| a.cmp_key(&b.key()));
     let mut sheet: Vec<_> = sheet.iter().map(|row| (row.key(), row)).collect();
     sheet.sort_by(|a, b| a.0.cmp(&b.0));
     let mut diffs = Vec::new();
     let mut changes = Vec::new();
     for (key, row) in &sheet {
-        let found = stored.binary_search_by(|old| old.key.cmp(key));
+        let found = stored.binary_search_by(|old| old.cmp_key(key));
         let old = found.ok().map(|at| stored[at]);
         if old.is_some_and(|old| old.row == **row) {
             continue;
@@ -126,11 +126,11 @@
     let kept = |key: &RowKey| sheet.binary_search_by(|row| row.0.cmp(key)).is_ok();
     for old in stored
         .iter()
-        .filter(|old| delete_missing && !kept(&old.key))
+        .filter(|old| delete_missing && !kept(&old.key()))
     {
-        diffs.push(diff_row(&old.key, Some(&old.row), None));
+        diffs.push(diff_row(&old.key(), Some(&old.row), None));
         changes.push(RowChange {
-            key: old.key.clone(),
+            key: old.key(),
             expected: old.version,
             row: None,
         });
--- a/crates/table/src/view.rs
+++ b/crates/table/src/view.rs
@@ -41,7 +41,7 @@
         for row in &delta.rows {
             let found = rows
                 .rows
-                .binary_search_by(|stored| stored.key.cmp(&row.key));
+                .binary_search_by(|stored| stored.cmp_key(&row.key));
             match (found, row.stored.clone()) {
                 (Ok(at), Some(stored)) => rows.rows[at] = stored,
                 (Ok(at), None) => drop(rows.rows.remove(at)),
@@ -65,7 +65,7 @@
     }
 
     fn row(&self, key: &RowKey) -> Option<&StoredRow> {
-        let found = self.rows.binary_search_by(|stored| stored.key.cmp(key));
+        let found = self.rows.binary_search_by(|stored| stored.cmp_key(key));
         found.ok().map(|at| &self.rows[at])
     }
 }
--- a/crates/table/tests/fuzz_table.rs
+++ b/crates/table/tests/fuzz_table.rs
@@ -546,7 +546,7 @@
                 let version = view.shard(index).unwrap().version();
                 assert!(version <= stored, "a version that was never stored");
                 if version == stored {
-                    let rows = view.rows().filter(|row| shard_index(&row.key) == index);
+                    let rows = view.rows().filter(|row| shard_index(&row.key()) == index);
                     assert!(rows.eq(document.rows()), "rows differ from the stored ones");
                 }
             }
