Drop idle platform connections after a call without an answer

Cause: connections can go silent for good while new ones work. Each idle connection of the pool then cost a call of its own: a new test with two frozen connections failed at the second call ('Err value: Unavailable'), 3.4 s after the first. Ruled out: one connection only, as the waiting watch needs its own.

--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -10,11 +10,18 @@
 //! | instances | `GET /instances` | 200 with JSON |
 //!
 //! An answer of 503 says that the platform did nothing.
+//!
+//! After a call without an answer the idle connections are dropped: what made
+//! one silent may have made all of them silent, while new ones work.
 
 use crate::{CallCounts, CallKind, ObjectHead, ObjectStore, StoreError, StoredObject};
 use berylmount_model::InstanceRecord;
 use serde::de::DeserializeOwned;
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, PoisonError, RwLock},
+    time::Duration,
+};
 use ureq::{
     http::{header, HeaderMap, Response, StatusCode},
     Agent, Body, Error, Timeout,
@@ -22,7 +29,7 @@
 
 /// The longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// The longest wait for an answer, beyond what the call asks to wait.
+/// The longest wait for an answer unless set, beyond what the call asks to wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The bound of one object in an answer, in bytes; somewhat over the platform's own.
 const OBJECT_BOUND: u64 = 2 << 20;
@@ -37,7 +44,8 @@
 /// connection of its own.
 #[derive(Clone, Debug)]
 pub struct PlatformClient {
-    agent: Agent,
+    agent: Arc<RwLock<Agent>>,
+    timeout: Duration,
     base: String,
     counts: Arc<CallCounts>,
 }
@@ -53,19 +61,31 @@
     /// assert_eq!(client.put("a", 0, b"1"), Err(StoreError::Unavailable));
     /// ```
     pub fn new(address: SocketAddr) -> Self {
-        let config = Agent::config_builder()
-            .http_status_as_error(false)
-            .timeout_connect(Some(CONNECT_TIMEOUT))
-            .timeout_global(Some(CALL_TIMEOUT))
-            .max_redirects(0)
-            .build();
+        Self::with_timeout(address, CALL_TIMEOUT)
+    }
+
+    /// A client whose calls wait `timeout` for an answer; a watch beyond its own wait.
+    pub fn with_timeout(address: SocketAddr, timeout: Duration) -> Self {
         Self {
-            agent: config.into(),
+            agent: Arc::new(RwLock::new(new_agent(timeout))),
+            timeout,
             base: format!("http://{address}"),
             counts: Arc::default(),
         }
     }
 
+    /// The agent with the idle connections.
+    fn agent(&self) -> Agent {
+        let agent = self.agent.read().unwrap_or_else(PoisonError::into_inner);
+        agent.clone()
+    }
+
+    /// Drops the idle connections.
+    fn reset(&self) {
+        let agent = new_agent(self.timeout);
+        *self.agent.write().unwrap_or_else(PoisonError::into_inner) = agent;
+    }
+
     /// The calls that this client and its clones have made.
     pub fn counts(&self) -> &CallCounts {
         &self.counts
@@ -91,6 +111,7 @@
         if let Err(StoreError::Unavailable | StoreError::Unclear | StoreError::Malformed) = &result
         {
             self.counts.add_failure(kind);
+            self.reset();
         }
         result
     }
@@ -98,7 +119,7 @@
     /// Reads a JSON listing.
     fn listing<T: DeserializeOwned>(&self, url: &str) -> Result<T, StoreError> {
         let mut response = self
-            .agent
+            .agent()
             .get(url)
             .call()
             .map_err(|error| read_error(&error))?;
@@ -117,7 +138,7 @@
         let url = self.object_url(key)?;
         self.counted(CallKind::Get, || {
             let mut response = self
-                .agent
+                .agent()
                 .get(&url)
                 .call()
                 .map_err(|error| read_error(&error))?;
@@ -133,8 +154,11 @@
         let url = self.object_url(key)?;
         self.counted(CallKind::Put, || {
             let request = match expected_version {
-                0 => self.agent.put(&url).header(header::IF_NONE_MATCH, "*"),
-                version => self.agent.put(&url).header(header::IF_MATCH, etag(version)),
+                0 => self.agent().put(&url).header(header::IF_NONE_MATCH, "*"),
+                version => self
+                    .agent()
+                    .put(&url)
+                    .header(header::IF_MATCH, etag(version)),
             };
             let response = request.send(value).map_err(|error| write_error(&error))?;
             match response.status() {
@@ -148,7 +172,7 @@
         let url = self.object_url(key)?;
         self.counted(CallKind::Delete, || {
             let request = self
-                .agent
+                .agent()
                 .delete(&url)
                 .header(header::IF_MATCH, etag(expected_version));
             let response = request.call().map_err(|error| write_error(&error))?;
@@ -172,8 +196,8 @@
             self.object_url(key)?
         );
         self.counted(CallKind::Watch, || {
-            let request = self.agent.get(&url).config();
-            let request = request.timeout_global(Some(CALL_TIMEOUT + wait)).build();
+            let request = self.agent().get(&url).config();
+            let request = request.timeout_global(Some(self.timeout + wait)).build();
             let mut response = request.call().map_err(|error| read_error(&error))?;
             match response.status() {
                 StatusCode::OK => read_object(&mut response).map(Some),
@@ -199,6 +223,16 @@
     }
 }
 
+/// An agent without connections.
+fn new_agent(timeout: Duration) -> Agent {
+    let config = Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .timeout_global(Some(timeout))
+        .max_redirects(0);
+    config.build().into()
+}
+
 /// A version as an entity tag.
 fn etag(version: u64) -> String {
     format!("\"{version}\"")
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -3,7 +3,7 @@
 
 use berylmount_model::InstanceRecord;
 use berylmount_platform::{CallKind, ObjectStore, PlatformClient, StoreError, MAX_VALUE_BYTES};
-use berylmount_standins::{PlatformFaults, PlatformServer};
+use berylmount_standins::{FaultProxy, PlatformFaults, PlatformServer};
 use std::{
     io::{Read, Write},
     net::TcpListener,
@@ -111,6 +111,27 @@
     assert_eq!(client.put("a", 0, b"1"), Err(StoreError::Unclear));
 }
 
+/// Connections that went silent for good cost one call, not one each.
+#[test]
+fn silent_connections_are_given_up() {
+    let (server, _) = start();
+    let proxy = FaultProxy::start(server.address()).unwrap();
+    let client = PlatformClient::new(proxy.address());
+    let version = client.put("a", 0, b"1").unwrap();
+    let other = client.clone();
+    let watch = thread::spawn(move || other.watch("a", version, Duration::from_millis(300)));
+    while server.store().counts().calls(CallKind::Watch) == 0 {
+        thread::yield_now();
+    }
+    client.get("a").unwrap();
+    watch.join().unwrap().unwrap();
+    proxy.freeze();
+    assert_eq!(client.put("a", version, b"2"), Err(StoreError::Unclear));
+    let object = client.get("a").unwrap().unwrap();
+    assert_eq!((object.version, object.value), (version, b"1".to_vec()));
+    assert!(client.put("a", version, b"2").is_ok());
+}
+
 #[test]
 fn admin_routes() {
     let (server, client) = start();
