Keep the head's edits apart from its versions, and older confirmations

Cause: a head with edits inside would have to travel between processes too, and every maker of a head would have to name them; and a relayed confirmation is always a little older than the vote of the same answer, so a report that carried it was dropped as overtaken. Change: HeadObject is what the platform holds, TableHead is the versions alone as before; a report's vote and its confirmation are judged apart.

--- a/crates/table/src/editor.rs
+++ b/crates/table/src/editor.rs
@@ -12,8 +12,8 @@
 use crate::{
     head::{DeltaRow, ShardDelta},
     shard::ShardOutcome,
-    shard_index, shard_key, RowChange, RowConflict, ShardDocument, ShardError, TableEdit,
-    TableHead, HEAD_KEY, SHARD_PREFIX,
+    shard_index, shard_key, HeadObject, RowChange, RowConflict, ShardDocument, ShardError,
+    TableEdit, HEAD_KEY, SHARD_PREFIX,
 };
 use berylmount_model::RowKey;
 use berylmount_platform::{ObjectStore, StoreError, MAX_VALUE_BYTES};
@@ -267,12 +267,13 @@
         deltas: &[ShardDelta],
     ) -> Result<u64, EditError> {
         for _ in 0..MAX_TRIES {
-            let mut head = self.read_head()?;
-            if !head.raise(versions) {
-                return Ok(head.version);
+            let mut object = self.read_head()?;
+            let version = object.head.version;
+            if !object.head.raise(versions) {
+                return Ok(version);
             }
-            head.add_deltas(deltas);
-            match self.store.put(HEAD_KEY, head.version, &head.encode()) {
+            object.add_deltas(deltas);
+            match self.store.put(HEAD_KEY, version, &object.encode()) {
                 Ok(version) => return Ok(version),
                 Err(StoreError::Conflict { .. } | StoreError::Unclear) => {}
                 Err(error) => return Err(read_failure(error)),
@@ -281,12 +282,12 @@
         Err(EditError::Busy)
     }
 
-    fn read_head(&self) -> Result<TableHead, EditError> {
+    fn read_head(&self) -> Result<HeadObject, EditError> {
         let object = self.store.get(HEAD_KEY).map_err(read_failure)?;
         let Some(object) = object else {
-            return Ok(TableHead::default());
+            return Ok(HeadObject::default());
         };
-        TableHead::decode(object.version, &object.value).map_err(|error| EditError::Damaged {
+        HeadObject::decode(object.version, &object.value).map_err(|error| EditError::Damaged {
             key: HEAD_KEY.to_owned(),
             error,
         })
--- a/crates/table/src/fresh.rs
+++ b/crates/table/src/fresh.rs
@@ -190,15 +190,14 @@
             return;
         };
         let mark = &mut peers[at].mark;
-        if mark.is_some_and(|mark| mark.asked_ms > asked_ms) {
-            return;
-        }
         let PeerReport { head, joined, .. } = report;
-        *mark = Some(PeerMark {
-            asked_ms,
-            head,
-            joined,
-        });
+        if mark.is_none_or(|mark| mark.asked_ms <= asked_ms) {
+            *mark = Some(PeerMark {
+                asked_ms,
+                head,
+                joined,
+            });
+        }
         let confirmed = report.confirmed_age_ms;
         if let Some(sent_ms) = confirmed.and_then(|age_ms| asked_ms.checked_sub(age_ms)) {
             self.confirmed_by_peer(sent_ms, head);
--- a/crates/table/src/head.rs
+++ b/crates/table/src/head.rs
@@ -53,20 +53,28 @@
     }
 }
 
-/// The head as it was read: its version and each shard's.
+/// The newest version of each shard.
 ///
 /// Heads of one table are ordered by version, and with the head's version no
 /// shard's version ever falls.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct TableHead {
     /// The head object's version at the platform; zero before the first edit.
     pub version: u64,
     /// Each shard's version; zero for a shard without an object.
     pub shards: Vec<u64>,
+}
+
+/// The head object as it was read.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct HeadObject {
+    /// The versions.
+    pub head: TableHead,
     /// The last small edits, oldest first.
     pub deltas: Vec<ShardDelta>,
 }
 
+/// The value of the head object.
 #[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 struct HeadDocument {
@@ -80,24 +88,38 @@
         Self {
             version: 0,
             shards: vec![0; SHARD_COUNT],
-            deltas: Vec::new(),
         }
     }
 }
 
 impl TableHead {
-    /// The head at `version` with the value `bytes`.
+    /// Raises shards to `versions`, and says whether any was lower.
+    pub fn raise(&mut self, versions: &[(usize, u64)]) -> bool {
+        let mut raised = false;
+        for &(index, version) in versions {
+            if let Some(current) = self.shards.get_mut(index) {
+                raised |= *current < version;
+                *current = version.max(*current);
+            }
+        }
+        raised
+    }
+}
+
+impl HeadObject {
+    /// The head object at `version` with the value `bytes`.
     ///
     /// # Errors
     ///
-    /// The bytes are no head, or name another number of shards.
+    /// The bytes are no head, name another number of shards, or carry an edit
+    /// that does not fit its shard.
     ///
     /// ```
-    /// use berylmount_table::TableHead;
+    /// use berylmount_table::HeadObject;
     ///
-    /// let head = TableHead::default();
-    /// assert_eq!(TableHead::decode(0, &head.encode()).unwrap(), head);
-    /// assert!(TableHead::decode(1, b"{").is_err());
+    /// let object = HeadObject::default();
+    /// assert_eq!(HeadObject::decode(0, &object.encode()).unwrap(), object);
+    /// assert!(HeadObject::decode(1, b"{").is_err());
     /// ```
     pub fn decode(version: u64, bytes: &[u8]) -> Result<Self, ShardError> {
         let document: HeadDocument =
@@ -109,34 +131,19 @@
         if let Some(delta) = deltas.iter().find(|delta| !delta.is_sound()) {
             return Err(ShardError::Delta(delta.shard));
         }
-        Ok(Self {
-            version,
-            shards,
-            deltas,
-        })
+        let head = TableHead { version, shards };
+        Ok(Self { head, deltas })
     }
 
     /// The value to store.
     pub fn encode(&self) -> Vec<u8> {
         let document = HeadDocument {
-            shards: self.shards.clone(),
+            shards: self.head.shards.clone(),
             deltas: self.deltas.clone(),
         };
         serde_json::to_vec(&document).unwrap_or_default()
     }
 
-    /// Raises shards to `versions`, and says whether any was lower.
-    pub fn raise(&mut self, versions: &[(usize, u64)]) -> bool {
-        let mut raised = false;
-        for &(index, version) in versions {
-            if let Some(current) = self.shards.get_mut(index) {
-                raised |= *current < version;
-                *current = version.max(*current);
-            }
-        }
-        raised
-    }
-
     /// Adds edits, and drops the oldest over the bound.
     pub(crate) fn add_deltas(&mut self, deltas: &[ShardDelta]) {
         self.deltas.extend_from_slice(deltas);
--- a/crates/table/src/lib.rs
+++ b/crates/table/src/lib.rs
@@ -35,7 +35,7 @@
     columns::{ColumnName, RowCell, RowCells},
     editor::{EditError, EditReceipt, TableEditor},
     fresh::{ForceReport, FreshnessClock, FreshnessState, PeerReport, FRESHNESS_MS},
-    head::{DeltaRow, ShardDelta, TableHead, HEAD_KEY, SHARD_COUNT, SHARD_PREFIX},
+    head::{DeltaRow, HeadObject, ShardDelta, TableHead, HEAD_KEY, SHARD_COUNT, SHARD_PREFIX},
     problem::{RowConflict, RowError, ShardError},
     replica::{ReplicaError, ReplicaReport, TableReplica, WATCH_WAIT},
     shard::{
--- a/crates/table/src/replica.rs
+++ b/crates/table/src/replica.rs
@@ -4,8 +4,9 @@
 //! clone of one pointer. Shards and the head only rise, whoever brings them.
 
 use crate::{
-    shard_key, verify_rows, ForceReport, FreshnessClock, FreshnessState, PeerReport, RowError,
-    ShardError, ShardRows, TableEditor, TableHead, TableView, HEAD_KEY, SHARD_COUNT,
+    shard_key, verify_rows, ForceReport, FreshnessClock, FreshnessState, HeadObject, PeerReport,
+    RowError, ShardDelta, ShardError, ShardRows, TableEditor, TableHead, TableView, HEAD_KEY,
+    SHARD_COUNT,
 };
 use berylmount_model::InstanceName;
 use berylmount_platform::{ObjectStore, StoreError, StoredObject};
@@ -209,11 +210,11 @@
         let head = match answer {
             None => known,
             Some(object) => {
-                let head = TableHead::decode(object.version, &object.value);
-                let head = head.map_err(|error| damaged(HEAD_KEY, error))?;
-                self.adopt_head(&head);
-                self.apply_deltas(&head);
-                head.version
+                let object = HeadObject::decode(object.version, &object.value);
+                let object = object.map_err(|error| damaged(HEAD_KEY, error))?;
+                self.adopt_head(&object.head);
+                self.apply_deltas(&object.deltas);
+                object.head.version
             }
         };
         let loaded = self.load(store);
@@ -243,8 +244,8 @@
     }
 
     /// Applies the edits that the head carries, where they fit the version here.
-    fn apply_deltas(&self, head: &TableHead) {
-        for delta in &head.deltas {
+    fn apply_deltas(&self, deltas: &[ShardDelta]) {
+        for delta in deltas {
             let view = self.view();
             let rows = view.shard(delta.shard).and_then(|rows| rows.after(delta));
             if let Some(rows) = rows {
@@ -343,12 +344,9 @@
         verify_rows(view.rows().map(|stored| &stored.row))
     }
 
-    /// The newest head that is known, for a peer; without the edits in it.
+    /// The newest head that is known, for a peer.
     pub fn offer(&self) -> TableHead {
-        TableHead {
-            deltas: Vec::new(),
-            ..self.lock().head.clone()
-        }
+        self.lock().head.clone()
     }
 
     /// One shard as it is applied, for a peer: version and document.
--- a/crates/table/tests/edits.rs
+++ b/crates/table/tests/edits.rs
@@ -8,7 +8,7 @@
 use berylmount_platform::{ObjectHead, ObjectStore, StoreError, StoredObject, MAX_VALUE_BYTES};
 use berylmount_standins::{MemoryStore, WriteFault};
 use berylmount_table::{
-    shard_index, shard_key, EditError, ReplicaError, RowChange, TableEdit, TableEditor,
+    shard_index, shard_key, EditError, HeadObject, ReplicaError, RowChange, TableEdit, TableEditor,
     TableReplica, HEAD_KEY, SHARD_PREFIX,
 };
 use proptest::prelude::*;
@@ -289,8 +289,8 @@
         if !in_head {
             let head = store.peek(HEAD_KEY).unwrap();
             let version = store.peek(&shard).unwrap().version;
-            let mut named = berylmount_table::TableHead::decode(head.version, &head.value).unwrap();
-            named.raise(&[(shard_index(&key(&first)), version)]);
+            let mut named = HeadObject::decode(head.version, &head.value).unwrap();
+            named.head.raise(&[(shard_index(&key(&first)), version)]);
             store.put(HEAD_KEY, head.version, &named.encode()).unwrap();
         }
         let polled = replica.poll(&store, 9_000, Duration::ZERO);
