Ask a store once for what it has and for what to free

Cause: keeping a prompt that returned asked the store for a place once a piece, and freeing asked once a name, so a store that does not answer held the caller up for its limit times the names. An order that a runner refused or that never left kept its place in the rollout until the load limit.

Change: keep looks the pieces up in one call and leaves those that are there; free_due sends one call a store; names that wait to be freed are bounded; OrderFault::is_not_run frees the place at once (one line in dispatch's weights).

Ruled out: freeing unclear writings at once, since the engine may still write.

--- a/crates/dispatch/src/weights.rs
+++ b/crates/dispatch/src/weights.rs
@@ -243,7 +243,7 @@
         }
         Err(fault) => {
             log::info!(target: "weights", runner:% = record.name; "{fault}");
-            if matches!(fault, OrderFault::Fenced(_)) {
+            if fault.is_not_run() {
                 holder.planner.not_run(&order.instance);
             }
         }
--- a/crates/targets/src/fence.rs
+++ b/crates/targets/src/fence.rs
@@ -29,6 +29,7 @@
     engine::{EngineClient, TargetOrder},
     fault::TargetFault,
 };
+use berylmount_model::RequestVerdict;
 
 /// The most by which the rates of two monotonic clocks may differ, in 1/1000.
 pub const MAX_DRIFT_PER_MILLE: u64 = 10;
@@ -154,6 +155,17 @@
     Late(u64),
 }
 
+impl OrderFault {
+    /// Whether the target did nothing and the order's place is free again.
+    pub fn is_not_run(&self) -> bool {
+        match self {
+            Self::Fenced(_) => true,
+            Self::Target(fault) => fault.verdict == RequestVerdict::NotRun,
+            Self::Late(_) => false,
+        }
+    }
+}
+
 /// Sends `order` if `fence` allows it by the clock read right before.
 ///
 /// # Errors
--- a/crates/targets/src/kept/cache.rs
+++ b/crates/targets/src/kept/cache.rs
@@ -252,7 +252,8 @@
 
     /// Has `engine` write the pieces `keys` to `store`, within `limit`.
     ///
-    /// A piece whose writing is unclear is retired and freed later.
+    /// Pieces that the store has already are left alone, and one whose writing
+    /// is unclear is retired and freed later.
     pub fn keep(
         &self,
         engine: &EngineClient,
@@ -262,7 +263,19 @@
     ) -> KeepOutcome {
         let mut outcome = KeepOutcome::default();
         let started = Instant::now();
+        let found = StoreClient::new(store, self.timeouts).find(keys, limit);
+        let found = match found {
+            Ok(found) => found.pieces,
+            Err(fault) => {
+                outcome.fault = Some(fault);
+                return outcome;
+            }
+        };
         for &key in keys {
+            if found.iter().any(|piece| piece.name.key == key) {
+                outcome.present += 1;
+                continue;
+            }
             match self.keep_piece(engine, store, key, limit.saturating_sub(started.elapsed())) {
                 Ok(Some(piece)) => {
                     outcome.bytes += piece.seal.length;
@@ -326,15 +339,18 @@
 
     /// Frees the retired names whose time has come; returns how many.
     ///
-    /// A store that does not answer is asked again by the next call.
+    /// Each store is asked once. One that does not answer within `limit` is
+    /// asked again by the next call.
     pub fn free_due(&self, limit: Duration) -> usize {
         let due = self.registry().free_due(self.now_ms());
         let mut count = 0;
-        for (store, name) in due {
-            let client = StoreClient::new(store, self.timeouts);
-            if client.free(&[name], limit).is_ok() {
-                self.registry().freed(&name);
-                count += 1;
+        for names in due.chunk_by(|(one, _), (other, _)| one == other) {
+            let store = StoreClient::new(names[0].0, self.timeouts);
+            let names: Vec<_> = names.iter().map(|(_, name)| *name).collect();
+            if store.free(&names, limit).is_ok() {
+                let mut registry = self.registry();
+                names.iter().for_each(|name| registry.freed(name));
+                count += names.len();
             }
         }
         count
--- a/crates/targets/src/kept/registry.rs
+++ b/crates/targets/src/kept/registry.rs
@@ -13,6 +13,9 @@
 };
 use strum::{Display, IntoStaticStr};
 
+/// Names that may wait to be freed; above it, new ones are left to the store.
+const MAX_RETIRED: usize = 65_536;
+
 /// Why a piece is computed again instead of imported.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Display, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
@@ -90,7 +93,7 @@
     transfer_limit_ms: u64,
     count: u64,
     pins: Vec<NamePin>,
-    /// Sorted by name.
+    /// Sorted by name; bounded by [`MAX_RETIRED`].
     retired: Vec<RetiredName>,
 }
 
@@ -177,10 +180,11 @@
     /// Notes that `name` is retired at `store`; it is freed later.
     ///
     /// Use it also for a name whose writing failed, because the engine may
-    /// still be writing.
+    /// still be writing. Beyond a bound, a name is left to the store's own
+    /// eviction.
     pub fn retire(&mut self, store: SocketAddr, name: StoredName, now_ms: u64) {
         let place = self.retired.binary_search_by_key(&name, |r| r.name);
-        if let Err(place) = place {
+        if let (Err(place), true) = (place, self.retired.len() < MAX_RETIRED) {
             let retired = RetiredName {
                 name,
                 store,
@@ -190,7 +194,7 @@
         }
     }
 
-    /// The names that may be freed now.
+    /// The names that may be freed now, with their stores in order.
     ///
     /// Each is listed until [`PieceRegistry::freed`] is told; freeing by
     /// nonce and generation may be repeated.
@@ -201,7 +205,9 @@
         };
         let due = self.retired.iter();
         let due = due.filter(|r| r.free_after_ms <= now_ms && !pinned(r.name));
-        due.map(|r| (r.store, r.name)).collect()
+        let mut due: Vec<_> = due.map(|r| (r.store, r.name)).collect();
+        due.sort_unstable();
+        due
     }
 
     /// Forgets a name that its store has freed.
--- a/crates/targets/tests/fenced_orders.rs
+++ b/crates/targets/tests/fenced_orders.rs
@@ -58,6 +58,7 @@
     wait_for(&client, "v3");
     // The old holder read its clock before it was paused.
     let late = send_order(&client, &old, checked, &|| 500, &load("v2"));
+    assert!(late.as_ref().unwrap_err().is_not_run());
     let Err(OrderFault::Target(fault)) = late else {
         panic!("the old order was taken");
     };
@@ -96,6 +97,7 @@
     let slow = || clock.replace(clock.get() + FLIGHT_MS + 1);
     let sent = send_order(&client, &held, FenceCheck::Unchecked, &slow, &load("v2"));
     assert_eq!(sent, Err(OrderFault::Late(FLIGHT_MS + 1)));
+    assert!(!sent.unwrap_err().is_not_run());
 }
 
 #[test]
