Make the test on single tokens see a missing flush again

Seen with the flush removed: the tests on single tokens and on slow queues fail; the tests on silence and cancelling pass, and need not see it. With the flush, three runs in a row pass.

--- a/crates/targets/tests/engine_streams.rs
+++ b/crates/targets/tests/engine_streams.rs
@@ -103,13 +103,18 @@
 
 #[test]
 fn tokens_come_one_at_a_time() {
-    let engine = EngineServer::start(EngineConfig::default()).unwrap();
+    // Three tokens are far less than any buffer on the way, and each comes
+    // well within the gap limit only if nothing holds it back.
+    let engine = EngineServer::start(EngineConfig {
+        decode_ms: 400.0,
+        ..EngineConfig::default()
+    });
+    let engine = engine.unwrap();
     let client = client(engine.address());
     let mut stream = start_long(&client, 1, "one two", ENDLESS).unwrap();
-    for _ in 0..20 {
+    while stream.offset() < 3 {
         stream.next_event().unwrap();
     }
-    assert_eq!(stream.offset(), 19);
     assert_eq!(client.load().unwrap().running, 1);
     client.cancel(attempt(1)).unwrap();
 }
