Give a run up while its prompt is still computed

Cause: the client of an engine's stream read over the lines that say the engine is alive, so dispatch looked at a run's time limit only when a token came. A prompt whose limit passed during a long prefill kept its runner busy for nothing until the first token.

Change: StreamEvent::Waiting is passed on, and dispatch looks at limit and cancelling on each (two arms in its run).

--- a/crates/dispatch/src/run.rs
+++ b/crates/dispatch/src/run.rs
@@ -322,6 +322,7 @@
                     prompt_tokens,
                     ..
                 } => self.note_admitted(grant, cached_tokens, prompt_tokens),
+                StreamEvent::Waiting => {}
                 StreamEvent::Token { text, .. } => {
                     self.note_token(grant);
                     self.answer.add_token(&text);
@@ -516,6 +517,7 @@
                 prompt_tokens,
                 ..
             } => answer.start(&run(prompt_tokens, cached_tokens)),
+            StreamEvent::Waiting => {}
             StreamEvent::Token { text, .. } => answer.add_token(&text),
             StreamEvent::End { count, digest } => {
                 return Ok(AnswerEnd::Whole {
--- a/crates/targets/src/stream.rs
+++ b/crates/targets/src/stream.rs
@@ -16,6 +16,8 @@
 /// One thing that an engine says about a stream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum StreamEvent {
+    /// The engine is alive and has nothing new; a chance to give the run up.
+    Waiting,
     /// The engine has begun the run.
     Admitted {
         /// Prompt tokens that it found in its own cache.
@@ -106,24 +108,22 @@
     /// gap limit, the connection ends before the answer does, the engine
     /// reports an error, or a line breaks the protocol.
     pub fn next_event(&mut self) -> Result<Option<StreamEvent>, TargetFault> {
-        while !self.ended {
-            if !read_line(&mut self.reader, &mut self.line)? {
-                let detail = "the stream ended before its last line";
-                return Err(TargetFault::after_send(FaultKind::Cut, detail));
-            }
-            let line: StreamLine = serde_json::from_slice(&self.line)
-                .map_err(|e| TargetFault::bad_answer(&e.to_string()))?;
-            if let Some(event) = self.check(line)? {
-                return Ok(Some(event));
-            }
+        if self.ended {
+            return Ok(None);
+        }
+        if !read_line(&mut self.reader, &mut self.line)? {
+            let detail = "the stream ended before its last line";
+            return Err(TargetFault::after_send(FaultKind::Cut, detail));
         }
-        Ok(None)
+        let line: StreamLine = serde_json::from_slice(&self.line)
+            .map_err(|e| TargetFault::bad_answer(&e.to_string()))?;
+        self.check(line).map(Some)
     }
 
     /// Checks a line against what came before.
-    fn check(&mut self, line: StreamLine) -> Result<Option<StreamEvent>, TargetFault> {
+    fn check(&mut self, line: StreamLine) -> Result<StreamEvent, TargetFault> {
         match line {
-            StreamLine::Waiting => Ok(None),
+            StreamLine::Waiting => Ok(StreamEvent::Waiting),
             StreamLine::Admitted {
                 cached_tokens,
                 prompt_tokens,
@@ -132,11 +132,11 @@
                 if cached_tokens > prompt_tokens {
                     return Err(TargetFault::bad_answer("more tokens cached than asked"));
                 }
-                Ok(Some(StreamEvent::Admitted {
+                Ok(StreamEvent::Admitted {
                     cached_tokens,
                     prompt_tokens,
                     version,
-                }))
+                })
             }
             StreamLine::Token { offset, text } => {
                 if offset != self.offset {
@@ -146,7 +146,7 @@
                 if let Some(digest) = &mut self.digest {
                     digest.add(&text);
                 }
-                Ok(Some(StreamEvent::Token { offset, text }))
+                Ok(StreamEvent::Token { offset, text })
             }
             StreamLine::End { count, digest } => {
                 let own = self.digest.take().map(DigestChain::finish);
@@ -154,7 +154,7 @@
                     return Err(TargetFault::bad_answer("count or digest differs"));
                 }
                 self.ended = true;
-                Ok(Some(StreamEvent::End { count, digest }))
+                Ok(StreamEvent::End { count, digest })
             }
             StreamLine::Error { verdict, reason } => Err(TargetFault {
                 verdict,
--- a/crates/targets/tests/engine_streams.rs
+++ b/crates/targets/tests/engine_streams.rs
@@ -68,7 +68,7 @@
         match event {
             StreamEvent::Admitted { cached_tokens, .. } => cached = cached_tokens,
             StreamEvent::Token { text: token, .. } => text.push_str(&token),
-            StreamEvent::End { .. } => {}
+            StreamEvent::Waiting | StreamEvent::End { .. } => {}
         }
     }
     Ok((cached, text))
--- a/crates/targets/tests/kept_targets.rs
+++ b/crates/targets/tests/kept_targets.rs
@@ -84,7 +84,7 @@
             match event {
                 StreamEvent::Admitted { cached_tokens, .. } => cached = cached_tokens,
                 StreamEvent::Token { text: token, .. } => text.push_str(&token),
-                StreamEvent::End { .. } => {}
+                StreamEvent::Waiting | StreamEvent::End { .. } => {}
             }
         }
         assert_eq!(text, expected_answer(prompt, 2));
