Read a pool's load reports within a budget

Cause: the holder of a pool's lease read the reports of its runners one after the other, each silent one for half a second, in the thread that also renews the lease of 4 s. Found by reading: eight silent runners are enough to outlast the lease, and a data centre that is gone holds hundreds.

Change: ReportPoll asks eight at once within a budget, those that answered last time first, and keeps the newest report of each; dispatch's weights uses it in place of its loop.

Shown failing first, with 24 silent runners and 2 that answer: without the preference an answering runner was left out; without the budget the first round asked all. That each kind is asked in the order of its last round is not shown by this test; it matters only when the answering ones outlast a budget.

Conclusion: the tests of targets and dispatch pass, and those of weights over whole processes.

--- a/crates/dispatch/src/weights.rs
+++ b/crates/dispatch/src/weights.rs
@@ -15,7 +15,7 @@
 use berylmount_table::TableView;
 use berylmount_targets::{
     send_order, EngineClient, FenceCheck, LeaseGrant, OrderFault, OrderFence, PlannedOrder,
-    RolloutPlanner, RolloutSettings, RunnerView, TargetTimeouts,
+    ReportPoll, RolloutPlanner, RolloutSettings, TargetTimeouts,
 };
 use berylmount_telemetry::CounterMetric;
 use std::{thread, time::Duration};
@@ -38,6 +38,9 @@
 /// A runner silent for this long gets no order, in milliseconds.
 const SILENT_MS: u64 = 3_000;
 
+/// Time for the reports of one look, well below the lease.
+const REPORTS_BUDGET: Duration = Duration::from_millis(500);
+
 /// Processes that may take a pool's lease.
 const CANDIDATES: usize = 2;
 
@@ -47,6 +50,7 @@
     fence: OrderFence,
     number: u64,
     planner: RolloutPlanner,
+    poll: ReportPoll,
 }
 
 /// One pool, as a candidate for its lease.
@@ -147,6 +151,7 @@
                 ),
                 number: held.fence,
                 planner: RolloutPlanner::new(rollout_settings(row), now_ms),
+                poll: ReportPoll::default(),
             }
         });
         holder.fence.renew(held.asked_ms);
@@ -181,8 +186,12 @@
         .collect();
     let names: Vec<InstanceName> = records.iter().map(|record| record.name.clone()).collect();
     let wanted = wanted_versions(&version_shares(view, &row.name), &names);
-    let views = read_views(shared, &records);
-    for order in holder.planner.plan(&wanted, &views, shared.now_ms()) {
+    let runners = records.iter();
+    let runners: Vec<_> = runners.map(|r| (r.name.clone(), r.address)).collect();
+    let clock = || shared.now_ms();
+    let timeouts = order_timeouts(shared);
+    let views = holder.poll.poll(&runners, timeouts, &clock, REPORTS_BUDGET);
+    for order in holder.planner.plan(&wanted, views, shared.now_ms()) {
         let record = records.iter().find(|record| record.name == order.instance);
         if let Some(record) = record {
             send_planned(shared, holder, row, record, &order);
@@ -190,20 +199,6 @@
     }
 }
 
-/// The newest report of each runner that answers.
-fn read_views(shared: &DispatchShared, records: &[InstanceRecord]) -> Vec<RunnerView> {
-    let timeouts = order_timeouts(shared);
-    let views = records.iter().filter_map(|record| {
-        let report = EngineClient::new(record.address, timeouts).load().ok()?;
-        Some(RunnerView {
-            instance: record.name.clone(),
-            received_ms: shared.now_ms(),
-            report,
-        })
-    });
-    views.collect()
-}
-
 /// Time limits of reports and orders: an order is given up within its flight.
 fn order_timeouts(shared: &DispatchShared) -> TargetTimeouts {
     let limit = Duration::from_millis(FLIGHT_MS / 2);
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -9,6 +9,7 @@
 mod fence;
 mod http;
 pub mod kept;
+mod poll;
 mod rollout;
 mod service;
 mod stream;
@@ -21,6 +22,7 @@
         MAX_DRIFT_PER_MILLE,
     },
     http::TargetTimeouts,
+    poll::ReportPoll,
     rollout::{PlannedOrder, RolloutPlanner, RolloutSettings, RunnerView, WantedVersion},
     service::{KeyOutcome, ServiceClient},
     stream::{EngineStream, StreamEvent},
