Share scopes, attempts and the fuzz settings among the tests

Cause: each test file of the crate had its own copy of the same scope, attempt and fixed seed. Ruled out: moving them into the stand-ins' crate, which other crates build too.

--- a/crates/targets/tests/bad_answers.rs
+++ b/crates/targets/tests/bad_answers.rs
@@ -3,18 +3,15 @@
 
 #![allow(clippy::unwrap_used)]
 
-use berylmount_model::{
-    piece_chain, AttemptId, DigestChain, ModelName, OrderKey, PieceScope, RequestId, VersionName,
-    PIECE_TOKENS,
-};
+mod common;
+
+use berylmount_model::{piece_chain, DigestChain, OrderKey, PIECE_TOKENS};
 use berylmount_targets::{
     kept::StoreClient, EngineClient, FaultKind, ServiceClient, StreamEvent, TargetFault,
     TargetTimeouts,
 };
-use proptest::{
-    prelude::*,
-    test_runner::{Config, RngSeed},
-};
+use common::{attempt, fuzz_config, scope};
+use proptest::prelude::*;
 use serde_json::{json, Value};
 use std::{
     io::{Read, Write},
@@ -57,16 +54,9 @@
     EngineClient::new(address, TargetTimeouts::default())
 }
 
-fn attempt() -> AttemptId {
-    AttemptId {
-        request: RequestId::new(1, 1),
-        attempt: 0,
-    }
-}
-
 /// Reads a stream to its end; the text only if it passed for whole.
 fn read_stream(bytes: Vec<u8>, offset: u32) -> Result<String, TargetFault> {
-    let mut stream = engine(serve(bytes, 1)).resume(attempt(), offset)?;
+    let mut stream = engine(serve(bytes, 1)).resume(attempt(1), offset)?;
     let mut text = String::new();
     while let Some(event) = stream.next_event()? {
         if let StreamEvent::Token { text: token, .. } = event {
@@ -149,14 +139,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config {
-        failure_persistence: None,
-        rng_seed: match Config::default().rng_seed {
-            RngSeed::Random => RngSeed::Fixed(20_261_204),
-            seed => seed,
-        },
-        ..Config::default()
-    })]
+    #![proptest_config(fuzz_config())]
 
     #[test]
     fn a_damaged_stream_is_whole_or_a_fault(all in proptest::collection::vec(damage(), 0..3)) {
@@ -212,14 +195,7 @@
             .load()
             .unwrap_err()
     };
-    let scope = PieceScope {
-        deployment: "d".to_owned(),
-        customer_scope: "a".to_owned(),
-        model: ModelName::new("m").unwrap(),
-        version: VersionName::new("v").unwrap(),
-        adapter: String::new(),
-    };
-    let key = piece_chain(&scope, &"t ".repeat(PIECE_TOKENS))[0];
+    let key = piece_chain(&scope("a", "v1"), &"t ".repeat(PIECE_TOKENS))[0];
     let piece = json!({"name": {"key": key, "nonce": 1, "generation": 1},
                        "seal": {"length": 1, "checksum": ""}});
     let foreign = json!({"incarnation": 1, "pieces": [piece]}).to_string();
--- a/crates/targets/tests/engine_streams.rs
+++ b/crates/targets/tests/engine_streams.rs
@@ -2,37 +2,20 @@
 
 #![allow(clippy::unwrap_used)]
 
-use berylmount_model::{
-    piece_chain, AttemptId, ModelName, PieceScope, RequestId, RequestVerdict, VersionName,
-    PIECE_TOKENS,
-};
+mod common;
+
+use berylmount_model::{piece_chain, ModelName, RequestVerdict, VersionName, PIECE_TOKENS};
 use berylmount_standins::{expected_answer, EngineConfig, EngineServer};
 use berylmount_targets::{
     EngineClient, EngineRole, EngineStream, FaultKind, RejectReason, StreamEvent, StreamOrder,
     TargetFault, TargetOrder, TargetTimeouts,
 };
+use common::{attempt, scope};
 use std::{
     net::{SocketAddr, TcpListener},
     time::{Duration, Instant},
 };
 
-fn scope(customer: &str) -> PieceScope {
-    PieceScope {
-        deployment: "test".to_owned(),
-        customer_scope: customer.to_owned(),
-        model: ModelName::new("blaze").unwrap(),
-        version: VersionName::new("v1").unwrap(),
-        adapter: String::new(),
-    }
-}
-
-fn attempt(count: u64) -> AttemptId {
-    AttemptId {
-        request: RequestId::new(1, count),
-        attempt: 0,
-    }
-}
-
 fn client(address: SocketAddr) -> EngineClient {
     EngineClient::new(address, TargetTimeouts::default())
 }
@@ -50,7 +33,7 @@
     prompt: &str,
     max_tokens: u32,
 ) -> Result<EngineStream, TargetFault> {
-    let scope = scope("a");
+    let scope = scope("a", "v1");
     client.start(&StreamOrder {
         attempt: attempt(count),
         prompt,
--- a/crates/targets/tests/kept_fuzz.rs
+++ b/crates/targets/tests/kept_fuzz.rs
@@ -12,15 +12,15 @@
 
 #![allow(clippy::unwrap_used)]
 
-use berylmount_model::{piece_chain, ModelName, PieceKey, PieceScope, VersionName, PIECE_TOKENS};
+mod common;
+
+use berylmount_model::{piece_chain, PieceKey, PIECE_TOKENS};
 use berylmount_targets::kept::{
     ImportTicket, PieceRegistry, PieceSeal, RecomputeReason, SealedPiece, StoreConfirmation,
     StoredName,
 };
-use proptest::{
-    prelude::*,
-    test_runner::{Config, RngSeed},
-};
+use common::{fuzz_config, scope};
+use proptest::prelude::*;
 use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
 use std::net::SocketAddr;
 
@@ -130,14 +130,10 @@
 }
 
 fn keys() -> Vec<PieceKey> {
-    let scope = PieceScope {
-        deployment: "fuzz".to_owned(),
-        customer_scope: "a".to_owned(),
-        model: ModelName::new("m").unwrap(),
-        version: VersionName::new("v").unwrap(),
-        adapter: String::new(),
-    };
-    piece_chain(&scope, &"t ".repeat(PIECE_TOKENS * usize::from(KEYS)))
+    piece_chain(
+        &scope("a", "v1"),
+        &"t ".repeat(PIECE_TOKENS * usize::from(KEYS)),
+    )
 }
 
 thread_local! {
@@ -376,23 +372,8 @@
     }
 }
 
-/// A fixed seed unless the environment names one; PROPTEST_CASES sets the size.
-fn config() -> Config {
-    let config = Config {
-        failure_persistence: None,
-        ..Config::default()
-    };
-    match config.rng_seed {
-        RngSeed::Random => Config {
-            rng_seed: RngSeed::Fixed(20_261_204),
-            ..config
-        },
-        RngSeed::Fixed(_) => config,
-    }
-}
-
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(fuzz_config())]
 
     #[test]
     fn a_freed_or_half_written_block_is_never_committed(sequential 1..400 => World);
--- a/crates/targets/tests/kept_targets.rs
+++ b/crates/targets/tests/kept_targets.rs
@@ -3,9 +3,9 @@
 
 #![allow(clippy::unwrap_used)]
 
-use berylmount_model::{
-    piece_chain, AttemptId, ModelName, PieceKey, PieceScope, RequestId, VersionName, PIECE_TOKENS,
-};
+mod common;
+
+use berylmount_model::{piece_chain, ModelName, PieceKey, PieceScope, VersionName, PIECE_TOKENS};
 use berylmount_standins::{
     expected_answer, EngineConfig, EngineServer, StoreConfig, StoreFault, StoreServer,
 };
@@ -13,6 +13,7 @@
     kept::{FetchOutcome, KeptCache, KeptHits},
     EngineClient, LoadReport, StreamEvent, StreamOrder, TargetOrder, TargetTimeouts,
 };
+use common::{attempt, scope};
 use serde_json::json;
 use std::time::{Duration, Instant};
 
@@ -47,16 +48,6 @@
     }
 }
 
-fn scope(customer: &str, version: &str) -> PieceScope {
-    PieceScope {
-        deployment: "test".to_owned(),
-        customer_scope: customer.to_owned(),
-        model: ModelName::new("blaze").unwrap(),
-        version: VersionName::new(version).unwrap(),
-        adapter: String::new(),
-    }
-}
-
 fn prompt(word: &str) -> String {
     format!("{word} ").repeat(PIECES * PIECE_TOKENS + 3)
 }
@@ -65,12 +56,8 @@
     /// Runs a prompt to its end and returns the tokens found in the cache.
     fn run(&self, scope: &PieceScope, prompt: &str) -> u32 {
         self.runs.set(self.runs.get() + 1);
-        let request = RequestId::new(1, self.runs.get());
         let order = StreamOrder {
-            attempt: AttemptId {
-                request,
-                attempt: 0,
-            },
+            attempt: attempt(self.runs.get()),
             prompt,
             scope,
             pieces: &piece_chain(scope, prompt),
@@ -333,10 +320,7 @@
     let client = EngineClient::new(engine.address(), TargetTimeouts::default());
     let scope = scope("a", "v1");
     let order = StreamOrder {
-        attempt: AttemptId {
-            request: RequestId::new(1, 1),
-            attempt: 0,
-        },
+        attempt: attempt(1),
         prompt: "p",
         scope: &scope,
         pieces: &[],
--- a/crates/targets/tests/orders_fuzz.rs
+++ b/crates/targets/tests/orders_fuzz.rs
@@ -2,15 +2,15 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod common;
+
 use berylmount_model::{InstanceName, ModelName, VersionName};
 use berylmount_targets::{
     EngineRole, FenceCheck, FenceRefusal, LeaseGrant, LoadReport, OrderFence, RolloutPlanner,
     RolloutSettings, RunnerView, TargetOrder, WantedVersion,
 };
-use proptest::{
-    prelude::*,
-    test_runner::{Config, RngSeed},
-};
+use common::fuzz_config;
+use proptest::prelude::*;
 use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
 
 const LEASE_MS: u64 = 100;
@@ -20,21 +20,6 @@
 const RUNNERS: usize = 6;
 const AT_ONCE: usize = 2;
 
-/// A fixed seed unless the environment names one; PROPTEST_CASES sets the size.
-fn config() -> Config {
-    let config = Config {
-        failure_persistence: None,
-        ..Config::default()
-    };
-    match config.rng_seed {
-        RngSeed::Random => Config {
-            rng_seed: RngSeed::Fixed(20_261_204),
-            ..config
-        },
-        RngSeed::Fixed(_) => config,
-    }
-}
-
 // Fencing: holders take, renew and lose a lease, and answers of the platform
 // come late or never. The oracle: no order is applied after one of a later holder.
 
@@ -435,7 +420,7 @@
 }
 
 prop_state_machine! {
-    #![proptest_config(config())]
+    #![proptest_config(fuzz_config())]
 
     #[test]
     fn no_old_order_is_applied_after_a_newer_one(sequential 1..200 => FenceWorld);
--- a/crates/targets/tests/piece_keys.rs
+++ b/crates/targets/tests/piece_keys.rs
@@ -2,11 +2,11 @@
 
 #![allow(clippy::unwrap_used)]
 
+mod common;
+
 use berylmount_model::{piece_chain, ModelName, PieceScope, VersionName, PIECE_TOKENS};
-use proptest::{
-    prelude::*,
-    test_runner::{Config, RngSeed},
-};
+use common::fuzz_config;
+use proptest::prelude::*;
 
 type Fields = [String; 5];
 
@@ -48,14 +48,7 @@
 }
 
 proptest! {
-    #![proptest_config(Config {
-        failure_persistence: None,
-        rng_seed: match Config::default().rng_seed {
-            RngSeed::Random => RngSeed::Fixed(20_261_204),
-            seed => seed,
-        },
-        ..Config::default()
-    })]
+    #![proptest_config(fuzz_config())]
 
     #[test]
     fn keys_are_shared_by_scope_and_prefix_only(
--- a/crates/targets/tests/proxy_faults.rs
+++ b/crates/targets/tests/proxy_faults.rs
@@ -2,11 +2,14 @@
 
 #![allow(clippy::unwrap_used)]
 
-use berylmount_model::{AttemptId, ModelName, PieceScope, RequestId, RequestVerdict, VersionName};
+mod common;
+
+use berylmount_model::RequestVerdict;
 use berylmount_standins::{expected_answer, EngineConfig, EngineServer, FaultProxy, ProxyFaults};
 use berylmount_targets::{
     EngineClient, EngineStream, FaultKind, StreamEvent, StreamOrder, TargetFault, TargetTimeouts,
 };
+use common::{attempt, scope};
 
 const TOKENS: u32 = 500;
 
@@ -27,23 +30,10 @@
     }
 }
 
-fn attempt() -> AttemptId {
-    AttemptId {
-        request: RequestId::new(1, 1),
-        attempt: 0,
-    }
-}
-
 fn start(client: &EngineClient) -> Result<EngineStream, TargetFault> {
-    let scope = PieceScope {
-        deployment: "test".to_owned(),
-        customer_scope: "a".to_owned(),
-        model: ModelName::new("blaze").unwrap(),
-        version: VersionName::new("v1").unwrap(),
-        adapter: String::new(),
-    };
+    let scope = scope("a", "v1");
     client.start(&StreamOrder {
-        attempt: attempt(),
+        attempt: attempt(1),
         prompt: "p",
         scope: &scope,
         pieces: &[],
@@ -77,10 +67,10 @@
     assert_eq!(fault.kind, kind);
     assert_eq!(fault.verdict, RequestVerdict::MayHaveRun);
     bench.proxy.set(ProxyFaults::default());
-    let mut resumed = bench.client.resume(attempt(), stream.offset()).unwrap();
+    let mut resumed = bench.client.resume(attempt(1), stream.offset()).unwrap();
     assert_eq!(read(&mut resumed, &mut text, || ()), None);
     assert_eq!(text, expected_answer("p", TOKENS));
-    assert_eq!(bench.engine.report()["runs"][attempt().to_string()], 1);
+    assert_eq!(bench.engine.report()["runs"][attempt(1).to_string()], 1);
 }
 
 #[test]
