--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -12,7 +12,7 @@
     engine_batch::{EngineState, StreamBody, StreamPhase},
     engine_cache::piece_bytes,
     engine_transfer::{commit, export, import},
-    serve::{reply, HttpCall, HttpServer, LineStream},
+    serve::{reply, serve_forever, HttpCall, HttpServer, LineStream},
 };
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
@@ -183,10 +183,7 @@
 /// Fails when the address can't be bound.
 pub fn run_engine(config: EngineConfig) -> io::Result<()> {
     let server = EngineServer::start(config)?;
-    println!("{}", server.address());
-    loop {
-        thread::park();
-    }
+    serve_forever(server.address())
 }
 
 /// Steps the batch for as long as the engine runs.
--- a/crates/standins/src/engine_batch.rs
+++ b/crates/standins/src/engine_batch.rs
@@ -237,18 +237,19 @@
         }
     }
 
+    /// The streams that pass `wanted`, most urgent and oldest first.
+    fn urgent_first(&self, wanted: impl Fn(&StreamRun) -> bool) -> Vec<String> {
+        let mut runs: Vec<_> = self.streams.values().filter(|run| wanted(run)).collect();
+        runs.sort_by_key(|run| (run.body.priority, run.order));
+        runs.iter().map(|run| run.body.stream.clone()).collect()
+    }
+
     /// Moves the most urgent queued streams into free places of the batch.
     fn admit(&mut self) {
         let running = self.streams.values().filter(|run| run.is_running()).count();
-        let mut queued: Vec<_> = self
-            .streams
-            .values()
-            .filter(|run| run.phase == StreamPhase::Queued)
-            .map(|run| (run.body.priority, run.order, run.body.stream.clone()))
-            .collect();
-        queued.sort_unstable();
         let places = self.config.max_batch.saturating_sub(running);
-        for (_, _, stream) in queued.into_iter().take(places) {
+        let queued = self.urgent_first(|run| run.phase == StreamPhase::Queued);
+        for stream in queued.into_iter().take(places) {
             if let Some(mut run) = self.streams.remove(&stream) {
                 let cached = self.use_cache(&run);
                 run.cached_tokens = cached * PIECE_TOKENS;
@@ -283,14 +284,7 @@
     /// Spends a step's prefill budget on the most urgent streams first.
     fn prefill(&mut self, step: Duration) {
         let mut budget = self.config.prefill_tokens_per_s * step.as_secs_f64();
-        let mut order: Vec<_> = self
-            .streams
-            .values()
-            .filter(|run| matches!(run.phase, StreamPhase::Prefill(_)))
-            .map(|run| (run.body.priority, run.order, run.body.stream.clone()))
-            .collect();
-        order.sort_unstable();
-        for (_, _, stream) in order {
+        for stream in self.urgent_first(|run| matches!(run.phase, StreamPhase::Prefill(_))) {
             let Some(run) = self.streams.get_mut(&stream) else {
                 continue;
             };
@@ -314,10 +308,9 @@
         };
         let length = self.config.piece_bytes;
         let keys = run.body.pieces.iter().take(run.prefixes.len());
-        let keys: Vec<_> = keys.enumerate().map(|(i, k)| (k.clone(), i)).collect();
         let pieces: Vec<_> = keys
-            .into_iter()
-            .map(|(key, i)| (key, piece_bytes(&run.stamp(i), length)))
+            .enumerate()
+            .map(|(i, key)| (key.clone(), piece_bytes(&run.stamp(i), length)))
             .collect();
         for (key, bytes) in pieces {
             self.add_piece(&key, bytes);
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -4,7 +4,7 @@
 //! for good while new ones work, and loses the rest of answers after a number
 //! of bytes.
 
-use crate::serve::{reply, HttpServer};
+use crate::serve::{reply, serve_forever, HttpServer};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use std::{
@@ -267,8 +267,5 @@
         }
         reply(request, 200, &json!({}));
     })?;
-    println!("{}", server.address());
-    loop {
-        thread::park();
-    }
+    serve_forever(server.address())
 }
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -106,6 +106,14 @@
     }
 }
 
+/// Prints `address` for whoever started the process, and never returns.
+pub(crate) fn serve_forever(address: SocketAddr) -> ! {
+    println!("{address}");
+    loop {
+        thread::park();
+    }
+}
+
 /// Answers `request` with a JSON body.
 pub(crate) fn reply(request: Request, status: u16, body: &Value) {
     let response = Response::from_string(body.to_string()).with_status_code(status);
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -3,7 +3,7 @@
 //! It runs every call that reaches it, counts the runs of each key, and can be
 //! told to be slow, fail before or after the run, or lose the answer.
 
-use crate::serve::{reply, HttpCall, HttpServer};
+use crate::serve::{reply, serve_forever, HttpCall, HttpServer};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::{
@@ -132,10 +132,7 @@
 /// Fails when the address can't be bound.
 pub fn run_service(config: &ServiceConfig) -> io::Result<()> {
     let server = ServiceServer::start(config)?;
-    println!("{}", server.address());
-    loop {
-        thread::park();
-    }
+    serve_forever(server.address())
 }
 
 /// Locks the state.
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -7,7 +7,7 @@
 //! from one again. docs/TARGETS.md has the protocol.
 
 use crate::{
-    serve::{reply, HttpCall, HttpServer},
+    serve::{reply, serve_forever, HttpCall, HttpServer},
     store_slots::{PieceName, SlotStore},
 };
 use serde::{Deserialize, Serialize};
@@ -188,10 +188,7 @@
 /// Fails when the address can't be bound.
 pub fn run_store(config: &StoreConfig) -> io::Result<()> {
     let server = StoreServer::start(config)?;
-    println!("{}", server.address());
-    loop {
-        thread::park();
-    }
+    serve_forever(server.address())
 }
 
 /// The name in the path and query of a transfer.
