Pass the operators' table on between processes

Cause: a process that starts or is cut off while the platform is down had no table, and none of the freshness rule's evidence reached TableReplica. Membership now tells the replica its members, their heads and votes and the platform's confirmations, and a process that stays behind for two looks of 700 ms takes the head and the shards that it lacks from a member that has them. Test with five processes' worth of threads: three get the table though only one reaches the platform, a fourth joins with nothing during the outage and may serve by its peers, and may no longer once the others are gone. The last failed first: members that left in good order did not count, so one process alone was a majority; the dead now count until the platform lists others only.

--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -20,6 +20,8 @@
 mod message;
 mod record;
 mod sync;
+mod table_feed;
+mod table_pull;
 mod targets;
 mod view;
 
@@ -32,5 +34,6 @@
         ProbeRequest, SegmentMarks, SyncCursor,
     },
     record::{LoadLevel, MemberState, PeerHealth, PeerNote, PeerRecord, PeerStatus, ProcessReport},
-    view::{ConfirmedHead, MajorityHead, MemberInfo, MemberView},
+    table_pull::{pull_table, serve_table, PullFault, TableReply, TableRequest},
+    view::{MajorityHead, MemberInfo, MemberView},
 };
--- a/crates/peers/src/view.rs
+++ b/crates/peers/src/view.rs
@@ -36,17 +36,6 @@
     pub heard_ms: Option<u64>,
 }
 
-/// A confirmation of a member's table by the platform.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct ConfirmedHead {
-    /// The member that told of it.
-    pub name: InstanceName,
-    /// The table head that the member applied.
-    pub head: u64,
-    /// The platform was asked at or after this time of our own clock.
-    pub at_ms: u64,
-}
-
 /// The newest head among more than half of the known processes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct MajorityHead {
@@ -61,8 +50,6 @@
 pub struct MemberView {
     /// Members sorted by name.
     pub members: Vec<MemberInfo>,
-    /// The youngest confirmation by the platform that a member told of.
-    pub confirmed: Option<ConfirmedHead>,
     /// Whether a later process took this one's name; it has to stop.
     pub superseded: bool,
 }
--- a/crates/peers/tests/node/mod.rs
+++ b/crates/peers/tests/node/mod.rs
@@ -4,8 +4,9 @@
 
 use berylmount_model::{unix_ms, DataCentre, InstanceName, InstanceRole, MonotonicClock};
 use berylmount_peers::{
-    BoardConfig, MembershipParts, PeerHealth, PeerMembership, PeerRecord, ProcessReport,
+    BoardConfig, LoadLevel, MembershipParts, PeerHealth, PeerMembership, PeerRecord,
 };
+use berylmount_table::TableReplica;
 use berylmount_telemetry::MetricSet;
 use berylmount_wire::{InboundCall, PeerServer, WireConfig, WireRuntime};
 use std::{
@@ -25,6 +26,8 @@
 pub struct LocalNode {
     pub membership: Arc<PeerMembership>,
     pub metrics: Arc<MetricSet>,
+    pub table: Arc<TableReplica>,
+    pub clock: MonotonicClock,
     pub address: SocketAddr,
     _server: PeerServer,
 }
@@ -46,6 +49,8 @@
     let server = PeerServer::bind(Arc::clone(&runtime), WireConfig::default(), any, calls).unwrap();
     let address = server.address();
     let metrics = Arc::new(MetricSet::new().unwrap());
+    let clock = MonotonicClock::start();
+    let table = Arc::new(TableReplica::new(clock.now_ms()));
     let record = PeerRecord {
         name: node_name(number),
         incarnation: unix_ms(),
@@ -64,25 +69,24 @@
         seed: number as u64,
         runtime,
         metrics: Arc::clone(&metrics),
-        clock: MonotonicClock::start(),
-        report: Box::new(|_| ProcessReport {
-            head: 1,
-            voting: true,
-            ..ProcessReport::default()
-        }),
+        clock,
+        table: Arc::clone(&table),
+        load: Box::new(|| LoadLevel::Idle),
         observe: Box::new(|_| {}),
     });
     let membership = Arc::new(membership.unwrap());
     let serving = Arc::clone(&membership);
     thread::spawn(move || {
-        for InboundCall { call, .. } in inbound {
+        for InboundCall { service, call } in inbound {
             let serving = Arc::clone(&serving);
-            thread::spawn(move || serving.serve(call));
+            thread::spawn(move || serving.serve(service, call));
         }
     });
     LocalNode {
         membership,
         metrics,
+        table,
+        clock,
         address,
         _server: server,
     }
