Leave the table's glue to the role that mounts membership

Cause: the lead mounts membership with a report and an observer of its own, so taking the replica into MembershipParts would have broken that. A confirmation by the platform is dated as late as its member surely still had the head: TableReplica drops a report older than the member's last, and evidence of heads is nearly always younger, so a confirmation fed after the heads under its own time would never count.

--- a/crates/peers/src/board.rs
+++ b/crates/peers/src/board.rs
@@ -12,7 +12,7 @@
     record::{PeerHealth, PeerNote, PeerRecord, PeerStatus, ProcessReport},
     sync::SyncState,
     targets::ProbeTarget,
-    view::{MemberInfo, MemberView},
+    view::{ConfirmedHead, MemberInfo, MemberView},
 };
 use berylmount_model::{InstanceName, InstanceRecord, InstanceRole};
 use rand::SeedableRng;
@@ -34,17 +34,6 @@
     cursor: Option<SyncCursor>,
 }
 
-/// A member's word on when the platform confirmed its table.
-#[derive(Clone, Debug)]
-pub(crate) struct ConfirmedHead {
-    pub(crate) name: InstanceName,
-    pub(crate) head: u64,
-    pub(crate) voting: bool,
-    pub(crate) age_ms: u64,
-    /// When the member was asked.
-    pub(crate) asked_ms: u64,
-}
-
 /// The membership state machine of one process.
 ///
 /// Call [`PeerBoard::tick`] once in an interval, send the probes that it
@@ -88,7 +77,7 @@
     pub(crate) answered_ms: Option<u64>,
     pub(crate) joined: bool,
     pub(crate) superseded: bool,
-    /// What the last reply said of the platform, until it is taken.
+    /// The youngest confirmation by the platform that a member told of.
     confirmed: Option<ConfirmedHead>,
     next_id: u64,
     ticked_ms: u64,
@@ -331,13 +320,7 @@
                 entry.heard_ms = Some(now_ms);
             }
         }
-        self.confirmed = report.confirmed_age_ms.map(|age_ms| ConfirmedHead {
-            name: name.clone(),
-            head: report.head,
-            voting: report.voting,
-            age_ms,
-            asked_ms: probe.sent_ms,
-        });
+        self.take_confirmation(name, report, probe.sent_ms);
         self.take_summary(probe, name, reply);
         match &probe.target {
             ProbeTarget::Member(target) => target == name,
@@ -345,9 +328,20 @@
         }
     }
 
-    /// What the last reply said of the platform, if it wasn't taken before.
-    pub(crate) fn take_confirmed(&mut self) -> Option<ConfirmedHead> {
-        self.confirmed.take()
+    /// Takes a member's word on when the platform confirmed its table.
+    fn take_confirmation(&mut self, name: &InstanceName, report: &ProcessReport, asked_ms: u64) {
+        let age_ms = report.confirmed_age_ms;
+        let at_ms = age_ms.and_then(|age_ms| asked_ms.checked_sub(age_ms));
+        let known = self.confirmed.as_ref().map(|confirmed| confirmed.at_ms);
+        if let Some(at_ms) = at_ms.filter(|at_ms| known < Some(*at_ms)) {
+            self.confirmed = Some(ConfirmedHead {
+                name: name.clone(),
+                head: report.head,
+                voting: report.voting,
+                asked_ms,
+                at_ms,
+            });
+        }
     }
 
     /// Takes the heads of other members, and decides whether to pull a page.
@@ -457,6 +451,7 @@
         members.insert(slot, member_info(&own));
         MemberView {
             members,
+            confirmed: self.confirmed.clone(),
             superseded: self.superseded,
         }
     }
--- a/crates/peers/src/lib.rs
+++ b/crates/peers/src/lib.rs
@@ -34,6 +34,7 @@
         ProbeRequest, SegmentMarks, SyncCursor,
     },
     record::{LoadLevel, MemberState, PeerHealth, PeerNote, PeerRecord, PeerStatus, ProcessReport},
+    table_feed::{feed_table, newer_member, process_report},
     table_pull::{pull_table, serve_table, PullFault, TableReply, TableRequest},
-    view::{MajorityHead, MemberInfo, MemberView},
+    view::{ConfirmedHead, MajorityHead, MemberInfo, MemberView},
 };
--- a/crates/peers/src/membership.rs
+++ b/crates/peers/src/membership.rs
@@ -8,13 +8,10 @@
     board::PeerBoard,
     config::BoardConfig,
     message::{PeerAnswer, PeerProbe, PeerReply, PeerRequest, ProbeId, ProbeRequest},
-    record::{LoadLevel, MemberState, PeerRecord},
-    table_feed::{feed_confirmation, feed_members, newer_member, process_report},
-    table_pull::{pull_table, serve_table},
+    record::{MemberState, PeerRecord, ProcessReport},
     view::MemberView,
 };
-use berylmount_model::{InstanceName, InstanceRecord, InstanceRole, MonotonicClock};
-use berylmount_table::TableReplica;
+use berylmount_model::{InstanceRecord, MonotonicClock};
 use berylmount_telemetry::{CounterMetric, GaugeMetric, HistogramMetric, MetricSet};
 use berylmount_wire::{
     encode_frame, PeerCall, PeerClient, PeerService, WireConfig, WireFault, WireRuntime,
@@ -38,9 +35,6 @@
 /// Probes that wait for a thread.
 const PROBES_WAITING: usize = 32;
 
-/// Time between two looks for a newer table at peers.
-const PULL_INTERVAL: Duration = Duration::from_millis(700);
-
 /// Stack of a thread of membership, in bytes.
 const STACK_BYTES: usize = 128 * 1024;
 
@@ -65,10 +59,8 @@
     pub metrics: Arc<MetricSet>,
     /// Tells the time; the view's times are of this clock.
     pub clock: MonotonicClock,
-    /// The operators' table, told of peers and passed on to them.
-    pub table: Arc<TableReplica>,
-    /// Tells how busy this process is.
-    pub load: Box<dyn Fn() -> LoadLevel + Send + Sync>,
+    /// Tells what to say of this process's table and load at a time.
+    pub report: Box<dyn Fn(u64) -> ProcessReport + Send + Sync>,
     /// Takes each round's view, on the thread of the rounds.
     pub observe: Box<dyn Fn(&MemberView) + Send + Sync>,
 }
@@ -80,11 +72,8 @@
     config: BoardConfig,
     metrics: Arc<MetricSet>,
     clock: MonotonicClock,
-    table: Arc<TableReplica>,
-    load: Box<dyn Fn() -> LoadLevel + Send + Sync>,
+    report: Box<dyn Fn(u64) -> ProcessReport + Send + Sync>,
     observe: Box<dyn Fn(&MemberView) + Send + Sync>,
-    /// Names of the platform's last list of our own processes.
-    listed: Mutex<Option<Vec<InstanceName>>>,
     stopping: AtomicBool,
 }
 
@@ -109,8 +98,7 @@
             runtime,
             metrics,
             clock,
-            table,
-            load,
+            report,
             observe,
         } = parts;
         let wire = WireConfig {
@@ -127,10 +115,8 @@
             config,
             metrics,
             clock,
-            table,
-            load,
+            report,
             observe,
-            listed: Mutex::new(None),
             stopping: AtomicBool::new(false),
         });
         let (queue, probes) = sync_channel(PROBES_WAITING);
@@ -140,8 +126,6 @@
             let probes = Arc::clone(&probes);
             spawn("probe", move || shared.send_probes(&probes, &queue))?;
         }
-        let pulling = Arc::clone(&shared);
-        spawn("pull", move || pulling.pull_tables())?;
         let running = Arc::clone(&shared);
         let rounds = spawn("rounds", move || running.run_rounds(&queue))?;
         let rounds = Mutex::new(Some(rounds));
@@ -156,11 +140,6 @@
     /// Takes the platform's list.
     pub fn set_listed(&self, records: &[InstanceRecord]) {
         lock(&self.shared.board).set_listed(records);
-        let ours = records
-            .iter()
-            .filter(|record| matches!(record.role, InstanceRole::Entry | InstanceRole::Dispatch));
-        let names = ours.map(|record| record.name.clone()).collect();
-        *lock(&self.shared.listed) = Some(names);
     }
 
     /// Says from now on that this process takes nothing new.
@@ -168,23 +147,12 @@
         lock(&self.shared.board).leave();
     }
 
-    /// Answers one call of `service`; blocks for seconds at most between messages.
-    ///
-    /// Calls of [`PeerService::Work`] are not for membership and are dropped.
+    /// Answers one call of [`PeerService::Probe`]; blocks for a second at most.
     ///
     /// # Errors
     ///
     /// Returns the call's fault if no request came or no reply could be sent.
-    pub fn serve(&self, service: PeerService, call: PeerCall) -> Result<(), WireFault> {
-        match service {
-            PeerService::Probe => self.serve_probe(call),
-            PeerService::Table => serve_table(&self.shared.table, call),
-            PeerService::Work => Ok(()),
-        }
-    }
-
-    /// Answers one probe.
-    fn serve_probe(&self, call: PeerCall) -> Result<(), WireFault> {
+    pub fn serve(&self, call: PeerCall) -> Result<(), WireFault> {
         let timeout = Duration::from_millis(self.shared.config.probe_ms);
         let request: PeerRequest = call.receive(timeout)?;
         let reply = self.shared.answer(&request)?;
@@ -221,7 +189,7 @@
 
     /// Runs `step` on the board with the current report and time.
     fn with_board<T>(&self, step: impl FnOnce(&mut PeerBoard, u64) -> T) -> T {
-        let report = process_report(&self.table, (self.load)(), self.clock.now_ms());
+        let report = (self.report)(self.clock.now_ms());
         let mut board = lock(&self.board);
         board.set_report(report);
         // Read under the lock, so that the board's time never goes back.
@@ -265,12 +233,7 @@
             };
             self.metrics.add(CounterMetric::PeerProbesTotal, outcome, 1);
             let now_ms = self.clock.now_ms();
-            let more = {
-                let mut board = lock(&self.board);
-                let more = board.finish(probe.id, reply.ok(), now_ms);
-                feed_confirmation(&self.table, &mut board);
-                more
-            };
+            let more = lock(&self.board).finish(probe.id, reply.ok(), now_ms);
             self.queue_probes(queue, more);
         }
     }
@@ -332,34 +295,9 @@
         }
         self.log_changes(&lock(&self.view), &view);
         *lock(&self.view) = Arc::clone(&view);
-        let listed = lock(&self.listed).clone();
-        let own = lock(&self.board).own().name.clone();
-        feed_members(&self.table, &view, &own, listed.as_deref());
         (self.observe)(&view);
     }
 
-    /// Takes newer tables from peers until the process stops.
-    ///
-    /// A process is given time to get them from the platform first.
-    fn pull_tables(&self) {
-        let mut turn = 0;
-        let mut behind = false;
-        while !self.stopping.load(Ordering::Relaxed) {
-            thread::sleep(PULL_INTERVAL);
-            let view = Arc::clone(&lock(&self.view));
-            let applied = self.table.report_to_peer(self.clock.now_ms()).head;
-            let member = newer_member(&view, applied, turn);
-            if let Some(member) = member.filter(|_| behind) {
-                turn += 1;
-                log::info!(target: "peers", from:% = member.name, head = member.applied_head; "taking a newer table");
-                if let Err(fault) = pull_table(&self.client, member.peer_address, &self.table) {
-                    log::warn!(target: "peers", from:% = member.name; "{fault}");
-                }
-            }
-            behind = member.is_some();
-        }
-    }
-
     /// Logs members whose state changed.
     fn log_changes(&self, old: &MemberView, new: &MemberView) {
         for member in &new.members {
--- a/crates/peers/src/view.rs
+++ b/crates/peers/src/view.rs
@@ -36,6 +36,21 @@
     pub heard_ms: Option<u64>,
 }
 
+/// A member's word on when the platform confirmed its table.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ConfirmedHead {
+    /// The member that told of it.
+    pub name: InstanceName,
+    /// The table head that the member applied.
+    pub head: u64,
+    /// Whether the member has a vote on the table.
+    pub voting: bool,
+    /// When the member was asked.
+    pub asked_ms: u64,
+    /// The platform was asked at or after this time, of our own clock.
+    pub at_ms: u64,
+}
+
 /// The newest head among more than half of the known processes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct MajorityHead {
@@ -50,6 +65,8 @@
 pub struct MemberView {
     /// Members sorted by name.
     pub members: Vec<MemberInfo>,
+    /// The youngest confirmation by the platform that a member told of.
+    pub confirmed: Option<ConfirmedHead>,
     /// Whether a later process took this one's name; it has to stop.
     pub superseded: bool,
 }
--- a/crates/peers/tests/node/mod.rs
+++ b/crates/peers/tests/node/mod.rs
@@ -4,17 +4,19 @@
 
 use berylmount_model::{unix_ms, DataCentre, InstanceName, InstanceRole, MonotonicClock};
 use berylmount_peers::{
-    BoardConfig, LoadLevel, MembershipParts, PeerHealth, PeerMembership, PeerRecord,
+    feed_table, newer_member, process_report, pull_table, serve_table, BoardConfig, LoadLevel,
+    MembershipParts, PeerHealth, PeerMembership, PeerRecord,
 };
 use berylmount_table::TableReplica;
 use berylmount_telemetry::MetricSet;
-use berylmount_wire::{InboundCall, PeerServer, WireConfig, WireRuntime};
+use berylmount_wire::{InboundCall, PeerClient, PeerServer, PeerService, WireConfig, WireRuntime};
 use std::{
     io::{BufRead, BufReader, Read},
     net::SocketAddr,
     process::{Child, Command, Stdio},
     sync::{mpsc::sync_channel, Arc},
     thread,
+    time::Duration,
 };
 
 /// Tells a child its number and the addresses of its seeds.
@@ -51,6 +53,8 @@
     let metrics = Arc::new(MetricSet::new().unwrap());
     let clock = MonotonicClock::start();
     let table = Arc::new(TableReplica::new(clock.now_ms()));
+    let (reported, fed) = (Arc::clone(&table), Arc::clone(&table));
+    let pulling = PeerClient::new(Arc::clone(&runtime), WireConfig::default());
     let record = PeerRecord {
         name: node_name(number),
         incarnation: unix_ms(),
@@ -70,16 +74,27 @@
         runtime,
         metrics: Arc::clone(&metrics),
         clock,
-        table: Arc::clone(&table),
-        load: Box::new(|| LoadLevel::Idle),
-        observe: Box::new(|_| {}),
+        report: Box::new(move |now_ms| process_report(&reported, LoadLevel::Idle, now_ms)),
+        observe: Box::new(move |view| feed_table(&fed, view, &node_name(number), None)),
     });
     let membership = Arc::new(membership.unwrap());
-    let serving = Arc::clone(&membership);
+    let (serving, shard_source) = (Arc::clone(&membership), Arc::clone(&table));
     thread::spawn(move || {
         for InboundCall { service, call } in inbound {
-            let serving = Arc::clone(&serving);
-            thread::spawn(move || serving.serve(service, call));
+            let (serving, table) = (Arc::clone(&serving), Arc::clone(&shard_source));
+            thread::spawn(move || match service {
+                PeerService::Table => serve_table(&table, call),
+                _ => serving.serve(call),
+            });
+        }
+    });
+    let (viewed, pulled) = (Arc::clone(&membership), Arc::clone(&table));
+    thread::spawn(move || loop {
+        thread::sleep(Duration::from_millis(50));
+        let applied = process_report(&pulled, LoadLevel::Idle, clock.now_ms()).head;
+        if let Some(member) = newer_member(&viewed.view(), applied, 0) {
+            // Another look follows.
+            let _ = pull_table(&pulling, member.peer_address, &pulled);
         }
     });
     LocalNode {
