--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -5,8 +5,8 @@
     assignment::{rank_members, split_groups, GROUP_RUNNERS},
     keeping::StoreShare,
     GroupBoard, GroupQuery, KeepBook, LimitBook, LimitShare, LinkBook, MemberWeight, QueueCapacity,
-    QueueRoom, ReturnPacer, RunnerBoard, RunnerQuery, RunnerReport, RunnerSettings, WorkItem,
-    WorkQueue, WorkTicket,
+    QueueRoom, ReturnPacer, RunnerBoard, RunnerChoice, RunnerQuery, RunnerReport, RunnerSettings,
+    WorkItem, WorkQueue, WorkTicket,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg32;
@@ -275,3 +275,92 @@
     seen.push(("too many in flight", book.plan(link, 1, 400.0, 2_500)));
     insta::assert_debug_snapshot!(seen);
 }
+
+/// A board with one runner that was sent `tokens` of `class` at time zero.
+fn busy_board(tokens: u32, class: WorkClass, pieces: &[PieceKey]) -> (RunnerBoard, RunnerChoice) {
+    let mut rng = Pcg32::seed_from_u64(7);
+    let mut board = RunnerBoard::new(RunnerSettings::default());
+    board.join();
+    let query = RunnerQuery {
+        pieces,
+        ..RunnerQuery::new(tokens, class)
+    };
+    let choice = board.choose(&query, 0, &mut rng).unwrap();
+    board.start(WorkTicket(0), &choice, &query, 0);
+    (board, choice)
+}
+
+#[test]
+fn own_work_in_a_late_report_is_not_taken_for_others() {
+    let waiting = |running, ended| {
+        let (mut board, choice) = busy_board(4_000, WorkClass::Interactive, &[]);
+        if ended {
+            board.finish(choice.runner, WorkTicket(0), 400);
+        }
+        let report = RunnerReport {
+            at_ms: 100,
+            waiting_tokens: 9_000,
+            running,
+        };
+        board.report(choice.runner, &report);
+        board.capacity(400).in_flight_ms[0] as u64
+    };
+    let own = (waiting(1, false), waiting(1, true));
+    let others = (waiting(3, false), waiting(3, true));
+    insta::assert_debug_snapshot!((own, others));
+}
+
+#[test]
+fn interactive_work_leaves_standard_work_its_turn_in_the_engine() {
+    let (board, _) = busy_board(4_000, WorkClass::Standard, &[]);
+    let room = board.room(0).short;
+    assert_eq!(room, [true, false, false, false]);
+}
+
+#[test]
+fn a_prompt_waits_for_its_prefill_in_flight() {
+    let mut rng = Pcg32::seed_from_u64(7);
+    let key = |n: u8| PieceKey::try_from(format!("{n:02x}").repeat(32)).unwrap();
+    let pieces: Vec<_> = (0..20).map(key).collect();
+    let (mut board, first) = busy_board(20_480, WorkClass::Bulk, &pieces);
+    board.join();
+    let query = RunnerQuery {
+        pieces: &pieces,
+        ..RunnerQuery::new(20_680, WorkClass::Bulk)
+    };
+    let choice = board.choose(&query, 300, &mut rng).unwrap();
+    assert_eq!(
+        (choice.runner, choice.cached_tokens),
+        (first.runner, 20_480)
+    );
+}
+
+#[test]
+fn interactive_work_probes_a_straggler_later_than_standard_work() {
+    let mut rng = Pcg32::seed_from_u64(7);
+    let (mut board, slow) = busy_board(1_000, WorkClass::Standard, &[]);
+    board.join();
+    board.first_token(slow.runner, WorkTicket(0), 2_000);
+    board.finish(slow.runner, WorkTicket(0), 2_000);
+    let mut probes = |class, now_ms| {
+        let query = RunnerQuery {
+            may_probe: true,
+            ..RunnerQuery::new(1_000, class)
+        };
+        let mut board = board.clone();
+        board.choose(&query, now_ms, &mut rng).unwrap().probe
+    };
+    assert!(probes(WorkClass::Standard, 2_100) && probes(WorkClass::Interactive, 6_000));
+    assert!(!probes(WorkClass::Interactive, 2_100) && !probes(WorkClass::Critical, 60_000));
+}
+
+#[test]
+fn work_that_can_no_longer_be_in_time_is_refused_before_it_is_due() {
+    let mut queue = WorkQueue::default();
+    queue.restore(item(1, WorkClass::Interactive, 300.0, 1_000));
+    let mut out = Vec::new();
+    queue.expire(699, &mut out);
+    assert!(out.is_empty());
+    queue.expire(700, &mut out);
+    assert_eq!(out.len(), 1);
+}
