Call no runner a straggler because another beat its expectation

Cause: dispatch starts work with the prefill that was expected before a fetch, so a runner whose prefill was fetched seems up to twice as fast as a healthy one, and every usual runner beside it counted as a straggler and was probed. Ruled out: never learning that a runner is faster, which would lose the scale where the prefill rate in the settings is too low. Change: the straggler's ratio counts from a healthy runner at least; RunnerChoice::with_fetch, which the bench used on its own, adapts a choice to a fetch for dispatch to call.

--- a/crates/bench/src/our_groups.rs
+++ b/crates/bench/src/our_groups.rs
@@ -9,8 +9,7 @@
 use berylmount_model::PIECE_TOKENS;
 use berylmount_policy::{
     keeping::StoreShare, FetchPlan, KeepBook, LinkBook, LinkId, QueueRefusal, RetryBudget,
-    RunnerBoard, RunnerChoice, RunnerId, RunnerQuery, RunnerSettings, WorkItem, WorkQueue,
-    WorkTicket,
+    RunnerBoard, RunnerId, RunnerQuery, RunnerSettings, WorkItem, WorkQueue, WorkTicket,
 };
 
 /// One dispatch process with one group.
@@ -180,7 +179,8 @@
             choice.healthy_ms - choice.prefill_ms,
         );
         if let Some((_, fetch_ms)) = fetch {
-            shorten(&mut choice, &request, fetch_ms);
+            let rest = request.prompt_tokens - (request.pieces.len() * PIECE_TOKENS) as u32;
+            choice = choice.with_fetch(fetch_ms, prefill_ms(rest));
         }
         let runner = self.runners[group][choice.runner.0 as usize];
         let attempt = world.add_attempt(Attempt {
@@ -389,13 +389,3 @@
     });
     plans.min_by(|a, b| a.1.total_cmp(&b.1))
 }
-
-/// Adapts a choice to a fetch that takes the place of most of the prefill.
-fn shorten(choice: &mut RunnerChoice, request: &Arrival, fetch_ms: f64) {
-    let rest = request.prompt_tokens - (request.pieces.len() * PIECE_TOKENS) as u32;
-    let ahead = choice.healthy_ms - choice.prefill_ms;
-    let slowness = choice.expected_ms / choice.healthy_ms.max(1.0);
-    choice.prefill_ms = prefill_ms(rest).max(1.0);
-    choice.healthy_ms = ahead.max(fetch_ms) + choice.prefill_ms;
-    choice.expected_ms = choice.healthy_ms * slowness;
-}
--- a/crates/policy/src/runner_query.rs
+++ b/crates/policy/src/runner_query.rs
@@ -104,3 +104,37 @@
     /// Whether it is a probe of a straggler.
     pub probe: bool,
 }
+
+impl RunnerChoice {
+    /// The choice if a fetch takes the place of all prefill but `rest_ms`.
+    ///
+    /// The fetch is expected after `fetch_ms`, while the runner still does what
+    /// is ahead. Start the work with the result, or else the runner is thought
+    /// faster than it is.
+    ///
+    /// ```
+    /// use berylmount_policy::{RunnerChoice, RunnerId};
+    ///
+    /// let choice = RunnerChoice {
+    ///     runner: RunnerId(0),
+    ///     cached_tokens: 0,
+    ///     prefill_ms: 900.0,
+    ///     healthy_ms: 1_000.0,
+    ///     expected_ms: 2_000.0,
+    ///     probe: false,
+    /// };
+    /// assert_eq!(choice.with_fetch(300.0, 20.0).healthy_ms, 320.0);
+    /// ```
+    pub fn with_fetch(self, fetch_ms: f64, rest_ms: f64) -> Self {
+        let ahead = (self.healthy_ms - self.prefill_ms).max(0.0);
+        let slowness = self.expected_ms / self.healthy_ms.max(1.0);
+        let prefill = rest_ms.max(1.0);
+        let healthy = ahead.max(fetch_ms) + prefill;
+        Self {
+            prefill_ms: prefill,
+            healthy_ms: healthy,
+            expected_ms: healthy * slowness,
+            ..self
+        }
+    }
+}
--- a/crates/policy/src/runners.rs
+++ b/crates/policy/src/runners.rs
@@ -233,7 +233,7 @@
     ) -> Option<RunnerChoice> {
         let mut best: Option<(f64, RunnerChoice)> = None;
         let mut ties = 0;
-        let straggling = STRAGGLER_RATIO * self.best_slowness();
+        let straggling = STRAGGLER_RATIO * self.best_slowness().max(1.0);
         let last_clear = self.last_clear(query.class, straggling);
         let view = BoardView {
             held,
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -364,3 +364,27 @@
     queue.expire(700, &mut out);
     assert_eq!(out.len(), 1);
 }
+
+#[test]
+fn a_runner_that_beat_its_expectation_makes_no_stragglers_of_the_others() {
+    let mut rng = Pcg32::seed_from_u64(7);
+    let (mut board, fast) = busy_board(9_000, WorkClass::Standard, &[]);
+    for ticket in 0..9 {
+        let query = RunnerQuery::new(9_000, WorkClass::Standard);
+        board.first_token(fast.runner, WorkTicket(ticket), 20);
+        board.finish(fast.runner, WorkTicket(ticket), 20);
+        board.start(WorkTicket(ticket + 1), &fast, &query, 0);
+    }
+    board.finish(fast.runner, WorkTicket(9), 20);
+    let usual = board.join();
+    let query = RunnerQuery {
+        may_probe: true,
+        avoid: &[fast.runner],
+        ..RunnerQuery::new(1_000, WorkClass::Standard)
+    };
+    let choice = board.choose(&query, 9_000, &mut rng).unwrap();
+    board.start(WorkTicket(20), &choice, &query, 9_000);
+    board.first_token(usual, WorkTicket(20), 9_140);
+    board.finish(usual, WorkTicket(20), 9_140);
+    assert!(!board.choose(&query, 20_000, &mut rng).unwrap().probe);
+}
