Split the queue's capacity and the fuzz tests by subject

Ruled out: a test binary for each subject, which would build the same crates four times. Change: capacity and room have a module of their own, still exported from the crate's root, and one fuzz binary has a module for each of limits, queue, runners and books.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod assignment;
 mod buckets;
 pub mod caching;
+mod capacity;
 mod class_line;
 pub mod groups;
 pub mod keeping;
@@ -38,12 +39,13 @@
 pub use crate::{
     assignment::{MemberWeight, TargetGroup},
     caching::{FetchPlan, LinkBook, LinkId},
+    capacity::{QueueCapacity, QueueRoom},
     groups::{GroupBoard, GroupChoice, GroupId, GroupQuery},
     keeping::{KeepBook, KeepPlan, StoreId, StoreTier},
     limits::{LimitBook, LimitRefusal, LimitShare},
     pacing::ReturnPacer,
     prefixes::PrefixIndex,
-    queue::{QueueCapacity, QueueRefusal, QueueRoom, WorkItem, WorkQueue, WorkTicket},
+    queue::{QueueRefusal, WorkItem, WorkQueue, WorkTicket},
     retries::{RetryBudget, RetryDecision},
     runner_query::{RunnerChoice, RunnerId, RunnerQuery, RunnerReport, RunnerSettings},
     runners::RunnerBoard,
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -6,7 +6,10 @@
 //! a long prefill at the head. Invariant: every item comes out exactly once,
 //! through [`WorkQueue::take`], [`WorkQueue::expire`] or [`WorkQueue::remove`].
 
-use crate::class_line::{ClassLine, LaneRoom};
+use crate::{
+    capacity::{QueueCapacity, QueueRoom},
+    class_line::ClassLine,
+};
 use berylmount_model::WorkClass;
 use strum::IntoEnumIterator;
 
@@ -18,8 +21,6 @@
 pub const LONG_PART: f64 = 0.75;
 /// Prefill time of usual short work, in milliseconds.
 const USUAL_PREFILL_MS: f64 = 100.0;
-/// Longest wait in the engine that counts against waiting work, in milliseconds.
-const LONGEST_START_MS: f64 = 500.0;
 /// When to come back to a full queue, in milliseconds.
 const FULL_RETURN_MS: u64 = 1_000;
 /// Classes of work; arrays by class are indexed by `class as usize`.
@@ -78,86 +79,6 @@
     }
 }
 
-/// What the group can serve, for estimates.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct QueueCapacity {
-    /// Healthy runners, a slow one counting for less than one.
-    pub runners: f64,
-    /// Prefill time sent to them that goes before new work, by class, in milliseconds.
-    pub in_flight_ms: [f64; CLASSES],
-    /// Mean slowness of the runners; a healthy one has 1.
-    pub slowness: f64,
-    /// When the first of them could begin new work, by class, in milliseconds.
-    pub soonest_ms: [f64; CLASSES],
-}
-
-impl QueueCapacity {
-    /// Idle healthy runners.
-    ///
-    /// ```
-    /// assert_eq!(berylmount_policy::QueueCapacity::idle(4.0).runners, 4.0);
-    /// ```
-    pub fn idle(runners: f64) -> Self {
-        Self {
-            runners,
-            slowness: 1.0,
-            in_flight_ms: [0.0; CLASSES],
-            soonest_ms: [0.0; CLASSES],
-        }
-    }
-
-    /// When `item` must leave the queue for its first token to be in time.
-    fn latest_take_ms(&self, item: &WorkItem) -> u64 {
-        let soonest = self.soonest_ms[item.class as usize].min(LONGEST_START_MS);
-        let taken = soonest + item.prefill_ms * self.slowness;
-        item.due_ms.saturating_sub(taken as u64)
-    }
-
-    /// The wait of work of `class` with `ahead_ms` of prefill before it.
-    fn wait_ms(&self, class: WorkClass, ahead_ms: f64, part: f64) -> f64 {
-        let soonest = self.soonest_ms[class as usize];
-        if ahead_ms <= 0.0 {
-            return soonest;
-        }
-        let runners = self.runners.max(0.01);
-        let sent = self.in_flight_ms[class as usize] / runners;
-        soonest.max(sent + ahead_ms / (runners * part))
-    }
-}
-
-/// For what the group has room now, by class.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct QueueRoom {
-    /// Some runner can take short work.
-    pub short: [bool; CLASSES],
-    /// Some runner can take a long prefill.
-    pub long: [bool; CLASSES],
-}
-
-impl QueueRoom {
-    /// The same room for every class.
-    ///
-    /// ```
-    /// use berylmount_policy::QueueRoom;
-    ///
-    /// assert!(QueueRoom::same(true, false).short.iter().all(|&open| open));
-    /// ```
-    pub fn same(short: bool, long: bool) -> Self {
-        Self {
-            short: [short; CLASSES],
-            long: [long; CLASSES],
-        }
-    }
-
-    /// Room for short and for long work of `class`.
-    fn of_class(self, class: usize) -> LaneRoom {
-        LaneRoom {
-            short: self.short[class],
-            long: self.long[class],
-        }
-    }
-}
-
 /// A refusal of work that could not be served in time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("the first token would come in {expected_ms} ms; come back in {retry_after_ms} ms")]
--- a/crates/policy/src/runners.rs
+++ b/crates/policy/src/runners.rs
@@ -7,8 +7,9 @@
 //! Invariants: a leaving runner is never chosen, and no count is negative.
 
 use crate::{
+    capacity::{QueueCapacity, QueueRoom},
     prefixes::PrefixIndex,
-    queue::{QueueCapacity, QueueRoom, CLASSES, LONG_PART, LONG_PREFILL_MS},
+    queue::{CLASSES, LONG_PART, LONG_PREFILL_MS},
     runner_query::{RunnerChoice, RunnerId, RunnerQuery, RunnerSettings},
     runner_state::{RunnerState, SentWork},
 };
--- /dev/null
+++ b/crates/policy/tests/fuzz/limits.rs
@@ -0,0 +1,188 @@
+//! No customer exceeds its limit over entries, moves and restarts.
+
+use crate::config;
+use berylmount_model::{CustomerName, CustomerRow, WorkName};
+use berylmount_policy::{assignment::entry_count, LimitBook, LimitShare};
+use proptest::{prelude::*, sample::select};
+use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
+
+const ENTRIES: usize = 3;
+
+/// What happens to a customer's limits at three entries.
+#[derive(Clone, Debug)]
+enum LimitStep {
+    Admit { entry: usize, count: u32 },
+    Finish(usize),
+    Advance(u64),
+    Move { first: usize, owners: usize },
+    Restart(usize),
+    DropIdle(usize),
+}
+
+/// Who owns the customer: `owners` entries from `first` on.
+#[derive(Clone, Debug)]
+struct LimitModel {
+    row: CustomerRow,
+    now_ms: u64,
+    first: usize,
+    owners: usize,
+}
+
+impl LimitModel {
+    fn share(&self, entry: usize) -> Option<LimitShare> {
+        let rank = (entry + ENTRIES - self.first) % ENTRIES;
+        (rank < self.owners).then_some(LimitShare {
+            rank: rank as u32,
+            entries: self.owners as u32,
+        })
+    }
+
+    /// What a part that is new to an entry may give at once, at most.
+    fn start(&self) -> f64 {
+        (f64::from(self.row.burst) / 8.0).max(1.0)
+    }
+}
+
+impl ReferenceStateMachine for LimitModel {
+    type State = Self;
+    type Transition = LimitStep;
+
+    fn init_state() -> BoxedStrategy<Self> {
+        (1u32..90, 1u32..60, 3u32..90)
+            .prop_map(|(rate, burst, in_flight)| Self {
+                row: CustomerRow {
+                    name: CustomerName::new("crew").unwrap_or_else(|_| unreachable!()),
+                    key_hash: String::new(),
+                    weight: 1,
+                    rate_per_s: f64::from(rate),
+                    burst,
+                    in_flight,
+                    version: None,
+                    cache_scope: String::new(),
+                },
+                now_ms: 0,
+                first: 0,
+                owners: 1,
+            })
+            .boxed()
+    }
+
+    fn transitions(_: &Self) -> BoxedStrategy<LimitStep> {
+        prop_oneof![
+            20 => (0..ENTRIES, select(vec![1u32, 40]))
+                .prop_map(|(entry, count)| LimitStep::Admit { entry, count }),
+            10 => (0..ENTRIES).prop_map(LimitStep::Finish),
+            4 => select(vec![1u64, 50, 1_000, 30_000]).prop_map(LimitStep::Advance),
+            2 => (0..ENTRIES, 1..=ENTRIES).prop_map(|(first, owners)| LimitStep::Move { first, owners }),
+            1 => (0..ENTRIES).prop_map(LimitStep::Restart),
+            2 => (0..ENTRIES).prop_map(LimitStep::DropIdle),
+        ]
+        .boxed()
+    }
+
+    fn apply(mut state: Self, step: &LimitStep) -> Self {
+        match *step {
+            LimitStep::Advance(ms) => state.now_ms += ms,
+            LimitStep::Move { first, owners } => {
+                let most = entry_count(&state.row, owners);
+                (state.first, state.owners) = (first, most);
+            }
+            _ => {}
+        }
+        state
+    }
+}
+
+/// Three entries' books against one bucket that knows all of them.
+struct LimitFuzz {
+    books: Vec<LimitBook>,
+    owned: Vec<bool>,
+    in_flight: Vec<u32>,
+    /// Tokens of the one bucket; each new part adds its start.
+    tokens: f64,
+}
+
+impl LimitFuzz {
+    fn add(&mut self, tokens: f64, model: &LimitModel) {
+        self.tokens = (self.tokens + tokens).min(f64::from(model.row.burst));
+    }
+
+    fn admit(&mut self, model: &LimitModel, entry: usize) {
+        let Some(share) = model.share(entry) else {
+            return;
+        };
+        let work = WorkName::new("question").unwrap_or_else(|_| unreachable!());
+        match self.books[entry].admit(&model.row, &work, None, share, model.now_ms) {
+            Ok(()) => {
+                self.tokens -= 1.0;
+                self.in_flight[entry] += 1;
+                assert!(self.in_flight[entry] <= share.of_count(model.row.in_flight));
+            }
+            Err(refusal) => assert!(refusal.retry_after_ms() > 0),
+        }
+    }
+
+    fn tell_members(&mut self, model: &LimitModel) {
+        for entry in 0..ENTRIES {
+            let share = model.share(entry);
+            let owns = share.is_some();
+            self.books[entry].members_changed(model.now_ms, |_| share);
+            if owns && !self.owned[entry] {
+                self.add(model.start(), model);
+            }
+            self.owned[entry] = owns;
+        }
+    }
+}
+
+impl StateMachineTest for LimitFuzz {
+    type SystemUnderTest = Self;
+    type Reference = LimitModel;
+
+    fn init_test(model: &LimitModel) -> Self {
+        Self {
+            books: vec![LimitBook::new(0); ENTRIES],
+            owned: vec![true, false, false],
+            in_flight: vec![0; ENTRIES],
+            tokens: model.start(),
+        }
+    }
+
+    fn apply(mut test: Self, model: &LimitModel, step: LimitStep) -> Self {
+        let now_ms = model.now_ms;
+        match step {
+            LimitStep::Admit { entry, count } => {
+                for _ in 0..count {
+                    test.admit(model, entry);
+                }
+            }
+            LimitStep::Finish(entry) if test.in_flight[entry] > 0 => {
+                test.in_flight[entry] -= 1;
+                test.books[entry].finish(&model.row.name);
+            }
+            LimitStep::Advance(ms) => test.add(model.row.rate_per_s * ms as f64 / 1000.0, model),
+            LimitStep::Move { .. } => test.tell_members(model),
+            LimitStep::Restart(entry) => {
+                test.books[entry] = LimitBook::new(now_ms);
+                test.in_flight[entry] = 0;
+                if model.share(entry).is_some() {
+                    test.add(model.start(), model);
+                }
+            }
+            LimitStep::DropIdle(entry) => drop(test.books[entry].drop_idle(now_ms)),
+            LimitStep::Finish(_) => {}
+        }
+        test
+    }
+
+    fn check_invariants(test: &Self, _: &LimitModel) {
+        assert!(test.tokens >= -1e-6);
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn limits_hold_over_entries_and_moves(sequential 1..120 => LimitFuzz);
+}
