Feed the table's freshness from membership by one piece of code

The shell of the process had its own copy of what the peers crate now does: telling the freshness clock of members and heads, and passing shards on. The crate's pieces are used instead; only the thread that asks peers while the platform is silent stays.

--- a/crates/berylmount/src/main.rs
+++ b/crates/berylmount/src/main.rs
@@ -24,7 +24,7 @@
 mod role;
 mod status_command;
 mod table_command;
-mod table_share;
+mod table_follower;
 
 use crate::{
     check_settings::check_settings, orders_command::run_orders, role::run_role,
--- a/crates/berylmount/src/membership.rs
+++ b/crates/berylmount/src/membership.rs
@@ -5,15 +5,15 @@
 //! role, which chooses among processes, and the table's freshness clock, which
 //! counts who has applied what.
 
-use crate::table_share::{answer_table, TableFollower};
+use crate::table_follower::TableFollower;
 use berylmount_model::{InstanceName, InstanceRecord, InstanceRole, MonotonicClock};
 use berylmount_peers::{
-    BoardConfig, LoadLevel, MemberState, MemberView, MembershipParts, PeerHealth, PeerMembership,
-    PeerRecord, ProcessReport,
+    feed_table, process_report, serve_table, BoardConfig, LoadLevel, MemberView, MembershipParts,
+    PeerHealth, PeerMembership, PeerRecord, ProcessReport,
 };
 use berylmount_platform::ObjectStore;
 use berylmount_settings::ProcessSettings;
-use berylmount_table::{PeerReport, TableReplica};
+use berylmount_table::TableReplica;
 use berylmount_telemetry::{GaugeMetric, MetricSet};
 use berylmount_wire::{InboundCall, PeerServer, PeerService, WireConfig, WireRuntime};
 use signal_hook::{consts::SIGTERM, low_level::raise};
@@ -52,6 +52,9 @@
 /// Takes the platform's list of instances.
 pub(crate) type ListSink = Box<dyn Fn(&[InstanceRecord]) + Send + Sync>;
 
+/// Our processes in the platform's list, once it was read.
+type ListedNames = Option<Vec<InstanceName>>;
+
 /// Takes what a role is told of processes and targets.
 pub(crate) struct RoleObserver {
     /// Takes the platform's list.
@@ -130,7 +133,7 @@
     work: Option<SyncSender<InboundCall>>,
 ) -> io::Result<JoinedProcess> {
     let observer = Arc::new(observer);
-    let listed: Arc<Mutex<Vec<InstanceName>>> = Arc::default();
+    let listed: Arc<Mutex<ListedNames>> = Arc::default();
     let follower = TableFollower::new(&parts.runtime, &parts.table, parts.clock)?;
     let membership = Arc::new(PeerMembership::start(MembershipParts {
         record: own_record(&parts, &listener, caller_address),
@@ -201,13 +204,8 @@
         _ => parts.settings.dispatch.max_in_flight,
     };
     Box::new(move |now_ms| {
-        let report = table.report_to_peer(now_ms);
-        ProcessReport {
-            head: report.head,
-            voting: report.joined,
-            confirmed_age_ms: report.confirmed_age_ms,
-            load: LoadLevel::of((observer.in_flight)(), bound),
-        }
+        let load = LoadLevel::of((observer.in_flight)(), bound);
+        process_report(&table, load, now_ms)
     })
 }
 
@@ -215,7 +213,7 @@
 fn view_sink(
     parts: &JoinParts,
     observer: &Arc<RoleObserver>,
-    listed: &Arc<Mutex<Vec<InstanceName>>>,
+    listed: &Arc<Mutex<ListedNames>>,
     follower: TableFollower,
 ) -> Box<dyn Fn(&MemberView) + Send + Sync> {
     let own = parts.settings.process_name(parts.role);
@@ -230,59 +228,12 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .clone();
-        note_members(&table, view, &own, &listed);
-        follower.note_view(view, &own);
+        feed_table(&table, view, &own, listed.as_deref());
+        follower.note_view(view);
         (observer.view)(view);
     })
 }
 
-/// Tells the table's freshness clock who is there and what each has applied.
-///
-/// Processes that the platform lists count before anybody has heard of them,
-/// and dead ones until the list has dropped them. Otherwise a process that has
-/// just started, or the smaller side of a partition, would take itself for more
-/// than half and accept an edit that the others never see.
-fn note_members(
-    table: &TableReplica,
-    view: &MemberView,
-    own: &InstanceName,
-    listed: &[InstanceName],
-) {
-    let others = view.members.iter().filter(|member| {
-        let counts = member.state != MemberState::Dead || listed.contains(&member.name);
-        member.name != *own && !member.left && counts
-    });
-    let unheard = listed
-        .iter()
-        .filter(|name| *name != own && view.find(name).is_none());
-    let names: Vec<InstanceName> = others
-        .map(|member| &member.name)
-        .chain(unheard)
-        .cloned()
-        .collect();
-    if !names.is_empty() || listed.contains(own) {
-        table.set_peers(&names);
-    }
-    for member in &view.members {
-        if let Some(head_ms) = member.head_ms {
-            let report = PeerReport {
-                head: member.applied_head,
-                joined: true,
-                confirmed_age_ms: None,
-            };
-            table.peer_report(&member.name, report, head_ms);
-        }
-    }
-    if let Some(confirmed) = &view.confirmed {
-        let report = PeerReport {
-            head: confirmed.head,
-            joined: true,
-            confirmed_age_ms: Some(0),
-        };
-        table.peer_report(&confirmed.name, report, confirmed.at_ms);
-    }
-}
-
 /// Answers probes and table questions; passes work on.
 fn route_calls(
     calls: Receiver<InboundCall>,
@@ -305,7 +256,7 @@
             };
             let answered = match service {
                 PeerService::Probe => membership.serve(call),
-                _ => answer_table(&table, call),
+                _ => serve_table(&table, call),
             };
             if let Err(fault) = answered {
                 log::debug!(target: "peers", "a peer's call failed: {fault}");
@@ -332,14 +283,14 @@
     store: &dyn ObjectStore,
     membership: &PeerMembership,
     observer: &RoleObserver,
-    listed: &Mutex<Vec<InstanceName>>,
+    listed: &Mutex<ListedNames>,
 ) {
     loop {
         let interval_ms = match store.instances() {
             Ok(records) => {
                 let own = records.iter().filter(|record| is_process(record.role));
                 let names = own.map(|record| record.name.clone()).collect();
-                *listed.lock().unwrap_or_else(PoisonError::into_inner) = names;
+                *listed.lock().unwrap_or_else(PoisonError::into_inner) = Some(names);
                 membership.set_listed(&records);
                 (observer.list)(&records);
                 LIST_INTERVAL_PER_INSTANCE_MS * records.len() as u64
