Bound the time of an edit's tries at one object

Cause: a platform that lets every call time out would have held an operator's call for 32 tries of 1.5 s, far longer than the command waits. Change: no further try begins after 5 s; the edit is unclear then and its repeat settles it, as before.

--- a/crates/table/src/editor.rs
+++ b/crates/table/src/editor.rs
@@ -17,11 +17,14 @@
 };
 use berylmount_model::RowKey;
 use berylmount_platform::{ObjectStore, StoreError, MAX_VALUE_BYTES};
+use std::time::{Duration, Instant};
 
 /// The most rows of an edit that travels in the head.
 const MAX_DELTA_ROWS: usize = 8;
 /// Tries at one object before an edit gives up against others' writes.
 const MAX_TRIES: usize = 32;
+/// Time after which no further try at one object begins.
+const TRY_TIME: Duration = Duration::from_secs(5);
 
 /// An edit that is stored.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -65,6 +68,12 @@
     },
 }
 
+/// The tries at one object, bounded in number and time.
+fn tries() -> impl Iterator<Item = usize> {
+    let end = Instant::now() + TRY_TIME;
+    (0..MAX_TRIES).take_while(move |_| Instant::now() < end)
+}
+
 /// Names the rows of conflicts.
 fn conflict_list(conflicts: &[RowConflict]) -> String {
     let rows: Vec<_> = conflicts
@@ -215,7 +224,7 @@
     fn edit_shard(&self, index: usize, edit: &TableEdit) -> Result<EditedShard, EditError> {
         let key = shard_key(index);
         let mut unclear = false;
-        for _ in 0..MAX_TRIES {
+        for _ in tries() {
             let read = self
                 .read_shard(index)
                 .map_err(|error| settle(error, unclear))?;
@@ -266,7 +275,7 @@
         versions: &[(usize, u64)],
         deltas: &[ShardDelta],
     ) -> Result<u64, EditError> {
-        for _ in 0..MAX_TRIES {
+        for _ in tries() {
             let mut object = self.read_head()?;
             let version = object.head.version;
             if !object.head.raise(versions) {
