--- a/crates/bench/src/plain.rs
+++ b/crates/bench/src/plain.rs
@@ -60,6 +60,7 @@
 
     fn arrive(&mut self, world: &mut World, arrival: usize) {
         let request = world.arrival(arrival).clone();
+        world.outcomes[arrival].asked_us = request.at_us;
         if !request.idempotent && world.orders_blocked() {
             // The order waits for the platform and is late.
             let wait = world.scenario.outage_us.1 - world.now;
@@ -92,6 +93,7 @@
         let all = request.pieces.len();
         let store = (request.prompt % STORE_CENTRES.len() as u64) as usize;
         let fetch = held < all && world.stores[store].holds(request.prompt);
+        world.outcomes[arrival].firsts += 1;
         let attempt = world.add_attempt(Attempt {
             arrival,
             group: to,
--- a/crates/peers/src/board.rs
+++ b/crates/peers/src/board.rs
@@ -329,13 +329,18 @@
     }
 
     /// Takes a member's word on when the platform confirmed its table.
-    fn take_confirmation(&mut self, name: &InstanceName, report: &ProcessReport, sent_ms: u64) {
+    fn take_confirmation(&mut self, name: &InstanceName, report: &ProcessReport, asked_ms: u64) {
         let age_ms = report.confirmed_age_ms;
-        let at_ms = age_ms.and_then(|age_ms| sent_ms.checked_sub(age_ms));
+        let at_ms = age_ms.and_then(|age_ms| asked_ms.checked_sub(age_ms));
         let known = self.confirmed.as_ref().map(|confirmed| confirmed.at_ms);
         if let Some(at_ms) = at_ms.filter(|at_ms| known < Some(*at_ms)) {
-            let (name, head) = (name.clone(), report.head);
-            self.confirmed = Some(ConfirmedHead { name, head, at_ms });
+            self.confirmed = Some(ConfirmedHead {
+                name: name.clone(),
+                head: report.head,
+                voting: report.voting,
+                asked_ms,
+                at_ms,
+            });
         }
     }
 
--- a/crates/peers/src/view.rs
+++ b/crates/peers/src/view.rs
@@ -36,14 +36,18 @@
     pub heard_ms: Option<u64>,
 }
 
-/// A confirmation of a member's table by the platform.
+/// A member's word on when the platform confirmed its table.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ConfirmedHead {
     /// The member that told of it.
     pub name: InstanceName,
     /// The table head that the member applied.
     pub head: u64,
-    /// The platform was asked at or after this time of our own clock.
+    /// Whether the member has a vote on the table.
+    pub voting: bool,
+    /// When the member was asked.
+    pub asked_ms: u64,
+    /// The platform was asked at or after this time, of our own clock.
     pub at_ms: u64,
 }
 
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -6,8 +6,8 @@
 //! a long prefill at the head. Invariant: every item comes out exactly once,
 //! through [`WorkQueue::take`], [`WorkQueue::expire`] or [`WorkQueue::remove`].
 
+use crate::class_line::{ClassLine, LaneRoom};
 use berylmount_model::WorkClass;
-use std::collections::VecDeque;
 use strum::IntoEnumIterator;
 
 /// Prefill time from which work counts as long, in milliseconds.
@@ -18,6 +18,8 @@
 pub const LONG_PART: f64 = 0.75;
 /// Prefill time of usual short work, in milliseconds.
 const USUAL_PREFILL_MS: f64 = 100.0;
+/// Longest wait in the engine that counts against waiting work, in milliseconds.
+const LONGEST_START_MS: f64 = 500.0;
 /// When to come back to a full queue, in milliseconds.
 const FULL_RETURN_MS: u64 = 1_000;
 /// Classes of work; arrays by class are indexed by `class as usize`.
@@ -56,6 +58,21 @@
 
 impl WorkItem {
     /// Whether it takes a long prefill.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{WorkItem, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// assert!(!item.is_long());
+    /// ```
     pub fn is_long(&self) -> bool {
         self.prefill_ms >= LONG_PREFILL_MS
     }
@@ -68,6 +85,8 @@
     pub runners: f64,
     /// Prefill time sent to them that goes before new work, by class, in milliseconds.
     pub in_flight_ms: [f64; CLASSES],
+    /// Mean slowness of the runners; a healthy one has 1.
+    pub slowness: f64,
     /// When the first of them could begin new work, by class, in milliseconds.
     pub soonest_ms: [f64; CLASSES],
 }
@@ -81,11 +100,19 @@
     pub fn idle(runners: f64) -> Self {
         Self {
             runners,
+            slowness: 1.0,
             in_flight_ms: [0.0; CLASSES],
             soonest_ms: [0.0; CLASSES],
         }
     }
 
+    /// When `item` must leave the queue for its first token to be in time.
+    fn latest_take_ms(&self, item: &WorkItem) -> u64 {
+        let soonest = self.soonest_ms[item.class as usize].min(LONGEST_START_MS);
+        let taken = soonest + item.prefill_ms * self.slowness;
+        item.due_ms.saturating_sub(taken as u64)
+    }
+
     /// The wait of work of `class` with `ahead_ms` of prefill before it.
     fn wait_ms(&self, class: WorkClass, ahead_ms: f64, part: f64) -> f64 {
         let soonest = self.soonest_ms[class as usize];
@@ -131,13 +158,6 @@
     }
 }
 
-/// Room for one class.
-#[derive(Clone, Copy, Debug)]
-struct LaneRoom {
-    short: bool,
-    long: bool,
-}
-
 /// A refusal of work that could not be served in time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, thiserror::Error)]
 #[error("the first token would come in {expected_ms} ms; come back in {retry_after_ms} ms")]
@@ -148,157 +168,6 @@
     pub retry_after_ms: u64,
 }
 
-/// The waiting work of one customer in one class.
-#[derive(Clone, Debug)]
-struct CustomerLine {
-    customer: u64,
-    weight: f64,
-    pass: f64,
-    backlog_ms: f64,
-    short: VecDeque<WorkItem>,
-    long: VecDeque<WorkItem>,
-}
-
-impl CustomerLine {
-    fn is_empty(&self) -> bool {
-        self.short.is_empty() && self.long.is_empty()
-    }
-
-    fn serves(&self, room: LaneRoom) -> bool {
-        (room.short && !self.short.is_empty()) || (room.long && !self.long.is_empty())
-    }
-
-    /// The next item that fits, short work first unless the long one is older.
-    fn take(&mut self, room: LaneRoom) -> Option<WorkItem> {
-        let item = self.pop(room)?;
-        self.backlog_ms -= item.prefill_ms;
-        Some(item)
-    }
-
-    fn pop(&mut self, room: LaneRoom) -> Option<WorkItem> {
-        let short = self.short.front().filter(|_| room.short);
-        let long = self.long.front().filter(|_| room.long);
-        match (short, long) {
-            (Some(s), Some(l)) if l.due_ms < s.due_ms => self.long.pop_front(),
-            (Some(_), _) => self.short.pop_front(),
-            (None, Some(_)) => self.long.pop_front(),
-            (None, None) => None,
-        }
-    }
-}
-
-/// All waiting work of one class.
-#[derive(Clone, Debug, Default)]
-struct ClassLine {
-    /// Sorted by customer.
-    lines: Vec<CustomerLine>,
-    /// Virtual time within the class.
-    clock: f64,
-    /// Virtual time of the class among the classes.
-    pass: f64,
-    items: usize,
-    backlog_ms: f64,
-}
-
-impl ClassLine {
-    fn push(&mut self, item: WorkItem) {
-        let weight = f64::from(item.weight.max(1));
-        let found = self
-            .lines
-            .binary_search_by_key(&item.customer, |l| l.customer);
-        let place = match found {
-            Ok(place) => place,
-            Err(place) => {
-                let line = CustomerLine {
-                    customer: item.customer,
-                    weight,
-                    pass: self.clock,
-                    backlog_ms: 0.0,
-                    short: VecDeque::new(),
-                    long: VecDeque::new(),
-                };
-                self.lines.insert(place, line);
-                place
-            }
-        };
-        let line = &mut self.lines[place];
-        line.weight = weight;
-        if line.is_empty() {
-            line.pass = line.pass.max(self.clock);
-        }
-        let lane = if item.is_long() {
-            &mut line.long
-        } else {
-            &mut line.short
-        };
-        lane.push_back(item);
-        line.backlog_ms += item.prefill_ms;
-        self.items += 1;
-        self.backlog_ms += item.prefill_ms;
-    }
-
-    fn take(&mut self, room: LaneRoom) -> Option<WorkItem> {
-        let ready = self.lines.iter_mut().filter(|line| line.serves(room));
-        let line = ready.min_by(|a, b| a.pass.total_cmp(&b.pass))?;
-        let item = line.take(room)?;
-        self.clock = self.clock.max(line.pass);
-        line.pass += item.prefill_ms.max(1.0) / line.weight;
-        let done = line.is_empty();
-        self.forget(&item);
-        if done {
-            self.drop_done();
-        }
-        Some(item)
-    }
-
-    fn forget(&mut self, item: &WorkItem) {
-        self.items -= 1;
-        self.backlog_ms = if self.items == 0 {
-            0.0
-        } else {
-            self.backlog_ms - item.prefill_ms
-        };
-    }
-
-    /// Drops lines that are empty and have no service to their debit.
-    fn drop_done(&mut self) {
-        let (clock, idle) = (self.clock, self.items == 0);
-        self.lines
-            .retain(|line| !line.is_empty() || (line.pass > clock && !idle));
-    }
-
-    /// Takes out every item that `gone` picks.
-    fn sweep(&mut self, gone: impl Fn(&WorkItem) -> bool, out: &mut Vec<WorkItem>) {
-        let from = out.len();
-        for line in &mut self.lines {
-            for lane in [&mut line.short, &mut line.long] {
-                if lane.iter().any(&gone) {
-                    out.extend(lane.iter().filter(|item| gone(item)));
-                    lane.retain(|item| !gone(item));
-                }
-            }
-            let left = line.short.iter().chain(&line.long);
-            line.backlog_ms = left.map(|item| item.prefill_ms).sum();
-        }
-        for item in &out[from..] {
-            self.forget(item);
-        }
-        if out.len() > from {
-            self.drop_done();
-        }
-    }
-
-    /// Prefill time of this class served before a new item of `customer`.
-    fn ahead_ms(&self, customer: u64, weight: f64, cost_ms: f64) -> f64 {
-        let found = self.lines.binary_search_by_key(&customer, |l| l.customer);
-        let own = found.map_or(0.0, |place| self.lines[place].backlog_ms);
-        let others = self.lines.iter().filter(|line| line.customer != customer);
-        let fair = |line: &CustomerLine| (own + cost_ms) * line.weight / weight;
-        let shared: f64 = others.map(|line| line.backlog_ms.min(fair(line))).sum();
-        own + shared
-    }
-}
-
 /// The waiting work of one runner group.
 ///
 /// ```
@@ -321,30 +190,98 @@
 /// let room = QueueRoom::same(true, false);
 /// assert_eq!(queue.take(room).map(|item| item.ticket), Some(WorkTicket(1)));
 /// ```
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct WorkQueue {
     classes: [ClassLine; CLASSES],
     clock: f64,
-    earliest_due_ms: u64,
+    earliest_take_ms: u64,
+    /// What the runners could serve when work was last offered.
+    capacity: QueueCapacity,
+}
+
+impl Default for WorkQueue {
+    fn default() -> Self {
+        Self {
+            classes: Default::default(),
+            clock: 0.0,
+            earliest_take_ms: 0,
+            capacity: QueueCapacity::idle(1.0),
+        }
+    }
 }
 
 impl WorkQueue {
     /// Items that wait.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// assert_eq!(queue.len(), 1);
+    /// ```
     pub fn len(&self) -> usize {
         self.classes.iter().map(|class| class.items).sum()
     }
 
     /// Whether nothing waits.
+    ///
+    /// ```
+    /// assert!(berylmount_policy::WorkQueue::default().is_empty());
+    /// ```
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
 
     /// Prefill time of all that waits, in milliseconds.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// assert_eq!(queue.backlog_ms(), 100.0);
+    /// ```
     pub fn backlog_ms(&self) -> f64 {
         self.classes.iter().map(|class| class.backlog_ms).sum()
     }
 
     /// The estimated time to the first token of `item`, in milliseconds.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{QueueCapacity, WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// assert_eq!(queue.estimate_ms(&item, &QueueCapacity::idle(2.0)), 150.0);
+    /// ```
     pub fn estimate_ms(&self, item: &WorkItem, capacity: &QueueCapacity) -> f64 {
         let weight = f64::from(item.weight.max(1));
         let own = &self.classes[item.class as usize];
@@ -357,10 +294,28 @@
         };
         let shared: f64 = others.map(share).sum();
         let part = if item.is_long() { LONG_PART } else { 1.0 };
-        capacity.wait_ms(item.class, ahead + shared, part) + item.prefill_ms
+        capacity.wait_ms(item.class, ahead + shared, part) + item.prefill_ms * capacity.slowness
     }
 
     /// The wait that new short work of each class would meet, in milliseconds.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{QueueCapacity, WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// let waits = queue.waits_ms(&QueueCapacity::idle(1.0));
+    /// assert_eq!(waits[WorkClass::Interactive as usize], 100.0);
+    /// ```
     pub fn waits_ms(&self, capacity: &QueueCapacity) -> [f64; CLASSES] {
         let mut waits = [0.0; CLASSES];
         for class in WorkClass::iter() {
@@ -372,7 +327,8 @@
                 prefill_ms: USUAL_PREFILL_MS,
                 due_ms: 0,
             };
-            waits[class as usize] = self.estimate_ms(&item, capacity) - USUAL_PREFILL_MS;
+            waits[class as usize] =
+                self.estimate_ms(&item, capacity) - USUAL_PREFILL_MS * capacity.slowness;
         }
         waits
     }
@@ -382,12 +338,30 @@
     /// # Errors
     ///
     /// A refused item is not kept; the refusal says when to come back.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{QueueCapacity, WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// assert!(queue.offer(item, &QueueCapacity::idle(1.0), 750).is_err());
+    /// assert!(queue.offer(item, &QueueCapacity::idle(1.0), 0).is_ok());
+    /// ```
     pub fn offer(
         &mut self,
         item: WorkItem,
         capacity: &QueueCapacity,
         now_ms: u64,
     ) -> Result<(), QueueRefusal> {
+        self.capacity = *capacity;
         let expected = self.estimate_ms(&item, capacity).min(1e12) as u64;
         let left = item.due_ms.saturating_sub(now_ms);
         if self.len() >= MOST_ITEMS {
@@ -407,23 +381,59 @@
     }
 
     /// Takes `item` in without an estimate, such as one that failed to start.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// assert_eq!(queue.len(), 1);
+    /// ```
     pub fn restore(&mut self, item: WorkItem) {
         let class = &mut self.classes[item.class as usize];
         if class.items == 0 {
             class.pass = class.pass.max(self.clock);
         }
         class.push(item);
-        let none = self.earliest_due_ms == 0;
-        self.earliest_due_ms = if none {
-            item.due_ms
+        let latest = self.capacity.latest_take_ms(&item);
+        let none = self.earliest_take_ms == 0;
+        self.earliest_take_ms = if none {
+            latest
         } else {
-            self.earliest_due_ms.min(item.due_ms)
+            self.earliest_take_ms.min(latest)
         };
     }
 
     /// The next item for which there is `room`.
     ///
     /// Call [`WorkQueue::expire`] first, so that nothing expired is served.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{QueueRoom, WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// assert_eq!(queue.take(QueueRoom::same(false, true)), None);
+    /// assert_eq!(queue.take(QueueRoom::same(true, true)), Some(item));
+    /// ```
     pub fn take(&mut self, room: QueueRoom) -> Option<WorkItem> {
         let mut order: [usize; CLASSES] = std::array::from_fn(|class| class);
         order.sort_by(|&a, &b| self.classes[a].pass.total_cmp(&self.classes[b].pass));
@@ -440,17 +450,56 @@
     }
 
     /// Moves every item whose first token can no longer be in time to `out`.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// let mut out = Vec::new();
+    /// queue.expire(800, &mut out);
+    /// assert_eq!(out, [item]);
+    /// ```
     pub fn expire(&mut self, now_ms: u64, out: &mut Vec<WorkItem>) {
-        if self.is_empty() || now_ms < self.earliest_due_ms {
+        if self.is_empty() || now_ms < self.earliest_take_ms {
             return;
         }
+        let capacity = self.capacity;
         for class in &mut self.classes {
-            class.sweep(|item| item.due_ms <= now_ms, out);
+            class.sweep(|item| capacity.latest_take_ms(item) <= now_ms, out);
         }
-        self.earliest_due_ms = self.items().map(|item| item.due_ms).min().unwrap_or(0);
+        let latest = self.items().map(|item| capacity.latest_take_ms(item));
+        self.earliest_take_ms = latest.min().unwrap_or(0);
     }
 
     /// Takes out the item of `ticket`, such as one that its caller cancelled.
+    ///
+    /// ```
+    /// use berylmount_model::WorkClass;
+    /// use berylmount_policy::{WorkItem, WorkQueue, WorkTicket};
+    ///
+    /// let item = WorkItem {
+    ///     ticket: WorkTicket(1),
+    ///     customer: 7,
+    ///     weight: 1,
+    ///     class: WorkClass::Interactive,
+    ///     prefill_ms: 100.0,
+    ///     due_ms: 800,
+    /// };
+    /// let mut queue = WorkQueue::default();
+    /// queue.restore(item);
+    /// assert_eq!(queue.remove(WorkTicket(1)), Some(item));
+    /// assert_eq!(queue.remove(WorkTicket(1)), None);
+    /// ```
     pub fn remove(&mut self, ticket: WorkTicket) -> Option<WorkItem> {
         let mut out = Vec::new();
         for class in &mut self.classes {
