Read and write a head's versions without its edits

Cause: membership's table exchange passes heads as bytes and stopped compiling once the edits had moved into HeadObject. Change: TableHead decodes and encodes through it, dropping the edits.

--- a/crates/table/src/head.rs
+++ b/crates/table/src/head.rs
@@ -93,6 +93,31 @@
 }
 
 impl TableHead {
+    /// The versions in a head object at `version` with the value `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// As for [`HeadObject::decode`].
+    pub fn decode(version: u64, bytes: &[u8]) -> Result<Self, ShardError> {
+        HeadObject::decode(version, bytes).map(|object| object.head)
+    }
+
+    /// The value of a head object with these versions and no edits.
+    ///
+    /// ```
+    /// use berylmount_table::TableHead;
+    ///
+    /// let head = TableHead::default();
+    /// assert_eq!(TableHead::decode(0, &head.encode()).unwrap(), head);
+    /// ```
+    pub fn encode(&self) -> Vec<u8> {
+        let object = HeadObject {
+            head: self.clone(),
+            deltas: Vec::new(),
+        };
+        object.encode()
+    }
+
     /// Raises shards to `versions`, and says whether any was lower.
     pub fn raise(&mut self, versions: &[(usize, u64)]) -> bool {
         let mut raised = false;
