Import kept cache in parts, so that a stop keeps what came before

Cause: a prompt's pieces came in one import a store; a link that was slower than expected, or a hang near the end, threw all of them away.

Change: at most 8 pieces an import, each confirmed and committed before the next. The price is three short calls for every 8 pieces.

Shown failing first with 12 pieces, a link of 100 KiB/s and a hang after the first part: with one import none were used; now the first 8 are, and the engine reports no wrong use. Ruled out: committing parts of an import that did not end, since the engine says what it read only at the end.

--- a/crates/targets/src/kept/cache.rs
+++ b/crates/targets/src/kept/cache.rs
@@ -17,10 +17,13 @@
     time::{Duration, Instant},
 };
 
+/// Pieces in one import; what came before a stop can then be used.
+const IMPORT_PIECES: usize = 8;
+
 /// Leading pieces of a prompt that stores have.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct KeptHits {
-    /// Runs of pieces in prompt order, each from one store.
+    /// Runs of pieces in prompt order, each from one store and one import long.
     runs: Vec<StoreRun>,
 }
 
@@ -53,7 +56,7 @@
     /// Adds a piece after the others.
     fn push(&mut self, store: SocketAddr, incarnation: u64, piece: SealedPiece) {
         if let Some(run) = self.runs.last_mut() {
-            if run.store == store {
+            if run.store == store && run.found.pieces.len() < IMPORT_PIECES {
                 run.found.pieces.push(piece);
                 return;
             }
--- a/crates/targets/tests/kept_targets.rs
+++ b/crates/targets/tests/kept_targets.rs
@@ -7,7 +7,7 @@
 
 use berylmount_model::{piece_chain, ModelName, PieceKey, PieceScope, VersionName, PIECE_TOKENS};
 use berylmount_standins::{
-    expected_answer, EngineConfig, EngineServer, StoreConfig, StoreFault, StoreServer,
+    expected_answer, wait_until, EngineConfig, EngineServer, StoreConfig, StoreFault, StoreServer,
 };
 use berylmount_targets::{
     kept::{FetchOutcome, KeptCache, KeptHits},
@@ -249,6 +249,42 @@
     assert_eq!(bench.wrong_uses(), 0);
 }
 
+#[test]
+fn what_came_before_a_hang_is_used() {
+    const MANY: usize = 12;
+    let bench = bench();
+    let store = StoreServer::start(&StoreConfig {
+        link_bytes_per_s: 100 * 1024,
+        ..StoreConfig::default()
+    });
+    let store = store.unwrap();
+    let scope = scope("a", "v1");
+    let prompt = "log ".repeat(MANY * PIECE_TOKENS);
+    let keys = piece_chain(&scope, &prompt);
+    bench.run(&scope, &prompt);
+    let address = store.address();
+    let kept = bench.cache.keep(&bench.client, address, &keys, 2 * LIMIT);
+    assert_eq!(kept.sealed.len(), MANY);
+    let hits = bench.cache.find(&[address], &keys, LIMIT);
+    bench.engine.evict();
+    let first_import = store.bytes_moved() + 8 * 16 * 1024;
+    let outcome = std::thread::scope(|scope| {
+        scope.spawn(|| {
+            wait_until("the second import began", || {
+                store.bytes_moved() > first_import
+            });
+            store.inject(StoreFault::Hang);
+        });
+        let limit = Duration::from_secs(3);
+        bench.cache.fetch(&bench.client, &hits, limit)
+    });
+    assert_eq!(outcome.pieces, 8);
+    assert!(outcome.stop.is_some());
+    store.inject(StoreFault::None);
+    assert_eq!(bench.run(&scope, &prompt) as usize, 8 * PIECE_TOKENS);
+    assert_eq!(bench.wrong_uses(), 0);
+}
+
 #[test]
 fn a_full_store_says_so_and_a_retired_piece_makes_room() {
     let bench = bench();
