Bound a lane's memory by entries, not by segments

Change: the bound counts entries, sixteen hashes of a sealed segment as one. Ruled out: more slots, which bounds no memory.

--- a/crates/ledger/examples/ledger_rate.rs
+++ b/crates/ledger/examples/ledger_rate.rs
@@ -1,8 +1,9 @@
 //! Measures orders through the ledger against the platform stand-in.
 //!
-//! `cargo run --release -p berylmount-ledger --example ledger_rate -- [SLOW_MS]`
+//! `cargo run --release -p berylmount-ledger --example ledger_rate -- [SLOW_MS [ORDERS [CALLERS PROCESSES]]]`
 //! prints one line for each number of callers and processes: orders a second,
-//! platform calls and bytes written for an order, and the time to the permission.
+//! platform calls and stored bytes for an order, the time to the permission, and
+//! processor time, of which the stand-in takes its part.
 
 use berylmount_ledger::{
     BeginOutcome, BodyDigest, LedgerConfig, LedgerTime, OrderIntent, OrderLedger, OrderOutcome,
@@ -18,8 +19,16 @@
     time::{Duration, Instant},
 };
 
-/// Orders in one line of the output.
-const ORDERS: usize = 3_000;
+/// Clock ticks in a second, in which the kernel counts processor time.
+const TICKS_PER_S: f64 = 100.0;
+
+/// Processor time of this process so far, in seconds.
+fn processor_seconds() -> f64 {
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<&str> = stat.split_whitespace().collect();
+    let ticks = |at: usize| fields.get(at).and_then(|text| text.parse::<f64>().ok());
+    (ticks(13).unwrap_or(0.0) + ticks(14).unwrap_or(0.0)) / TICKS_PER_S
+}
 
 /// Runs one order and returns how long its permission took.
 fn run_one(ledger: &OrderLedger, key: &str) -> Option<Duration> {
@@ -45,8 +54,8 @@
     Some(wait)
 }
 
-/// Runs [`ORDERS`] orders by `callers` threads over `processes` ledgers.
-fn measure(slow_ms: u64, callers: usize, processes: usize) -> std::io::Result<()> {
+/// Runs `orders` orders by `callers` threads over `processes` ledgers.
+fn measure(slow_ms: u64, orders: usize, callers: usize, processes: usize) -> std::io::Result<()> {
     let server = PlatformServer::start(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
     server.set_faults(PlatformFaults {
         slow_ms,
@@ -58,11 +67,12 @@
     });
     let ledgers = ledgers.collect::<std::io::Result<Vec<_>>>()?;
     let day = berylmount_ledger::LedgerDay::of_unix_ms(unix_ms());
+    let processor = processor_seconds();
     let start = Instant::now();
     let mut waits: Vec<Duration> = thread::scope(|scope| {
         let threads = (0..callers).map(|caller| {
             let ledger = &ledgers[caller % processes];
-            let numbers = (0..ORDERS / callers).map(move |n| format!("{day}-{caller}-{n}"));
+            let numbers = (0..orders / callers).map(move |n| format!("{day}-{caller}-{n}"));
             scope.spawn(move || numbers.filter_map(|key| run_one(ledger, &key)).collect())
         });
         let threads: Vec<_> = threads.collect();
@@ -73,6 +83,7 @@
     for ledger in &ledgers {
         ledger.stop(Duration::from_secs(30));
     }
+    let processor_ms = (processor_seconds() - processor) * 1_000.0;
     waits.sort();
     let done = waits.len();
     let counts = server.store().counts();
@@ -82,7 +93,8 @@
     let wait = |part: usize| waits.get(done * part / 100).map_or(0, Duration::as_millis);
     println!(
         "{callers:4} callers {processes} processes: {done} orders, {:.0}/s, {:.2} puts and {:.2} \
-         gets an order, permission p50 {} p99 {} ms, {} segments, {} bytes an entry",
+         gets an order, permission p50 {} p99 {} ms, {} segments, {} bytes and {:.2} ms \
+         of processor an order",
         done as f64 / seconds,
         share(CallKind::Put),
         share(CallKind::Get),
@@ -90,16 +102,21 @@
         wait(99),
         heads.len(),
         stored / done.max(1) as u64,
+        processor_ms / done.max(1) as f64,
     );
     Ok(())
 }
 
 fn main() -> std::io::Result<()> {
-    let slow_ms = std::env::args().nth(1).and_then(|text| text.parse().ok());
-    let slow_ms = slow_ms.unwrap_or(5);
+    let argument = |at| std::env::args().nth(at).and_then(|text| text.parse().ok());
+    let slow_ms = argument(1).unwrap_or(5);
+    let orders = argument(2).unwrap_or(3_000) as usize;
     println!("platform answers after {slow_ms} ms");
+    if let (Some(callers), Some(processes)) = (argument(3), argument(4)) {
+        return measure(slow_ms, orders, callers as usize, processes as usize);
+    }
     for (callers, processes) in [(1, 1), (16, 1), (64, 1), (256, 1), (64, 2), (64, 4)] {
-        measure(slow_ms, callers, processes)?;
+        measure(slow_ms, orders, callers, processes)?;
     }
     Ok(())
 }
--- a/crates/ledger/src/config.rs
+++ b/crates/ledger/src/config.rs
@@ -15,8 +15,8 @@
     pub retention_days: u32,
     /// Entries in a segment before it is sealed.
     pub segment_entries: usize,
-    /// Segments that a lane remembers.
-    pub cached_segments: usize,
+    /// Entries that a lane remembers, counting sixteen of a sealed segment as one.
+    pub cached_entries: usize,
     /// Outcomes that may wait for the platform before new orders are refused.
     pub max_owed: usize,
     /// Pause between probes of a platform that does not answer, in milliseconds.
@@ -54,7 +54,7 @@
             origin,
             retention_days: RETENTION_DAYS,
             segment_entries: SEGMENT_ENTRIES,
-            cached_segments: 8,
+            cached_entries: 2_048,
             max_owed: 4_096,
             probe_ms: 1_000,
             begin_wait_ms: 2_000,
--- a/crates/ledger/src/lane.rs
+++ b/crates/ledger/src/lane.rs
@@ -208,13 +208,14 @@
 
     /// Forgets the least recently used idle segments beyond the bound.
     fn evict(&mut self) {
-        while self.slots.len() > self.config.cached_segments {
+        let mut weight: usize = self.slots.iter().map(|slot| slot.writer.weight()).sum();
+        while weight > self.config.cached_entries {
             let idle = self.slots.iter().enumerate();
             let idle = idle.filter(|(_, slot)| slot.writer.is_idle());
             let Some((at, _)) = idle.min_by_key(|(_, slot)| slot.used) else {
                 return;
             };
-            self.slots.remove(at);
+            weight -= self.slots.remove(at).writer.weight();
         }
     }
 
--- a/crates/ledger/src/writer.rs
+++ b/crates/ledger/src/writer.rs
@@ -17,6 +17,8 @@
 
 /// Changes in one write.
 const BATCH_CHANGES: usize = 256;
+/// Path hashes that take the memory of one entry.
+const HASHES_PER_ENTRY: usize = 16;
 /// Conflicts and lost answers that one attempt goes through.
 const MAX_TRIES: u8 = 8;
 
@@ -155,6 +157,15 @@
         self.refuse(&ChangeReply::Unavailable, output);
     }
 
+    /// Entries remembered; only a hash is kept of each in a sealed segment.
+    pub(crate) fn weight(&self) -> usize {
+        match &self.view {
+            SegmentView::Unread => 1,
+            SegmentView::Known(body, _) => 1 + body.entries.len(),
+            SegmentView::Sealed(hashes) => 1 + hashes.len() / HASHES_PER_ENTRY,
+        }
+    }
+
     /// Whether nothing waits.
     pub(crate) fn is_idle(&self) -> bool {
         self.queue.is_empty() && self.pending.is_none()
--- a/crates/ledger/tests/orders_fuzz.rs
+++ b/crates/ledger/tests/orders_fuzz.rs
@@ -154,7 +154,7 @@
 fn config(origin: u64) -> LedgerConfig {
     LedgerConfig {
         segment_entries: 1 + origin as usize % 3,
-        cached_segments: 2,
+        cached_entries: 2,
         ..LedgerConfig::new(origin)
     }
 }
