--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,9 @@
 //! Drives the real policy crate and plain policies over the same arrivals and
 //! targets, and prints the measures as a table or as JSON.
 
+mod cost;
 mod measures;
+mod our_groups;
 mod ours;
 mod plain;
 mod scenarios;
@@ -23,7 +25,7 @@
 
 fn main() -> ExitCode {
     let flags = xflags::parse_or_exit! {
-        /// Scenario, or `all`.
+        /// Scenario, `all`, or `decision-cost`.
         required scenario: String
         /// One policy instead of all.
         optional --policy policy: PolicyName
@@ -32,12 +34,19 @@
         /// Prints one JSON object a line.
         optional --json
     };
+    if flags.scenario == "decision-cost" {
+        cost::print_costs(flags.json);
+        return ExitCode::SUCCESS;
+    }
     let scenarios = match (flags.scenario.as_str(), flags.scenario.parse()) {
         ("all", _) => ScenarioName::iter().collect(),
         (_, Ok(name)) => vec![name],
         _ => {
             let names: Vec<String> = ScenarioName::iter().map(|name| name.to_string()).collect();
-            eprintln!("unknown scenario; one of: all, {}", names.join(", "));
+            eprintln!(
+                "unknown scenario; one of: all, decision-cost, {}",
+                names.join(", ")
+            );
             return ExitCode::FAILURE;
         }
     };
@@ -94,17 +103,14 @@
         print!(" | {policy:<26}");
     }
     println!();
-    let rows = results.first().map_or(0, |(_, measures)| measures.len());
-    for row in 0..rows {
-        print!("{:<24}", results[0].1[row].name);
+    let rows = results.first().map_or(&[][..], |(_, measures)| measures);
+    for row in rows {
+        print!("{:<24}", row.name);
         for (_, measures) in results {
-            let cell = measures.get(row).map_or(String::new(), |m| {
-                format!(
-                    "{:.4} [{:.4}..{:.4}]",
-                    Short(m.median),
-                    Short(m.lowest),
-                    Short(m.highest)
-                )
+            let found = measures.iter().find(|m| m.name == row.name);
+            let cell = found.map_or(String::new(), |m| {
+                let [median, lowest, highest] = [m.median, m.lowest, m.highest].map(Short);
+                format!("{median} [{lowest}..{highest}]")
             });
             print!(" | {cell:<26}");
         }
--- a/crates/bench/src/scenarios.rs
+++ b/crates/bench/src/scenarios.rs
@@ -18,6 +18,8 @@
     Returning,
     /// Several times the load within seconds, with long reports.
     Swing,
+    /// A swing beyond what the runners can serve at all, on a weekend's work.
+    Overload,
     /// Few long reports among short work.
     LongReports,
     /// The short work of `long-reports` alone.
@@ -266,7 +268,7 @@
         };
         let usual = usual_work(0.04);
         match name {
-            ScenarioName::Returning => scenario.arrivals = returning_arrivals(600.0, &mut rng),
+            ScenarioName::Returning => scenario.arrivals = returning_arrivals(1_500.0, &mut rng),
             ScenarioName::Swing | ScenarioName::Outage => {
                 let rate = swing(20.0, 80.0);
                 scenario.arrivals = arrivals(&usual, 60.0, 80.0, rate, &mut rng);
@@ -275,8 +277,14 @@
                     scenario.outage_us = (25 * SECOND, 40 * SECOND);
                 }
             }
+            ScenarioName::Overload => {
+                scenario.runners = 18;
+                let rate = swing(40.0, 320.0);
+                scenario.arrivals = arrivals(&usual, 60.0, 320.0, rate, &mut rng);
+                scenario.crest_us = (23 * SECOND, 43 * SECOND);
+            }
             ScenarioName::LongReports | ScenarioName::ShortAlone => {
-                scenario.arrivals = arrivals(&usual, 90.0, 30.0, |_| 30.0, &mut rng);
+                scenario.arrivals = arrivals(&usual, 300.0, 30.0, |_| 30.0, &mut rng);
                 if name == ScenarioName::ShortAlone {
                     scenario.arrivals.retain(|a| a.class != WorkClass::Bulk);
                 }
@@ -290,10 +298,10 @@
                 }
             }
             ScenarioName::SlowLink => {
-                scenario.arrivals = returning_arrivals(600.0, &mut rng);
+                scenario.arrivals = returning_arrivals(1_500.0, &mut rng);
                 scenario.far_bytes_per_s = 100e6;
                 let spell = |n: u64| ((40 * n + 20) * SECOND, (40 * n + 40) * SECOND, 0.1);
-                scenario.spells = (0..15).map(spell).collect();
+                scenario.spells = (0..37).map(spell).collect();
                 scenario.loss = 0.02;
             }
             ScenarioName::Kill => {
--- a/crates/dispatch/src/run.rs
+++ b/crates/dispatch/src/run.rs
@@ -6,17 +6,22 @@
 //! connection, because the engine goes on with it.
 
 use crate::{
+    kept::FetchOrder,
     shared::{DispatchShared, LOOK_INTERVAL},
+    watch::read_events,
     AnswerEnd, HeldAnswer, RunGrant, RunnerGroup, WorkOffer,
 };
 use berylmount_model::{
     piece_chain, AttemptId, CallRefusal, InstanceName, PieceKey, RefusalReason, RequestVerdict,
+    PIECE_TOKENS,
+};
+use berylmount_policy::{
+    assignment, retries::FailedAttempt, RetryDecision, RunnerSettings, TargetGroup,
 };
-use berylmount_policy::{assignment, retries::FailedAttempt, RetryDecision, TargetGroup};
 use berylmount_targets::{
     EngineClient, EngineStream, FaultKind, RejectReason, StreamEvent, StreamOrder, TargetFault,
 };
-use berylmount_telemetry::{CounterMetric, HistogramMetric};
+use berylmount_telemetry::{next_traceparent, root_span, CounterMetric, HistogramMetric, Span};
 use berylmount_wire::{AdoptCall, PromptCall, StartedRun};
 use std::{
     net::SocketAddr,
@@ -58,6 +63,8 @@
 
 /// One prompt while it runs.
 pub(crate) struct PromptRun {
+    /// The hop's span; it ends with the run.
+    span: Span,
     shared: Arc<DispatchShared>,
     group: Arc<RunnerGroup>,
     call: PromptCall,
@@ -67,6 +74,7 @@
     avoid: Vec<InstanceName>,
     arrived_ms: u64,
     seen_first: bool,
+    fetched_tokens: u64,
 }
 
 impl PromptRun {
@@ -82,15 +90,20 @@
             index: call.group,
         });
         let words = call.prompt.split_whitespace().count();
+        let span = root_span("dispatch", Some(&call.traceparent), 0.0);
+        let mut call = call.clone();
+        call.traceparent = next_traceparent(&span).unwrap_or_default();
         Self {
+            span,
             group,
             pieces: piece_chain(&call.scope, &call.prompt),
             prompt_tokens: u32::try_from(words).unwrap_or(u32::MAX),
             avoid: Vec::new(),
             arrived_ms: shared.now_ms(),
             seen_first: false,
+            fetched_tokens: 0,
             shared: Arc::clone(shared),
-            call: call.clone(),
+            call,
             answer: Arc::clone(answer),
         }
     }
@@ -108,6 +121,8 @@
                 }
             }
         };
+        self.span
+            .add_property(|| ("attempts", (self.call.attempt.attempt + 1).to_string()));
         self.answer.end(end, self.shared.now_ms());
     }
 
@@ -182,7 +197,11 @@
         let outcome = self.run_on(&client, &grant);
         let now_ms = self.shared.now_ms();
         match &outcome {
-            Ok(_) => self.group.finish(&grant, &self.pieces, now_ms),
+            Ok(_) => {
+                self.group.finish(&grant, &self.pieces, now_ms);
+                let kept = &self.shared.kept;
+                kept.wish_to_keep(grant.address, &self.pieces);
+            }
             Err(failed) if failed.is_free => self.group.finish(&grant, &[], now_ms),
             Err(failed) if !failed.may_retry => self.group.finish(&grant, &[], now_ms),
             Err(_) => self.group.fail(&grant, now_ms),
@@ -225,6 +244,7 @@
 
     /// Starts the engine's stream and follows it to its end.
     fn run_on(&mut self, client: &EngineClient, grant: &RunGrant) -> Result<AnswerEnd, FailedRun> {
+        self.fetched_tokens = self.fetch_kept(client, grant);
         let order = StreamOrder {
             attempt: self.call.attempt,
             prompt: &self.call.prompt,
@@ -270,6 +290,24 @@
         Err(self.failed_run(&fault, grant, client))
     }
 
+    /// Has the runner fetch kept cache, if that is faster; returns the tokens.
+    fn fetch_kept(&self, client: &EngineClient, grant: &RunGrant) -> u64 {
+        if self.pieces.is_empty() {
+            return 0;
+        }
+        // A hint of a piece that was evicted since would cost its recompute.
+        read_events(&self.group, client, &grant.runner);
+        let now_ms = self.shared.now_ms();
+        let due_ms = self.arrived_ms + self.call.first_token_ms;
+        let order = FetchOrder {
+            pieces: &self.pieces,
+            held: self.group.held_pieces(grant, &self.pieces),
+            piece_ms: RunnerSettings::default().prefill_ms(PIECE_TOKENS as u32),
+            left_ms: due_ms.saturating_sub(now_ms),
+        };
+        self.shared.kept.fetch(&self.shared, client, &order)
+    }
+
     /// Passes a stream's events into the answer.
     fn follow(
         &mut self,
@@ -284,6 +322,7 @@
                     prompt_tokens,
                     ..
                 } => self.note_admitted(grant, cached_tokens, prompt_tokens),
+                StreamEvent::Waiting => {}
                 StreamEvent::Token { text, .. } => {
                     self.note_token(grant);
                     self.answer.add_token(&text);
@@ -311,9 +350,14 @@
     fn note_admitted(&self, grant: &RunGrant, cached_tokens: u32, prompt_tokens: u32) {
         let recomputed = prompt_tokens - cached_tokens;
         let metrics = &self.shared.metrics;
-        let sources = [("recomputed", recomputed), ("runner", cached_tokens)];
+        let fetched_tokens = self.fetched_tokens.min(cached_tokens.into());
+        let sources = [
+            ("recomputed", recomputed.into()),
+            ("runner", u64::from(cached_tokens) - fetched_tokens),
+            ("store", fetched_tokens),
+        ];
         for (source, tokens) in sources {
-            metrics.add(CounterMetric::PromptTokensTotal, source, tokens.into());
+            metrics.add(CounterMetric::PromptTokensTotal, source, tokens);
         }
         self.answer.start(&StartedRun {
             attempt: self.call.attempt,
@@ -321,7 +365,7 @@
             address: grant.address,
             prompt_tokens: prompt_tokens.into(),
             cached_tokens: cached_tokens.into(),
-            fetched_tokens: 0,
+            fetched_tokens,
             group_waits_ms: self.group.waits_ms(self.shared.now_ms()),
         });
     }
@@ -473,6 +517,7 @@
                 prompt_tokens,
                 ..
             } => answer.start(&run(prompt_tokens, cached_tokens)),
+            StreamEvent::Waiting => {}
             StreamEvent::Token { text, .. } => answer.add_token(&text),
             StreamEvent::End { count, digest } => {
                 return Ok(AnswerEnd::Whole {
--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -1,11 +1,15 @@
 //! What the threads of a dispatch process share.
 
-use crate::{AnswerBook, RunnerGroup, TargetRoster};
+use crate::{kept::KeepWish, AnswerBook, KeptDesk, RunnerGroup, TargetRoster};
 use berylmount_ledger::{LedgerConfig, OrderLedger};
-use berylmount_model::{CallRefusal, InstanceRecord, InstanceRole, MonotonicClock, RefusalReason};
+use berylmount_model::{
+    CallRefusal, InstanceName, InstanceRecord, InstanceRole, InstanceState, MonotonicClock,
+    RefusalReason,
+};
 use berylmount_platform::ObjectStore;
 use berylmount_policy::{assignment, RetryBudget, RunnerSettings, TargetGroup};
 use berylmount_settings::ProcessSettings;
+use berylmount_table::TableReplica;
 use berylmount_targets::TargetTimeouts;
 use berylmount_telemetry::MetricSet;
 use rand_pcg::Pcg64Mcg;
@@ -13,6 +17,7 @@
     io,
     sync::{
         atomic::{AtomicBool, AtomicUsize, Ordering},
+        mpsc::Receiver,
         Arc, Mutex, MutexGuard, PoisonError,
     },
     time::Duration,
@@ -33,18 +38,42 @@
     pub(crate) rng: Pcg64Mcg,
 }
 
+/// What a dispatch process is made of.
+pub struct DispatchParts {
+    /// The checked settings.
+    pub settings: ProcessSettings,
+    /// The platform's object API.
+    pub store: Arc<dyn ObjectStore>,
+    /// The operators' table.
+    pub table: Arc<TableReplica>,
+    /// Metrics.
+    pub metrics: Arc<MetricSet>,
+    /// The process's clock; the table's replica runs on it too.
+    pub clock: MonotonicClock,
+    /// Differs between incarnations; seeds what is random.
+    pub seed: u64,
+}
+
 /// What the threads of a dispatch process share.
 pub struct DispatchShared {
     /// The checked settings.
     pub settings: ProcessSettings,
     /// The process's clock.
     pub clock: MonotonicClock,
+    /// Differs between incarnations of this process.
+    pub origin: u64,
     /// Metrics.
     pub metrics: Arc<MetricSet>,
     /// The platform's object API.
     pub store: Arc<dyn ObjectStore>,
+    /// Live dispatch processes by the platform's list, sorted.
+    dispatches: Mutex<Vec<InstanceName>>,
     /// The targets known.
     pub roster: TargetRoster,
+    /// The operators' table.
+    pub table: Arc<TableReplica>,
+    /// Kept cache.
+    pub kept: KeptDesk,
     /// Records of orders.
     pub ledger: OrderLedger,
     /// Answers held.
@@ -65,19 +94,27 @@
     /// # Errors
     ///
     /// Returns the system's error if the ledger's threads can't be had.
-    pub fn new(
-        settings: &ProcessSettings,
-        store: Arc<dyn ObjectStore>,
-        metrics: Arc<MetricSet>,
-        seed: u64,
-    ) -> io::Result<Self> {
+    pub fn new(parts: DispatchParts) -> io::Result<(Self, Receiver<KeepWish>)> {
+        let DispatchParts {
+            settings,
+            store,
+            table,
+            metrics,
+            clock,
+            seed,
+        } = parts;
         let dispatch = &settings.dispatch;
         let ledger = OrderLedger::new(Arc::clone(&store), LedgerConfig::for_process(seed))?;
-        Ok(Self {
-            settings: settings.clone(),
-            clock: MonotonicClock::start(),
+        let timeouts = target_timeouts(&settings);
+        let (kept, wishes) = KeptDesk::new(seed, timeouts);
+        let shared = Self {
+            clock,
+            origin: seed,
             metrics,
             store,
+            dispatches: Mutex::default(),
+            table,
+            kept,
             roster: TargetRoster::default(),
             ledger,
             answers: AnswerBook::new(dispatch.answer_hold_bytes, dispatch.answer_hold_time),
@@ -88,7 +125,9 @@
             }),
             in_flight: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
-        })
+            settings,
+        };
+        Ok((shared, wishes))
     }
 
     /// The process's time, in milliseconds.
@@ -96,13 +135,37 @@
         self.clock.now_ms()
     }
 
+    /// This process's name in the platform's list.
+    pub fn name(&self) -> InstanceName {
+        self.settings.process_name(InstanceRole::Dispatch)
+    }
+
+    /// Live dispatch processes by the platform's list, sorted.
+    pub fn dispatches(&self) -> Vec<InstanceName> {
+        let names = self.dispatches.lock();
+        names.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Takes in the platform's list of instances.
+    pub fn apply_list(&self, records: &[InstanceRecord]) {
+        let live = records.iter().filter(|record| {
+            record.role == InstanceRole::Dispatch && record.state == InstanceState::Live
+        });
+        let mut names: Vec<_> = live.map(|record| record.name.clone()).collect();
+        names.sort();
+        *self
+            .dispatches
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = names;
+        self.roster.apply_list(records);
+        for (name, group) in self.groups() {
+            group.apply_runners(&self.group_records(&name), self.now_ms());
+        }
+    }
+
     /// Time limits of calls to targets.
     pub fn target_timeouts(&self) -> TargetTimeouts {
-        TargetTimeouts {
-            connect: self.settings.timeouts.connect,
-            gap: self.settings.timeouts.silent_gap,
-            ..TargetTimeouts::default()
-        }
+        target_timeouts(&self.settings)
     }
 
     /// Locks what decides on retries.
@@ -192,6 +255,15 @@
     }
 }
 
+/// Time limits of calls to targets.
+fn target_timeouts(settings: &ProcessSettings) -> TargetTimeouts {
+    TargetTimeouts {
+        connect: settings.timeouts.connect,
+        gap: settings.timeouts.silent_gap,
+        ..TargetTimeouts::default()
+    }
+}
+
 /// Counts one call for as long as it lives.
 pub struct CallGuard(Arc<DispatchShared>);
 
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -4,24 +4,12 @@
     shared::{DispatchShared, LOOK_INTERVAL},
     RunnerGroup,
 };
-use berylmount_model::InstanceRecord;
+use berylmount_model::{InstanceName, InstanceRecord};
 use berylmount_policy::{RunnerReport, TargetGroup};
 use berylmount_targets::{EngineClient, TargetTimeouts};
 use berylmount_telemetry::GaugeMetric;
 use std::{sync::Arc, thread, time::Duration};
 
-/// Shortest time between two reads of the platform's list, in milliseconds.
-const MIN_LIST_INTERVAL_MS: u64 = 1_000;
-
-/// Longest time between two reads of the platform's list, in milliseconds.
-const MAX_LIST_INTERVAL_MS: u64 = 60_000;
-
-/// Time between reads of the list for each instance in it, in milliseconds.
-///
-/// The list grows with the fleet and every process reads it, so its share of
-/// the control traffic is kept even by reading a long list less often.
-const LIST_INTERVAL_PER_INSTANCE_MS: u64 = 40;
-
 /// Time between two load reports of a runner.
 const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -31,37 +19,16 @@
 /// How late a load report is taken to be, in milliseconds.
 const REPORT_LAG_MS: u64 = 500;
 
-/// Reads the platform's list of instances until the process ends.
-pub(crate) fn watch_list(shared: &Arc<DispatchShared>) {
-    loop {
-        let interval_ms = LIST_INTERVAL_PER_INSTANCE_MS * read_list(shared) as u64;
-        let interval_ms = interval_ms.clamp(MIN_LIST_INTERVAL_MS, MAX_LIST_INTERVAL_MS);
-        thread::sleep(Duration::from_millis(interval_ms));
-    }
-}
-
-/// Reads the platform's list once; returns its length, zero if it did not come.
-pub(crate) fn read_list(shared: &DispatchShared) -> usize {
+/// Reads the platform's list once.
+pub(crate) fn read_list(shared: &DispatchShared) {
     match shared.store.instances() {
-        Ok(records) => {
-            apply_list(shared, &records);
-            records.len()
-        }
+        Ok(records) => shared.apply_list(&records),
         Err(fault) => {
             log::warn!(target: "dispatch", "reading the list of instances failed: {fault}");
-            0
         }
     }
 }
 
-/// Takes the list into the roster and the open groups.
-fn apply_list(shared: &DispatchShared, records: &[InstanceRecord]) {
-    shared.roster.apply_list(records);
-    for (name, group) in shared.groups() {
-        group.apply_runners(&shared.group_records(&name), shared.now_ms());
-    }
-}
-
 /// Opens a watching thread for each new group, until the process ends.
 pub(crate) fn watch_groups(shared: &Arc<DispatchShared>) {
     let mut watched: Vec<TargetGroup> = Vec::new();
@@ -77,11 +44,10 @@
                 }
             }
         }
+        shared.kept.free_due();
         shared.answers.drop_expired(shared.now_ms());
         let held = i64::try_from(shared.answers.bytes()).unwrap_or(i64::MAX);
         shared.metrics.set(GaugeMetric::HeldBytes, "", held);
-        let in_flight = i64::try_from(shared.in_flight()).unwrap_or(i64::MAX);
-        shared.metrics.set(GaugeMetric::InFlight, "", in_flight);
         thread::sleep(LOOK_INTERVAL);
     }
 }
@@ -93,21 +59,11 @@
         call: REPORT_TIMEOUT,
         ..shared.target_timeouts()
     };
-    let mut seen: Vec<(InstanceRecord, u64)> = Vec::new();
     loop {
-        let records = shared.group_records(name);
-        seen.retain(|(record, _)| records.iter().any(|(r, _)| r == record));
-        for (record, _) in records {
-            let slot = match seen.iter().position(|(known, _)| *known == record) {
-                Some(slot) => slot,
-                None => {
-                    seen.push((record.clone(), 0));
-                    seen.len() - 1
-                }
-            };
+        for (record, _) in shared.group_records(name) {
             let client = EngineClient::new(record.address, timeouts);
             read_load(shared, group, &client, &record);
-            read_events(group, &client, &record, &mut seen[slot].1);
+            read_events(group, &client, &record.name);
         }
         group.tick(shared.now_ms());
         thread::sleep(REPORT_INTERVAL);
@@ -142,16 +98,10 @@
 }
 
 /// Reads one runner's cache events.
-fn read_events(
-    group: &RunnerGroup,
-    client: &EngineClient,
-    record: &InstanceRecord,
-    after: &mut u64,
-) {
-    let Ok(events) = client.events(*after) else {
-        return;
-    };
-    *after = events.iter().map(|event| event.seq).fold(*after, u64::max);
-    let changes: Vec<_> = events.iter().map(|e| (e.key, e.added)).collect();
-    group.apply_events(&record.name, &changes);
+///
+/// A runner that does not answer leaves the hints as they are.
+pub(crate) fn read_events(group: &RunnerGroup, client: &EngineClient, runner: &InstanceName) {
+    if let Ok(events) = client.events(group.last_event(runner)) {
+        group.apply_events(runner, &events);
+    }
 }
--- a/crates/policy/src/caching.rs
+++ b/crates/policy/src/caching.rs
@@ -12,6 +12,10 @@
 const FETCH_PART: f64 = 0.9;
 /// Fetches in flight on one link at most.
 pub const MOST_FETCHES: usize = 16;
+/// Transfers in flight from which no export begins.
+const MOST_EXPORTS: usize = 6;
+/// Longest expected time of an export, in milliseconds.
+const LONGEST_EXPORT_MS: f64 = 6_000.0;
 /// Part of a new observation of the link's speed that counts.
 const LEARN_PART: f64 = 0.3;
 /// Time to open a fetch, in milliseconds.
@@ -109,6 +113,14 @@
 
 impl LinkBook {
     /// Adds a link of `bytes_per_s`; zero says that it has no bound.
+    ///
+    /// ```
+    /// use berylmount_policy::{LinkBook};
+    ///
+    /// let mut book = LinkBook::default();
+    /// let link = book.add_link(1_000_000);
+    /// assert_eq!(book.in_flight(link), 0);
+    /// ```
     pub fn add_link(&mut self, bytes_per_s: u64) -> LinkId {
         let unbounded = bytes_per_s == 0;
         let rate = if unbounded {
@@ -130,6 +142,14 @@
     ///
     /// While runners are short, pass more for `saved_ms` than the bare prefill
     /// time: a fetch frees a runner for others.
+    ///
+    /// ```
+    /// use berylmount_policy::{FetchPlan, LinkBook};
+    ///
+    /// let mut book = LinkBook::default();
+    /// let link = book.add_link(1_000_000);
+    /// assert!(matches!(book.plan(link, 500_000, 400.0, 0), FetchPlan::Recompute(_)));
+    /// ```
     pub fn plan(&self, link: LinkId, bytes: u64, saved_ms: f64, now_ms: u64) -> FetchPlan {
         let Some(state) = self.links.get(link.0 as usize) else {
             return FetchPlan::Recompute(RecomputeCause::NothingSaved);
@@ -149,7 +169,35 @@
         }
     }
 
+    /// Whether an export of `bytes` may begin now.
+    ///
+    /// Exports give way to fetches, for which a request waits: they take only
+    /// a part of the places in flight, and none while the link is behind.
+    ///
+    /// ```
+    /// let mut book = berylmount_policy::LinkBook::default();
+    /// let link = book.add_link(1_000_000);
+    /// assert!(book.may_export(link, 100_000, 0));
+    /// assert!(!book.may_export(link, 10_000_000, 0));
+    /// ```
+    pub fn may_export(&self, link: LinkId, bytes: u64, now_ms: u64) -> bool {
+        let state = self.links.get(link.0 as usize);
+        state.is_some_and(|state| {
+            state.fetches.len() < MOST_EXPORTS
+                && state.transfer_ms(bytes, now_ms) <= LONGEST_EXPORT_MS
+        })
+    }
+
     /// Counts a fetch, or an export, of `bytes` that begins now.
+    ///
+    /// ```
+    /// use berylmount_policy::{LinkBook};
+    ///
+    /// let mut book = LinkBook::default();
+    /// let link = book.add_link(1_000_000);
+    /// book.begin(link, 1, 300_000, 0);
+    /// assert_eq!(book.in_flight(link), 1);
+    /// ```
     pub fn begin(&mut self, link: LinkId, ticket: u64, bytes: u64, now_ms: u64) {
         let Some(state) = self.links.get_mut(link.0 as usize) else {
             return;
@@ -167,6 +215,16 @@
     /// Counts the end of a fetch and learns from its time.
     ///
     /// A fetch that failed counts as one that was far too slow.
+    ///
+    /// ```
+    /// use berylmount_policy::{LinkBook};
+    ///
+    /// let mut book = LinkBook::default();
+    /// let link = book.add_link(1_000_000);
+    /// book.begin(link, 1, 300_000, 0);
+    /// book.finish(link, 1, true, 310);
+    /// assert_eq!(book.in_flight(link), 0);
+    /// ```
     pub fn finish(&mut self, link: LinkId, ticket: u64, arrived: bool, now_ms: u64) {
         let Some(state) = self.links.get_mut(link.0 as usize) else {
             return;
@@ -190,6 +248,14 @@
     }
 
     /// Fetches in flight on `link`.
+    ///
+    /// ```
+    /// use berylmount_policy::{LinkBook};
+    ///
+    /// let mut book = LinkBook::default();
+    /// let link = book.add_link(1_000_000);
+    /// assert_eq!(book.in_flight(link), 0);
+    /// ```
     pub fn in_flight(&self, link: LinkId) -> usize {
         let state = self.links.get(link.0 as usize);
         state.map_or(0, |state| state.fetches.len())
--- a/crates/policy/src/keeping.rs
+++ b/crates/policy/src/keeping.rs
@@ -14,7 +14,7 @@
 /// Times its gap after which a prompt counts as never returning.
 const OVERDUE_GAPS: f64 = 3.0;
 /// Times the usual gap assumed for a prompt that has not returned yet.
-const NEW_PROMPT_GAPS: f64 = 2.0;
+const NEW_PROMPT_GAPS: f64 = 4.0;
 
 /// A store, by its place among the stores of the book.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -44,6 +44,12 @@
 }
 
 impl StoreShare {
+    /// Its weight among the stores, by bytes in steps of 16 MiB.
+    fn weight(&self) -> u32 {
+        let steps = self.memory_bytes.saturating_add(self.disk_bytes) >> 24;
+        u32::try_from(steps).unwrap_or(u32::MAX).max(1)
+    }
+
     fn bytes(&self, tier: StoreTier) -> u64 {
         match tier {
             StoreTier::Memory => self.memory_bytes,
@@ -107,7 +113,8 @@
 
 /// What this process keeps in the stores.
 ///
-/// Prompts are named by a 64-bit hash of their last kept piece's key.
+/// Prompts are named by a 64-bit hash of their last kept piece's key. Stores get
+/// prompts by their bytes: give more of a near store to the process near it.
 ///
 /// ```
 /// use berylmount_policy::{keeping::StoreShare, KeepBook, StoreTier};
@@ -131,6 +138,12 @@
 
 impl KeepBook {
     /// An empty book that knows at most `most_prompts`.
+    ///
+    /// ```
+    /// use berylmount_policy::KeepBook;
+    ///
+    /// assert!(KeepBook::new(Vec::new(), 1_000).is_empty());
+    /// ```
     pub fn new(stores: Vec<StoreShare>, most_prompts: usize) -> Self {
         let tiers = stores.iter().map(|_| Default::default()).collect();
         Self {
@@ -144,16 +157,41 @@
     }
 
     /// Where `prompt` is kept, as far as known.
+    ///
+    /// ```
+    /// use berylmount_policy::{keeping::StoreShare, KeepBook};
+    ///
+    /// let share = StoreShare { name: "keep-a".to_owned(), memory_bytes: 100, disk_bytes: 100 };
+    /// let mut book = KeepBook::new(vec![share], 1_000);
+    /// assert_eq!(book.place(1), None);
+    /// ```
     pub fn place(&self, prompt: u64) -> Option<KeptPlace> {
         self.prompts.get(&prompt).and_then(|state| state.place)
     }
 
     /// Prompts known.
+    ///
+    /// ```
+    /// use berylmount_policy::{keeping::StoreShare, KeepBook};
+    ///
+    /// let share = StoreShare { name: "keep-a".to_owned(), memory_bytes: 100, disk_bytes: 100 };
+    /// let mut book = KeepBook::new(vec![share], 1_000);
+    /// book.run_ended(1, 60, 0);
+    /// assert_eq!(book.len(), 1);
+    /// ```
     pub fn len(&self) -> usize {
         self.prompts.len()
     }
 
     /// Whether no prompt is known.
+    ///
+    /// ```
+    /// use berylmount_policy::{keeping::StoreShare, KeepBook};
+    ///
+    /// let share = StoreShare { name: "keep-a".to_owned(), memory_bytes: 100, disk_bytes: 100 };
+    /// let mut book = KeepBook::new(vec![share], 1_000);
+    /// assert!(book.is_empty());
+    /// ```
     pub fn is_empty(&self) -> bool {
         self.prompts.is_empty()
     }
@@ -162,17 +200,31 @@
     ///
     /// The book assumes that the plan is carried out; call
     /// [`KeepBook::note_lost`] if it is not.
+    ///
+    /// ```
+    /// use berylmount_policy::{keeping::StoreShare, KeepBook};
+    ///
+    /// let share = StoreShare { name: "keep-a".to_owned(), memory_bytes: 100, disk_bytes: 100 };
+    /// let mut book = KeepBook::new(vec![share], 1_000);
+    /// assert!(!book.run_ended(1, 60, 0).present);
+    /// assert!(book.run_ended(1, 60, 5_000).present);
+    /// ```
     pub fn run_ended(&mut self, prompt: u64, bytes: u64, now_ms: u64) -> KeepPlan {
         let before = self.place(prompt);
         self.unlink(prompt);
         self.note_use(prompt, bytes, now_ms);
-        let ranked = self.rank(prompt);
-        let mut plan = KeepPlan {
-            second: ranked.get(1).copied(),
-            ..KeepPlan::default()
-        };
-        if let Some(&store) = ranked.first() {
+        let mut ranked = self.rank(prompt);
+        if let Some(place) = before {
+            ranked.retain(|&store| store != place.store);
+            ranked.insert(0, place.store);
+        }
+        let mut plan = KeepPlan::default();
+        for &store in &ranked {
             plan.place = self.settle(prompt, store, now_ms, &mut plan.moves);
+            if plan.place.is_some() {
+                plan.second = ranked.iter().copied().find(|&other| other != store);
+                break;
+            }
         }
         plan.present = before.is_some() && plan.place.map(|p| p.store) == before.map(|p| p.store);
         self.drop_excess();
@@ -180,11 +232,31 @@
     }
 
     /// Forgets that `prompt` is kept, such as after its store died or refused.
+    ///
+    /// ```
+    /// use berylmount_policy::{keeping::StoreShare, KeepBook};
+    ///
+    /// let share = StoreShare { name: "keep-a".to_owned(), memory_bytes: 100, disk_bytes: 100 };
+    /// let mut book = KeepBook::new(vec![share], 1_000);
+    /// book.run_ended(1, 60, 0);
+    /// book.note_lost(1);
+    /// assert_eq!(book.place(1), None);
+    /// ```
     pub fn note_lost(&mut self, prompt: u64) {
         self.unlink(prompt);
     }
 
     /// Forgets all that `store` kept.
+    ///
+    /// ```
+    /// use berylmount_policy::{keeping::StoreShare, KeepBook, StoreId};
+    ///
+    /// let share = StoreShare { name: "keep-a".to_owned(), memory_bytes: 100, disk_bytes: 100 };
+    /// let mut book = KeepBook::new(vec![share], 1_000);
+    /// book.run_ended(1, 60, 0);
+    /// book.forget_store(StoreId(0));
+    /// assert_eq!(book.place(1), None);
+    /// ```
     pub fn forget_store(&mut self, store: StoreId) {
         let held = self.prompts.iter().filter(|(_, state)| {
             let place = state.place;
@@ -195,8 +267,11 @@
     }
 
     fn rank(&self, prompt: u64) -> Vec<StoreId> {
-        let names = self.stores.iter().map(|s| MemberWeight::equal(&s.name));
-        let members: Vec<MemberWeight> = names.collect();
+        let members = self.stores.iter().map(|store| MemberWeight {
+            name: &store.name,
+            weight: store.weight(),
+        });
+        let members: Vec<MemberWeight> = members.collect();
         let ranked = rank_members(&prompt.to_le_bytes(), &members, 2);
         ranked.into_iter().map(|n| StoreId(n as u32)).collect()
     }
@@ -244,7 +319,7 @@
             };
             for victim in victims {
                 self.unlink(victim);
-                let lower = tier == StoreTier::Memory && !self.is_overdue(victim, now_ms);
+                let lower = tier == StoreTier::Memory;
                 let to = lower.then(|| self.demote(victim, store, now_ms, moves));
                 moves.push(KeptMove {
                     prompt: victim,
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -3,7 +3,7 @@
 //! It runs every call that reaches it, counts the runs of each key, and can be
 //! told to be slow, fail before or after the run, or lose the answer.
 
-use crate::serve::{reply, HttpCall, HttpServer};
+use crate::serve::{reply, serve_forever, HttpCall, HttpServer};
 use serde::{Deserialize, Serialize};
 use serde_json::{json, Value};
 use std::{
@@ -107,6 +107,12 @@
         state.keys.get(key).map_or(0, |runs| runs.runs)
     }
 
+    /// How often calls ran, over all keys.
+    pub fn total_runs(&self) -> u64 {
+        let state = lock(&self.state);
+        state.keys.values().map(|runs| runs.runs).sum()
+    }
+
     /// Makes the next `count` calls go wrong.
     pub fn inject(&self, fault: ServiceFault, count: u64) {
         let mut state = lock(&self.state);
@@ -126,10 +132,7 @@
 /// Fails when the address can't be bound.
 pub fn run_service(config: &ServiceConfig) -> io::Result<()> {
     let server = ServiceServer::start(config)?;
-    println!("{}", server.address());
-    loop {
-        thread::park();
-    }
+    serve_forever(server.address())
 }
 
 /// Locks the state.
--- a/crates/table/src/replica.rs
+++ b/crates/table/src/replica.rs
@@ -4,8 +4,9 @@
 //! clone of one pointer. Shards and the head only rise, whoever brings them.
 
 use crate::{
-    shard_key, verify_rows, ForceReport, FreshnessClock, FreshnessState, PeerReport, RowError,
-    ShardError, ShardRows, TableEditor, TableHead, TableView, HEAD_KEY, SHARD_COUNT,
+    shard_key, verify_rows, ForceReport, FreshnessClock, FreshnessState, HeadObject, PeerReport,
+    RowError, ShardDelta, ShardError, ShardRows, TableEditor, TableHead, TableView, HEAD_KEY,
+    SHARD_COUNT,
 };
 use berylmount_model::InstanceName;
 use berylmount_platform::{ObjectStore, StoreError, StoredObject};
@@ -209,10 +210,11 @@
         let head = match answer {
             None => known,
             Some(object) => {
-                let head = TableHead::decode(object.version, &object.value);
-                let head = head.map_err(|error| damaged(HEAD_KEY, error))?;
-                self.adopt_head(&head);
-                head.version
+                let object = HeadObject::decode(object.version, &object.value);
+                let object = object.map_err(|error| damaged(HEAD_KEY, error))?;
+                self.adopt_head(&object.head);
+                self.apply_deltas(&object.deltas);
+                object.head.version
             }
         };
         let loaded = self.load(store);
@@ -241,6 +243,17 @@
         result
     }
 
+    /// Applies the edits that the head carries, where they fit the version here.
+    fn apply_deltas(&self, deltas: &[ShardDelta]) {
+        for delta in deltas {
+            let view = self.view();
+            let rows = view.shard(delta.shard).and_then(|rows| rows.after(delta));
+            if let Some(rows) = rows {
+                self.apply_shards(vec![(delta.shard, rows)]);
+            }
+        }
+    }
+
     /// Takes a head if it is newer than the known one.
     fn adopt_head(&self, head: &TableHead) {
         let mut state = self.lock();
@@ -295,6 +308,12 @@
         self.lock().clock.peer_report(name, report, asked_ms);
     }
 
+    /// Takes a peer's word that a call of its, sent at or after `sent_ms` by
+    /// this process's clock, showed no head newer than `head`.
+    pub fn confirmed_by_peer(&self, sent_ms: u64, head: u64) {
+        self.lock().clock.confirmed_by_peer(sent_ms, head);
+    }
+
     /// What to tell a peer that asks at `now_ms`.
     pub fn report_to_peer(&self, now_ms: u64) -> PeerReport {
         self.lock().clock.report(now_ms)
