--- a/crates/berylmount/src/orders_command.rs
+++ b/crates/berylmount/src/orders_command.rs
@@ -94,6 +94,10 @@
 pub(crate) fn run_orders(words: Vec<OsString>, output: &mut dyn Write) -> u8 {
     let orders = match Orders::from_vec(words) {
         Ok(orders) => orders,
+        Err(fault) if fault.is_help() => {
+            let shown = writeln!(output, "{fault}");
+            return if shown.is_ok() { EXIT_OK } else { EXIT_REFUSED };
+        }
         Err(fault) => {
             eprintln!("{fault}");
             return EXIT_USAGE;
--- a/crates/dispatch/src/order_sweep.rs
+++ b/crates/dispatch/src/order_sweep.rs
@@ -25,7 +25,7 @@
 };
 
 /// Time between two sweeps.
-const SWEEP_INTERVAL: Duration = Duration::from_secs(120);
+const SWEEP_INTERVAL: Duration = Duration::from_secs(300);
 /// Age below which an order is left to its own process, in milliseconds.
 const MIN_AGE_MS: u64 = 30_000;
 
