--- a/crates/policy/src/runners.rs
+++ b/crates/policy/src/runners.rs
@@ -233,7 +233,7 @@
     ) -> Option<RunnerChoice> {
         let mut best: Option<(f64, RunnerChoice)> = None;
         let mut ties = 0;
-        let straggling = STRAGGLER_RATIO * self.best_slowness();
+        let straggling = STRAGGLER_RATIO * self.best_slowness().max(1.0);
         let last_clear = self.last_clear(query.class, straggling);
         let view = BoardView {
             held,
@@ -315,8 +315,8 @@
             return None;
         }
         let straggler = slowness > view.straggling;
-        let short = prefill < LONG_PREFILL_MS && query.class > WorkClass::Critical;
-        let probe = straggler && query.may_probe && short && state.may_probe(now_ms);
+        let short = prefill < LONG_PREFILL_MS;
+        let probe = straggler && query.may_probe && short && state.may_probe(query.class, now_ms);
         Some(RunnerChoice {
             runner,
             cached_tokens: cached,
