Pull sooner where one page holds the whole list

Left: a mass start past one page is still slower than with room for more records a message, which the 5 KB/s forbid.

--- a/crates/peers/src/board.rs
+++ b/crates/peers/src/board.rs
@@ -367,7 +367,7 @@
         let short = theirs > 2 * (live + 1);
         let alike = summary.digest == self.list.digest(&self.own);
         let segments: Vec<_> = unlike.iter().map(|(segment, _)| *segment).collect();
-        self.sync.compare(name, alike, &segments, short);
+        self.sync.compare(name, alike, &segments, live, short);
     }
 
     /// Takes it that a probe was not answered.
--- a/crates/peers/src/sync.rs
+++ b/crates/peers/src/sync.rs
@@ -10,7 +10,15 @@
 use berylmount_model::InstanceName;
 
 /// Differing digests in a row after which a segment is pulled.
-const UNLIKE_REPLIES: u32 = 15;
+///
+/// Changes under way make digests differ as well, and mostly pass sooner.
+const UNLIKE_REPLIES: u32 = 12;
+
+/// The same where one page holds the whole list, so that a pull costs little.
+const UNLIKE_REPLIES_SMALL: u32 = 3;
+
+/// The same while one segment after another is pulled.
+const UNLIKE_REPLIES_MORE: u32 = 2;
 
 /// A pull under way.
 #[derive(Clone, Debug)]
@@ -57,18 +65,32 @@
         }
     }
 
-    /// Notes how a reply of `peer` compares; `short` says that it knows many more.
-    pub(crate) fn compare(&mut self, peer: &InstanceName, alike: bool, unlike: &[u8], short: bool) {
+    /// Notes how a reply of `peer` compares; `live` members are known here, and
+    /// `short` says that the peer knows many more.
+    pub(crate) fn compare(
+        &mut self,
+        peer: &InstanceName,
+        alike: bool,
+        unlike: &[u8],
+        live: usize,
+        short: bool,
+    ) {
         if alike {
             self.unlike = 0;
             return;
         }
         self.unlike += 1;
-        if self.pull.is_some() || !(short || self.unlike >= UNLIKE_REPLIES) {
+        let small = live < MAX_PAGE;
+        let replies = if small {
+            UNLIKE_REPLIES_SMALL
+        } else {
+            UNLIKE_REPLIES
+        };
+        if self.pull.is_some() || !(short || self.unlike >= replies) {
             return;
         }
-        self.unlike = 0;
-        let segment = (!short).then(|| self.choose_segment(unlike));
+        self.unlike = replies - UNLIKE_REPLIES_MORE;
+        let segment = (!short && !small).then(|| self.choose_segment(unlike));
         let cursor = SyncCursor {
             segment,
             after: None,
