Give no vote to a process that knows nobody, and follow the table's head type

Cause: a process that the platform had confirmed once and that knows no other member took itself for all of them when the platform fell silent, and went on serving; feed_table now leaves the members unknown until somebody is known or the platform's list holds this process alone (tables.rs:103 failed first: Peers in place of Unconfirmed).

--- a/crates/peers/src/table_feed.rs
+++ b/crates/peers/src/table_feed.rs
@@ -49,7 +49,11 @@
     let members = members.map(|member| &member.name);
     let members = members.chain(listed.unwrap_or_default());
     let peers: Vec<_> = members.filter(|name| *name != own).cloned().collect();
-    table.set_peers(&peers);
+    // With nobody known and no word of the platform, others may well exist.
+    let alone = listed.is_some_and(|listed| listed.contains(own));
+    if alone || !peers.is_empty() {
+        table.set_peers(&peers);
+    }
     if let Some(confirmed) = &view.confirmed {
         feed_confirmation(table, view, confirmed);
     }
--- a/crates/peers/src/table_pull.rs
+++ b/crates/peers/src/table_pull.rs
@@ -5,7 +5,7 @@
 //! them for the head and the shards that it lacks. Versions only rise, so a
 //! peer that is behind does no harm.
 
-use berylmount_table::{ReplicaError, ShardError, TableHead, TableReplica};
+use berylmount_table::{ReplicaError, TableHead, TableReplica};
 use berylmount_wire::{PeerCall, PeerClient, PeerService, WireFault};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
@@ -25,7 +25,9 @@
 /// A part of a process's table.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum TableReply {
-    /// The object asked for, as the platform holds it.
+    /// The head.
+    Head(TableHead),
+    /// The shard asked for, as the platform holds it.
     Object {
         /// Its version.
         version: u64,
@@ -45,9 +47,6 @@
     /// What came is damaged.
     #[error("a peer's table is not usable: {0}")]
     Table(#[from] ReplicaError),
-    /// The head that came is damaged.
-    #[error("a peer's head is not usable: {0}")]
-    Head(#[from] ShardError),
 }
 
 /// Answers one call of [`PeerService::Table`] from `table`.
@@ -73,7 +72,10 @@
     let object = match request {
         TableRequest::Head => {
             let head = table.offer();
-            (head.version > 0).then(|| (head.version, head.encode()))
+            return match head.version {
+                0 => TableReply::Absent,
+                _ => TableReply::Head(head),
+            };
         }
         TableRequest::Shard(index) => table.export_shard(index as usize),
     };
@@ -94,10 +96,10 @@
     table: &TableReplica,
 ) -> Result<(), PullFault> {
     let call = client.open(address, PeerService::Table, &TableRequest::Head)?;
-    let TableReply::Object { version, bytes } = call.receive(MESSAGE_TIMEOUT)? else {
+    let TableReply::Head(head) = call.receive(MESSAGE_TIMEOUT)? else {
         return Ok(());
     };
-    let missing = table.accept_head(&TableHead::decode(version, &bytes)?)?;
+    let missing = table.accept_head(&head)?;
     for index in missing {
         call.send(&TableRequest::Shard(index as u32), MESSAGE_TIMEOUT)?;
         if let TableReply::Object { version, bytes } = call.receive(MESSAGE_TIMEOUT)? {
--- a/crates/peers/tests/tables.rs
+++ b/crates/peers/tests/tables.rs
@@ -5,11 +5,11 @@
 mod node;
 
 use berylmount_model::{ModelName, ModelRow, TableRow, VersionName};
-use berylmount_peers::BoardConfig;
+use berylmount_peers::{feed_table, BoardConfig, MemberView};
 use berylmount_platform::ObjectStore;
 use berylmount_standins::MemoryStore;
-use berylmount_table::{FreshnessState, RowChange, TableEdit, TableEditor};
-use node::{start_node, LocalNode};
+use berylmount_table::{FreshnessState, RowChange, TableEdit, TableEditor, TableReplica};
+use node::{node_name, start_node, LocalNode};
 use std::{
     sync::{
         atomic::{AtomicBool, Ordering},
@@ -92,3 +92,21 @@
         .for_each(|node| node.membership.stop());
     wait_until(|| state(&late) == FreshnessState::Unconfirmed);
 }
+
+#[test]
+fn a_process_that_knows_nobody_is_no_majority() {
+    let store = MemoryStore::default();
+    let table = TableReplica::new(0);
+    table.poll(&store, 0, Duration::ZERO).unwrap();
+    feed_table(&table, &MemberView::default(), &node_name(0), None);
+    assert_eq!(table.freshness(1_000), FreshnessState::Platform);
+    assert_eq!(table.freshness(60_000), FreshnessState::Unconfirmed);
+    // Listed alone, it is all there is.
+    feed_table(
+        &table,
+        &MemberView::default(),
+        &node_name(0),
+        Some(&[node_name(0)]),
+    );
+    assert_eq!(table.freshness(60_000), FreshnessState::Peers);
+}
