Prove the table under a failing platform, and pass the list of instances on

Five process tests: an edit reaches a process that is cut off the platform; a process that can confirm with nobody refuses as not run and serves again later; an outage stops edits and not requests; a restart during an outage gets the newest table from peers; two operators on one row see each other. The fourth failed first: the restarted entry had the table, but knew no target, because only the platform's list named them, and refused every prompt as no_target. Ruled out: the table (its freshness said peers). A process that never read the list now asks live members for theirs.

--- a/crates/berylmount/src/main.rs
+++ b/crates/berylmount/src/main.rs
@@ -17,6 +17,7 @@
 //! answers, 9 for a status that asks for an operator.
 
 mod check_settings;
+mod instance_list;
 mod membership;
 mod operator_client;
 mod operator_flags;
--- a/crates/berylmount/src/membership.rs
+++ b/crates/berylmount/src/membership.rs
@@ -5,7 +5,7 @@
 //! role, which chooses among processes, and the table's freshness clock, which
 //! counts who has applied what.
 
-use crate::table_follower::TableFollower;
+use crate::{instance_list::InstanceList, table_follower::TableFollower};
 use berylmount_model::{InstanceName, InstanceRecord, InstanceRole, MonotonicClock};
 use berylmount_peers::{
     feed_table, process_report, serve_table, BoardConfig, LoadLevel, MemberView, MembershipParts,
@@ -15,7 +15,7 @@
 use berylmount_settings::ProcessSettings;
 use berylmount_table::TableReplica;
 use berylmount_telemetry::{GaugeMetric, MetricSet};
-use berylmount_wire::{InboundCall, PeerServer, PeerService, WireConfig, WireRuntime};
+use berylmount_wire::{InboundCall, PeerClient, PeerServer, PeerService, WireConfig, WireRuntime};
 use signal_hook::{consts::SIGTERM, low_level::raise};
 use std::{
     io,
@@ -52,9 +52,6 @@
 /// Takes the platform's list of instances.
 pub(crate) type ListSink = Box<dyn Fn(&[InstanceRecord]) + Send + Sync>;
 
-/// Our processes in the platform's list, once it was read.
-type ListedNames = Option<Vec<InstanceName>>;
-
 /// Takes what a role is told of processes and targets.
 pub(crate) struct RoleObserver {
     /// Takes the platform's list.
@@ -133,7 +130,7 @@
     work: Option<SyncSender<InboundCall>>,
 ) -> io::Result<JoinedProcess> {
     let observer = Arc::new(observer);
-    let listed: Arc<Mutex<ListedNames>> = Arc::default();
+    let list = Arc::new(InstanceList::default());
     let follower = TableFollower::new(&parts.runtime, &parts.table, parts.clock)?;
     let membership = Arc::new(PeerMembership::start(MembershipParts {
         record: own_record(&parts, &listener, caller_address),
@@ -147,14 +144,15 @@
         metrics: Arc::clone(&parts.metrics),
         clock: parts.clock,
         report: report_source(&parts, &observer),
-        observe: view_sink(&parts, &observer, &listed, follower),
+        observe: view_sink(&parts, &observer, &list, follower),
     })?);
     let PeerListener { server, calls } = listener;
-    route_calls(calls, &membership, &parts.table, work)?;
+    route_calls(calls, &membership, &parts.table, &list, work)?;
     let listing = Arc::clone(&membership);
     let (store, list_observer) = (Arc::clone(&parts.store), Arc::clone(&observer));
+    let client = PeerClient::new(Arc::clone(&parts.runtime), WireConfig::default());
     spawn("list", move || {
-        watch_list(&*store, &listing, &list_observer, &listed);
+        watch_list(&*store, &client, &listing, &list_observer, &list);
     })?;
     spawn("gauges", move || set_gauges(&parts, &observer))?;
     Ok(JoinedProcess {
@@ -213,21 +211,18 @@
 fn view_sink(
     parts: &JoinParts,
     observer: &Arc<RoleObserver>,
-    listed: &Arc<Mutex<ListedNames>>,
+    list: &Arc<InstanceList>,
     follower: TableFollower,
 ) -> Box<dyn Fn(&MemberView) + Send + Sync> {
     let own = parts.settings.process_name(parts.role);
     let table = Arc::clone(&parts.table);
-    let (observer, listed) = (Arc::clone(observer), Arc::clone(listed));
+    let (observer, list) = (Arc::clone(observer), Arc::clone(list));
     Box::new(move |view| {
         if view.superseded {
             log::error!(target: "peers", "another process has this one's name; stopping");
             let _ = raise(SIGTERM);
         }
-        let listed = listed
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone();
+        let listed = list.records().map(|records| process_names(&records));
         feed_table(&table, view, &own, listed.as_deref());
         follower.note_view(view);
         (observer.view)(view);
@@ -239,12 +234,14 @@
     calls: Receiver<InboundCall>,
     membership: &Arc<PeerMembership>,
     table: &Arc<TableReplica>,
+    list: &Arc<InstanceList>,
     work: Option<SyncSender<InboundCall>>,
 ) -> io::Result<()> {
     let (to_answer, answers) = sync_channel::<InboundCall>(CALLS_WAITING);
     let answers = Arc::new(Mutex::new(answers));
     for _ in 0..ANSWER_THREADS {
         let (membership, table) = (Arc::clone(membership), Arc::clone(table));
+        let list = Arc::clone(list);
         let answers = Arc::clone(&answers);
         spawn("answer", move || loop {
             let next = answers
@@ -256,7 +253,8 @@
             };
             let answered = match service {
                 PeerService::Probe => membership.serve(call),
-                _ => serve_table(&table, call),
+                PeerService::Instances => list.serve(call),
+                PeerService::Table | PeerService::Work => serve_table(&table, call),
             };
             if let Err(fault) = answered {
                 log::debug!(target: "peers", "a peer's call failed: {fault}");
@@ -269,7 +267,7 @@
                 (PeerService::Work, Some(work)) => work.try_send(inbound),
                 // Dropping the call resets it: an entry takes no work.
                 (PeerService::Work, None) => Ok(()),
-                (PeerService::Probe | PeerService::Table, _) => to_answer.try_send(inbound),
+                (_, _) => to_answer.try_send(inbound),
             };
             if taken.is_err() {
                 log::warn!(target: "peers", "too many calls of peers wait; one is dropped");
@@ -281,30 +279,36 @@
 /// Reads the platform's list of instances until the process ends.
 fn watch_list(
     store: &dyn ObjectStore,
+    client: &PeerClient,
     membership: &PeerMembership,
     observer: &RoleObserver,
-    listed: &Mutex<ListedNames>,
+    list: &InstanceList,
 ) {
     loop {
-        let interval_ms = match store.instances() {
-            Ok(records) => {
-                let own = records.iter().filter(|record| is_process(record.role));
-                let names = own.map(|record| record.name.clone()).collect();
-                *listed.lock().unwrap_or_else(PoisonError::into_inner) = Some(names);
-                membership.set_listed(&records);
-                (observer.list)(&records);
-                LIST_INTERVAL_PER_INSTANCE_MS * records.len() as u64
-            }
+        let read = match list.read(store) {
+            Ok(records) => Some(records),
             Err(fault) => {
                 log::warn!(target: "peers", "reading the list of instances failed: {fault}");
-                MIN_LIST_INTERVAL_MS
+                list.ask_peers(client, &membership.view())
             }
         };
+        let length = read.as_ref().map_or(0, |records| records.len());
+        if let Some(records) = read {
+            membership.set_listed(&records);
+            (observer.list)(&records);
+        }
+        let interval_ms = LIST_INTERVAL_PER_INSTANCE_MS * length as u64;
         let interval_ms = interval_ms.clamp(MIN_LIST_INTERVAL_MS, MAX_LIST_INTERVAL_MS);
         thread::sleep(Duration::from_millis(interval_ms));
     }
 }
 
+/// The names of our own processes in a list.
+fn process_names(records: &[InstanceRecord]) -> Vec<InstanceName> {
+    let own = records.iter().filter(|record| is_process(record.role));
+    own.map(|record| record.name.clone()).collect()
+}
+
 /// Whether instances of `role` are processes of ours.
 fn is_process(role: InstanceRole) -> bool {
     match role {
--- /dev/null
+++ b/crates/berylmount/tests/table.rs
@@ -0,0 +1,153 @@
+//! The operators' table across processes, while the platform fails.
+
+mod common;
+
+use berylmount_standins::{wait_until, FleetConfig, ProxyFaults, TestFleet};
+use common::{authority_rows, binary, CallerClient};
+use serde_json::{json, Value};
+
+/// A fleet of `instances` behind proxies.
+fn fleet(instances: usize) -> TestFleet {
+    let config = FleetConfig {
+        instances,
+        proxied: true,
+        ..FleetConfig::default()
+    };
+    TestFleet::start(binary(), config, authority_rows()).unwrap()
+}
+
+/// Cuts the instance `place` off the platform, or joins it again.
+fn cut_off(fleet: &TestFleet, place: usize, cut: bool) {
+    fleet.platform_proxies[place].set(ProxyFaults {
+        refuse: cut,
+        ..ProxyFaults::default()
+    });
+    if cut {
+        fleet.platform_proxies[place].cut();
+    }
+}
+
+/// The answer of entry `place` to a short prompt of `customer`.
+fn ask(fleet: &TestFleet, place: usize, customer: &str) -> (u16, Value) {
+    let caller = CallerClient::new(fleet.callers(place), customer);
+    caller.ask(&json!({"work": "crew-question", "prompt": "a", "max_tokens": 1}))
+}
+
+/// Deletes the customer `south-crew` at an entry that reaches the platform.
+fn delete_south(fleet: &TestFleet) {
+    let (done, printed) = fleet.operate(&["table", "delete", "customer", "south-crew"]);
+    assert!(done, "{printed}");
+    assert!(printed.contains("accepted"), "{printed}");
+}
+
+/// Waits until entry `place` no longer knows `south-crew`.
+fn wait_forgotten(fleet: &TestFleet, place: usize) {
+    wait_until("the deleted customer is refused", || {
+        ask(fleet, place, "south-crew").1["reason"] == "unauthorized"
+    });
+}
+
+#[test]
+fn an_edit_reaches_a_process_that_is_cut_off_the_platform() {
+    let fleet = fleet(3);
+    cut_off(&fleet, 2, true);
+    delete_south(&fleet);
+    wait_forgotten(&fleet, 2);
+    // It goes on to serve others: its peers confirm its table.
+    assert_ne!(
+        ask(&fleet, 2, "north-crew").1["reason"],
+        "table_unconfirmed"
+    );
+}
+
+#[test]
+fn a_process_that_can_confirm_with_nobody_refuses() {
+    let mut fleet = fleet(2);
+    cut_off(&fleet, 1, true);
+    // No peer is left: of four known processes only one answers.
+    fleet.entries[0].signal("STOP").unwrap();
+    for process in &mut fleet.dispatches {
+        process.signal("STOP").unwrap();
+    }
+    wait_until("the entry refuses", || {
+        let (status, refusal) = ask(&fleet, 1, "north-crew");
+        status == 503 && refusal["reason"] == "table_unconfirmed"
+    });
+    let (_, refusal) = ask(&fleet, 1, "north-crew");
+    assert_eq!(refusal["verdict"], "not_run");
+    assert_ne!(refusal["retry_after_ms"], 0);
+    // Once it reaches the platform again, it serves.
+    fleet.entries[0].signal("CONT").unwrap();
+    for process in &fleet.dispatches {
+        process.signal("CONT").unwrap();
+    }
+    cut_off(&fleet, 1, false);
+    wait_until("the entry serves", || {
+        ask(&fleet, 1, "north-crew").1["reason"] != "table_unconfirmed"
+    });
+}
+
+#[test]
+fn an_outage_stops_edits_and_not_requests() {
+    let fleet = fleet(3);
+    fleet.platform.store().set_outage(true);
+    let (done, printed) = fleet.operate(&["table", "delete", "customer", "south-crew"]);
+    assert!(!done, "{printed}");
+    // Longer than the platform's last confirmation lasts: peers confirm now.
+    wait_until("peers confirm the table", || {
+        let (_, status) = fleet.operate(&["status", "--json"]);
+        let status: Value = serde_json::from_str(&status).unwrap_or_default();
+        status["table"]["freshness"] == "peers"
+    });
+    for place in 0..3 {
+        let reason = ask(&fleet, place, "north-crew").1["reason"].clone();
+        assert_ne!(reason, "table_unconfirmed");
+        assert_ne!(ask(&fleet, place, "south-crew").1["reason"], "unauthorized");
+    }
+    fleet.platform.store().set_outage(false);
+    wait_until("edits are taken again", || {
+        fleet
+            .operate(&["table", "delete", "customer", "south-crew"])
+            .0
+    });
+    (0..3).for_each(|place| wait_forgotten(&fleet, place));
+}
+
+#[test]
+fn a_restart_during_an_outage_gets_the_newest_table_from_peers() {
+    let mut fleet = fleet(3);
+    delete_south(&fleet);
+    (0..3).for_each(|place| wait_forgotten(&fleet, place));
+    fleet.platform.store().set_outage(true);
+    fleet.entries[2].kill();
+    fleet.restart_entry(2).unwrap();
+    wait_until("the restarted entry serves", || {
+        let (status, answer) = ask(&fleet, 2, "north-crew");
+        status == 200 || answer["reason"] == "redirected"
+    });
+    assert_eq!(ask(&fleet, 2, "south-crew").1["reason"], "unauthorized");
+}
+
+#[test]
+fn two_operators_on_one_row_see_each_other() {
+    let fleet = fleet(1);
+    let set = |rate: &str| {
+        let cell = format!("rate_per_s={rate}");
+        fleet.operate(&[
+            "table",
+            "set",
+            "customer",
+            "north-crew",
+            &cell,
+            "--version",
+            "1",
+        ])
+    };
+    let (first, _) = set("20");
+    let (second, printed) = set("30");
+    assert!(first && !second, "{printed}");
+    assert!(
+        printed.contains("20") && printed.contains("30"),
+        "{printed}"
+    );
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -93,6 +93,9 @@
     pub dispatches: Vec<TestProcess>,
     /// Proxies before the runners, in a fleet with proxies.
     pub engine_proxies: Vec<FaultProxy>,
+    /// Proxies through which each instance reaches the platform, in a fleet with
+    /// proxies.
+    pub platform_proxies: Vec<FaultProxy>,
     /// Proxies before the dispatch processes, in a fleet with proxies.
     pub dispatch_proxies: Vec<FaultProxy>,
     /// The platform's list as it is published.
@@ -138,6 +141,7 @@
             dispatches: Vec::new(),
             engine_proxies: Vec::new(),
             dispatch_proxies: Vec::new(),
+            platform_proxies: Vec::new(),
             records: Vec::new(),
             config,
             binary: binary.to_owned(),
@@ -145,6 +149,11 @@
         };
         fleet.list_targets()?;
         fleet.publish();
+        if fleet.config.proxied {
+            let address = fleet.platform.address();
+            let proxies = (0..fleet.config.instances).map(|_| FaultProxy::start(address));
+            fleet.platform_proxies = proxies.collect::<io::Result<_>>()?;
+        }
         for place in 0..fleet.config.instances {
             fleet.start_instance(place)?;
         }
@@ -270,6 +279,8 @@
     /// Writes the settings of instance `place`.
     fn write_settings(&self, place: usize, advertised: Option<SocketAddr>) -> io::Result<PathBuf> {
         let any = "127.0.0.1:0";
+        let platform = self.platform_proxies.get(place);
+        let platform = platform.map_or(self.platform.address(), FaultProxy::address);
         let mut settings = json!({
             "deployment": "test",
             "instance": format!("instance-{place}"),
@@ -283,7 +294,7 @@
                 "operator_key_sha256": OPERATOR_KEY_HASH,
             },
             "dispatch": { "peer_listen": any, "metrics_listen": any },
-            "platform": { "address": self.platform.address() },
+            "platform": { "address": platform },
             "timeouts": { "locate_ttl": self.config.locate_ttl },
             "trace": { "sample": 0.0 },
         });
--- a/crates/wire/src/runtime.rs
+++ b/crates/wire/src/runtime.rs
@@ -23,6 +23,8 @@
     Probe,
     /// Table heads and shards.
     Table,
+    /// The platform's list of instances, as last read.
+    Instances,
 }
 
 impl PeerService {
