Stop dispatch by its planned stop among the faults of orders

Cause: the crowd test killed and paused dispatch but never stopped it as planned, where owed outcomes must still be written. Change: SIGTERM, wait for the end, start again, as an eighth fault. Ruled out: a test of its own, since the crowd brings the load that a stop must not cut.

--- a/crates/berylmount/tests/orders.rs
+++ b/crates/berylmount/tests/orders.rs
@@ -271,13 +271,13 @@
 
 /// Brings one fault on, lets callers get some answers, and heals it where that is possible.
 fn inject(fleet: &mut TestFleet, crowd: &CrowdState, draw: usize) {
-    let place = draw / 7 % fleet.entries.len();
+    let place = draw / 8 % fleet.entries.len();
     let wait_for = |what: &str, counter: &AtomicUsize, count: usize| {
         let start = counter.load(Ordering::SeqCst);
         wait_until(what, || counter.load(Ordering::SeqCst) >= start + count);
     };
     let progress = |count| wait_for("answers of any kind", &crowd.answers, count);
-    match draw % 7 {
+    match draw % 8 {
         0 | 1 => {
             fleet.dispatches[place].kill();
             progress(2);
@@ -294,6 +294,12 @@
             progress(4);
             fleet.dispatches[place].signal("CONT").unwrap();
         }
+        6 => {
+            fleet.dispatches[place].signal("TERM").unwrap();
+            progress(2);
+            fleet.dispatches[place].wait().unwrap();
+            fleet.restart_dispatch(place).unwrap();
+        }
         5 => {
             let faults = PlatformFaults {
                 lose_answers: 4,
