Show orders without outcome in the operators' status

Cause: an order that may have run must be seen and told of; it could be listed, but nothing led the apprentice to the list.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 mod operator_status;
 mod operators;
 mod order_keys;
+mod order_status;
 mod process;
 mod prompts;
 mod refusals;
@@ -32,6 +33,7 @@
     },
     operators::{OperatorRoutes, StatusPart},
     order_keys::{order_route, KeyMint},
+    order_status::order_part,
     process::EntryProcess,
     routes::{RouteQuery, RouteTable, WorkRoute},
     shared::{EntryParts, EntryShared},
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -5,6 +5,7 @@
     callers::serve_request,
     http::{busy_refusal, call_text, http_config, refusal_answer},
     operators::OperatorRoutes,
+    order_status::order_part,
     refusals::refusal_part,
     shared::{EntryParts, EntryShared},
 };
@@ -119,7 +120,7 @@
         Arc::clone(&shared.store),
         Arc::clone(&shared.table),
         shared.clock,
-        vec![refusal_part(shared)],
+        vec![refusal_part(shared), order_part(Arc::clone(&shared.store))],
     );
     let shared = Arc::clone(shared);
     let routes = Arc::new(routes);
