--- a/crates/peers/src/sync.rs
+++ b/crates/peers/src/sync.rs
@@ -9,16 +9,11 @@
 };
 use berylmount_model::InstanceName;
 
-/// Differing digests in a row after which a segment is pulled.
+/// Differing digests in a row after which members are pulled, with a short list.
 ///
-/// Changes under way make digests differ as well, and mostly pass sooner.
-const UNLIKE_REPLIES: u32 = 12;
-
-/// The same where one page holds the whole list, so that a pull costs little.
-const UNLIKE_REPLIES_SMALL: u32 = 3;
-
-/// The same while one segment after another is pulled.
-const UNLIKE_REPLIES_MORE: u32 = 2;
+/// Changes under way make digests differ as well, and mostly pass sooner; each
+/// page of a longer list adds one, as a pull costs more there.
+const UNLIKE_REPLIES: u32 = 3;
 
 /// A pull under way.
 #[derive(Clone, Debug)]
@@ -81,15 +76,12 @@
         }
         self.unlike += 1;
         let small = live < MAX_PAGE;
-        let replies = if small {
-            UNLIKE_REPLIES_SMALL
-        } else {
-            UNLIKE_REPLIES
-        };
+        let pages = live / MAX_PAGE;
+        let replies = UNLIKE_REPLIES + pages as u32;
         if self.pull.is_some() || !(short || self.unlike >= replies) {
             return;
         }
-        self.unlike = replies - UNLIKE_REPLIES_MORE;
+        self.unlike = 0;
         let segment = (!short && !small).then(|| self.choose_segment(unlike));
         let cursor = SyncCursor {
             segment,
