--- a/crates/dispatch/src/groups.rs
+++ b/crates/dispatch/src/groups.rs
@@ -8,8 +8,8 @@
     CallRefusal, InstanceName, InstanceRecord, PieceKey, RefusalReason, VersionName, WorkClass,
 };
 use berylmount_policy::{
-    pacing::LONGEST_RETURN_MS, RunnerBoard, RunnerChoice, RunnerId, RunnerQuery, RunnerReport,
-    RunnerSettings, WorkItem, WorkQueue, WorkTicket,
+    pacing::LONGEST_RETURN_MS, ReturnPacer, RunnerBoard, RunnerChoice, RunnerId, RunnerQuery,
+    RunnerReport, RunnerSettings, WorkItem, WorkQueue, WorkTicket,
 };
 use berylmount_targets::CacheEvent;
 use rand_pcg::Pcg64Mcg;
@@ -24,6 +24,9 @@
 /// Items that may be passed over in one round because no runner suits them.
 const MAX_PASSED_OVER: usize = 16;
 
+/// Refused callers told to return to one runner, a second.
+const RETURNS_PER_RUNNER_S: f64 = 10.0;
+
 /// When to come back to a group without a suitable runner, in milliseconds.
 const NO_RUNNER_RETRY_MS: u64 = 1_000;
 
@@ -100,6 +103,8 @@
     next_ticket: u64,
     settings: RunnerSettings,
     rng: Pcg64Mcg,
+    /// Spreads refused callers.
+    pacer: ReturnPacer,
     expired: Vec<WorkItem>,
 }
 
@@ -121,6 +126,7 @@
                 next_ticket: 1,
                 settings,
                 rng: Pcg64Mcg::new(seed),
+                pacer: ReturnPacer::default(),
                 expired: Vec::new(),
             }),
         }
@@ -333,10 +339,16 @@
         };
         let capacity = self.board.capacity(now_ms);
         if let Err(refusal) = self.queue.offer(item, &capacity, now_ms) {
+            // Refused callers are spread, so that they don't return in one wave.
+            let wait_ms = refusal.retry_after_ms.min(LONGEST_RETURN_MS);
+            let rate_per_s = capacity.runners * RETURNS_PER_RUNNER_S;
+            let retry_after_ms = self
+                .pacer
+                .next_return(wait_ms, rate_per_s, now_ms, &mut self.rng);
             let refusal = CallRefusal::not_run(
                 RefusalReason::Overloaded,
                 &refusal.to_string(),
-                refusal.retry_after_ms.min(LONGEST_RETURN_MS),
+                retry_after_ms,
             );
             // The thread that waits may be gone; then nobody needs the answer.
             let _ = answer.try_send(Err(refusal));
--- a/crates/dispatch/src/kept.rs
+++ b/crates/dispatch/src/kept.rs
@@ -25,6 +25,9 @@
 /// Stores asked for the pieces of one prompt.
 const STORES_ASKED: usize = 2;
 
+/// How many far stores a near one counts for when a prompt is kept.
+const NEAR_STORE_WEIGHT: u32 = 4;
+
 /// Wait for stores to say which pieces they have.
 const FIND_TIMEOUT: Duration = Duration::from_millis(60);
 
@@ -220,9 +223,16 @@
         .into_iter()
         .filter_map(|(record, live)| live.then_some(record))
         .collect();
+    let near = &shared.settings.data_centre;
     let names: Vec<_> = live
         .iter()
-        .map(|record| MemberWeight::equal(record.name.as_str()))
+        .map(|record| MemberWeight {
+            name: record.name.as_str(),
+            weight: match record.data_centre == *near {
+                true => NEAR_STORE_WEIGHT,
+                false => 1,
+            },
+        })
         .collect();
     let ranked = assignment::rank_members(first.to_string().as_bytes(), &names, STORES_ASKED);
     ranked
--- a/crates/entry/src/members.rs
+++ b/crates/entry/src/members.rs
@@ -30,6 +30,8 @@
     pub group: TargetGroup,
     /// Its live runners.
     pub runners: u32,
+    /// Whether a live kept-cache store is in its data centre.
+    pub near_store: bool,
 }
 
 /// What this entry knows of processes and targets; immutable once made.
@@ -157,6 +159,11 @@
 
 /// The runner groups, sorted by group.
 fn runner_groups(records: &[InstanceRecord]) -> Vec<GroupEntry> {
+    let stores: Vec<_> = records
+        .iter()
+        .filter(|r| r.role == InstanceRole::Store && r.state == InstanceState::Live)
+        .map(|record| &record.data_centre)
+        .collect();
     let mut runners: Vec<_> = records
         .iter()
         .filter(|record| record.role == InstanceRole::Runner)
@@ -183,6 +190,7 @@
                     index,
                 },
                 runners: live.count() as u32,
+                near_store: stores.contains(&&place[0].data_centre),
             });
         }
     }
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -11,6 +11,13 @@
 /// Prefill time that one token costs, in milliseconds, for choosing a group.
 const TOKEN_PREFILL_MS: f64 = 0.1;
 
+/// Part of a prompt's prefill that its home is taken to save.
+const HOME_SAVES_PART: f64 = 0.5;
+
+/// How many runners of another group one with a near store counts for, as the
+/// home of prompts.
+const NEAR_STORE_WEIGHT: u32 = 2;
+
 /// A pool with the board of its groups.
 #[derive(Debug)]
 struct PoolBoard {
@@ -46,6 +53,15 @@
     pub avoid_members: &'a [InstanceName],
 }
 
+/// The share of prompts whose home a group is; the same at every entry.
+fn home_weight(entry: &GroupEntry) -> u32 {
+    let runners = entry.runners.max(1);
+    match entry.near_store {
+        true => NEAR_STORE_WEIGHT * runners,
+        false => runners,
+    }
+}
+
 /// Chooses groups for an entry.
 #[derive(Debug)]
 pub struct RouteTable {
@@ -74,9 +90,14 @@
         }
         for pool in &mut self.pools {
             for (place, group) in pool.groups.iter().enumerate() {
+                let id = GroupId(place as u32);
                 let found = list.groups.binary_search_by(|e| e.group.cmp(group));
-                let present = found.is_ok_and(|slot| list.groups[slot].runners > 0);
-                pool.board.set_present(GroupId(place as u32), present);
+                let entry = found.ok().map(|slot| &list.groups[slot]);
+                let present = entry.is_some_and(|entry| entry.runners > 0);
+                pool.board.set_present(id, present);
+                if let Some(entry) = entry {
+                    pool.board.set_home_weight(id, home_weight(entry));
+                }
             }
         }
     }
@@ -122,7 +143,7 @@
         let prefill_ms = f64::from(query.prompt_tokens) * TOKEN_PREFILL_MS;
         let question = GroupQuery {
             first_piece: query.first_piece,
-            home_saves_ms: prefill_ms,
+            home_saves_ms: HOME_SAVES_PART * prefill_ms,
             class: query.class,
             avoid: &avoid,
         };
