Give adopted streams their time limit and their cancellation

An adopted run followed its stream whatever happened: it knew neither the request's time limit nor that the caller had cancelled, and asked again only three times over the whole answer. It now has both, counts tries without a new token, and stands in a module of its own.

--- a/crates/berylmount/tests/answers.rs
+++ b/crates/berylmount/tests/answers.rs
@@ -188,6 +188,35 @@
     assert_eq!(last["reason"], "cancelled");
 }
 
+#[test]
+fn an_adopted_answer_can_be_cancelled() {
+    let mut fleet = slow_fleet(2, 1);
+    let caller = CallerClient::new(fleet.locate("north-crew"), "north-crew");
+    let body = json!({
+        "work": "crew-question", "prompt": "adopt and cancel", "max_tokens": 2000, "stream": true
+    });
+    let mut rest = lines(post_prompt(&caller, &body));
+    let first = [rest.next().unwrap().unwrap()];
+    let place = holder(&fleet, &first);
+    fleet.dispatches[place].kill();
+    let id = first[0]["request"].as_str().unwrap().to_owned();
+    wait_until("the adopted answer is cancelled", || {
+        answer(caller.delete(&format!("/v1/prompts/{id}"))).0 == 200
+    });
+    let last = rest.map(Result::unwrap).last().unwrap();
+    assert_eq!(
+        (&last["event"], &last["reason"]),
+        (&json!("refused"), &json!("cancelled"))
+    );
+    let runs = || fleet.engines[0].report()["runs"].clone();
+    assert_eq!(
+        runs().as_object().map_or(1, serde_json::Map::len),
+        1,
+        "{}",
+        runs()
+    );
+}
+
 /// Ends a process by the planned stop and checks that it cut nothing.
 fn check_clean(process: &mut TestProcess) {
     let status = process.wait().unwrap();
--- a/crates/dispatch/src/calls.rs
+++ b/crates/dispatch/src/calls.rs
@@ -5,7 +5,8 @@
 //! as not run.
 
 use crate::{
-    run::{adopt_stream, cancel_stream, PromptRun},
+    adopt::AdoptedRun,
+    run::{cancel_stream, PromptRun},
     services,
     shared::{DispatchShared, LOOK_INTERVAL},
     AnswerEnd, AnswerPart, AnswerReader, HeldAnswer,
@@ -165,7 +166,7 @@
         let (shared, answer, adopt) = (Arc::clone(shared), Arc::clone(&answer), adopt.clone());
         let spawned = spawn_call("adopt", move || {
             let _guard = guard;
-            adopt_stream(&shared, &adopt, &answer);
+            AdoptedRun::new(&shared, &adopt, &answer).run();
         });
         if let Err(e) = spawned {
             log::error!(target: "dispatch", "no thread for an adopted stream: {e}");
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,6 +4,7 @@
 //! runner group, runs them on targets and holds their answers until they are
 //! read. All decisions are the `policy` crate's.
 
+mod adopt;
 mod answers;
 mod calls;
 mod groups;
--- a/crates/dispatch/src/run.rs
+++ b/crates/dispatch/src/run.rs
@@ -22,7 +22,7 @@
     EngineClient, EngineStream, FaultKind, RejectReason, StreamEvent, StreamOrder, TargetFault,
 };
 use berylmount_telemetry::{next_traceparent, root_span, CounterMetric, HistogramMetric, Span};
-use berylmount_wire::{AdoptCall, PromptCall, StartedRun};
+use berylmount_wire::{PromptCall, StartedRun};
 use std::{
     net::SocketAddr,
     sync::{mpsc::RecvTimeoutError, Arc},
@@ -31,10 +31,10 @@
 };
 
 /// Times that one engine stream is resumed without a new token.
-const MAX_RESUMES: u32 = 3;
+pub(crate) const MAX_RESUMES: u32 = 3;
 
 /// When a caller may try again after a failure, in milliseconds.
-const FAILED_RETRY_MS: u64 = 500;
+pub(crate) const FAILED_RETRY_MS: u64 = 500;
 
 /// An attempt that failed.
 #[derive(Debug)]
@@ -442,7 +442,7 @@
 }
 
 /// Whether the engine may go on with the stream after `fault`.
-fn is_resumable(fault: &TargetFault) -> bool {
+pub(crate) fn is_resumable(fault: &TargetFault) -> bool {
     let kept = matches!(
         fault.kind,
         FaultKind::Silent | FaultKind::Cut | FaultKind::BadAnswer
@@ -460,80 +460,13 @@
 }
 
 /// The answer to a cancelled request.
-fn cancelled_refusal(verdict: RequestVerdict) -> CallRefusal {
+pub(crate) fn cancelled_refusal(verdict: RequestVerdict) -> CallRefusal {
     CallRefusal {
         verdict,
         ..CallRefusal::not_run(RefusalReason::Cancelled, "the caller cancelled it", 0)
     }
 }
 
-/// Goes on with an engine stream that another dispatch process started.
-pub(crate) fn adopt_stream(shared: &DispatchShared, call: &AdoptCall, answer: &HeldAnswer) {
-    let client = EngineClient::new(call.address, shared.target_timeouts());
-    let mut fault = None;
-    for _ in 0..MAX_RESUMES {
-        let offset = u32::try_from(answer.count()).unwrap_or(u32::MAX);
-        let outcome = client
-            .resume(call.attempt, offset)
-            .and_then(|stream| follow_adopted(stream, call, answer));
-        match outcome {
-            Ok(end) => return answer.end(end, shared.now_ms()),
-            Err(next) if is_resumable(&next) => fault = Some(next),
-            Err(next) => {
-                fault = Some(next);
-                break;
-            }
-        }
-    }
-    let detail = fault.map_or_else(String::new, |fault| fault.to_string());
-    let refusal = CallRefusal::may_have_run(
-        RefusalReason::TargetFailed,
-        &format!("the engine stream could not be resumed: {detail}"),
-        FAILED_RETRY_MS,
-    );
-    answer.end(AnswerEnd::Refused(refusal), shared.now_ms());
-}
-
-/// Passes an adopted stream's events into the answer.
-fn follow_adopted(
-    mut stream: EngineStream,
-    call: &AdoptCall,
-    answer: &HeldAnswer,
-) -> Result<AnswerEnd, TargetFault> {
-    let run = |prompt_tokens: u32, cached_tokens: u32| StartedRun {
-        attempt: call.attempt,
-        runner: call.runner.clone(),
-        address: call.address,
-        prompt_tokens: prompt_tokens.into(),
-        cached_tokens: cached_tokens.into(),
-        fetched_tokens: 0,
-        group_waits_ms: [0; 4],
-    };
-    answer.start(&run(0, 0));
-    while let Some(event) = stream.next_event()? {
-        match event {
-            StreamEvent::Admitted {
-                cached_tokens,
-                prompt_tokens,
-                ..
-            } => answer.start(&run(prompt_tokens, cached_tokens)),
-            StreamEvent::Waiting => {}
-            StreamEvent::Token { text, .. } => answer.add_token(&text),
-            StreamEvent::End { count, digest } => {
-                return Ok(AnswerEnd::Whole {
-                    count: count.into(),
-                    digest,
-                });
-            }
-        }
-    }
-    Err(TargetFault {
-        verdict: RequestVerdict::MayHaveRun,
-        kind: FaultKind::Cut,
-        detail: "the stream has no end".to_owned(),
-    })
-}
-
 /// Cancels a request's engine stream, if it has one.
 pub(crate) fn cancel_stream(shared: &DispatchShared, attempt: AttemptId, address: SocketAddr) {
     let client = EngineClient::new(address, shared.target_timeouts());
--- a/crates/dispatch/src/weights.rs
+++ b/crates/dispatch/src/weights.rs
@@ -35,6 +35,11 @@
 /// Greatest age of a load report when it comes, in milliseconds.
 const REPORT_LAG_MS: u64 = 500;
 
+/// Time between two polls of a pool for each of its runners, in milliseconds.
+///
+/// One holder asks every runner, so a large pool is asked less often.
+const POLL_MS_PER_RUNNER: u64 = 10;
+
 /// A runner silent for this long gets no order, in milliseconds.
 const SILENT_MS: u64 = 3_000;
 
@@ -51,6 +56,8 @@
     number: u64,
     planner: RolloutPlanner,
     poll: ReportPoll,
+    /// When the runners are asked again.
+    next_poll_ms: u64,
 }
 
 /// One pool, as a candidate for its lease.
@@ -152,6 +159,7 @@
                 number: held.fence,
                 planner: RolloutPlanner::new(rollout_settings(row), now_ms),
                 poll: ReportPoll::default(),
+                next_poll_ms: 0,
             }
         });
         holder.fence.renew(held.asked_ms);
@@ -189,6 +197,10 @@
     let runners = records.iter();
     let runners: Vec<_> = runners.map(|r| (r.name.clone(), r.address)).collect();
     let clock = || shared.now_ms();
+    if clock() < holder.next_poll_ms {
+        return;
+    }
+    holder.next_poll_ms = clock() + POLL_MS_PER_RUNNER * runners.len() as u64;
     let timeouts = order_timeouts(shared);
     let views = holder.poll.poll(&runners, timeouts, &clock, REPORTS_BUDGET);
     for order in holder.planner.plan(&wanted, views, shared.now_ms()) {
