Prove a table change through real processes

Change: five tests with two instances of both roles, an operator's command and a customer whose key changes: in force on every entry, a paused entry that wakes, an instance whose answers from the platform are lost (it gets the change from peers), an entry that can confirm with nobody (refuses as not run, serves again when the others are back), an outage with a restart that gets the table from peers. No new request that began 4 s after acceptance may be judged by the old key. The fleet of the stand-ins now puts a proxy before the platform for each instance where it puts proxies at all: eight lines in its file.

--- /dev/null
+++ b/crates/berylmount/tests/table_change.rs
@@ -0,0 +1,157 @@
+//! A table change through real processes: it is in force everywhere and stays.
+#![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
+
+mod common;
+
+use berylmount_standins::{wait_until, FleetConfig, PlatformFaults, ProxyFaults, TestFleet};
+use common::{authority_rows, binary, CallerClient};
+use serde_json::json;
+use std::time::{Duration, Instant};
+
+/// The time after which nobody may judge by an older row.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
+/// Two instances, so four processes; three of them are more than half.
+fn start(proxied: bool) -> TestFleet {
+    let config = FleetConfig {
+        instances: 2,
+        proxied,
+        ..FleetConfig::default()
+    };
+    let fleet = TestFleet::start(binary(), config, authority_rows()).unwrap();
+    wait_until("the table is in force on all", || {
+        fleet
+            .operate(&["status"])
+            .1
+            .contains("in force on all 4 of 4")
+    });
+    fleet
+}
+
+/// The status of a new request with the customer's first key at an entry.
+fn ask(fleet: &TestFleet, place: usize) -> u16 {
+    let caller = CallerClient::new(fleet.callers(place), "north-crew");
+    let body = json!({"work": "crew-question", "prompt": "a", "max_tokens": 1});
+    caller.ask(&body).0
+}
+
+/// Changes the customer's key; returns when the operator was told that it is accepted.
+fn change_key(fleet: &TestFleet) -> Instant {
+    let edit = [
+        "table",
+        "set",
+        "customer",
+        "north-crew",
+        "key=new",
+        "--id",
+        "e1",
+    ];
+    wait_until("the edit is accepted", || fleet.operate(&edit).0);
+    Instant::now()
+}
+
+/// Asks until the entry refuses the first key, which it must after the time.
+fn wait_refused(fleet: &TestFleet, place: usize, told: Instant) {
+    wait_until("the new row is in force", || {
+        let late = told.elapsed() >= IN_FORCE;
+        let status = ask(fleet, place);
+        assert!(
+            !late || status != 200,
+            "entry {place} judged by an older row"
+        );
+        status == 401
+    });
+    assert_eq!(ask(fleet, place), 401, "the row went back");
+}
+
+#[test]
+fn a_change_is_in_force_on_every_entry() {
+    let fleet = start(false);
+    wait_until("the first key is taken", || {
+        (0..2).all(|place| ask(&fleet, place) == 200)
+    });
+    let told = change_key(&fleet);
+    (0..2).for_each(|place| wait_refused(&fleet, place, told));
+}
+
+#[test]
+fn a_paused_entry_wakes_to_the_new_row() {
+    let fleet = start(false);
+    wait_until("the first key is taken", || ask(&fleet, 1) == 200);
+    fleet.entries[1].signal("STOP").unwrap();
+    let told = change_key(&fleet);
+    wait_until("the time is over", || told.elapsed() >= IN_FORCE);
+    fleet.entries[1].signal("CONT").unwrap();
+    wait_refused(&fleet, 1, told);
+}
+
+/// The platform hears the instance, but its answers do not come back.
+#[test]
+fn an_instance_cut_off_one_way_gets_the_change_from_peers() {
+    let fleet = start(true);
+    wait_until("the first key is taken", || ask(&fleet, 1) == 200);
+    fleet.platform_proxies[1].set(ProxyFaults {
+        drop_answers: true,
+        ..ProxyFaults::default()
+    });
+    let told = change_key(&fleet);
+    wait_refused(&fleet, 1, told);
+    wait_refused(&fleet, 0, told);
+}
+
+#[test]
+fn an_entry_that_can_confirm_with_nobody_refuses_as_not_run() {
+    let fleet = start(false);
+    wait_until("the first key is taken", || ask(&fleet, 1) == 200);
+    fleet.platform.set_faults(PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    });
+    let others = [
+        &fleet.entries[0],
+        &fleet.dispatches[0],
+        &fleet.dispatches[1],
+    ];
+    others
+        .iter()
+        .for_each(|process| process.signal("STOP").unwrap());
+    let caller = CallerClient::new(fleet.callers(1), "north-crew");
+    let body = json!({"work": "crew-question", "prompt": "a", "max_tokens": 1});
+    let mut refusal = json!(null);
+    wait_until("the entry refuses", || {
+        refusal = caller.ask(&body).1;
+        refusal["reason"] == "table_unconfirmed"
+    });
+    assert_eq!(refusal["verdict"], "not_run");
+    assert!(refusal["retry_after_ms"].as_u64().unwrap() > 0);
+    others
+        .iter()
+        .for_each(|process| process.signal("CONT").unwrap());
+    wait_until("the others confirm the table again", || {
+        ask(&fleet, 1) == 200
+    });
+}
+
+#[test]
+fn an_outage_keeps_the_table_and_a_restart_gets_it_from_peers() {
+    let mut fleet = start(false);
+    let outage = PlatformFaults {
+        outage: true,
+        ..PlatformFaults::default()
+    };
+    let told = change_key(&fleet);
+    wait_refused(&fleet, 0, told);
+    fleet.platform.set_faults(outage);
+    let (accepted, text) = fleet.operate(&["table", "set", "model", "blaze", "version=v2"]);
+    assert!(!accepted && text.contains("nothing"), "{text}");
+    fleet.entries[0].kill();
+    fleet.restart_entry(0).unwrap();
+    wait_refused(&fleet, 0, told);
+    wait_refused(&fleet, 1, told);
+    fleet.platform.set_faults(PlatformFaults::default());
+    wait_until("edits are accepted again", || {
+        fleet
+            .operate(&["table", "set", "model", "blaze", "version=v1"])
+            .0
+    });
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -53,7 +53,8 @@
     pub service: ServiceConfig,
     /// How long callers may keep a located address, as a settings value.
     pub locate_ttl: &'static str,
-    /// Whether runners and dispatch processes stand behind fault proxies.
+    /// Whether runners, dispatch processes and, for each instance, the platform
+    /// stand behind fault proxies.
     pub proxied: bool,
 }
 
@@ -95,6 +96,8 @@
     pub engine_proxies: Vec<FaultProxy>,
     /// Proxies before the dispatch processes, in a fleet with proxies.
     pub dispatch_proxies: Vec<FaultProxy>,
+    /// Proxies before the platform, one for each instance of a fleet with proxies.
+    pub platform_proxies: Vec<FaultProxy>,
     /// The platform's list as it is published.
     pub records: Vec<InstanceRecord>,
     config: FleetConfig,
@@ -138,6 +141,7 @@
             dispatches: Vec::new(),
             engine_proxies: Vec::new(),
             dispatch_proxies: Vec::new(),
+            platform_proxies: Vec::new(),
             records: Vec::new(),
             config,
             binary: binary.to_owned(),
@@ -210,6 +214,10 @@
 
     /// Starts both processes of the instance `place`.
     fn start_instance(&mut self, place: usize) -> io::Result<()> {
+        if self.config.proxied {
+            let proxy = FaultProxy::start(self.platform.address())?;
+            self.platform_proxies.push(proxy);
+        }
         let dispatch = self.start_process("dispatch", place)?;
         self.dispatches.push(dispatch);
         let entry = self.start_process("entry", place)?;
@@ -270,6 +278,8 @@
     /// Writes the settings of instance `place`.
     fn write_settings(&self, place: usize, advertised: Option<SocketAddr>) -> io::Result<PathBuf> {
         let any = "127.0.0.1:0";
+        let proxy = self.platform_proxies.get(place);
+        let platform = proxy.map_or(self.platform.address(), FaultProxy::address);
         let mut settings = json!({
             "deployment": "test",
             "instance": format!("instance-{place}"),
@@ -283,7 +293,7 @@
                 "operator_key_sha256": OPERATOR_KEY_HASH,
             },
             "dispatch": { "peer_listen": any, "metrics_listen": any },
-            "platform": { "address": self.platform.address() },
+            "platform": { "address": platform },
             "timeouts": { "locate_ttl": self.config.locate_ttl },
             "trace": { "sample": 0.0 },
         });
