--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -53,8 +53,7 @@
     pub service: ServiceConfig,
     /// How long callers may keep a located address, as a settings value.
     pub locate_ttl: &'static str,
-    /// Whether runners, dispatch processes and, for each instance, the platform
-    /// stand behind fault proxies.
+    /// Whether runners and dispatch processes stand behind fault proxies.
     pub proxied: bool,
 }
 
@@ -94,10 +93,11 @@
     pub dispatches: Vec<TestProcess>,
     /// Proxies before the runners, in a fleet with proxies.
     pub engine_proxies: Vec<FaultProxy>,
+    /// Proxies through which each instance reaches the platform, in a fleet with
+    /// proxies.
+    pub platform_proxies: Vec<FaultProxy>,
     /// Proxies before the dispatch processes, in a fleet with proxies.
     pub dispatch_proxies: Vec<FaultProxy>,
-    /// Proxies before the platform, one for each instance of a fleet with proxies.
-    pub platform_proxies: Vec<FaultProxy>,
     /// The platform's list as it is published.
     pub records: Vec<InstanceRecord>,
     config: FleetConfig,
@@ -149,6 +149,11 @@
         };
         fleet.list_targets()?;
         fleet.publish();
+        if fleet.config.proxied {
+            let address = fleet.platform.address();
+            let proxies = (0..fleet.config.instances).map(|_| FaultProxy::start(address));
+            fleet.platform_proxies = proxies.collect::<io::Result<_>>()?;
+        }
         for place in 0..fleet.config.instances {
             fleet.start_instance(place)?;
         }
@@ -214,10 +219,6 @@
 
     /// Starts both processes of the instance `place`.
     fn start_instance(&mut self, place: usize) -> io::Result<()> {
-        if self.config.proxied {
-            let proxy = FaultProxy::start(self.platform.address())?;
-            self.platform_proxies.push(proxy);
-        }
         let dispatch = self.start_process("dispatch", place)?;
         self.dispatches.push(dispatch);
         let entry = self.start_process("entry", place)?;
@@ -278,8 +279,8 @@
     /// Writes the settings of instance `place`.
     fn write_settings(&self, place: usize, advertised: Option<SocketAddr>) -> io::Result<PathBuf> {
         let any = "127.0.0.1:0";
-        let proxy = self.platform_proxies.get(place);
-        let platform = proxy.map_or(self.platform.address(), FaultProxy::address);
+        let platform = self.platform_proxies.get(place);
+        let platform = platform.map_or(self.platform.address(), FaultProxy::address);
         let mut settings = json!({
             "deployment": "test",
             "instance": format!("instance-{place}"),
