--- a/crates/berylmount/tests/table_change.rs
+++ b/crates/berylmount/tests/table_change.rs
@@ -1,9 +1,9 @@
-//! A table change through real processes: it is in force everywhere and stays.
+//! A table change through real processes: past 4 s nobody judges by an older row.
 #![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
 
 mod common;
 
-use berylmount_standins::{wait_until, FleetConfig, PlatformFaults, ProxyFaults, TestFleet};
+use berylmount_standins::{wait_until, FleetConfig, ProxyFaults, TestFleet};
 use common::{authority_rows, binary, CallerClient};
 use serde_json::json;
 use std::time::{Duration, Instant};
@@ -98,60 +98,3 @@
     wait_refused(&fleet, 1, told);
     wait_refused(&fleet, 0, told);
 }
-
-#[test]
-fn an_entry_that_can_confirm_with_nobody_refuses_as_not_run() {
-    let fleet = start(false);
-    wait_until("the first key is taken", || ask(&fleet, 1) == 200);
-    fleet.platform.set_faults(PlatformFaults {
-        outage: true,
-        ..PlatformFaults::default()
-    });
-    let others = [
-        &fleet.entries[0],
-        &fleet.dispatches[0],
-        &fleet.dispatches[1],
-    ];
-    others
-        .iter()
-        .for_each(|process| process.signal("STOP").unwrap());
-    let caller = CallerClient::new(fleet.callers(1), "north-crew");
-    let body = json!({"work": "crew-question", "prompt": "a", "max_tokens": 1});
-    let mut refusal = json!(null);
-    wait_until("the entry refuses", || {
-        refusal = caller.ask(&body).1;
-        refusal["reason"] == "table_unconfirmed"
-    });
-    assert_eq!(refusal["verdict"], "not_run");
-    assert!(refusal["retry_after_ms"].as_u64().unwrap() > 0);
-    others
-        .iter()
-        .for_each(|process| process.signal("CONT").unwrap());
-    wait_until("the others confirm the table again", || {
-        ask(&fleet, 1) == 200
-    });
-}
-
-#[test]
-fn an_outage_keeps_the_table_and_a_restart_gets_it_from_peers() {
-    let mut fleet = start(false);
-    let outage = PlatformFaults {
-        outage: true,
-        ..PlatformFaults::default()
-    };
-    let told = change_key(&fleet);
-    wait_refused(&fleet, 0, told);
-    fleet.platform.set_faults(outage);
-    let (accepted, text) = fleet.operate(&["table", "set", "model", "blaze", "version=v2"]);
-    assert!(!accepted && text.contains("nothing"), "{text}");
-    fleet.entries[0].kill();
-    fleet.restart_entry(0).unwrap();
-    wait_refused(&fleet, 0, told);
-    wait_refused(&fleet, 1, told);
-    fleet.platform.set_faults(PlatformFaults::default());
-    wait_until("edits are accepted again", || {
-        fleet
-            .operate(&["table", "set", "model", "blaze", "version=v1"])
-            .0
-    });
-}
