Move the keys of a settings file to a module of their own

Ruled out: a module for each section, which would spread a table that is read as one over seven files.

--- a/crates/settings/src/document.rs
+++ b/crates/settings/src/document.rs
@@ -1,6 +1,6 @@
 //! Documentation of the keys, made from the code that reads them.
 
-use crate::process::setting_specs;
+use crate::sections::setting_specs;
 use std::fmt::Write;
 
 /// Markdown table of every key with its allowed values, default and meaning.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,6 +10,7 @@
 mod fault;
 mod process;
 mod reader;
+mod sections;
 mod units;
 mod verify;
 
--- /dev/null
+++ b/crates/settings/src/sections.rs
@@ -0,0 +1,302 @@
+//! The keys of a settings file, section by section.
+
+use crate::{
+    process::{
+        DispatchSettings, EntrySettings, LimitSettings, LogFormat, LogSettings, PlatformSettings,
+        ProcessSettings, TimeoutSettings, TraceSettings,
+    },
+    reader::{ReadContext, SectionReader, SettingSpec},
+};
+use berylmount_model::{DataCentre, InstanceName};
+use jsonc_parser::ast::Object;
+use std::time::Duration;
+
+const KIB: u64 = 1 << 10;
+const MIB: u64 = 1 << 20;
+const GIB: u64 = 1 << 30;
+
+/// Documentation of every key, in the order of the file.
+pub(crate) fn setting_specs() -> Vec<SettingSpec> {
+    let mut context = ReadContext::new("");
+    read_settings(&mut context, None);
+    context.specs
+}
+
+/// Reads a settings file's outermost object.
+pub(crate) fn read_settings<'a>(
+    context: &mut ReadContext<'a>,
+    object: Option<&Object<'a>>,
+) -> Option<ProcessSettings> {
+    let mut root = SectionReader::new(context, object);
+    let deployment = root.name(
+        "deployment",
+        InstanceName::new,
+        "Deployment; keeps two deployments on one platform apart.",
+    );
+    let instance = root.name(
+        "instance",
+        InstanceName::new,
+        "Instance; unique within the deployment.",
+    );
+    let data_centre = root.name(
+        "data_centre",
+        DataCentre::new,
+        "Data centre that the instance stands in.",
+    );
+    let seeds = root.addresses(
+        "seeds",
+        "Peer addresses to try before the platform's list is known.",
+    );
+    let entry = root.section("entry", read_entry);
+    let dispatch = root.section("dispatch", read_dispatch);
+    let platform = root.section("platform", read_platform);
+    let limits = root.section("limits", read_limits);
+    let timeouts = root.section("timeouts", read_timeouts);
+    let log = root.section("log", read_log);
+    let trace = root.section("trace", read_trace);
+    root.finish();
+    Some(ProcessSettings {
+        deployment: deployment?,
+        instance: instance?,
+        data_centre: data_centre?,
+        seeds,
+        entry,
+        dispatch,
+        platform,
+        limits,
+        timeouts,
+        log,
+        trace,
+    })
+}
+
+fn read_entry(section: &mut SectionReader<'_, '_>) -> EntrySettings {
+    EntrySettings {
+        callers_listen: section.address(
+            "callers_listen",
+            "Where the entry listens for callers; port 0 takes a free port.",
+        ),
+        callers_advertised: section.optional_address(
+            "callers_advertised",
+            "callers_listen",
+            "Where callers reach the entry.",
+        ),
+        operators_listen: section
+            .address("operators_listen", "Where the entry listens for operators."),
+        peer_listen: section.address("peer_listen", "Where the entry listens for peers."),
+        peer_advertised: section.optional_address(
+            "peer_advertised",
+            "peer_listen",
+            "Where peers reach the entry.",
+        ),
+        metrics_listen: section.address(
+            "metrics_listen",
+            "Where the entry serves `/metrics` and `/healthz`.",
+        ),
+        max_body: section.size("max_body", MIB, KIB..=64 * MIB, "Longest request body."),
+        max_header: section.size(
+            "max_header",
+            16 * KIB,
+            KIB..=256 * KIB,
+            "Longest request head.",
+        ),
+        max_connections: section.count(
+            "max_connections",
+            1024,
+            1..=65_536,
+            "Open caller connections; more are refused.",
+        ),
+        max_in_flight: section.count(
+            "max_in_flight",
+            512,
+            1..=65_536,
+            "Requests in flight; more are refused as not run.",
+        ),
+        idle_timeout: section.duration(
+            "idle_timeout",
+            secs(60),
+            secs(1)..=secs(3600),
+            "How long a caller's connection may be idle.",
+        ),
+        operator_key_sha256: section.hash(
+            "operator_key_sha256",
+            "SHA-256 of the operators' key; the key itself stands in no file.",
+        ),
+    }
+}
+
+fn read_dispatch(section: &mut SectionReader<'_, '_>) -> DispatchSettings {
+    DispatchSettings {
+        peer_listen: section.address("peer_listen", "Where the dispatch listens for peers."),
+        peer_advertised: section.optional_address(
+            "peer_advertised",
+            "peer_listen",
+            "Where peers reach the dispatch.",
+        ),
+        metrics_listen: section.address(
+            "metrics_listen",
+            "Where the dispatch serves `/metrics` and `/healthz`.",
+        ),
+        max_in_flight: section.count(
+            "max_in_flight",
+            512,
+            1..=65_536,
+            "Requests in flight at targets.",
+        ),
+        max_queued: section.count(
+            "max_queued",
+            1024,
+            1..=65_536,
+            "Requests that wait for a target; more are refused as not run.",
+        ),
+        answer_hold_bytes: section.size(
+            "answer_hold_bytes",
+            8 * MIB,
+            64 * KIB..=GIB,
+            "Memory for answers held until they are acknowledged.",
+        ),
+        answer_hold_time: section.duration(
+            "answer_hold_time",
+            secs(60),
+            secs(1)..=secs(3600),
+            "How long a finished answer is held for a caller that comes back.",
+        ),
+    }
+}
+
+fn read_platform(section: &mut SectionReader<'_, '_>) -> PlatformSettings {
+    PlatformSettings {
+        address: section.address("address", "Where the platform's object API answers."),
+        timeout: section.duration(
+            "timeout",
+            secs(2),
+            millis(50)..=secs(60),
+            "Time limit of one call.",
+        ),
+        watch_wait: section.duration(
+            "watch_wait",
+            secs(20),
+            millis(100)..=secs(600),
+            "How long the platform may hold a waiting watch.",
+        ),
+        retry_wait_max: section.duration(
+            "retry_wait_max",
+            secs(5),
+            millis(100)..=secs(60),
+            "Longest pause between tries during an outage.",
+        ),
+    }
+}
+
+fn read_limits(section: &mut SectionReader<'_, '_>) -> LimitSettings {
+    LimitSettings {
+        peer_rate: section.rate(
+            "peer_rate",
+            5 * KIB,
+            KIB..=MIB,
+            "Bound on control traffic of one process with its peers.",
+        ),
+        max_message: section.size(
+            "max_message",
+            2 * MIB,
+            64 * KIB..=16 * MIB,
+            "Longest message between peers; a longer one closes the connection.",
+        ),
+        retry_share: section.fraction(
+            "retry_share",
+            0.1,
+            "Retries and hedges as a share of first tries.",
+        ),
+    }
+}
+
+fn read_timeouts(section: &mut SectionReader<'_, '_>) -> TimeoutSettings {
+    TimeoutSettings {
+        drain: section.duration(
+            "drain",
+            secs(60),
+            secs(1)..=secs(3600),
+            "Longest graceful shutdown; what still runs then is refused with its verdict.",
+        ),
+        locate_ttl: section.duration(
+            "locate_ttl",
+            secs(10),
+            millis(100)..=secs(600),
+            "How long a caller may keep a located address.",
+        ),
+        silent_gap: section.duration(
+            "silent_gap",
+            secs(3),
+            millis(100)..=secs(60),
+            "Silence after which a stream counts as broken.",
+        ),
+        connect: section.duration(
+            "connect",
+            millis(500),
+            millis(10)..=secs(30),
+            "Time limit to open a connection.",
+        ),
+        table_fresh: section.duration(
+            "table_fresh",
+            millis(3500),
+            millis(100)..=secs(4),
+            "How long a table counts as current after its last confirmation.",
+        ),
+        peer_suspect: section.duration(
+            "peer_suspect",
+            secs(3),
+            millis(100)..=secs(60),
+            "Silence after which a peer is suspected.",
+        ),
+        peer_dead: section.duration(
+            "peer_dead",
+            secs(5),
+            millis(100)..=secs(600),
+            "How long a suspected peer has to refute before it counts as dead.",
+        ),
+    }
+}
+
+fn read_log(section: &mut SectionReader<'_, '_>) -> LogSettings {
+    use log::LevelFilter as Level;
+    let levels = [
+        ("error", Level::Error),
+        ("warn", Level::Warn),
+        ("info", Level::Info),
+        ("debug", Level::Debug),
+        ("trace", Level::Trace),
+    ];
+    let formats = [("text", LogFormat::Text), ("json", LogFormat::Json)];
+    LogSettings {
+        level: section.choice(
+            "level",
+            Level::Info,
+            &levels,
+            "Least severe level that is written.",
+        ),
+        format: section.choice(
+            "format",
+            LogFormat::Text,
+            &formats,
+            "Form of a record on standard error.",
+        ),
+    }
+}
+
+fn read_trace(section: &mut SectionReader<'_, '_>) -> TraceSettings {
+    TraceSettings {
+        sample: section.fraction(
+            "sample",
+            0.01,
+            "Share of requests traced when the caller's `traceparent` does not decide.",
+        ),
+    }
+}
+
+const fn secs(secs: u64) -> Duration {
+    Duration::from_secs(secs)
+}
+
+const fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
