Drop settings that nothing reads

Cause: nine keys were documented and checked, but no code read them, so an operator who set one changed nothing: dispatch.max_queued, platform.timeout, platform.watch_wait, platform.retry_wait_max, the whole section limits, timeouts.table_fresh and timeouts.peer_suspect. What they named is fixed in the code today (FRESHNESS_MS, MAX_FRAME_BYTES, the budgets of policy). They are unknown keys now. entry.max_body ends at 3 MiB, under the 4 MiB of a frame between processes, in place of the comparison with limits.max_message. Ruled out: wiring them up, which belongs to their crates.

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -18,7 +18,7 @@
     document::settings_table,
     fault::{SettingsError, SettingsFault},
     process::{
-        DispatchSettings, EntrySettings, LimitSettings, LogFormat, LogSettings, PlatformSettings,
-        ProcessSettings, TimeoutSettings, TraceSettings,
+        DispatchSettings, EntrySettings, LogFormat, LogSettings, PlatformSettings, ProcessSettings,
+        TimeoutSettings, TraceSettings,
     },
 };
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -26,8 +26,6 @@
     pub dispatch: DispatchSettings,
     /// The platform's object API.
     pub platform: PlatformSettings,
-    /// Bounds on what a process spends.
-    pub limits: LimitSettings,
     /// How long a process waits.
     pub timeouts: TimeoutSettings,
     /// Logs.
@@ -76,8 +74,6 @@
     pub metrics_listen: SocketAddr,
     /// Requests in flight at targets.
     pub max_in_flight: usize,
-    /// Requests waiting for a target.
-    pub max_queued: usize,
     /// Memory for answers held until they are acknowledged, in bytes.
     pub answer_hold_bytes: usize,
     /// How long a finished answer is held.
@@ -89,23 +85,6 @@
 pub struct PlatformSettings {
     /// Where it answers.
     pub address: SocketAddr,
-    /// Time limit of one call.
-    pub timeout: Duration,
-    /// How long the platform may hold a waiting watch.
-    pub watch_wait: Duration,
-    /// Longest pause between tries during an outage.
-    pub retry_wait_max: Duration,
-}
-
-/// Bounds on what a process spends.
-#[derive(Clone, Debug, PartialEq)]
-pub struct LimitSettings {
-    /// Bytes a second for control between peers.
-    pub peer_rate: u64,
-    /// Longest message between peers, in bytes.
-    pub max_message: usize,
-    /// Retries and hedges as a share of first tries.
-    pub retry_share: f64,
 }
 
 /// How long a process waits.
@@ -119,10 +98,6 @@
     pub silent_gap: Duration,
     /// Time limit to open a connection.
     pub connect: Duration,
-    /// How long a table counts as current after its last confirmation.
-    pub table_fresh: Duration,
-    /// Silence after which a peer is suspected.
-    pub peer_suspect: Duration,
     /// How long a suspected peer has to refute.
     pub peer_dead: Duration,
 }
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -6,7 +6,7 @@
 //! a placeholder; the caller discards the result when there are faults.
 
 use crate::{
-    units::{format_duration, format_rate, format_size, parse_duration, parse_rate, parse_size},
+    units::{format_duration, format_size, parse_duration, parse_size},
     SettingsFault,
 };
 use jsonc_parser::{
@@ -46,13 +46,6 @@
     format: format_size,
 };
 
-/// Form of a rate in bytes a second.
-const RATE_FORM: QuantityForm<u64> = QuantityForm {
-    kind: "a rate (B/s, KiB/s, MiB/s, GiB/s)",
-    parse: parse_rate,
-    format: format_rate,
-};
-
 /// What the documentation says of one key.
 pub(crate) struct SettingSpec {
     pub(crate) key: String,
@@ -270,18 +263,6 @@
         usize::try_from(size).unwrap_or(usize::MAX)
     }
 
-    /// Rate in bytes a second with a unit.
-    pub(crate) fn rate(
-        &mut self,
-        name: &'static str,
-        default: u64,
-        range: RangeInclusive<u64>,
-        meaning: &'static str,
-    ) -> u64 {
-        let form = RATE_FORM;
-        self.quantity(name, default, range, form, meaning)
-    }
-
     /// Whole number without a unit.
     pub(crate) fn count(
         &mut self,
--- a/crates/settings/src/sections.rs
+++ b/crates/settings/src/sections.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     process::{
-        DispatchSettings, EntrySettings, LimitSettings, LogFormat, LogSettings, PlatformSettings,
-        ProcessSettings, TimeoutSettings, TraceSettings,
+        DispatchSettings, EntrySettings, LogFormat, LogSettings, PlatformSettings, ProcessSettings,
+        TimeoutSettings, TraceSettings,
     },
     reader::{ReadContext, SectionReader, SettingSpec},
 };
@@ -50,7 +50,6 @@
     let entry = root.section("entry", read_entry);
     let dispatch = root.section("dispatch", read_dispatch);
     let platform = root.section("platform", read_platform);
-    let limits = root.section("limits", read_limits);
     let timeouts = root.section("timeouts", read_timeouts);
     let log = root.section("log", read_log);
     let trace = root.section("trace", read_trace);
@@ -63,7 +62,6 @@
         entry,
         dispatch,
         platform,
-        limits,
         timeouts,
         log,
         trace,
@@ -93,7 +91,7 @@
             "metrics_listen",
             "Where the entry serves `/metrics` and `/healthz`.",
         ),
-        max_body: section.size("max_body", MIB, KIB..=64 * MIB, "Longest request body."),
+        max_body: section.size("max_body", MIB, KIB..=3 * MIB, "Longest request body."),
         max_header: section.size(
             "max_header",
             16 * KIB,
@@ -143,12 +141,6 @@
             1..=65_536,
             "Requests in flight at targets.",
         ),
-        max_queued: section.count(
-            "max_queued",
-            1024,
-            1..=65_536,
-            "Requests that wait for a target; more are refused as not run.",
-        ),
         answer_hold_bytes: section.size(
             "answer_hold_bytes",
             8 * MIB,
@@ -167,46 +159,6 @@
 fn read_platform(section: &mut SectionReader<'_, '_>) -> PlatformSettings {
     PlatformSettings {
         address: section.address("address", "Where the platform's object API answers."),
-        timeout: section.duration(
-            "timeout",
-            secs(2),
-            millis(50)..=secs(60),
-            "Time limit of one call.",
-        ),
-        watch_wait: section.duration(
-            "watch_wait",
-            secs(20),
-            millis(100)..=secs(600),
-            "How long the platform may hold a waiting watch.",
-        ),
-        retry_wait_max: section.duration(
-            "retry_wait_max",
-            secs(5),
-            millis(100)..=secs(60),
-            "Longest pause between tries during an outage.",
-        ),
-    }
-}
-
-fn read_limits(section: &mut SectionReader<'_, '_>) -> LimitSettings {
-    LimitSettings {
-        peer_rate: section.rate(
-            "peer_rate",
-            5 * KIB,
-            KIB..=MIB,
-            "Bound on control traffic of one process with its peers.",
-        ),
-        max_message: section.size(
-            "max_message",
-            2 * MIB,
-            64 * KIB..=16 * MIB,
-            "Longest message between peers; a longer one closes the connection.",
-        ),
-        retry_share: section.fraction(
-            "retry_share",
-            0.1,
-            "Retries and hedges as a share of first tries.",
-        ),
     }
 }
 
@@ -236,18 +188,6 @@
             millis(10)..=secs(30),
             "Time limit to open a connection.",
         ),
-        table_fresh: section.duration(
-            "table_fresh",
-            millis(3500),
-            millis(100)..=secs(4),
-            "How long a table counts as current after its last confirmation.",
-        ),
-        peer_suspect: section.duration(
-            "peer_suspect",
-            secs(3),
-            millis(100)..=secs(60),
-            "Silence after which a peer is suspected.",
-        ),
         peer_dead: section.duration(
             "peer_dead",
             secs(5),
--- a/crates/settings/src/units.rs
+++ b/crates/settings/src/units.rs
@@ -1,4 +1,4 @@
-//! Values with units: durations, sizes and rates as text.
+//! Values with units: durations and sizes as text.
 
 use std::time::Duration;
 
@@ -14,9 +14,6 @@
     ("B", 1),
 ];
 
-/// Suffix that turns a size into a rate.
-const RATE_SUFFIX: &str = "/s";
-
 /// Splits `text` into its digits and its unit, and multiplies them.
 fn parse_units(text: &str, units: &[(&str, u64)]) -> Option<u64> {
     let split = text.find(|c: char| !c.is_ascii_digit())?;
@@ -54,13 +51,3 @@
 pub(crate) fn format_size(bytes: u64) -> String {
     format_units(bytes, SIZE_UNITS)
 }
-
-/// Reads a rate such as `5KiB/s`, in bytes a second.
-pub(crate) fn parse_rate(text: &str) -> Option<u64> {
-    parse_size(text.strip_suffix(RATE_SUFFIX)?)
-}
-
-/// Writes a rate in bytes a second as [`parse_rate`] reads it.
-pub(crate) fn format_rate(bytes_per_s: u64) -> String {
-    format!("{}{RATE_SUFFIX}", format_size(bytes_per_s))
-}
