--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,6 +10,7 @@
 mod fault;
 mod process;
 mod reader;
+mod sections;
 mod units;
 mod verify;
 
@@ -17,7 +18,7 @@
     document::settings_table,
     fault::{SettingsError, SettingsFault},
     process::{
-        DispatchSettings, EntrySettings, LimitSettings, LogFormat, LogSettings, PlatformSettings,
-        ProcessSettings, TimeoutSettings, TraceSettings,
+        DispatchSettings, EntrySettings, LogFormat, LogSettings, PlatformSettings, ProcessSettings,
+        TimeoutSettings, TraceSettings,
     },
 };
