Drop writes whose sender died while it sent, in the stand-ins

A process killed between the head and the body of a PUT leaves a request with a length and no body, and the HTTP library hands on the shorter body as if it were whole (from some 1 KiB of announced length on); the platform stand-in then stored an empty object, so that the segment's orders were refused for good. A real platform checks the length. Change: the platform stand-in and the shared server of the other stand-ins drop such a request.

--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -147,12 +147,10 @@
     fn serve(&self, mut request: Request) {
         let mut body = Vec::new();
         let bound = MAX_VALUE_BYTES as u64 + 1;
-        if request
-            .as_reader()
-            .take(bound)
-            .read_to_end(&mut body)
-            .is_err()
-        {
+        let read = request.as_reader().take(bound).read_to_end(&mut body);
+        // A sender that died leaves a shorter body, which the library takes for the end.
+        let announced = request.body_length().unwrap_or(body.len());
+        if read.is_err() || body.len() < announced.min(MAX_VALUE_BYTES) {
             return;
         }
         let url = request.url().to_owned();
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -33,6 +33,13 @@
         let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
         let mut body = Vec::new();
         request.as_reader().read_to_end(&mut body)?;
+        // A sender that died leaves a shorter body, which the library takes for the end.
+        if request
+            .body_length()
+            .is_some_and(|length| length != body.len())
+        {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
         Ok(Self {
             method: request.method().to_string(),
             path: path.to_owned(),
