Count what the metrics page promises, and keep a confirmation for 3.5 s

Nine metrics were on the page and never counted. Four have no source and are gone; the time between tokens, waiting work, targets by state and the platform's calls and faults are counted now. At 420 processes the evidence of a majority's heads is up to 3,090 ms old (docs/CAPACITY-peers.md), so with 3 s a process that only its peers can confirm would refuse for moments; 3.5 s still leaves half a second of the 4 s.

--- a/crates/berylmount/src/membership.rs
+++ b/crates/berylmount/src/membership.rs
@@ -11,10 +11,10 @@
     feed_table, process_report, serve_table, BoardConfig, LoadLevel, MemberView, MembershipParts,
     PeerHealth, PeerMembership, PeerRecord, ProcessReport,
 };
-use berylmount_platform::ObjectStore;
+use berylmount_platform::{CallCounts, CallKind, ObjectStore};
 use berylmount_settings::ProcessSettings;
 use berylmount_table::TableReplica;
-use berylmount_telemetry::{GaugeMetric, MetricSet};
+use berylmount_telemetry::{CounterMetric, GaugeMetric, MetricSet};
 use berylmount_wire::{InboundCall, PeerClient, PeerServer, PeerService, WireConfig, WireRuntime};
 use signal_hook::{consts::SIGTERM, low_level::raise};
 use std::{
@@ -27,6 +27,7 @@
     thread,
     time::Duration,
 };
+use strum::IntoEnumIterator;
 
 /// Calls of peers that wait to be taken.
 const CALLS_WAITING: usize = 256;
@@ -67,6 +68,7 @@
     pub(crate) role: InstanceRole,
     pub(crate) settings: ProcessSettings,
     pub(crate) store: Arc<dyn ObjectStore>,
+    pub(crate) calls: Arc<CallCounts>,
     pub(crate) table: Arc<TableReplica>,
     pub(crate) metrics: Arc<MetricSet>,
     pub(crate) clock: MonotonicClock,
@@ -309,6 +311,34 @@
     own.map(|record| record.name.clone()).collect()
 }
 
+/// Carries the platform client's counts into the metrics.
+#[derive(Debug, Default)]
+struct PlatformCounter {
+    /// Calls and failures carried so far, in the order of the kinds.
+    carried: Vec<(u64, u64)>,
+}
+
+impl PlatformCounter {
+    /// Adds what came since the last time.
+    fn add(&mut self, calls: &CallCounts, metrics: &MetricSet) {
+        self.carried.resize(CallKind::iter().len(), (0, 0));
+        for (kind, carried) in CallKind::iter().zip(&mut self.carried) {
+            let now = (calls.calls(kind), calls.failures(kind));
+            let label: &str = kind.into();
+            let counters = [
+                (CounterMetric::PlatformCallsTotal, now.0 - carried.0),
+                (CounterMetric::PlatformFaultsTotal, now.1 - carried.1),
+            ];
+            for (metric, more) in counters {
+                if more > 0 {
+                    metrics.add(metric, label, more);
+                }
+            }
+            *carried = now;
+        }
+    }
+}
+
 /// Whether instances of `role` are processes of ours.
 fn is_process(role: InstanceRole) -> bool {
     match role {
@@ -319,7 +349,9 @@
 
 /// Keeps the gauges of the table and the load until the process ends.
 fn set_gauges(parts: &JoinParts, observer: &RoleObserver) {
+    let mut counted = PlatformCounter::default();
     loop {
+        counted.add(&parts.calls, &parts.metrics);
         let report = parts.table.report(parts.clock.now_ms());
         let metrics = &parts.metrics;
         metrics.set(GaugeMetric::TableVersion, "", report.applied as i64);
--- a/crates/berylmount/src/role.rs
+++ b/crates/berylmount/src/role.rs
@@ -7,7 +7,7 @@
 use berylmount_dispatch::{DispatchParts, DispatchProcess};
 use berylmount_entry::{EntryParts, EntryProcess};
 use berylmount_model::{InstanceRole, MonotonicClock};
-use berylmount_platform::{ObjectStore, PlatformClient};
+use berylmount_platform::{CallCounts, ObjectStore, PlatformClient};
 use berylmount_settings::{ProcessSettings, SettingsError};
 use berylmount_table::TableReplica;
 use berylmount_telemetry::{
@@ -82,6 +82,7 @@
     metrics: Arc<MetricSet>,
     health: Arc<HealthFlag>,
     store: Arc<dyn ObjectStore>,
+    calls: Arc<CallCounts>,
     seed: u64,
     server: MetricsServer,
     _log: LogGuard,
@@ -129,11 +130,13 @@
     let listener = TcpListener::bind(address)?;
     let server = serve_metrics(listener, Arc::clone(&metrics), Arc::clone(&health))?;
     let store = Arc::new(PlatformClient::new(settings.platform.address));
+    let calls = Arc::clone(store.counts());
     Ok(ProcessBase {
         settings,
         metrics,
         health,
         store,
+        calls,
         seed: process_seed(),
         server,
         _log: log,
@@ -255,6 +258,7 @@
             role,
             settings: self.settings.clone(),
             store: Arc::clone(&self.store),
+            calls: Arc::clone(&self.calls),
             table: Arc::clone(table),
             metrics: Arc::clone(&self.metrics),
             clock,
--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -11,7 +11,7 @@
 use berylmount_settings::ProcessSettings;
 use berylmount_table::TableReplica;
 use berylmount_targets::TargetTimeouts;
-use berylmount_telemetry::MetricSet;
+use berylmount_telemetry::{GaugeMetric, MetricSet};
 use rand_pcg::Pcg64Mcg;
 use std::{
     io,
@@ -158,6 +158,14 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner) = names;
         self.roster.apply_list(records);
+        for state in [InstanceState::Live, InstanceState::Leaving] {
+            let targets = records.iter().filter(|record| {
+                let ours = matches!(record.role, InstanceRole::Entry | InstanceRole::Dispatch);
+                !ours && record.state == state
+            });
+            let count = targets.count() as i64;
+            self.metrics.set(GaugeMetric::Targets, state.into(), count);
+        }
         for (name, group) in self.groups() {
             group.apply_runners(&self.group_records(&name), self.now_ms());
         }
--- a/crates/dispatch/src/watch.rs
+++ b/crates/dispatch/src/watch.rs
@@ -48,6 +48,8 @@
         shared.answers.drop_expired(shared.now_ms());
         let held = i64::try_from(shared.answers.bytes()).unwrap_or(i64::MAX);
         shared.metrics.set(GaugeMetric::HeldBytes, "", held);
+        let queued: usize = shared.groups().iter().map(|(_, g)| g.queued()).sum();
+        shared.metrics.set(GaugeMetric::Queued, "", queued as i64);
         thread::sleep(LOOK_INTERVAL);
     }
 }
--- a/crates/entry/src/operator_status.rs
+++ b/crates/entry/src/operator_status.rs
@@ -74,7 +74,7 @@
         "the newest table (head {}) is in force on {counts}; behind: {behind}{more}",
         report.known
     );
-    let action = "those that are behind load it, or refuse new requests within 3 s";
+    let action = "those that are behind load it, or refuse new requests within 4 s";
     StatusLine::new(StatusLevel::Notice, "table", &text, action)
 }
 
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -16,12 +16,16 @@
     RequestId, RequestVerdict,
 };
 use berylmount_policy::TargetGroup;
-use berylmount_telemetry::CounterMetric;
+use berylmount_telemetry::{CounterMetric, HistogramMetric};
 use berylmount_wire::{
     AdoptCall, PeerCall, PeerService, PromptCall, ResumeCall, StartedRun, WireFault, WorkReply,
     WorkRequest,
 };
-use std::{sync::Arc, thread, time::Duration};
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 /// Dispatch processes asked before a prompt is refused.
 const MAX_ROUTES: usize = 3;
@@ -102,6 +106,8 @@
     attempt: AttemptId,
     offset: u64,
     digest: DigestChain,
+    /// When the last token was passed on.
+    last_token: Option<Instant>,
     avoid_groups: Vec<TargetGroup>,
     avoid_members: Vec<InstanceName>,
 }
@@ -120,6 +126,7 @@
             attempt: call.attempt,
             offset: 0,
             digest: DigestChain::default(),
+            last_token: None,
             avoid_groups: Vec::new(),
             avoid_members: Vec::new(),
             call,
@@ -478,12 +485,25 @@
             let fault = WireFault::Malformed("a token is missing".to_owned());
             return Err(CallEnd::Lost(fault));
         }
+        self.note_gap();
         self.digest.add(text);
         self.offset += 1;
         self.shared.metrics.add(CounterMetric::TokensTotal, "", 1);
         sink(RelayPart::Token { offset, text }).map_err(|_| CallEnd::CallerGone)
     }
 
+    /// Measures the time since the token before.
+    fn note_gap(&mut self) {
+        let now = Instant::now();
+        if let Some(last) = self.last_token.filter(|_| self.offset > 0) {
+            let seconds = now.duration_since(last).as_secs_f64();
+            self.shared
+                .metrics
+                .observe(HistogramMetric::TokenGapSeconds, "", seconds);
+        }
+        self.last_token = Some(now);
+    }
+
     /// Checks that the answer is whole and ends it.
     fn take_end(
         &mut self,
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -87,7 +87,7 @@
     }
 
     /// The calls that this client and its clones have made.
-    pub fn counts(&self) -> &CallCounts {
+    pub fn counts(&self) -> &Arc<CallCounts> {
         &self.counts
     }
 
--- a/crates/table/src/fresh.rs
+++ b/crates/table/src/fresh.rs
@@ -57,7 +57,7 @@
 use strum::{Display, IntoStaticStr};
 
 /// How long a confirmation lasts, in milliseconds.
-pub const FRESHNESS_MS: u64 = 3_000;
+pub const FRESHNESS_MS: u64 = 3_500;
 
 /// What a process tells a peer that asks about its table.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -48,9 +48,6 @@
     /// Conditional writes of the ledger, by outcome: `stored`, `conflict`, `unknown`.
     #[strum(props(label = "outcome"))]
     LedgerWritesTotal,
-    /// Row edits by outcome: `stored`, `conflict`, `refused`, `unknown`.
-    #[strum(props(label = "outcome"))]
-    TableEditsTotal,
     /// Calls of the platform, by kind: `get`, `put`, `list`, `watch`.
     #[strum(props(label = "call"))]
     PlatformCallsTotal,
@@ -72,12 +69,9 @@
 #[derive(Clone, Copy, Debug, EnumIter, EnumMessage, EnumProperty, IntoStaticStr)]
 #[strum(serialize_all = "snake_case")]
 pub enum GaugeMetric {
-    /// Open caller connections.
-    Connections,
     /// Requests in flight.
     InFlight,
-    /// Requests that wait for a target, by class of work.
-    #[strum(props(label = "class"))]
+    /// Requests that wait for a runner.
     Queued,
     /// Bytes of answers held until they are acknowledged.
     HeldBytes,
@@ -91,8 +85,6 @@
     /// Known instances of targets, by state.
     #[strum(props(label = "state"))]
     Targets,
-    /// Orders whose outcome an operator has to settle.
-    OrdersUnsettled,
 }
 
 /// Distributions of durations in seconds.
@@ -110,9 +102,6 @@
     /// Wait for a target, by class of work.
     #[strum(props(label = "class"))]
     QueueSeconds,
-    /// Duration of a platform call, by kind.
-    #[strum(props(label = "call"))]
-    PlatformSeconds,
     /// Round trip of a membership probe.
     ProbeSeconds,
 }
