Measure memory over different prompts

scripts/slopes prompts sends up to 20,000 different prompts of one piece each and reads the memory of both processes.

--- a/crates/bench/src/bin/slopes/slopes.rs
+++ b/crates/bench/src/bin/slopes/slopes.rs
@@ -21,6 +21,12 @@
 /// How long idle processes are watched.
 const IDLE_TIME: Duration = Duration::from_secs(10);
 
+/// Different prompts in the slope over prompts, one after the other.
+const PROMPTS: [usize; 4] = [0, 1_000, 5_000, 20_000];
+
+/// Words of a prompt that has one whole piece.
+const PIECE_WORDS: usize = 1_030;
+
 /// Instances in the slope over processes; each runs two.
 const INSTANCES: [usize; 4] = [2, 4, 8, 16];
 
@@ -54,6 +60,8 @@
     Hop,
     /// Processor time for each request and token.
     Load,
+    /// Memory over the number of different prompts of one piece.
+    Prompts,
 }
 
 /// Measures `slope` with processes of `binary`.
@@ -67,6 +75,7 @@
         SlopeName::Customers => CUSTOMERS.iter().try_for_each(|&n| customer_cost(binary, n)),
         SlopeName::Hop => hop_cost(binary),
         SlopeName::Load => load_cost(binary),
+        SlopeName::Prompts => prompt_cost(binary),
     }
 }
 
@@ -239,10 +248,20 @@
     config.build().into()
 }
 
-/// Sends a streamed prompt through an entry; returns the time to the first token.
+/// Sends a short streamed prompt through an entry.
 fn ask_entry(agent: &Agent, entry: SocketAddr, tokens: usize) -> io::Result<Duration> {
+    ask_prompt(agent, entry, "which colour", tokens)
+}
+
+/// Sends a streamed prompt through an entry; returns the time to the first token.
+fn ask_prompt(
+    agent: &Agent,
+    entry: SocketAddr,
+    prompt: &str,
+    tokens: usize,
+) -> io::Result<Duration> {
     let body = json!({
-        "work": "crew-question", "prompt": "which colour", "max_tokens": tokens, "stream": true
+        "work": "crew-question", "prompt": prompt, "max_tokens": tokens, "stream": true
     });
     let begun = Instant::now();
     let answer = agent
@@ -310,6 +329,42 @@
     Ok(())
 }
 
+/// Sends the prompts numbered `from` to `to`, all different, from a few threads.
+fn send_prompts(entry: SocketAddr, from: usize, to: usize) -> io::Result<()> {
+    thread::scope(|scope| {
+        let send = move |first: usize| {
+            let agent = agent();
+            (first..to).step_by(LOAD_THREADS).try_for_each(|number| {
+                let prompt = format!("n{number} ").repeat(PIECE_WORDS);
+                ask_prompt(&agent, entry, &prompt, 1).map(drop)
+            })
+        };
+        let senders: Vec<_> = (from..from + LOAD_THREADS)
+            .map(|first| scope.spawn(move || send(first)))
+            .collect();
+        senders
+            .into_iter()
+            .try_for_each(|sender| sender.join().unwrap_or(Err(io::ErrorKind::Other.into())))
+    })
+}
+
+/// Prints the memory after ever more different prompts.
+fn prompt_cost(binary: &Path) -> io::Result<()> {
+    let fleet = start_fleet(binary, 1, 1)?;
+    let entry = fleet.callers(0);
+    let mut sent = 0;
+    for prompts in PROMPTS {
+        send_prompts(entry, sent, prompts)?;
+        sent = prompts;
+        let usage = [usages(&fleet.entries)?, usages(&fleet.dispatches)?];
+        print_line(&json!({
+            "slope": "prompts", "prompts": prompts,
+            "memory_mib": usage.map(|usage| usage[0].memory_bytes as f64 / (1 << 20) as f64),
+        }));
+    }
+    Ok(())
+}
+
 /// Prints the processor time for each request and each token.
 fn load_cost(binary: &Path) -> io::Result<()> {
     let fleet = start_fleet(binary, 1, 1)?;
