Take the bookkeeping of replies out of the relay

PromptRelay mixed what a reply means (attempt, offset, digest, known start) with sockets, metrics and the caller's sink, so it could only be tested through processes. The new AnswerAssembly holds that part alone and without I/O; the relay acts on its verdicts. Behaviour stays: the end of another attempt is still dropped without being counted as a stale frame. Resume keeps its own rule, since it may start within an answer whose beginning it never saw and goes back to an earlier attempt if the holder has that one; putting it on the same type would have changed both.

It is left as it is.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,6 +5,7 @@
 //! customer's limits, and brings the answer from a dispatch process to the
 //! caller. It owns no target.
 
+mod assembly;
 mod auth;
 mod callers;
 mod http;
@@ -24,6 +25,7 @@
 mod shared;
 
 pub use crate::{
+    assembly::{AnswerAssembly, AssemblyStep},
     auth::key_matches,
     members::{origin_of, GroupEntry, MemberEntry, MemberList, SeenInstances},
     operator_messages::{
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -7,13 +7,14 @@
 //! digest of the tokens that it passed on agree with the engine's.
 
 use crate::{
+    assembly::{AnswerAssembly, AssemblyStep},
     members::{origin_of, MemberEntry, MemberList},
     routes::{RouteQuery, WorkRoute},
     shared::EntryShared,
 };
 use berylmount_model::{
-    piece_chain, AttemptId, CallRefusal, DigestChain, InstanceName, PieceKey, RefusalReason,
-    RequestId, RequestVerdict,
+    piece_chain, AttemptId, CallRefusal, InstanceName, PieceKey, RefusalReason, RequestId,
+    RequestVerdict,
 };
 use berylmount_policy::TargetGroup;
 use berylmount_telemetry::{CounterMetric, HistogramMetric};
@@ -102,10 +103,8 @@
     ends_ms: u64,
     /// The group and process that serve it.
     route: Option<WorkRoute>,
-    started: Option<StartedRun>,
-    attempt: AttemptId,
-    offset: u64,
-    digest: DigestChain,
+    /// What of the answer was passed on.
+    assembly: AnswerAssembly,
     /// When the last token was passed on.
     last_token: Option<Instant>,
     avoid_groups: Vec<TargetGroup>,
@@ -122,10 +121,7 @@
             prompt_tokens: u32::try_from(words).unwrap_or(u32::MAX),
             ends_ms: shared.now_ms() + call.total_ms,
             route: None,
-            started: None,
-            attempt: call.attempt,
-            offset: 0,
-            digest: DigestChain::default(),
+            assembly: AnswerAssembly::new(call.attempt),
             last_token: None,
             avoid_groups: Vec::new(),
             avoid_members: Vec::new(),
@@ -157,15 +153,15 @@
                 },
                 Err(CallEnd::Lost(fault)) => fault,
             };
-            if self.offset > recovered_at {
-                (recoveries, recovered_at) = (0, self.offset);
+            if self.assembly.offset() > recovered_at {
+                (recoveries, recovered_at) = (0, self.assembly.offset());
             }
             recoveries += 1;
             if recoveries > MAX_RECOVERIES || self.left_ms() == 0 {
                 return Err(RelayFailure::Refused(lost_refusal(&fault)));
             }
             log::warn!(
-                target: "entry", attempt:% = self.attempt, offset = self.offset;
+                target: "entry", attempt:% = self.assembly.attempt(), offset = self.assembly.offset();
                 "lost the call to dispatch: {fault}; recovering"
             );
             end = match self.recover(recoveries) {
@@ -188,10 +184,10 @@
                 break;
             };
             let request = RequestId::new(origin_of(&route.member.name), self.shared.draw_count());
-            self.attempt = AttemptId {
+            self.assembly.restart(AttemptId {
                 request,
                 attempt: 0,
-            };
+            });
             match self.open_prompt(&route) {
                 Ok(call) => {
                     self.route = Some(route);
@@ -229,7 +225,7 @@
 
     /// Sends the prompt along `route`.
     fn open_prompt(&mut self, route: &WorkRoute) -> Result<PeerCall, WireFault> {
-        self.call.attempt = self.attempt;
+        self.call.attempt = self.assembly.attempt();
         self.call.data_centre = route.group.data_centre.clone();
         self.call.group = route.group.index;
         self.call.total_ms = self.left_ms();
@@ -265,25 +261,19 @@
     /// Runs the prompt again from its start, along a new route.
     fn rerun(&mut self) -> Option<PeerCall> {
         let route = self.choose_route()?;
-        if self.started.is_none() {
+        let mut attempt = self.assembly.attempt();
+        if self.assembly.started().is_none() {
             let origin = origin_of(&route.member.name);
-            self.attempt.request = RequestId::new(origin, self.shared.draw_count());
+            attempt.request = RequestId::new(origin, self.shared.draw_count());
         }
-        self.attempt.attempt = (self.attempt.attempt / RERUN_STRIDE + 1) * RERUN_STRIDE;
-        self.restart(self.attempt);
+        attempt.attempt = (attempt.attempt / RERUN_STRIDE + 1) * RERUN_STRIDE;
+        self.assembly.restart(attempt);
         self.note_retry("retry");
         let call = self.open_prompt(&route).ok()?;
         self.route = Some(route);
         Some(call)
     }
 
-    /// Forgets the tokens of an earlier attempt.
-    fn restart(&mut self, attempt: AttemptId) {
-        self.attempt = attempt;
-        self.offset = 0;
-        self.digest = DigestChain::default();
-    }
-
     /// Counts a second try.
     fn note_retry(&self, kind: &str) {
         self.shared
@@ -320,7 +310,7 @@
     /// Whether another dispatch process than `member` could go on.
     fn has_other_holder(&self, member: &MemberEntry) -> bool {
         let list = self.shared.list();
-        let holders = list.holders(self.attempt.request, &self.avoid_members);
+        let holders = list.holders(self.assembly.attempt().request, &self.avoid_members);
         holders.iter().any(|holder| holder.name != member.name)
     }
 
@@ -328,9 +318,9 @@
     fn resume(&self, member: &MemberEntry) -> Result<PeerCall, WireFault> {
         self.note_retry("resume");
         let resume = ResumeCall {
-            attempt: self.attempt,
+            attempt: self.assembly.attempt(),
             customer: self.call.customer.clone(),
-            offset: self.offset,
+            offset: self.assembly.offset(),
         };
         let request = WorkRequest::Resume(resume);
         self.shared
@@ -355,15 +345,15 @@
 
     /// Asks the next holder of the request to adopt the engine's stream.
     fn adopt(&mut self, list: &MemberList) -> Option<PeerCall> {
-        let run = self.started.as_ref()?;
-        let holders = list.holders(self.attempt.request, &self.avoid_members);
+        let run = self.assembly.started()?;
+        let holders = list.holders(self.assembly.attempt().request, &self.avoid_members);
         let member = (*holders.first()?).clone();
         let request = WorkRequest::Adopt(AdoptCall {
-            attempt: self.attempt,
+            attempt: self.assembly.attempt(),
             customer: self.call.customer.clone(),
             runner: run.runner.clone(),
             address: run.address,
-            offset: self.offset,
+            offset: self.assembly.offset(),
             total_ms: self.left_ms(),
             traceparent: self.call.traceparent.clone(),
         });
@@ -404,28 +394,40 @@
 
     /// Takes one reply in.
     fn take_reply(&mut self, reply: WorkReply, sink: PartSink<'_>) -> Result<RelayStep, CallEnd> {
-        match reply {
-            WorkReply::Started(run) => self.take_start(run, sink)?,
-            WorkReply::Token {
-                attempt,
-                offset,
-                text,
-            } => self.take_token(attempt, offset, &text, sink)?,
-            WorkReply::End {
-                attempt,
-                count,
-                digest,
-            } => return self.take_end(attempt, count, &digest, sink),
-            WorkReply::Refused(refusal) if refusal.reason == RefusalReason::NotFound => {
+        let part = match self.assembly.take(&reply) {
+            AssemblyStep::Started(run) => {
+                self.note_waits(run);
+                RelayPart::Started(run)
+            }
+            AssemblyStep::StartedAgain(run) => {
+                self.note_waits(run);
+                return Ok(RelayStep::Continue);
+            }
+            AssemblyStep::Token { offset, text } => {
+                self.note_token(offset);
+                RelayPart::Token { offset, text }
+            }
+            AssemblyStep::Whole { count, digest } => {
+                sink(RelayPart::End { count, digest }).map_err(|_| CallEnd::CallerGone)?;
+                return Ok(RelayStep::Done);
+            }
+            AssemblyStep::Stale => {
+                let metrics = &self.shared.metrics;
+                metrics.add(CounterMetric::StaleFramesTotal, "", 1);
+                return Ok(RelayStep::Continue);
+            }
+            AssemblyStep::StaleEnd => return Ok(RelayStep::Continue),
+            AssemblyStep::Refused(refusal) if refusal.reason == RefusalReason::NotFound => {
                 // The process restarted, or never had it.
-                return Err(self.not_found(refusal));
+                return Err(self.not_found(refusal.clone()));
             }
-            WorkReply::Refused(refusal) => return Err(CallEnd::Refused(refusal)),
-            WorkReply::Answer(_) => {
-                let fault = WireFault::Malformed("a service's answer to a prompt".to_owned());
+            AssemblyStep::Refused(refusal) => return Err(CallEnd::Refused(refusal.clone())),
+            AssemblyStep::Lost(detail) => {
+                let fault = WireFault::Malformed(detail.to_owned());
                 return Err(CallEnd::Lost(fault));
             }
-        }
+        };
+        sink(part).map_err(|_| CallEnd::CallerGone)?;
         Ok(RelayStep::Continue)
     }
 
@@ -438,91 +440,27 @@
         CallEnd::Lost(WireFault::Lost(refusal.detail))
     }
 
-    /// Takes in the start of a run.
-    fn take_start(&mut self, run: StartedRun, sink: PartSink<'_>) -> Result<(), CallEnd> {
-        let same = self
-            .started
-            .as_ref()
-            .is_some_and(|s| s.attempt == run.attempt);
-        if run.attempt.request != self.attempt.request || run.attempt.attempt < self.attempt.attempt
-        {
-            self.shared
-                .metrics
-                .add(CounterMetric::StaleFramesTotal, "", 1);
-            return Ok(());
-        }
-        if run.attempt != self.attempt {
-            self.restart(run.attempt);
-        }
+    /// Takes in what a start says about the waits in its group.
+    fn note_waits(&self, run: &StartedRun) {
         if let Some(route) = &self.route {
             let now_ms = self.shared.now_ms();
             self.shared
                 .routes()
                 .note_waits(&route.group, run.group_waits_ms, now_ms);
         }
-        if !same {
-            sink(RelayPart::Started(&run)).map_err(|_| CallEnd::CallerGone)?;
-        }
-        self.started = Some(run);
-        Ok(())
     }
 
-    /// Takes in one token; drops those of another attempt.
-    fn take_token(
-        &mut self,
-        attempt: AttemptId,
-        offset: u64,
-        text: &str,
-        sink: PartSink<'_>,
-    ) -> Result<(), CallEnd> {
-        if attempt != self.attempt || offset < self.offset {
-            self.shared
-                .metrics
-                .add(CounterMetric::StaleFramesTotal, "", 1);
-            return Ok(());
-        }
-        if offset > self.offset {
-            let fault = WireFault::Malformed("a token is missing".to_owned());
-            return Err(CallEnd::Lost(fault));
-        }
-        self.note_gap();
-        self.digest.add(text);
-        self.offset += 1;
-        self.shared.metrics.add(CounterMetric::TokensTotal, "", 1);
-        sink(RelayPart::Token { offset, text }).map_err(|_| CallEnd::CallerGone)
-    }
-
-    /// Measures the time since the token before.
-    fn note_gap(&mut self) {
+    /// Counts a token and measures the time since the one before.
+    fn note_token(&mut self, offset: u64) {
         let now = Instant::now();
-        if let Some(last) = self.last_token.filter(|_| self.offset > 0) {
+        let metrics = &self.shared.metrics;
+        if let Some(last) = self.last_token.filter(|_| offset > 0) {
             let seconds = now.duration_since(last).as_secs_f64();
-            self.shared
-                .metrics
-                .observe(HistogramMetric::TokenGapSeconds, "", seconds);
+            metrics.observe(HistogramMetric::TokenGapSeconds, "", seconds);
         }
+        metrics.add(CounterMetric::TokensTotal, "", 1);
         self.last_token = Some(now);
     }
-
-    /// Checks that the answer is whole and ends it.
-    fn take_end(
-        &mut self,
-        attempt: AttemptId,
-        count: u64,
-        digest: &str,
-        sink: PartSink<'_>,
-    ) -> Result<RelayStep, CallEnd> {
-        if attempt != self.attempt {
-            return Ok(RelayStep::Continue);
-        }
-        let found = self.digest.clone().finish();
-        if count != self.offset || found != digest {
-            let fault = WireFault::Malformed("count or digest differ".to_owned());
-            return Err(CallEnd::Lost(fault));
-        }
-        sink(RelayPart::End { count, digest }).map_err(|_| CallEnd::CallerGone)?;
-        Ok(RelayStep::Done)
-    }
 }
 
 /// The refusal of a request whose call was lost for good.
