Drop tokens that come before the start of their run

Seen: "not the own answer, left [], right [0of1]": the relay called an answer whole whose first token the caller had just dropped. Within one call the holder always sends the start first, so it needs a frame from another call; the caller's own check of the digest would have found it. Now such a token counts as a stale frame, and the next one is missing, so the entry resumes. Ruled out: passing the start on in silence, as the caller would then never learn the runner.

--- a/crates/entry/src/assembly.rs
+++ b/crates/entry/src/assembly.rs
@@ -48,8 +48,8 @@
 ///
 /// let attempt = AttemptId { request: RequestId::new(7, 9), attempt: 0 };
 /// let mut assembly = AnswerAssembly::new(attempt);
-/// let reply = WorkReply::Token { attempt, offset: 1, text: "late".to_owned() };
-/// assert!(!matches!(assembly.take(&reply), AssemblyStep::Token { .. }));
+/// let reply = WorkReply::Token { attempt, offset: 0, text: "early".to_owned() };
+/// assert_eq!(assembly.take(&reply), AssemblyStep::Stale);
 /// ```
 #[derive(Clone, Debug)]
 pub struct AnswerAssembly {
@@ -120,7 +120,7 @@
         if next != self.attempt {
             self.restart(next);
         }
-        let known = self.started.as_ref().is_some_and(|s| s.attempt == next);
+        let known = self.is_started();
         self.started = Some(run.clone());
         if known {
             return AssemblyStep::StartedAgain(run);
@@ -128,14 +128,23 @@
         AssemblyStep::Started(run)
     }
 
+    /// Whether the start of the attempt under way was told.
+    fn is_started(&self) -> bool {
+        let run = self.started.as_ref();
+        run.is_some_and(|run| run.attempt == self.attempt)
+    }
+
     /// Takes in one token; drops those of another attempt.
+    ///
+    /// A token before the start of its run is dropped too: the start would tell
+    /// the caller to forget it, although it was counted.
     fn take_token<'a>(
         &mut self,
         attempt: AttemptId,
         offset: u64,
         text: &'a str,
     ) -> AssemblyStep<'a> {
-        if attempt != self.attempt || offset < self.offset {
+        if attempt != self.attempt || offset < self.offset || !self.is_started() {
             return AssemblyStep::Stale;
         }
         if offset > self.offset {
