Test two planned stops under the load of 24 streams

Until now one stream was under way at a planned stop. An entry and two of three dispatch processes now stop at once while it passes 24 streams on: every answer comes whole, nobody runs again, and the three processes exit 0.

--- a/crates/berylmount/tests/answers.rs
+++ b/crates/berylmount/tests/answers.rs
@@ -279,3 +279,32 @@
     });
     assert!((0..10).all(|_| runner() == "blaze-models-1"));
 }
+
+#[test]
+fn two_planned_stops_under_load_cut_nothing() {
+    let mut fleet = slow_fleet(3, 3);
+    let entry = fleet.locate("north-crew");
+    let place = (0..3).find(|&place| fleet.callers(place) == entry).unwrap();
+    let prompts: Vec<String> = (0..24).map(|n| format!("load {n}")).collect();
+    std::thread::scope(|scope| {
+        let streams: Vec<_> = prompts
+            .iter()
+            .map(|prompt| {
+                let caller = CallerClient::new(entry, "north-crew");
+                let (first, rest) = begin(&caller, prompt);
+                scope.spawn(move || check_whole(first, rest, prompt))
+            })
+            .collect();
+        // The entry that serves them and two dispatch processes leave at once.
+        fleet.entries[place].signal("TERM").unwrap();
+        for dispatch in &fleet.dispatches[..2] {
+            dispatch.signal("TERM").unwrap();
+        }
+        for stream in streams {
+            let seen = stream.join().unwrap();
+            assert_eq!(starts(&seen), 1, "a planned stop makes nobody run again");
+        }
+    });
+    check_clean(&mut fleet.entries[place]);
+    fleet.dispatches[..2].iter_mut().for_each(check_clean);
+}
