Read the list of instances only when it has changed

At the size to design for the list is about 300 KB, so even one read a minute was 5 KB/s a process, the whole allowance for control (docs/CAPACITY.md had it as the first thing that breaks). The platform's versions are sent along now, and an unchanged list comes back as not modified; a platform that tells no version still works.

--- a/crates/berylmount/src/instance_list.rs
+++ b/crates/berylmount/src/instance_list.rs
@@ -9,7 +9,10 @@
 use berylmount_platform::{ObjectStore, StoreError};
 use berylmount_wire::{PeerCall, PeerClient, PeerService, WireFault};
 use std::{
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        atomic::{AtomicU64, Ordering},
+        Arc, Mutex, PoisonError,
+    },
     time::Duration,
 };
 
@@ -23,6 +26,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct InstanceList {
     records: Mutex<Option<Arc<Vec<InstanceRecord>>>>,
+    /// The version of the list that the platform gave last.
+    version: AtomicU64,
 }
 
 impl InstanceList {
@@ -40,7 +45,7 @@
         records
     }
 
-    /// Reads the platform's list.
+    /// Reads the platform's list; one that has not changed is not sent again.
     ///
     /// # Errors
     ///
@@ -49,7 +54,12 @@
         &self,
         store: &dyn ObjectStore,
     ) -> Result<Arc<Vec<InstanceRecord>>, StoreError> {
-        Ok(self.set(store.instances()?))
+        let known = self.version.load(Ordering::Relaxed);
+        let Some(listing) = store.instances_after(known)? else {
+            return Ok(self.records().unwrap_or_default());
+        };
+        self.version.store(listing.version, Ordering::Relaxed);
+        Ok(self.set(listing.records))
     }
 
     /// Asks live members for their list, if this process never had one.
--- a/crates/berylmount/src/membership.rs
+++ b/crates/berylmount/src/membership.rs
@@ -39,13 +39,12 @@
 const MIN_LIST_INTERVAL_MS: u64 = 1_000;
 
 /// Longest time between two reads of the platform's list, in milliseconds.
-const MAX_LIST_INTERVAL_MS: u64 = 60_000;
+const MAX_LIST_INTERVAL_MS: u64 = 5_000;
 
 /// Time between reads of the list for each instance in it, in milliseconds.
 ///
-/// The list grows with the fleet and every process reads it, so its share of
-/// the control traffic is kept even by reading a long list less often.
-const LIST_INTERVAL_PER_INSTANCE_MS: u64 = 40;
+/// Every process asks for the list, so a larger fleet asks less often.
+const LIST_INTERVAL_PER_INSTANCE_MS: u64 = 5;
 
 /// Time between two updates of the gauges.
 const GAUGE_INTERVAL: Duration = Duration::from_millis(100);
--- a/crates/berylmount/tests/answers.rs
+++ b/crates/berylmount/tests/answers.rs
@@ -267,17 +267,12 @@
         let lines = read_lines(post_prompt(&caller, &body));
         lines[0]["runner"].as_str().unwrap().to_owned()
     };
-    // The list lags: wait for the first prompts to move, then all must stay.
-    let mut stayed = 0;
-    wait_until("prompts leave the leaving runner", || {
-        stayed = if runner() == "blaze-models-1" {
-            stayed + 1
-        } else {
-            0
-        };
-        stayed == 10
+    // The list lags: from when dispatch has read it, no prompt may go there.
+    wait_until("dispatch has read that the runner leaves", || {
+        let page = fleet.dispatches[0].metrics_page();
+        page.contains("berylmount_targets{state=\"leaving\"} 1")
     });
-    assert!((0..10).all(|_| runner() == "blaze-models-1"));
+    assert!((0..20).all(|_| runner() == "blaze-models-1"));
 }
 
 #[test]
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -14,8 +14,9 @@
 //! After a call without an answer the idle connections are dropped: what made
 //! one silent may have made all of them silent, while new ones work.
 
-use crate::{CallCounts, CallKind, ObjectHead, ObjectStore, StoreError, StoredObject};
-use berylmount_model::InstanceRecord;
+use crate::{
+    CallCounts, CallKind, InstanceListing, ObjectHead, ObjectStore, StoreError, StoredObject,
+};
 use serde::de::DeserializeOwned;
 use std::{
     net::SocketAddr,
@@ -124,10 +125,7 @@
             .call()
             .map_err(|error| read_error(&error))?;
         match response.status() {
-            StatusCode::OK => {
-                let bytes = read_body(&mut response, LISTING_BOUND)?;
-                serde_json::from_slice(&bytes).map_err(|_| StoreError::Malformed)
-            }
+            StatusCode::OK => read_listing(&mut response),
             status => Err(read_status(status)),
         }
     }
@@ -217,9 +215,25 @@
         self.counted(CallKind::List, || self.listing(&url))
     }
 
-    fn instances(&self) -> Result<Vec<InstanceRecord>, StoreError> {
+    fn instances_after(&self, version: u64) -> Result<Option<InstanceListing>, StoreError> {
         let url = format!("{}/instances", self.base);
-        self.counted(CallKind::Instances, || self.listing(&url))
+        self.counted(CallKind::Instances, || {
+            let request = self.agent().get(&url);
+            let request = match version {
+                0 => request,
+                version => request.header(header::IF_NONE_MATCH, etag(version)),
+            };
+            let mut response = request.call().map_err(|error| read_error(&error))?;
+            match response.status() {
+                StatusCode::OK => {
+                    let version = read_version(response.headers()).unwrap_or(0);
+                    let records = read_listing(&mut response)?;
+                    Ok(Some(InstanceListing { version, records }))
+                }
+                StatusCode::NOT_MODIFIED => Ok(None),
+                status => Err(read_status(status)),
+            }
+        })
     }
 }
 
@@ -249,6 +263,12 @@
     read_version(headers).map(|current| StoreError::Conflict { current })
 }
 
+/// Reads a listing.
+fn read_listing<T: DeserializeOwned>(response: &mut Response<Body>) -> Result<T, StoreError> {
+    let bytes = read_body(response, LISTING_BOUND)?;
+    serde_json::from_slice(&bytes).map_err(|_| StoreError::Malformed)
+}
+
 /// Reads a body up to `bound` bytes.
 fn read_body(response: &mut Response<Body>, bound: u64) -> Result<Vec<u8>, StoreError> {
     let body = response.body_mut().with_config().limit(bound).read_to_vec();
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -21,5 +21,5 @@
     client::PlatformClient,
     counts::{CallCounts, CallKind},
     lease::{HeldLease, PlatformLease},
-    store::{ObjectHead, ObjectStore, StoreError, StoredObject, MAX_VALUE_BYTES},
+    store::{InstanceListing, ObjectHead, ObjectStore, StoreError, StoredObject, MAX_VALUE_BYTES},
 };
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -56,6 +56,15 @@
     Malformed,
 }
 
+/// The platform's list of instances.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct InstanceListing {
+    /// Tells this list from others; zero if the platform does not say.
+    pub version: u64,
+    /// The instances.
+    pub records: Vec<InstanceRecord>,
+}
+
 /// The platform's object API.
 pub trait ObjectStore: Send + Sync {
     /// Reads an object; `None` if it does not exist.
@@ -105,10 +114,24 @@
     /// `Unavailable` or `Malformed`.
     fn list(&self, prefix: &str) -> Result<Vec<ObjectHead>, StoreError>;
 
-    /// Lists live and leaving instances; the list lags.
+    /// Reads the list of live and leaving instances, if it is not the one of
+    /// `version`; the list lags.
+    ///
+    /// Version zero stands for no list, and for a list whose version the
+    /// platform does not tell.
+    ///
+    /// # Errors
+    ///
+    /// `Unavailable` or `Malformed`.
+    fn instances_after(&self, version: u64) -> Result<Option<InstanceListing>, StoreError>;
+
+    /// Reads the list of live and leaving instances; the list lags.
     ///
     /// # Errors
     ///
     /// `Unavailable` or `Malformed`.
-    fn instances(&self) -> Result<Vec<InstanceRecord>, StoreError>;
+    fn instances(&self) -> Result<Vec<InstanceRecord>, StoreError> {
+        let listing = self.instances_after(0)?;
+        Ok(listing.map_or_else(Vec::new, |listing| listing.records))
+    }
 }
--- a/crates/platform/tests/client.rs
+++ b/crates/platform/tests/client.rs
@@ -195,3 +195,14 @@
     let cut = b"HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 9\r\n\r\nx";
     assert_eq!(rude_server(cut).get("a"), Err(StoreError::Unavailable));
 }
+
+#[test]
+fn an_unchanged_list_of_instances_is_not_sent_again() {
+    let (server, client) = start();
+    server.store().set_instances(&[]);
+    let listing = client.instances_after(0).unwrap().unwrap();
+    assert_eq!(client.instances_after(listing.version), Ok(None));
+    server.store().set_instances(&[]);
+    let newer = client.instances_after(listing.version).unwrap().unwrap();
+    assert!(newer.version > listing.version);
+}
--- a/crates/standins/src/fleet.rs
+++ b/crates/standins/src/fleet.rs
@@ -392,7 +392,7 @@
             wait_until("an entry that has the table", || has_table(address));
             let processes = self.entries.len() + self.dispatches.len();
             wait_until("an entry that knows every process", || {
-                live_members(entry.addresses.metrics) == processes
+                live_members(entry) == processes
             });
         }
     }
@@ -445,11 +445,9 @@
     answer.is_ok_and(|answer| answer.status() == 404)
 }
 
-/// Live processes that the process with the metrics at `address` knows.
-fn live_members(address: SocketAddr) -> usize {
-    let page = http_agent().get(format!("http://{address}/metrics")).call();
-    let page = page.and_then(|mut page| page.body_mut().read_to_string());
-    let page = page.unwrap_or_default();
+/// Live processes that `process` knows.
+fn live_members(process: &TestProcess) -> usize {
+    let page = process.metrics_page();
     let mut lines = page.lines();
     let count = lines.find_map(|line| line.strip_prefix("berylmount_members{state=\"live\"} "));
     count.and_then(|count| count.parse().ok()).unwrap_or(0)
--- a/crates/standins/src/memory.rs
+++ b/crates/standins/src/memory.rs
@@ -5,7 +5,8 @@
 
 use berylmount_model::InstanceRecord;
 use berylmount_platform::{
-    CallCounts, CallKind, ObjectHead, ObjectStore, StoreError, StoredObject, MAX_VALUE_BYTES,
+    CallCounts, CallKind, InstanceListing, ObjectHead, ObjectStore, StoreError, StoredObject,
+    MAX_VALUE_BYTES,
 };
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -36,7 +37,7 @@
 struct StoreState {
     objects: BTreeMap<String, StoredObject>,
     last_version: u64,
-    instances: Vec<InstanceRecord>,
+    instances: InstanceListing,
     outage: bool,
     write_faults: VecDeque<WriteFault>,
     late_writes: Vec<LateWrite>,
@@ -168,7 +169,9 @@
 
     /// Sets the list of instances.
     pub fn set_instances(&self, instances: &[InstanceRecord]) {
-        self.lock().instances = instances.to_vec();
+        let mut state = self.lock();
+        state.instances.version += 1;
+        state.instances.records = instances.to_vec();
     }
 }
 
@@ -252,8 +255,9 @@
         Ok(heads.collect())
     }
 
-    fn instances(&self) -> Result<Vec<InstanceRecord>, StoreError> {
+    fn instances_after(&self, version: u64) -> Result<Option<InstanceListing>, StoreError> {
         let state = self.call(CallKind::Instances)?;
-        Ok(state.instances.clone())
+        let known = version > 0 && version == state.instances.version;
+        Ok((!known).then(|| state.instances.clone()))
     }
 }
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -179,8 +179,11 @@
         body: &[u8],
     ) -> Result<Answer, StoreError> {
         if path == "/instances" {
-            let instances = self.store.instances()?;
-            return Ok((200, None, to_json(&instances)));
+            let known = known_version(request).unwrap_or(0);
+            return Ok(match self.store.instances_after(known)? {
+                Some(listing) => (200, Some(listing.version), to_json(&listing.records)),
+                None => (304, None, vec![]),
+            });
         }
         if path == "/objects" {
             let prefix = parameter(query, "prefix").unwrap_or("");
@@ -263,15 +266,21 @@
     parameter(query, name)?.parse().ok()
 }
 
+fn header<'a>(request: &'a Request, name: &'static str) -> Option<&'a str> {
+    let mut headers = request.headers().iter().filter(|h| h.field.equiv(name));
+    headers.next().map(|header| header.value.as_str())
+}
+
+fn known_version(request: &Request) -> Option<u64> {
+    let tag = header(request, "If-None-Match")?;
+    tag.trim_matches('"').parse().ok()
+}
+
 fn expected_version(request: &Request) -> Result<u64, StoreError> {
-    let value = |name: &'static str| {
-        let mut headers = request.headers().iter().filter(|h| h.field.equiv(name));
-        headers.next().map(|header| header.value.as_str())
-    };
-    if value("If-None-Match") == Some("*") {
+    if header(request, "If-None-Match") == Some("*") {
         return Ok(0);
     }
-    let tag = value("If-Match").ok_or(StoreError::Malformed)?;
+    let tag = header(request, "If-Match").ok_or(StoreError::Malformed)?;
     tag.trim_matches('"')
         .parse()
         .map_err(|_| StoreError::Malformed)
--- a/crates/standins/src/process.rs
+++ b/crates/standins/src/process.rs
@@ -79,6 +79,15 @@
         self.child.id()
     }
 
+    /// The page of metrics, empty if the process does not answer.
+    pub fn metrics_page(&self) -> String {
+        let url = format!("http://{}/metrics", self.addresses.metrics);
+        let config = ureq::Agent::config_builder().timeout_global(Some(LONG));
+        let page = ureq::Agent::from(config.build()).get(url).call();
+        let page = page.and_then(|mut page| page.body_mut().read_to_string());
+        page.unwrap_or_default()
+    }
+
     /// Sends a signal by its name, such as `STOP`.
     ///
     /// # Errors
--- a/crates/table/tests/edits.rs
+++ b/crates/table/tests/edits.rs
@@ -2,10 +2,12 @@
 #![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
 
 use berylmount_model::{
-    CustomerName, CustomerRow, InstanceRecord, LimitRow, ModelName, ModelRow, RowKey, TableRow,
-    VersionName, WorkName,
+    CustomerName, CustomerRow, LimitRow, ModelName, ModelRow, RowKey, TableRow, VersionName,
+    WorkName,
+};
+use berylmount_platform::{
+    InstanceListing, ObjectHead, ObjectStore, StoreError, StoredObject, MAX_VALUE_BYTES,
 };
-use berylmount_platform::{ObjectHead, ObjectStore, StoreError, StoredObject, MAX_VALUE_BYTES};
 use berylmount_standins::{MemoryStore, WriteFault};
 use berylmount_table::{
     shard_index, shard_key, EditError, HeadObject, ReplicaError, RowChange, TableEdit, TableEditor,
@@ -80,8 +82,8 @@
     fn list(&self, prefix: &str) -> Result<Vec<ObjectHead>, StoreError> {
         self.store.list(prefix)
     }
-    fn instances(&self) -> Result<Vec<InstanceRecord>, StoreError> {
-        self.store.instances()
+    fn instances_after(&self, version: u64) -> Result<Option<InstanceListing>, StoreError> {
+        self.store.instances_after(version)
     }
 }
 
--- a/crates/table/tests/fuzz_table.rs
+++ b/crates/table/tests/fuzz_table.rs
@@ -7,7 +7,7 @@
 #![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
 
 use berylmount_model::{InstanceName, ModelName, ModelRow, RowKey, TableRow, VersionName};
-use berylmount_platform::{ObjectStore, StoreError, StoredObject};
+use berylmount_platform::{InstanceListing, ObjectStore, StoreError, StoredObject};
 use berylmount_standins::{MemoryStore, WriteFault};
 use berylmount_table::{
     shard_index, shard_key, EditError, PeerReport, RowChange, ShardDocument, TableEdit,
@@ -156,8 +156,8 @@
     fn list(&self, prefix: &str) -> Result<Vec<berylmount_platform::ObjectHead>, StoreError> {
         self.store()?.list(prefix)
     }
-    fn instances(&self) -> Result<Vec<berylmount_model::InstanceRecord>, StoreError> {
-        self.store()?.instances()
+    fn instances_after(&self, version: u64) -> Result<Option<InstanceListing>, StoreError> {
+        self.store()?.instances_after(version)
     }
 }
 
