Serve until the planned stop in one place for both roles

Both roles repeated the same nine lines: announce, be ready, wait, leave, stop, say goodbye. One function now does it with the role's own stop passed in.

--- a/crates/berylmount/src/role.rs
+++ b/crates/berylmount/src/role.rs
@@ -3,7 +3,7 @@
 //! Once it listens, the process prints its addresses as one line of JSON. A
 //! SIGTERM or SIGINT is the planned stop.
 
-use crate::membership::{join_peers, JoinParts, PeerListener, RoleObserver};
+use crate::membership::{join_peers, JoinParts, JoinedProcess, PeerListener, RoleObserver};
 use berylmount_dispatch::{DispatchParts, DispatchProcess};
 use berylmount_entry::{EntryParts, EntryProcess};
 use berylmount_model::{InstanceRole, MonotonicClock};
@@ -190,19 +190,13 @@
     };
     let parts = base.join_parts(InstanceRole::Entry, &table, clock, &runtime);
     let joined = join_peers(parts, listener, Some(entry.address()), observer, None)?;
-    announce(&ListenLine {
+    let line = ListenLine {
         callers: Some(entry.address()),
         operators: Some(entry.operators_address()),
         peers,
         metrics: base.server.address(),
-    })?;
-    base.health.set(HealthState::Ready);
-    wait_for_stop()?;
-    base.health.set(HealthState::Leaving);
-    joined.leave();
-    let clean = entry.stop();
-    joined.stop();
-    Ok(end(clean))
+    };
+    serve_until_stop(&base, &joined, &line, || entry.stop())
 }
 
 /// Runs the dispatch role; returns whether it stopped without cutting requests.
@@ -230,17 +224,28 @@
     };
     let parts = base.join_parts(InstanceRole::Dispatch, &table, clock, &runtime);
     let joined = join_peers(parts, listener, None, observer, Some(work))?;
-    announce(&ListenLine {
+    let line = ListenLine {
         callers: None,
         operators: None,
         peers,
         metrics: base.server.address(),
-    })?;
+    };
+    serve_until_stop(&base, &joined, &line, || dispatch.stop())
+}
+
+/// Serves until the planned stop; returns whether it cut no request.
+fn serve_until_stop(
+    base: &ProcessBase,
+    joined: &JoinedProcess,
+    line: &ListenLine,
+    stop: impl FnOnce() -> bool,
+) -> Result<bool, StartFault> {
+    announce(line)?;
     base.health.set(HealthState::Ready);
     wait_for_stop()?;
     base.health.set(HealthState::Leaving);
     joined.leave();
-    let clean = dispatch.stop();
+    let clean = stop();
     joined.stop();
     Ok(end(clean))
 }
