Carry the trace to plain services, and blame no runner for its version

The caller's trace ended at the dispatch process for orders and reads: it had no span there and the service got no traceparent. Both have one now. A runner that refused an attempt because it serves another version was counted as failed: it lost work as a straggler and the retry came out of the budget. It counts as not suited now, as a leaving one does. Measured: a raw listener hears the traceparent; each process logs two spans of one trace; weights and answers pass.

--- a/crates/berylmount/tests/path.rs
+++ b/crates/berylmount/tests/path.rs
@@ -34,11 +34,19 @@
         .header("traceparent", format!("00-{trace}-b7ad6b7169203331-01"))
         .send_json(json!({"work": "crew-question", "prompt": "a", "max_tokens": 1}));
     assert_eq!(answer.unwrap().status(), 200);
+    let read = ureq::get(format!(
+        "http://{}/v1/reads/inventory/paint",
+        fleet.callers(0)
+    ))
+    .header("authorization", format!("Bearer north-crew:{CUSTOMER_KEY}"))
+    .header("traceparent", format!("00-{trace}-b7ad6b7169203331-01"))
+    .call();
+    assert_eq!(read.unwrap().status(), 200);
     for role in ["entry", "dispatch"] {
         wait_until("the hop's span is logged", || {
             let log = fleet.log(role, 0);
             let spans = log.lines().filter(|line| line.contains(trace));
-            spans.count() == 1
+            spans.count() == 2
         });
     }
 }
--- a/crates/dispatch/src/orders.rs
+++ b/crates/dispatch/src/orders.rs
@@ -160,7 +160,7 @@
             call: limit,
             ..self.targets.timeouts
         };
-        ServiceClient::new(address, timeouts)
+        ServiceClient::new(address, timeouts).with_traceparent(&self.call.traceparent)
     }
 
     /// Records the answer of a call.
--- a/crates/dispatch/src/run.rs
+++ b/crates/dispatch/src/run.rs
@@ -45,7 +45,7 @@
     runner: Option<InstanceName>,
     /// Whether another attempt makes sense.
     may_retry: bool,
-    /// Whether it costs nothing, because the runner was only leaving.
+    /// Whether it costs nothing, because the runner only was not the one for it.
     is_free: bool,
 }
 
@@ -428,7 +428,7 @@
             },
             runner: Some(grant.runner.clone()),
             may_retry: true,
-            is_free: leaving && fault.verdict == RequestVerdict::NotRun,
+            is_free: is_unsuited(fault),
         }
     }
 
@@ -441,6 +441,15 @@
     }
 }
 
+/// Whether the runner is healthy and only not the one for this attempt.
+fn is_unsuited(fault: &TargetFault) -> bool {
+    let unsuited = matches!(
+        fault.kind,
+        FaultKind::Rejected(RejectReason::Leaving | RejectReason::WrongVersion)
+    );
+    unsuited && fault.verdict == RequestVerdict::NotRun
+}
+
 /// Whether the engine may go on with the stream after `fault`.
 pub(crate) fn is_resumable(fault: &TargetFault) -> bool {
     let kept = matches!(
--- a/crates/dispatch/src/services.rs
+++ b/crates/dispatch/src/services.rs
@@ -6,7 +6,7 @@
 };
 use berylmount_model::{CallRefusal, InstanceRole, PoolName, RefusalReason};
 use berylmount_targets::{FaultKind, RejectReason, ServiceClient, TargetFault};
-use berylmount_telemetry::CounterMetric;
+use berylmount_telemetry::{next_traceparent, root_span, CounterMetric};
 use berylmount_wire::{AnswerBody, OrderCall, ReadCall, WorkReply};
 use std::{net::SocketAddr, time::Duration};
 
@@ -21,6 +21,8 @@
     if let Err(refusal) = shared.check_room() {
         return WorkReply::Refused(refusal);
     }
+    let span = root_span("dispatch", Some(&read.traceparent), 0.0);
+    let traceparent = next_traceparent(&span).unwrap_or_default();
     let limit = Duration::from_millis(read.total_ms);
     let addresses = live_services(shared, &read.pool);
     let mut refusal = CallRefusal::not_run(
@@ -30,6 +32,7 @@
     );
     for address in addresses.into_iter().take(MAX_READ_TRIES) {
         let client = ServiceClient::new(address, shared.target_timeouts());
+        let client = client.with_traceparent(&traceparent);
         match client.read(&read.path, limit) {
             Ok(value) => {
                 return WorkReply::Answer(AnswerBody {
@@ -86,7 +89,12 @@
         timeouts: shared.target_timeouts(),
         on_fault: &|address, fault| note_leaving(shared, address, fault),
     };
-    let outcome = run_order(&shared.ledger, &targets, &shared.clock, order);
+    let span = root_span("dispatch", Some(&order.traceparent), 0.0);
+    let order = OrderCall {
+        traceparent: next_traceparent(&span).unwrap_or_default(),
+        ..order.clone()
+    };
+    let outcome = run_order(&shared.ledger, &targets, &shared.clock, &order);
     let label = match &outcome {
         Ok(answer) if answer.recorded => "recorded",
         Ok(_) => "ran",
--- a/crates/targets/src/http.rs
+++ b/crates/targets/src/http.rs
@@ -62,6 +62,8 @@
     address: SocketAddr,
     agent: Agent,
     timeouts: TargetTimeouts,
+    /// The trace's context that whole calls carry, empty for none.
+    traceparent: String,
 }
 
 impl HttpCaller {
@@ -82,9 +84,16 @@
             address,
             agent: config.into(),
             timeouts,
+            traceparent: String::new(),
         }
     }
 
+    /// The same caller, whose whole calls carry a trace's context.
+    pub(crate) fn with_traceparent(mut self, traceparent: &str) -> Self {
+        traceparent.clone_into(&mut self.traceparent);
+        self
+    }
+
     /// Where it calls.
     pub(crate) fn address(&self) -> SocketAddr {
         self.address
@@ -150,7 +159,7 @@
             None => Vec::new(),
         };
         let limit = limit.unwrap_or(self.timeouts.call);
-        let answer = self.send(method, path, &bytes, "", Some(limit))?;
+        let answer = self.send(method, path, &bytes, &self.traceparent, Some(limit))?;
         let bytes = read_body(answer)?;
         serde_json::from_slice(&bytes).map_err(|e| TargetFault::bad_answer(&e.to_string()))
     }
--- a/crates/targets/src/service.rs
+++ b/crates/targets/src/service.rs
@@ -54,6 +54,22 @@
         }
     }
 
+    /// The same client, whose calls carry a trace's context.
+    ///
+    /// ```
+    /// use berylmount_targets::{ServiceClient, TargetTimeouts};
+    ///
+    /// let address = "127.0.0.1:1".parse().unwrap();
+    /// let client = ServiceClient::new(address, TargetTimeouts::default());
+    /// let traced = client.with_traceparent("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01");
+    /// assert_eq!(traced.address(), address);
+    /// ```
+    pub fn with_traceparent(self, traceparent: &str) -> Self {
+        Self {
+            caller: self.caller.with_traceparent(traceparent),
+        }
+    }
+
     /// The service's address.
     pub fn address(&self) -> SocketAddr {
         self.caller.address()
--- a/crates/targets/tests/service_calls.rs
+++ b/crates/targets/tests/service_calls.rs
@@ -75,3 +75,22 @@
     assert_eq!(read["path"], "/v1/reads/stock/red-paint");
     assert!(client.read("../admin/report", LIMIT).is_err());
 }
+
+#[test]
+fn a_call_carries_the_traces_context() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let trace = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    let heard = std::thread::spawn(move || {
+        let (stream, _) = listener.accept().unwrap();
+        let lines = std::io::BufRead::lines(std::io::BufReader::new(stream));
+        let mut lines = lines
+            .map(Result::unwrap)
+            .take_while(|line| !line.is_empty());
+        lines.any(|line| line == format!("traceparent: {trace}"))
+    });
+    let client = ServiceClient::new(address, TargetTimeouts::default()).with_traceparent(trace);
+    // The listener gives no answer; only what it heard counts.
+    let _ = client.read("paint", Duration::from_secs(5));
+    assert!(heard.join().unwrap());
+}
