Test a paused dispatch process, two faults at once and slow links

A dispatch process that is stopped and woken, a cut call together with a silent runner, and 30 ms a chunk on every hop: each answer comes whole, adopted or resumed and not run again.

--- a/crates/berylmount/tests/answers.rs
+++ b/crates/berylmount/tests/answers.rs
@@ -4,7 +4,7 @@
 
 use berylmount_model::InstanceState;
 use berylmount_standins::{
-    expected_answer, wait_until, EngineConfig, FleetConfig, TestFleet, TestProcess,
+    expected_answer, wait_until, EngineConfig, FleetConfig, ProxyFaults, TestFleet, TestProcess,
 };
 use common::{
     answer, authority_rows, binary, joined_text, lines, post_prompt, read_lines, CallerClient,
@@ -99,6 +99,31 @@
     assert_eq!(starts(&seen), 1, "the stream was adopted, not run again");
 }
 
+#[test]
+fn survives_a_pause_of_its_dispatch_process() {
+    let fleet = slow_fleet(2, 1);
+    let caller = CallerClient::new(fleet.locate("north-crew"), "north-crew");
+    let (first, rest) = begin(&caller, "pause dispatch");
+    let place = holder(&fleet, &first);
+    fleet.dispatches[place].signal("STOP").unwrap();
+    let seen = check_whole(first, rest, "pause dispatch");
+    assert_eq!(starts(&seen), 1, "the stream was adopted, not run again");
+    // Awake again, it serves on.
+    fleet.dispatches[place].signal("CONT").unwrap();
+    let (first, rest) = begin(&caller, "after the pause");
+    check_whole(first, rest, "after the pause");
+}
+
+#[test]
+fn survives_a_cut_dispatch_process_and_a_silent_runner_at_once() {
+    let fleet = slow_fleet(1, 1);
+    let caller = CallerClient::new(fleet.locate("north-crew"), "north-crew");
+    let (first, rest) = begin(&caller, "two faults");
+    fleet.dispatch_proxies[0].cut();
+    fleet.engine_proxies[0].freeze();
+    check_whole(first, rest, "two faults");
+}
+
 #[test]
 fn survives_a_silent_connection_to_its_dispatch_process() {
     let fleet = slow_fleet(1, 1);
@@ -127,6 +152,21 @@
     assert_eq!(starts(&seen), 1, "the stream was resumed, not run again");
 }
 
+#[test]
+fn survives_slow_links() {
+    let fleet = slow_fleet(1, 1);
+    for proxy in fleet.dispatch_proxies.iter().chain(&fleet.engine_proxies) {
+        proxy.set(ProxyFaults {
+            delay_ms: 30,
+            ..ProxyFaults::default()
+        });
+    }
+    let caller = CallerClient::new(fleet.locate("north-crew"), "north-crew");
+    let (first, rest) = begin(&caller, "slow links");
+    let seen = check_whole(first, rest, "slow links");
+    assert_eq!(starts(&seen), 1, "a slow link is no lost one");
+}
+
 #[test]
 fn survives_the_end_of_its_runner() {
     let mut fleet = slow_fleet(1, 2);
