Check the attempt of every frame of a resumed answer

A caller's resume checked the offset of a token and not its attempt, so it rested on the order of frames within one call alone. A frame of another attempt now ends the call, which is asked for again. Measured: the tests of resuming pass; no test failed before, as one holder sends frames in order.

--- a/crates/entry/src/resume.rs
+++ b/crates/entry/src/resume.rs
@@ -110,12 +110,20 @@
                     self.take_start(&run);
                     sink(RelayPart::Started(&run))
                 }
-                Ok(WorkReply::Token { offset, text, .. }) if offset == self.offset => {
+                Ok(WorkReply::Token {
+                    attempt,
+                    offset,
+                    text,
+                }) if (attempt, offset) == (self.attempt, self.offset) => {
                     self.offset += 1;
                     let text = &text;
                     sink(RelayPart::Token { offset, text })
                 }
-                Ok(WorkReply::End { count, digest, .. }) if count == self.offset => {
+                Ok(WorkReply::End {
+                    attempt,
+                    count,
+                    digest,
+                }) if (attempt, count) == (self.attempt, self.offset) => {
                     let digest = &digest;
                     sink(RelayPart::End { count, digest }).map_err(|_| RelayFailure::CallerGone)?;
                     return Ok(ResumeEnd::Done);
