--- a/crates/berylmount/src/role.rs
+++ b/crates/berylmount/src/role.rs
@@ -186,7 +186,7 @@
     let observer = RoleObserver {
         list: Box::new(move |records| listing.apply_records(records)),
         view: Box::new(move |view| viewing.apply_view(view)),
-        in_flight: Box::new(move || counting.in_flight()),
+        in_flight: Box::new(move || counting.gate.in_flight()),
     };
     let parts = base.join_parts(InstanceRole::Entry, &table, clock, &runtime);
     let joined = join_peers(parts, listener, Some(entry.address()), observer, None)?;
@@ -220,7 +220,7 @@
     let observer = RoleObserver {
         list: Box::new(move |records| listing.apply_list(records)),
         view: Box::new(|_| {}),
-        in_flight: Box::new(move || counting.in_flight()),
+        in_flight: Box::new(move || counting.gate.in_flight()),
     };
     let parts = base.join_parts(InstanceRole::Dispatch, &table, clock, &runtime);
     let joined = join_peers(parts, listener, None, observer, Some(work))?;
--- a/crates/dispatch/src/process.rs
+++ b/crates/dispatch/src/process.rs
@@ -4,7 +4,7 @@
     calls::serve_calls,
     kept::serve_wishes,
     order_sweep::sweep_orders,
-    shared::{DispatchParts, DispatchShared, LOOK_INTERVAL},
+    shared::{DispatchParts, DispatchShared},
     watch::{read_list, watch_groups},
     weights::watch_weights,
 };
@@ -64,15 +64,13 @@
     ///
     /// Returns whether everything ended within the drain time.
     pub fn stop(self) -> bool {
-        self.shared.drain();
-        log::info!(target: "dispatch", in_flight = self.shared.in_flight(); "draining");
+        self.shared.gate.drain();
+        log::info!(target: "dispatch", in_flight = self.shared.gate.in_flight(); "draining");
         let end = Instant::now() + self.shared.settings.timeouts.drain;
-        while self.shared.in_flight() > 0 && Instant::now() < end {
-            thread::sleep(LOOK_INTERVAL);
-        }
+        let idle = self.shared.gate.wait_idle(end);
         let rest = end.saturating_duration_since(Instant::now());
         self.shared.ledger.stop(rest.max(OWED_WAIT));
-        self.shared.in_flight() == 0
+        idle
     }
 }
 
--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -11,15 +11,11 @@
 use berylmount_settings::ProcessSettings;
 use berylmount_table::TableReplica;
 use berylmount_targets::TargetTimeouts;
-use berylmount_telemetry::{GaugeMetric, MetricSet};
+use berylmount_telemetry::{GaugeMetric, MetricSet, WorkGate};
 use rand_pcg::Pcg64Mcg;
 use std::{
     io,
-    sync::{
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-        mpsc::Receiver,
-        Arc, Mutex, MutexGuard, PoisonError,
-    },
+    sync::{mpsc::Receiver, Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -82,10 +78,8 @@
     groups: Mutex<Vec<(TargetGroup, Arc<RunnerGroup>)>>,
     /// Decides on retries.
     retries: Mutex<RetryState>,
-    /// Calls being served.
-    in_flight: AtomicUsize,
-    /// Whether the process is stopping.
-    draining: AtomicBool,
+    /// Counts calls, and lets the process drain.
+    pub gate: Arc<WorkGate>,
 }
 
 impl DispatchShared {
@@ -123,8 +117,7 @@
                 budget: RetryBudget::default(),
                 rng: Pcg64Mcg::new(seed.into()),
             }),
-            in_flight: AtomicUsize::new(0),
-            draining: AtomicBool::new(false),
+            gate: Arc::default(),
             settings,
         };
         Ok((shared, wishes))
@@ -218,41 +211,20 @@
         records
     }
 
-    /// Starts to stop: new work is refused from now on.
-    pub fn drain(&self) {
-        self.draining.store(true, Ordering::SeqCst);
-    }
-
-    /// Whether the process is stopping.
-    pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::SeqCst)
-    }
-
-    /// Calls being served.
-    pub fn in_flight(&self) -> usize {
-        self.in_flight.load(Ordering::SeqCst)
-    }
-
-    /// Counts a call in until the returned guard is dropped.
-    pub fn count_call(self: &Arc<Self>) -> CallGuard {
-        self.in_flight.fetch_add(1, Ordering::SeqCst);
-        CallGuard(Arc::clone(self))
-    }
-
     /// Refuses new work while the process is stopping or full.
     ///
     /// # Errors
     ///
     /// Returns the refusal.
     pub fn check_room(&self) -> Result<(), CallRefusal> {
-        if self.is_draining() {
+        if self.gate.is_draining() {
             return Err(CallRefusal::not_run(
                 RefusalReason::Redirected,
                 "the dispatch process is stopping",
                 DRAINING_RETRY_MS,
             ));
         }
-        if self.in_flight() > self.settings.dispatch.max_in_flight {
+        if self.gate.in_flight() > self.settings.dispatch.max_in_flight {
             return Err(CallRefusal::not_run(
                 RefusalReason::Overloaded,
                 "the dispatch process has too many calls",
@@ -272,14 +244,5 @@
     }
 }
 
-/// Counts one call for as long as it lives.
-pub struct CallGuard(Arc<DispatchShared>);
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 /// How long a thread waits at most before it looks at the process's state.
 pub(crate) const LOOK_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -19,7 +19,7 @@
         Arc,
     },
     thread,
-    time::{Duration, Instant},
+    time::Instant,
 };
 
 /// Requests that wait for the thread that takes them.
@@ -31,9 +31,6 @@
 /// The longest body of an operator's call, a whole sheet, in bytes.
 const MAX_SHEET_BYTES: usize = 64 << 20;
 
-/// Time between two looks at the process's state while it stops.
-const LOOK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// A running entry role.
 pub struct EntryProcess {
     /// What its threads share.
@@ -88,16 +85,13 @@
     /// every answer that named this entry has run out and its streams ended.
     /// Returns whether everything ended within the drain time.
     pub fn stop(self) -> bool {
-        self.shared.drain();
+        self.shared.gate.drain();
         let timeouts = &self.shared.settings.timeouts;
-        log::info!(target: "entry", in_flight = self.shared.in_flight(); "draining");
+        log::info!(target: "entry", in_flight = self.shared.gate.in_flight(); "draining");
         thread::sleep(timeouts.locate_ttl.min(timeouts.drain));
         let end = Instant::now() + timeouts.drain.saturating_sub(timeouts.locate_ttl);
-        while self.shared.in_flight() > 0 {
-            if Instant::now() >= end {
-                return false;
-            }
-            thread::sleep(LOOK_INTERVAL);
+        if !self.shared.gate.wait_idle(end) {
+            return false;
         }
         log::info!(target: "entry", address:% = self.server.address(); "closing");
         true
@@ -170,11 +164,11 @@
 /// Takes requests from the listener until it stops.
 fn take_requests(shared: &Arc<EntryShared>, requests: &Receiver<HttpCall>) {
     for call in requests {
-        if shared.in_flight() >= shared.settings.entry.max_in_flight {
+        if shared.gate.in_flight() >= shared.settings.entry.max_in_flight {
             refuse_full(shared, call);
             continue;
         }
-        let guard = shared.count_request();
+        let guard = shared.gate.enter();
         let serving = Arc::clone(shared);
         let builder = thread::Builder::new()
             .name("request".to_owned())
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -18,16 +18,13 @@
 };
 use berylmount_settings::ProcessSettings;
 use berylmount_table::TableReplica;
-use berylmount_telemetry::{CounterMetric, MetricSet};
+use berylmount_telemetry::{CounterMetric, MetricSet, WorkGate};
 use berylmount_wire::PeerClient;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use std::{
     net::{SocketAddr, TcpStream},
-    sync::{
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-        Arc, Mutex, MutexGuard, PoisonError, RwLock,
-    },
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
     time::Duration,
 };
 
@@ -82,10 +79,8 @@
     retries: Mutex<RetryState>,
     /// Recent refusals.
     pub(crate) refusals: RefusalLog,
-    /// Requests being served.
-    in_flight: AtomicUsize,
-    /// Whether the process is stopping.
-    draining: AtomicBool,
+    /// Counts requests, and lets the process drain.
+    pub gate: Arc<WorkGate>,
 }
 
 /// What an entry process is made of.
@@ -137,8 +132,7 @@
             seen: Mutex::default(),
             list: RwLock::default(),
             refusals: RefusalLog::default(),
-            in_flight: AtomicUsize::new(0),
-            draining: AtomicBool::new(false),
+            gate: Arc::default(),
         }
     }
 
@@ -207,27 +201,6 @@
         self.retries().rng.random()
     }
 
-    /// Starts to stop: callers are told of other entries from now on.
-    pub fn drain(&self) {
-        self.draining.store(true, Ordering::SeqCst);
-    }
-
-    /// Whether the process is stopping.
-    pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::SeqCst)
-    }
-
-    /// Requests being served.
-    pub fn in_flight(&self) -> usize {
-        self.in_flight.load(Ordering::SeqCst)
-    }
-
-    /// Counts a request in until the returned guard is dropped.
-    pub(crate) fn count_request(self: &Arc<Self>) -> RequestGuard {
-        self.in_flight.fetch_add(1, Ordering::SeqCst);
-        RequestGuard(Arc::clone(self))
-    }
-
     /// Refuses to judge by a table that may be out of date.
     ///
     /// # Errors
@@ -260,7 +233,7 @@
             .collect();
         let ranked = assignment::rank_members(customer.as_bytes(), &names, names.len());
         let ordered = ranked.into_iter().map(|place| list.entries[place].clone());
-        let skipped = self.is_draining().then_some(self.caller_address);
+        let skipped = self.gate.is_draining().then_some(self.caller_address);
         ordered
             .filter(|entry| entry.caller_address.is_some() && entry.caller_address != skipped)
             .collect()
@@ -301,7 +274,7 @@
             return Ok(share);
         }
         let entries = self.own_entries(row);
-        if self.is_draining() || entries.is_empty() {
+        if self.gate.is_draining() || entries.is_empty() {
             // Callers may use a located address until its time to live is over.
             return Ok(cautious_share(entries.len()));
         }
@@ -369,15 +342,6 @@
     }
 }
 
-/// Counts one request for as long as it lives.
-pub(crate) struct RequestGuard(Arc<EntryShared>);
-
-impl Drop for RequestGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 /// Counts one request against a customer's limits for as long as it lives.
 pub(crate) struct LimitGuard {
     shared: Arc<EntryShared>,
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -5,6 +5,7 @@
 //! for each hop; finished spans are logged under the prefix `trace`, because an
 //! instance has no disk and no collector of ours stands beside it.
 
+mod gate;
 mod health;
 mod logging;
 mod metrics;
@@ -12,6 +13,7 @@
 mod traces;
 
 pub use crate::{
+    gate::{WorkGate, WorkGuard},
     health::{HealthFlag, HealthState},
     logging::{start_logging, LogFault, LogGuard},
     metrics::{metrics_table, CounterMetric, GaugeMetric, HistogramMetric, MetricSet},
