--- a/crates/entry/src/services.rs
+++ b/crates/entry/src/services.rs
@@ -9,7 +9,7 @@
 };
 use berylmount_http::{HttpAnswer, HttpCall};
 use berylmount_model::{
-    CallRefusal, CustomerRow, OrderKey, PoolName, RefusalReason, RequestId, WorkName, WorkRow,
+    CallRefusal, CustomerRow, OrderKey, RefusalReason, RequestId, WorkName, WorkRow,
 };
 use berylmount_policy::assignment::{self, MemberWeight};
 use berylmount_table::TableView;
@@ -217,11 +217,6 @@
         total_ms: work.total_ms,
         traceparent: next_traceparent(span).unwrap_or_default(),
     });
-    let members = ranked_members(shared, pool_key(&work.pool));
+    let members = ranked_members(shared, work.pool.as_str());
     ask_members(shared, &members, &message, work.total_ms)
 }
-
-/// What reads from one pool are spread by.
-fn pool_key(pool: &PoolName) -> &str {
-    pool.as_str()
-}
