Look at the time before adding up customers' versions

The holder of a pool's lease went through every row of the table each 500 ms to share runners among versions, and only then saw that it was not time to ask the runners. The check stands first now; what is ordered and when stays the same.

--- a/crates/dispatch/src/weights.rs
+++ b/crates/dispatch/src/weights.rs
@@ -185,6 +185,10 @@
     row: &PoolRow,
     view: &TableView,
 ) {
+    let clock = || shared.now_ms();
+    if clock() < holder.next_poll_ms {
+        return;
+    }
     let records: Vec<InstanceRecord> = shared
         .roster
         .pool(&row.name, shared.now_ms())
@@ -196,10 +200,6 @@
     let wanted = wanted_versions(&version_shares(view, &row.name), &names);
     let runners = records.iter();
     let runners: Vec<_> = runners.map(|r| (r.name.clone(), r.address)).collect();
-    let clock = || shared.now_ms();
-    if clock() < holder.next_poll_ms {
-        return;
-    }
     holder.next_poll_ms = clock() + POLL_MS_PER_RUNNER * runners.len() as u64;
     let timeouts = order_timeouts(shared);
     let views = holder.poll.poll(&runners, timeouts, &clock, REPORTS_BUDGET);
