Give shared duties to strong instances

Change: beats tell what a machine bears (processor time, or less if its link is narrow), and an instance with less than half of the strongest one's comes last for shared duties. A full listing of a store replaces the catalogue in one sorted pass instead of comparing all with all.

The new test of the order failed with the hash alone; the catalogue's test against a map was written after its change.

--- a/crates/berylmount/tests/soak.rs
+++ b/crates/berylmount/tests/soak.rs
@@ -103,7 +103,7 @@
     let settings = format!(
         "NodeName = {name:?}\nZone = \"north\"\nPortRange = [0, 0]\n[ListenAddrs]\n\
          FrontendAddr = \"127.0.0.1:0\"\nReady = \"127.0.0.1:0\"\nDirectory = \"127.0.0.1:0\"\n\
-         [Limits]\nMemoryMb = 128\nMaxFds = 4000\n[Bounds]\nDrainMs = 2000\nGracePeriodS = 3\n\
+         [Limits]\nCpuShare = 0.25\nLinkMbps = 100\nMemoryMb = 128\nMaxFds = 4000\n[Bounds]\nDrainMs = 2000\nGracePeriodS = 3\n\
          ConfigApplyMs = 2000\nRetryBudgetRatio = 0.2\nBudgetExtra = 50\nBudgetWindowS = 10\n\
          LeaseTtlMs = 3000\nVersionApplyMs = 15000\nttl_max_s = 5\n[Platform]\n\
          Address = \"{store}\"\nWritesPerS = 400\nReadsPerS = 2000\n"
--- a/crates/fleet/src/bounds.rs
+++ b/crates/fleet/src/bounds.rs
@@ -31,12 +31,38 @@
 /// What the machine gives this process.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct MachineLimits {
+    /// Processor time, in thousandths of a core.
+    pub millicores: u32,
+    /// What its link carries, in Mbit/s.
+    pub link_mbps: u32,
     /// Memory in bytes; beyond it the process is killed.
     pub memory_bytes: u64,
     /// Open descriptors.
     pub descriptors: u64,
 }
 
+/// Link that goes with a thousandth of a core where the two are in balance, in
+/// Mbit/s: forwarding a megabit takes about five thousandths of a core.
+const LINK_PER_MILLICORE: f64 = 0.2;
+
+impl MachineLimits {
+    /// What the machine bears, in thousandths of a core: the lesser of its
+    /// processor time and of what its link can keep busy.
+    ///
+    /// ```
+    /// use berylmount_fleet::MachineLimits;
+    ///
+    /// let choked = MachineLimits {
+    ///     millicores: 500, link_mbps: 10, memory_bytes: 1 << 28, descriptors: 4100,
+    /// };
+    /// assert_eq!(choked.strength(), 50);
+    /// ```
+    pub fn strength(&self) -> u32 {
+        let by_link = f64::from(self.link_mbps) / LINK_PER_MILLICORE;
+        self.millicores.min(by_link as u32)
+    }
+}
+
 /// Bounds that the operator's rules set, with their meaning.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RuleBounds {
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -75,8 +75,7 @@
 
 /// Whether this instance is among the few that would take the lease.
 fn is_candidate(state: &GatewayState) -> bool {
-    let own = state.settings().name.clone();
-    state.peers.borrow().rank_of(&own, LEASE_NAME, boot_ms()) < CANDIDATES
+    state.duty_rank(LEASE_NAME, boot_ms()) < CANDIDATES
 }
 
 /// Whether the holder has anything to do.
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -114,8 +114,7 @@
     if !peers.is_large(now_ms) {
         return true;
     }
-    let own = state.settings().name.clone();
-    let is_chosen = peers.rank_of(&own, kind.store_kind(), now_ms) < WATCHERS;
+    let is_chosen = state.duty_rank(kind.store_kind(), now_ms) < WATCHERS;
     is_chosen || peers.in_contact(kind, now_ms) < LEAST_WATCHERS
 }
 
--- a/crates/gateway/src/kept/follow.rs
+++ b/crates/gateway/src/kept/follow.rs
@@ -114,8 +114,7 @@
     if !peers.is_large(now_ms) || state.duty_notice.borrow().is_some() {
         return true;
     }
-    let own = state.settings().name.clone();
-    peers.rank_of(&own, name, now_ms) < FOLLOWERS
+    state.duty_rank(name, now_ms) < FOLLOWERS
 }
 
 /// Follows the stores of the route table in force.
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -172,6 +172,7 @@
     let settings = state.settings();
     let entry = InstanceEntry::of(&settings);
     let mut beat = PeerBeat::new(&settings.name, entry, state.started_ms);
+    beat.strength = settings.machine.strength();
     beat.is_ready = !state.is_leaving() && state.table().is_some();
     let replicas = state.replicas.borrow();
     for (slot, replica) in beat.changed_at.iter_mut().zip(replicas.iter()) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,7 @@
 //! runner's load. Datagrams may be lost; the next one says it all again.
 
 use crate::{follow::FollowedKind, instances::InstanceEntry};
-use berylmount_policy::assignment::pair_hash;
+use berylmount_policy::shared_duties::{rank_among, DutyMember};
 use rand::{rng, seq::IndexedRandom};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -26,7 +26,7 @@
 /// others. Below it, asking costs less than being told late.
 const LARGE_FLEET: usize = 12;
 /// Form of a beat; beats of another form are left out.
-const BEAT_FORMAT: u8 = 1;
+const BEAT_FORMAT: u8 = 2;
 
 /// A part of a runner's load.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -69,6 +69,8 @@
     pub(crate) entry: InstanceEntry,
     /// When its process started, in Unix milliseconds.
     pub(crate) started_ms: u64,
+    /// What its machine bears, in thousandths of a core.
+    pub(crate) strength: u32,
     /// Whether it takes callers' requests.
     pub(crate) is_ready: bool,
     /// For each followed kind, the revision of the last change that it knows.
@@ -93,6 +95,7 @@
             name: name.to_owned(),
             entry,
             started_ms,
+            strength: 0,
             is_ready: false,
             changed_at: [0; FollowedKind::COUNT],
             in_contact: [false; FollowedKind::COUNT],
@@ -215,13 +218,13 @@
         self.peers.iter().map(|peer| peer.beat.entry.peers)
     }
 
-    /// How many live instances rank before `own` for a duty that is shared by name.
-    pub(crate) fn rank_of(&self, own: &str, duty: &str, now_ms: u64) -> usize {
-        let rank = |name: &str| pair_hash(duty.as_bytes(), name);
-        let own_rank = rank(own);
-        self.live_names(now_ms)
-            .filter(|name| rank(name) > own_rank)
-            .count()
+    /// How many live instances come before `own` for a duty that few do.
+    pub(crate) fn rank_of(&self, own: DutyMember<'_>, duty: &str, now_ms: u64) -> usize {
+        let others = self.live(now_ms).map(|peer| DutyMember {
+            name: &peer.beat.name,
+            strength: peer.beat.strength,
+        });
+        rank_among(duty, own, &others.collect::<Vec<_>>())
     }
 
     /// Whether the fleet is so large that only some instances ask and tell the others.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -12,7 +12,10 @@
 };
 use berylmount_adapter::store_client::StoreClient;
 use berylmount_fleet::{ProcessSettings, RouteTable, WeightsGoal};
-use berylmount_policy::second_tries::{SecondTries, TryBounds};
+use berylmount_policy::{
+    second_tries::{SecondTries, TryBounds},
+    shared_duties::DutyMember,
+};
 use berylmount_telemetry::MetricSet;
 use std::{
     cell::{Cell, RefCell},
@@ -222,6 +225,16 @@
         }
     }
 
+    /// How many live instances come before this one for a duty that few do.
+    pub(crate) fn duty_rank(&self, duty: &str, now_ms: u64) -> usize {
+        let settings = self.settings();
+        let own = DutyMember {
+            name: &settings.name,
+            strength: settings.machine.strength(),
+        };
+        self.peers.borrow().rank_of(own, duty, now_ms)
+    }
+
     /// How many instances there may be.
     pub(crate) fn instance_count(&self) -> usize {
         self.instances.borrow().most_known()
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -385,6 +385,8 @@
             reads_per_s: 2000.0,
         },
         machine: MachineLimits {
+            millicores: 250,
+            link_mbps: 1000,
             memory_bytes: 128 << 20,
             descriptors: 4000,
         },
--- a/crates/policy/src/kept_parts.rs
+++ b/crates/policy/src/kept_parts.rs
@@ -130,17 +130,20 @@
                 ..Self::default()
             };
         }
-        let is_listed = |key: PartKey| parts.iter().any(|part| part.key == key);
-        let gone: Vec<PartKey> = self.parts.iter().map(|part| part.key).collect();
-        for key in gone.into_iter().filter(|key| !is_listed(*key)) {
-            self.remove(key);
-        }
-        for part in parts {
+        let mut parts = parts;
+        parts.sort_by_key(|part| part.key);
+        parts.dedup_by_key(|part| part.key);
+        let is_listed = |key: &PartKey| parts.binary_search_by_key(key, |p| p.key).is_ok();
+        self.withdrawn.retain(|(key, _)| is_listed(key));
+        self.saving.retain(|(key, _, _)| !is_listed(key));
+        for part in &mut parts {
             // A known part keeps the number of its own event.
-            if self.find(part.key).is_err() {
-                self.add(part);
+            if let Ok(index) = self.find(part.key) {
+                part.number = self.parts[index].number;
             }
         }
+        self.held_tokens = parts.iter().map(|part| block_tokens(part.tokens)).sum();
+        self.parts = parts;
         self.next = next;
         self.confirmed_ms = now_ms;
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`runner_health`] | how far a runner can be trusted |
 //! | [`duty_lease`] | which instance does a duty that only one may do |
 //! | [`weights_rollout`] | which runners load named weights next |
+//! | [`shared_duties`] | which instances do what only a few must do |
 //! | [`second_tries`] | whether a request may be sent once more |
 //!
 //! Everything here works on hints. A wrong hint costs time, never correctness.
@@ -48,6 +49,7 @@
 mod runner_state;
 pub mod runners;
 pub mod second_tries;
+pub mod shared_duties;
 pub mod weights_rollout;
 
 pub use crate::{
--- a/crates/policy/tests/duties.rs
+++ b/crates/policy/tests/duties.rs
@@ -6,6 +6,7 @@
 use berylmount_policy::{
     duty_lease::{DutyLease, LeaseAction, LeaseRecord, LeaseRole, LeaseTimes, LeaseWrite},
     second_tries::{SecondTries, TryBounds},
+    shared_duties::{rank_among, DutyMember},
     weights_rollout::{next_orders, RolloutPace, RolloutView},
 };
 use proptest::prelude::*;
@@ -227,3 +228,38 @@
         [0; 0]
     );
 }
+
+/// Sixty instances of all strengths: no duty of a few falls to a weak one, and
+/// the duties are spread over the strong ones.
+#[test]
+fn shared_duties_go_to_strong_instances() {
+    let names: Vec<String> = (0..63).map(|number| format!("instance-{number}")).collect();
+    let strengths = [120, 160, 200, 250, 320, 400, 500];
+    let member = |(index, name): (usize, &'_ String)| (name.clone(), strengths[index % 7]);
+    let fleet: Vec<(String, u32)> = names.iter().enumerate().map(member).collect();
+    let members: Vec<DutyMember<'_>> = fleet
+        .iter()
+        .map(|(name, strength)| DutyMember {
+            name,
+            strength: *strength,
+        })
+        .collect();
+    let mut doing = Vec::new();
+    for duty in ["lease", "runners", "store-1", "store-2", "store-3"] {
+        for own in &members {
+            let others: Vec<DutyMember<'_>> = members
+                .iter()
+                .filter(|m| m.name != own.name)
+                .copied()
+                .collect();
+            if rank_among(duty, *own, &others) < 3 {
+                assert!(own.strength >= 250, "{duty} falls to {own:?}");
+                doing.push(own.name);
+            }
+        }
+    }
+    assert_eq!(doing.len(), 15);
+    doing.sort_unstable();
+    doing.dedup();
+    assert!(doing.len() >= 10, "{doing:?}");
+}
--- /dev/null
+++ b/crates/policy/tests/kept.rs
@@ -0,0 +1,84 @@
+//! Plays what stores of kept cache tell, and checks the catalogue against a map.
+
+#![allow(clippy::unwrap_used)]
+
+use berylmount_policy::kept_parts::{block_tokens, KeptPart, PartEvent, PartKey, StoreCatalogue};
+use proptest::{collection::vec, prelude::*};
+use std::collections::BTreeMap;
+
+fn part(key: u64, number: u64, tokens: u32) -> KeptPart {
+    KeptPart {
+        key: PartKey(key),
+        number,
+        tokens,
+        scope: "1.m.shared".into(),
+        id: key.to_string(),
+    }
+}
+
+/// What a store tells.
+#[derive(Clone, Debug)]
+enum Told {
+    Added(u64, u32),
+    Removed(u64),
+    /// All that it holds.
+    Listed(Vec<(u64, u32)>),
+    /// The system asks for a part to be left alone.
+    Withdrawn(u64),
+}
+
+fn told() -> impl Strategy<Value = Told> {
+    prop_oneof![
+        6 => (0u64..30, 1u32..400).prop_map(|(key, tokens)| Told::Added(key, tokens)),
+        3 => (0u64..30).prop_map(Told::Removed),
+        1 => vec((0u64..30, 1u32..400), 0..30).prop_map(Told::Listed),
+        1 => (0u64..30).prop_map(Told::Withdrawn),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn a_catalogue_holds_what_the_store_told(steps in vec(told(), 1..60)) {
+        let mut catalogue = StoreCatalogue::default();
+        catalogue.apply(1, 0, false, Vec::new(), 1);
+        // Tokens, number of the event, and whether it may be fetched.
+        let mut expected: BTreeMap<u64, (u32, u64, bool)> = BTreeMap::new();
+        for (number, step) in (1u64..).zip(steps) {
+            match step {
+                Told::Added(key, tokens) => {
+                    catalogue.note_saving(PartKey(key), tokens, 1);
+                    let added = PartEvent::Added(part(key, number, tokens));
+                    catalogue.apply(1, number, false, vec![added], 1);
+                    expected.insert(key, (tokens, number, true));
+                }
+                Told::Removed(key) => {
+                    let removed = PartEvent::Removed(PartKey(key));
+                    catalogue.apply(1, number, false, vec![removed], 1);
+                    expected.remove(&key);
+                }
+                Told::Listed(listed) => {
+                    let listed: BTreeMap<u64, u32> = listed.into_iter().collect();
+                    let parts = listed.iter().rev().map(|(k, tokens)| part(*k, number, *tokens));
+                    catalogue.replace(1, number, parts.collect(), 1);
+                    let known = |key: &u64| expected.get(key).map_or((number, true), |e| (e.1, e.2));
+                    let listed = listed.iter().map(|(k, t)| (*k, (*t, known(k).0, known(k).1)));
+                    expected = listed.collect();
+                }
+                Told::Withdrawn(key) => {
+                    if let Some((_, number, may_fetch)) = expected.get_mut(&key) {
+                        catalogue.withdraw(PartKey(key), *number);
+                        *may_fetch = false;
+                    }
+                }
+            }
+            let held = catalogue.parts().iter().map(|p| (p.key.0, (p.tokens, p.number)));
+            let wanted = expected.iter().map(|(key, e)| (*key, (e.0, e.1)));
+            prop_assert!(held.eq(wanted));
+            let used: u64 = expected.values().map(|e| block_tokens(e.0)).sum();
+            prop_assert_eq!(catalogue.used_tokens(1), used);
+            for (key, (_, _, may_fetch)) in &expected {
+                prop_assert_eq!(catalogue.fetchable(PartKey(*key)).is_some(), *may_fetch);
+            }
+        }
+    }
+}
