Prefer runners with an open connection in a large fleet

Change: of the four sampled runners, three are those with a usable connection, near ones first, and one is any other, so that load can move away. An estimate counts the round trip of a new connection.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,7 +6,7 @@
     placement::{place, PlacedRunner, PlacingCall, PlacingResult},
     roster::RunnerHandle,
     state::GatewayState,
-    upstream::{RunnerTry, TryEnd, WholeAnswer},
+    upstream::{most_idle, RunnerTry, TryEnd, WholeAnswer},
 };
 use berylmount_adapter::request_headers::RunnerOrder;
 use berylmount_fleet::{CallerRequest, RouteKind, RouteRule, RouteTable, ServingCustomer};
@@ -339,6 +339,7 @@
             call,
             customer: self.customer.as_ref(),
             need,
+            most_idle: most_idle(&self.route),
         }
     }
 
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -13,9 +13,9 @@
 use berylmount_policy::{
     admission::{has_room, AdmissionNeed},
     kept_parts::{PromptTraits, TransferPlan},
-    placing::{choose, sampled_runners, PlacingNeed, RunnerView, DEFAULT_PREFILL_PER_MS},
+    placing::{choose, sample_runners, PlacingNeed, RunnerView, DEFAULT_PREFILL_PER_MS},
 };
-use rand::{rng, seq::SliceRandom};
+use rand::rng;
 use std::{rc::Rc, time::Duration};
 use tokio::{task::spawn_local, time::sleep};
 
@@ -127,6 +127,8 @@
     pub(crate) call: &'a CallerCall,
     pub(crate) customer: Option<&'a ServingCustomer>,
     pub(crate) need: AdmissionNeed,
+    /// How long a connection that carries it may have been idle.
+    pub(crate) most_idle: Duration,
 }
 
 /// What placing a request found.
@@ -242,8 +244,7 @@
     let is_open = |view: &RunnerView| engine.is_none() || has_room(view, &placing.need);
     let mut open: Vec<usize> = (0..views.len()).filter(|i| is_open(&views[*i])).collect();
     if state.peers.borrow().is_large(now_ms) {
-        open.shuffle(&mut rng());
-        open.truncate(sampled_runners(open.len()));
+        open = sample_runners(&views, open, &mut rng());
     }
     let open_views: Vec<RunnerView> = open.iter().map(|index| views[*index]).collect();
     let Some((chosen, estimate)) = choose(&open_views, &need) else {
@@ -344,6 +345,7 @@
             } else {
                 REMOTE_MS
             },
+            is_connected: runner.has_kept(now_ms, placing.most_idle),
             known_tokens: plan.as_ref().map_or(0, |plan| plan.fetched_tokens),
             fetch_ms: plan.as_ref().map_or(0.0, |plan| plan.fetch_ms),
             penalty_ms: old_ms + switching_ms,
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -59,7 +59,12 @@
 impl KeptStream {
     /// Whether the runner has it open, as far as can be seen.
     fn is_usable(&self, age: Duration) -> bool {
-        age < self.idle_limit.mul_f64(IDLE_PART) && self.stream.stream.is_idle()
+        self.is_fresh(age) && self.stream.stream.is_idle()
+    }
+
+    /// Whether its runner should still have it open.
+    fn is_fresh(&self, age: Duration) -> bool {
+        age < self.idle_limit.mul_f64(IDLE_PART)
     }
 
     fn age(&self, now_ms: u64) -> Duration {
@@ -171,6 +176,17 @@
         self.health.borrow().failures(now_ms)
     }
 
+    /// Whether a connection is kept that should be open and has been idle for
+    /// `most_idle` at most. It is not looked at, as this is asked of every runner.
+    pub(crate) fn has_kept(&self, now_ms: u64, most_idle: Duration) -> bool {
+        let idle = self.idle.borrow();
+        let is_good = |kept: &KeptStream| {
+            let age = kept.age(now_ms);
+            age <= most_idle && kept.is_fresh(age)
+        };
+        idle.last().is_some_and(is_good)
+    }
+
     /// Takes a kept connection that has been idle for `most_idle` at most.
     pub(crate) fn take_kept(&self, now_ms: u64, most_idle: Duration) -> Option<RunnerStream> {
         let mut idle = self.idle.borrow_mut();
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -125,10 +125,7 @@
 
     /// A connection to the runner, kept or new.
     async fn connect(&self) -> Result<RunnerStream, &'static str> {
-        let most_idle = match self.route.is_repeatable() {
-            true => Duration::MAX,
-            false => UNSAFE_IDLE,
-        };
+        let most_idle = most_idle(self.route);
         if let Some(kept) = self.runner.take_kept(boot_ms(), most_idle) {
             return Ok(kept);
         }
@@ -285,6 +282,14 @@
     }
 }
 
+/// How long a connection may have been idle that carries a request of a route.
+pub(crate) fn most_idle(route: &RouteRule) -> Duration {
+    match route.is_repeatable() {
+        true => Duration::MAX,
+        false => UNSAFE_IDLE,
+    }
+}
+
 fn interrupted(interrupt: &Interrupt) -> TryEnd {
     match interrupt {
         Interrupt::CallerGone => TryEnd::CallerGone,
--- a/crates/policy/src/placing.rs
+++ b/crates/policy/src/placing.rs
@@ -6,6 +6,8 @@
 //! are still unread ahead of a request decide when it starts; counts of
 //! requests do not.
 
+use rand::{seq::SliceRandom, Rng};
+
 /// Tokens that an engine prefills in a millisecond, until observed. Current
 /// engines of the size at hand read 100 to 160.
 pub const DEFAULT_PREFILL_PER_MS: f64 = 110.0;
@@ -15,6 +17,9 @@
 /// What each running request adds to a first event, in milliseconds: its part
 /// of a batch step, over the few steps until the event.
 const RUNNING_MS: f64 = 0.5;
+/// Time to open a connection to a runner beyond the way there and back, in
+/// milliseconds: the runner's work for it.
+const CONNECT_MS: f64 = 5.0;
 /// Extra cost of a runner whose memory would be overbooked, in milliseconds:
 /// the prompt waits for another to end, or preempts one.
 const MEMORY_MS: f64 = 1500.0;
@@ -29,18 +34,35 @@
 /// Most runners among which an instance of a large fleet chooses.
 const MOST_SAMPLED: usize = 4;
 
-/// How many of `open` runners an instance of a large fleet chooses among.
+/// The runners, among the `open` ones, that an instance of a large fleet
+/// chooses among.
 ///
 /// The loads that it knows are some hundred milliseconds old; if all instances
 /// took the best runner of all, they would meet there.
 ///
 /// ```
-/// use berylmount_policy::placing::sampled_runners;
+/// use berylmount_policy::placing::{sample_runners, RunnerView};
 ///
-/// assert_eq!([1, 3, 90].map(sampled_runners), [1, 2, 4]);
+/// let views = [RunnerView::default(); 90];
+/// let sample = sample_runners(&views, (0..90).collect(), &mut rand::rng());
+/// assert_eq!(sample.len(), 4);
 /// ```
-pub fn sampled_runners(open: usize) -> usize {
-    open.min((open / 2).clamp(2, MOST_SAMPLED))
+pub fn sample_runners(
+    views: &[RunnerView],
+    mut open: Vec<usize>,
+    rng: &mut impl Rng,
+) -> Vec<usize> {
+    open.shuffle(rng);
+    let count = (open.len() / 2).clamp(2, MOST_SAMPLED).min(open.len());
+    // The last one is any other, so that load can move away from those in use.
+    let other = open.split_off(open.len().saturating_sub(1));
+    open.sort_by_key(|index| {
+        let view = &views[*index];
+        (!view.is_connected, view.distance_ms > 0.0)
+    });
+    open.truncate(count.saturating_sub(1));
+    open.extend(other);
+    open
 }
 
 /// What is known of a runner when a request is placed.
@@ -64,6 +86,8 @@
     pub penalty_ms: f64,
     /// One way to it, in milliseconds.
     pub distance_ms: f64,
+    /// Whether an open connection to it can be used.
+    pub is_connected: bool,
     /// Tokens of this prompt that it need not read.
     pub known_tokens: u32,
     /// Time to fetch what it need not read, in milliseconds.
@@ -106,7 +130,9 @@
     let own_ms = f64::from(own_tokens) / need.prefill_per_ms + runner.fetch_ms;
     let batch_ms = f64::from(runner.running) * RUNNING_MS;
     let work_ms = (BASE_FIRST_MS + ahead_ms + own_ms + batch_ms) * runner.slowness.max(0.5);
-    let mut first_ms = work_ms + 2.0 * runner.distance_ms;
+    let trips = if runner.is_connected { 2.0 } else { 4.0 };
+    let connect_ms = if runner.is_connected { 0.0 } else { CONNECT_MS };
+    let mut first_ms = work_ms + trips * runner.distance_ms + connect_ms;
     if runner.slots > 0 && runner.running >= runner.slots {
         let over = f64::from(runner.running - runner.slots + 1) / f64::from(runner.slots);
         first_ms += SLOTS_MS * (0.2 + over);
