Don't fetch from stores that lag, nor send to runners that switch weights

Change: each instance judges the first events of requests that fetch, also while they are overdue, and blames stores that most of them wait for; beats tell it, and a fleet believes a fifth of its instances. A lag adds to the time of a fetch, so large parts are read again instead. A store is tried again as the lag decays. Runners that switch have no room.

Now a store must stand out from all requests, and the longest lag that witnesses tell counts.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -187,6 +187,13 @@
         let basis = &placed.basis;
         self.text +=
             &format!("{sign}{runner} {result} {took_ms} ms, expected {expected_ms:.0} by {basis}");
+        // What the runner reported last, by now perhaps to a later request.
+        if let Some(load) = placed.runner.load(boot_ms()) {
+            self.text += &format!(
+                " reported {}+{} at {}%",
+                load.running, load.waiting, load.slowness_percent
+            );
+        }
     }
 }
 
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -53,6 +53,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct StoreBook {
     stores: Vec<KnownStore>,
+    /// Lags of stores by key, in milliseconds.
+    lags: Vec<(u64, u32)>,
 }
 
 impl StoreBook {
@@ -124,6 +126,25 @@
         })
     }
 
+    /// Takes the lags of stores, by key; plans reckon with them from now on.
+    pub(crate) fn set_lags(&mut self, lags: Vec<(u64, u32)>) {
+        self.lags = lags;
+    }
+
+    fn lag_ms(&self, store: u64) -> f64 {
+        let found = self.lags.binary_search_by_key(&store, |(key, _)| *key);
+        found.map_or(0.0, |index| f64::from(self.lags[index].1))
+    }
+
+    /// Keys of the stores that a plan fetches from.
+    fn fetched_from(&self, plan: &TransferPlan) -> Vec<u64> {
+        let stores = plan.fetch.iter().flatten();
+        let mut keys: Vec<u64> = stores.map(|index| self.stores[*index].key).collect();
+        keys.sort_unstable();
+        keys.dedup();
+        keys
+    }
+
     /// Takes parts out that the store was told to free.
     pub(crate) fn forget(&mut self, freed: &RetiredParts) {
         if let Some(catalogue) = self.catalogue(&freed.name) {
@@ -169,20 +190,22 @@
         traits: PromptTraits,
         now_ms: u64,
     ) -> TransferPlan {
-        let views: Vec<StoreView<'_>> = self.stores.iter().map(KnownStore::view).collect();
+        let stores = self.stores.iter();
+        let views = stores.map(|known| known.view(self.lag_ms(known.key)));
+        let views: Vec<StoreView<'_>> = views.collect();
         plan_transfers(needs, &views, data_centre, traits, now_ms)
     }
 }
 
 impl KnownStore {
-    /// What a plan sees of it.
-    fn view(&self) -> StoreView<'_> {
+    /// What a plan sees of it, with its lag.
+    fn view(&self, lag_ms: f64) -> StoreView<'_> {
         StoreView {
             name: &self.name,
             data_centre: &self.store.data_centre,
             memory_tokens: self.store.memory_tokens,
             link_bits_per_ms: self.store.link_bits_per_ms,
-            first_ms: self.store.first_byte.as_secs_f64() * 1000.0,
+            first_ms: self.store.first_byte.as_secs_f64() * 1000.0 + lag_ms,
             catalogue: &self.catalogue,
         }
     }
@@ -234,13 +257,14 @@
         }
     }
 
-    /// Turns a plan into an order, and notes its saves.
+    /// Turns a plan into an order, and notes its saves; also returns the keys of
+    /// the stores to fetch from.
     pub(crate) fn order(
         &self,
         book: &mut StoreBook,
         plan: &TransferPlan,
         now_ms: u64,
-    ) -> CacheOrder {
+    ) -> (CacheOrder, Vec<u64>) {
         for (need, store) in self.needs.iter().zip(&plan.save) {
             if let Some(store) = store {
                 let catalogue = &mut book.stores[*store].catalogue;
@@ -248,12 +272,13 @@
             }
         }
         let address = |store: &Option<usize>| store.map(|index| book.stores[index].store.address);
-        CacheOrder {
+        let order = CacheOrder {
             scope: self.scope.clone(),
             fetch: plan.fetch.iter().map(address).collect(),
             save: plan.save.iter().map(address).collect(),
             fetch_until_ms: None,
-        }
+        };
+        (order, book.fetched_from(plan))
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 //! | `answers` | answers of our own |
 //! | `replica` | copies of the store's objects |
 //! | `kept` | stores of kept cache, and transfers for prompts |
+//! | `lags` | how long requests wait that fetch from stores |
 //! | `reclaim` | frees cached parts that nobody uses any more |
 //! | `peers`, `peer_link` | what instances tell each other |
 //! | `duty`, `weights` | the duty of one instance at a time: ordering weights |
@@ -44,6 +45,7 @@
 mod gauges;
 mod instances;
 mod kept;
+mod lags;
 mod peer_link;
 mod peers;
 mod placement;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -81,6 +81,8 @@
     pub(crate) in_contact: [bool; FollowedKind::COUNT],
     /// Loads by runner key, without idle runners.
     pub(crate) loads: Vec<(u64, LoadShare)>,
+    /// Lags of stores that it has seen: key of the store and milliseconds.
+    pub(crate) lags: Vec<(u64, u32)>,
     /// Retired weights of which it has no fetch under way.
     pub(crate) confirmed: Vec<(String, u64)>,
     /// What the holder of the duty tells.
@@ -101,6 +103,7 @@
             in_contact: [false; FollowedKind::COUNT],
             goals: Vec::new(),
             loads: Vec::new(),
+            lags: Vec::new(),
             confirmed: Vec::new(),
             duty: None,
         }
@@ -274,6 +277,12 @@
         total
     }
 
+    /// The lags of stores that each live instance tells.
+    pub(crate) fn told_lags(&self, now_ms: u64) -> Vec<&[(u64, u32)]> {
+        let told = self.live(now_ms).map(|peer| peer.beat.lags.as_slice());
+        told.collect()
+    }
+
     /// Whether any instance was heard within `span_ms`.
     pub(crate) fn was_heard_within(&self, span_ms: u64, now_ms: u64) -> bool {
         let mut peers = self.peers.iter();
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -4,6 +4,7 @@
     clock::boot_ms,
     forward::CallerCall,
     kept::{is_retired, ScopedPrompt},
+    lags::{StoreWait, WaitId},
     reclaim::may_fetch,
     roster::RunnerHandle,
     state::GatewayState,
@@ -23,9 +24,6 @@
 const REMOTE_MS: f64 = 4.0;
 /// Cost of a runner on older weights than named, in milliseconds.
 const OLD_WEIGHTS_MS: f64 = 400.0;
-/// Cost of a runner that is about to load weights, in milliseconds: it refuses
-/// requests until it has.
-const SWITCHING_MS: f64 = 5000.0;
 /// Time from placing a request until a busy runner begins it, in milliseconds.
 const BEGIN_MS: u64 = 2000;
 /// Time in which a runner drops the fetch of a request that was given up.
@@ -44,6 +42,8 @@
     pub(crate) weights: Option<u64>,
     /// Transfers of cached parts that go with the request.
     pub(crate) cache: Option<CacheOrder>,
+    /// Keys of the stores that parts are fetched from.
+    stores: Vec<u64>,
     unread_tokens: u64,
     memory_tokens: u64,
 }
@@ -54,6 +54,8 @@
     runner: Rc<RunnerHandle>,
     /// Model and version of a fetch that is under way.
     fetch: Option<(String, u64)>,
+    /// Its wait for the first event, while that has not come.
+    wait: Option<WaitId>,
     unread_tokens: u64,
     memory_tokens: u64,
 }
@@ -73,9 +75,14 @@
         runner.unread_tokens.set(unread);
         let booked = runner.booked_tokens.get() + self.memory_tokens;
         runner.booked_tokens.set(booked);
+        let wait = is_fetching.then(|| {
+            let mut waits = state.waits.borrow_mut();
+            waits.begin(self.stores.clone(), self.first_ms, boot_ms())
+        });
         LoadBooking {
             state: state.clone(),
             fetch,
+            wait,
             runner,
             unread_tokens: self.unread_tokens,
             memory_tokens: self.memory_tokens,
@@ -86,6 +93,18 @@
 impl LoadBooking {
     /// Notes that the prompt has been read.
     pub(crate) fn note_started(&mut self) {
+        if let Some(wait) = self.end_wait() {
+            wait.judge(&self.state);
+        }
+        self.release_unread();
+    }
+
+    fn end_wait(&mut self) -> Option<StoreWait> {
+        let wait = self.wait.take()?;
+        self.state.waits.borrow_mut().end(wait)
+    }
+
+    fn release_unread(&mut self) {
         let left = self
             .runner
             .unread_tokens
@@ -101,6 +120,10 @@
 
 impl Drop for LoadBooking {
     fn drop(&mut self) {
+        if let Some(wait) = self.end_wait() {
+            // One that was given up early says nothing of its stores.
+            wait.judge_late(&self.state);
+        }
         if let Some((model, version)) = self.fetch.take() {
             // The runner may notice a moment later that the request was given up.
             let state = self.state.clone();
@@ -109,7 +132,7 @@
                 state.fetches.borrow_mut().end(&model, version);
             });
         }
-        self.note_started();
+        self.release_unread();
         let runner = &self.runner;
         runner.running.set(runner.running.get().saturating_sub(1));
         let booked = runner
@@ -186,12 +209,13 @@
         Some(plan)
     }
 
-    /// The order for a runner, with its saves noted. Without transfers it only
-    /// keeps the parts apart from those of other weights and customers.
-    fn order(&mut self, version: u64, data_centre: &str) -> Option<CacheOrder> {
+    /// The order for a runner, with its saves noted, and the keys of the stores
+    /// to fetch from. Without transfers it only keeps the parts apart from those
+    /// of other weights and customers.
+    fn order(&mut self, version: u64, data_centre: &str) -> Option<(CacheOrder, Vec<u64>)> {
         let prompt = self.prompt(version)?;
         let Some(plan) = self.plan(version, data_centre) else {
-            return Some(prompt.order_without_transfers());
+            return Some((prompt.order_without_transfers(), Vec::new()));
         };
         let mut book = self.state.stores.borrow_mut();
         Some(prompt.order(&mut book, &plan, self.now_ms))
@@ -254,7 +278,8 @@
     let runner = candidates[index].clone();
     let weights = weights_at(placing, &runner);
     let data_centre = runner.record().data_centre.clone();
-    let cache = weights.and_then(|version| transfers.order(version, &data_centre));
+    let order = weights.and_then(|version| transfers.order(version, &data_centre));
+    let (cache, stores) = order.unzip();
     let unread_tokens = prompt_tokens.saturating_sub(views[index].known_tokens);
     PlacingResult::Placed(Box::new(PlacedRunner {
         runner,
@@ -262,6 +287,7 @@
         basis: basis(&views[index]),
         weights,
         cache,
+        stores: stores.unwrap_or_default(),
         unread_tokens: u64::from(unread_tokens),
         memory_tokens: need.memory_tokens,
     }))
@@ -326,11 +352,6 @@
         let mut sent = peers.load_of(runner.key(), now_ms);
         sent.add(&runner.own_load());
         let old_ms = if is_old { OLD_WEIGHTS_MS } else { 0.0 };
-        let switching_ms = if is_switching(runner.key()) {
-            SWITCHING_MS
-        } else {
-            0.0
-        };
         let plan = weights.and_then(|version| transfers.plan(version, &record.data_centre));
         RunnerView {
             unread_tokens: sent.unread_tokens,
@@ -348,7 +369,8 @@
             is_connected: runner.has_kept(now_ms, placing.most_idle),
             known_tokens: plan.as_ref().map_or(0, |plan| plan.fetched_tokens),
             fetch_ms: plan.as_ref().map_or(0.0, |plan| plan.fetch_ms),
-            penalty_ms: old_ms + switching_ms,
+            penalty_ms: old_ms,
+            is_switching: is_switching(runner.key()),
         }
     };
     candidates.iter().map(view).collect()
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -8,6 +8,7 @@
     gauges::keep_gauges,
     instances::{follow_instances, serve_questions},
     kept::follow_stores,
+    lags::keep_lags,
     peer_link::{exchange_beats, serve_pulls},
     reclaim::reclaim_parts,
     state::GatewayState,
@@ -176,6 +177,7 @@
     spawn_local(keep_gauges(state.clone()));
     spawn_local(follow_peers(state.clone()));
     spawn_local(follow_stores(state.clone()));
+    spawn_local(keep_lags(state.clone()));
     spawn_local(follow_instances(state.clone()));
     let lease = new_lease(state);
     spawn_local(keep_lease(state.clone(), lease.clone()));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
     follow::{FollowedKind, StoreContact},
     instances::InstanceList,
     kept::StoreBook,
+    lags::WaitBook,
     peers::{DutyNotice, KeptGossip, PeerBook},
     reclaim::OpenFetches,
     replica::KindReplica,
@@ -13,6 +14,7 @@
 use berylmount_adapter::store_client::StoreClient;
 use berylmount_fleet::{ProcessSettings, RouteTable, WeightsGoal};
 use berylmount_policy::{
+    lateness::LagBook,
     second_tries::{SecondTries, TryBounds},
     shared_duties::DutyMember,
 };
@@ -72,6 +74,10 @@
     pub(crate) retired: RefCell<Vec<(String, u64)>>,
     /// Fetches of cached parts that are under way.
     pub(crate) fetches: RefCell<OpenFetches>,
+    /// Waits of requests that fetch from stores.
+    pub(crate) waits: RefCell<WaitBook>,
+    /// Lags of stores as this instance has seen them.
+    pub(crate) lags: RefCell<LagBook>,
     /// Copies of what is followed in the store, by kind.
     pub(crate) replicas: RefCell<[KindReplica; FollowedKind::COUNT]>,
     /// Contact with the store, by kind.
@@ -117,6 +123,8 @@
             begun_ms: boot_ms(),
             retired: RefCell::default(),
             fetches: RefCell::default(),
+            waits: RefCell::default(),
+            lags: RefCell::default(),
             replicas: RefCell::default(),
             contacts: Default::default(),
             is_beat_due: Cell::new(false),
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -70,7 +70,7 @@
     let memory = runner.memory_tokens as f64 * part;
     let has_slot = runner.slots == 0 || f64::from(runner.running) < slots;
     let has_memory = runner.memory_tokens == 0 || (runner.booked_tokens as f64) < memory;
-    has_slot && has_memory
+    has_slot && has_memory && !runner.is_switching
 }
 
 /// What to do while no runner has room.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`pacing`] | when a refused caller should come back |
 //! | [`placing`] | which runner takes a request, by the time to its first event |
 //! | [`runner_health`] | how far a runner can be trusted |
+//! | [`lateness`] | which stores of kept cache answer late |
 //! | [`duty_lease`] | which instance does a duty that only one may do |
 //! | [`weights_rollout`] | which runners load named weights next |
 //! | [`shared_duties`] | which instances do what only a few must do |
@@ -37,6 +38,7 @@
 pub mod groups;
 pub mod keeping;
 pub mod kept_parts;
+pub mod lateness;
 pub mod limits;
 pub mod pacing;
 pub mod placing;
--- a/crates/policy/src/placing.rs
+++ b/crates/policy/src/placing.rs
@@ -88,6 +88,8 @@
     pub distance_ms: f64,
     /// Whether an open connection to it can be used.
     pub is_connected: bool,
+    /// Whether it loads other weights, or is about to; it refuses requests then.
+    pub is_switching: bool,
     /// Tokens of this prompt that it need not read.
     pub known_tokens: u32,
     /// Time to fetch what it need not read, in milliseconds.
--- a/crates/policy/tests/crest.rs
+++ b/crates/policy/tests/crest.rs
@@ -213,3 +213,19 @@
     assert!(!has_room(&full, &need));
     assert!(has_room(&full, &AdmissionNeed::default()));
 }
+
+/// A runner that loads other weights refuses what it gets; such refusals use up
+/// the attempts of requests for which other runners have room.
+#[test]
+fn a_runner_that_switches_gets_nothing() {
+    let idle = RunnerView {
+        slots: SLOTS,
+        ..RunnerView::default()
+    };
+    let switching = RunnerView {
+        is_switching: true,
+        ..idle
+    };
+    let need = AdmissionNeed::default();
+    assert!(has_room(&idle, &need) && !has_room(&switching, &need));
+}
--- /dev/null
+++ b/crates/policy/tests/lateness.rs
@@ -0,0 +1,123 @@
+//! Plays stores that turn slow under a fleet of instances, and checks how many
+//! requests still stand in wait for them.
+
+#![allow(clippy::unwrap_used)]
+
+use berylmount_policy::lateness::{believed_lags, judge_wait, LagBook};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+const STORES: u64 = 20;
+/// Every fourth store is slow in this time, in milliseconds.
+const SLOW_MS: std::ops::Range<u64> = 3000..8000;
+/// What a slow store adds to a first event.
+const SLOW_EXTRA_MS: f64 = 1300.0;
+/// Part of the requests that wait long for other reasons.
+const NOISE: f64 = 0.2;
+const BEAT_MS: u64 = 380;
+/// Lag beyond which a part is rather read again, in milliseconds.
+const REREAD_MS: u32 = 400;
+const PLAYED_MS: u64 = 17_000;
+
+/// In this time most requests are late for other reasons.
+const CREST_MS: std::ops::Range<u64> = 13_000..17_000;
+const CREST_NOISE: f64 = 0.6;
+
+#[derive(Debug, Default)]
+struct FetchCount {
+    parts: u32,
+    avoided: u32,
+    requests: u32,
+    harmed: u32,
+}
+
+/// A request that has not started: when it starts, its wait, its stores.
+struct OpenWait {
+    starts_ms: u64,
+    waited_ms: f64,
+    stores: Vec<u64>,
+}
+
+/// Plays `instances` with a request each `gap_ms`; counts while stores are
+/// slow, but for the first second, and in calm times.
+fn play(instances: usize, gap_ms: u64, learns: bool, seed: u64) -> [FetchCount; 2] {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let mut books = vec![LagBook::default(); instances];
+    let mut open: Vec<Vec<OpenWait>> = (0..instances).map(|_| Vec::new()).collect();
+    let mut believed: Vec<(u64, u32)> = Vec::new();
+    let mut counts = [FetchCount::default(), FetchCount::default()];
+    for now_ms in 1..PLAYED_MS {
+        if now_ms % BEAT_MS == 0 && learns {
+            let told: Vec<Vec<(u64, u32)>> = books.iter().map(|b| b.lags(now_ms)).collect();
+            let told: Vec<&[(u64, u32)]> = told.iter().map(Vec::as_slice).collect();
+            believed = believed_lags(&told);
+        }
+        for instance in 0..instances {
+            let ended = open[instance].extract_if(.., |wait| wait.starts_ms <= now_ms);
+            for wait in ended {
+                books[instance].note_wait(&wait.stores, judge_wait(wait.waited_ms, 100.0), now_ms);
+            }
+            if !rng.random_bool(1.0 / gap_ms as f64) {
+                continue;
+            }
+            let is_slow = SLOW_MS.contains(&now_ms);
+            let parts: Vec<u64> = (0..rng.random_range(1..=3))
+                .map(|_| rng.random_range(0..STORES))
+                .collect();
+            let lags = |store: &u64| {
+                believed
+                    .iter()
+                    .any(|(known, lag)| known == store && *lag > REREAD_MS)
+            };
+            let stores: Vec<u64> = parts.iter().copied().filter(|s| !lags(s)).collect();
+            let meets_slow = is_slow && stores.iter().any(|store| store % 4 == 0);
+            let is_crest = CREST_MS.contains(&now_ms);
+            let noise = if is_crest { CREST_NOISE } else { NOISE };
+            let noise_ms = if rng.random_bool(noise) { 600.0 } else { 0.0 };
+            let extra_ms = if meets_slow { SLOW_EXTRA_MS } else { noise_ms };
+            let is_settled = SLOW_MS.start + 700 + SLOW_EXTRA_MS as u64 <= now_ms;
+            let period = match is_slow {
+                true if is_settled => Some(0),
+                true => None,
+                false => (now_ms < SLOW_MS.start || is_crest).then_some(1),
+            };
+            if let Some(period) = period {
+                let count = &mut counts[period];
+                count.parts += parts.len() as u32;
+                count.avoided += (parts.len() - stores.len()) as u32;
+                count.requests += 1;
+                count.harmed += u32::from(meets_slow);
+            }
+            let waited_ms = 110.0 + extra_ms;
+            open[instance].push(OpenWait {
+                starts_ms: now_ms + waited_ms as u64,
+                waited_ms,
+                stores,
+            });
+        }
+    }
+    counts
+}
+
+fn part(count: u32, of: u32) -> f64 {
+    f64::from(count) / f64::from(of)
+}
+
+#[test]
+fn few_requests_wait_for_slow_stores() {
+    for (instances, gap_ms) in [(63, 85), (82, 110), (7, 20)] {
+        let [slow, _] = play(instances, gap_ms, false, 1);
+        assert!(part(slow.harmed, slow.requests) > 0.35, "{slow:?}");
+        for seed in 1..=3 {
+            let [slow, calm] = play(instances, gap_ms, true, seed);
+            assert!(
+                part(slow.harmed, slow.requests) < 0.1,
+                "{instances}: {slow:?}"
+            );
+            assert!(
+                part(calm.avoided, calm.parts) < 0.02,
+                "{instances}: {calm:?}"
+            );
+        }
+    }
+}
