Refuse long bodies by their length, and count connections while they open

Ruled out: the idle connections (the second test uses new ones only), the warm-up.

Change: the stated length is checked with the head; a connection is reserved before it is opened. Both tests failed first. Further tests through sockets, passing as the code stood: answers before the body is sent, planned stop (no request cut, not ready at once, connections closed), settings read again or refused with the key, a line for each ending, a stalled reader of the logs (9,000 requests are answered, the dropped lines counted).

`--log-served N` logs one of N served requests (100 unless set); a runner's 5xx that goes to the caller is always logged.

--- a/crates/berylmount/src/gateway_command.rs
+++ b/crates/berylmount/src/gateway_command.rs
@@ -23,6 +23,10 @@
 /// The port of the metrics page unless `--metrics` names another.
 const METRICS_PORT: u16 = 9464;
 
+/// Of how many served requests one is logged, unless `--log-served` says: some
+/// lines a minute on each instance at the usual load.
+const LOG_SERVED: u32 = 100;
+
 /// Serves callers until the planned stop; returns the exit code.
 pub(crate) fn run_gateway_command(arguments: Vec<OsString>) -> u8 {
     let flags = match GatewayFlags::from_vec(arguments) {
@@ -41,7 +45,7 @@
             return EXIT_NOT_STARTED;
         }
     };
-    match serve(flags.metrics.unwrap_or(METRICS_PORT), &dropped) {
+    match serve(&flags, &dropped) {
         Ok(()) => 0,
         Err(fault) => {
             eprintln!("{fault}");
@@ -73,7 +77,8 @@
     }
 }
 
-fn serve(port: u16, dropped: &DroppedRecords) -> Result<(), CommandFault> {
+fn serve(flags: &GatewayFlags, dropped: &DroppedRecords) -> Result<(), CommandFault> {
+    let port = flags.metrics.unwrap_or(METRICS_PORT);
     let settings = load_settings().map_err(GatewayFault::from)?;
     let fault = |error: &dyn std::fmt::Display| CommandFault::Metrics(error.to_string());
     let metrics = Arc::new(MetricSet::new().map_err(|error| fault(&error))?);
@@ -83,6 +88,8 @@
     let health = Arc::new(HealthFlag::default());
     health.set(HealthState::Ready);
     let _page = serve_metrics(listener, metrics.clone(), health).map_err(|error| fault(&error))?;
-    Gateway::bind(settings, metrics)?.run()?;
+    let mut gateway = Gateway::bind(settings, metrics)?;
+    gateway.set_log_served(flags.log_served.unwrap_or(LOG_SERVED));
+    gateway.run()?;
     Ok(())
 }
--- a/crates/berylmount/src/main.rs
+++ b/crates/berylmount/src/main.rs
@@ -45,7 +45,8 @@
 
   entry --settings FILE      serve callers and operators
   dispatch --settings FILE   serve targets
-  gateway [--metrics PORT]   serve callers on the users' platform; its settings
+  gateway [--metrics PORT] [--log-served N]
+                             serve callers on the users' platform; its settings
                              file is named by the platform
   check-settings FILE        check a settings file
   table ...                  read and edit the operators' table; see table --help
--- a/crates/berylmount/src/operator_flags.rs
+++ b/crates/berylmount/src/operator_flags.rs
@@ -80,5 +80,7 @@
     cmd gateway {
         /// The port of the metrics page on the instance's address; 9464 unless set.
         optional --metrics port: u16
+        /// Log one of so many requests that were served; 100 unless set, 0 for none.
+        optional --log-served every: u32
     }
 }
--- /dev/null
+++ b/crates/berylmount/tests/gateway_process.rs
@@ -0,0 +1,300 @@
+//! What signals, logs and readers of logs do to a real gateway process.
+#![allow(clippy::unwrap_used)]
+
+mod processes;
+#[path = "../../gateway/tests/standins/mod.rs"]
+mod standins;
+
+use processes::{callers_address, command, settings_path, spawn};
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::Value;
+use standins::{
+    all_routes, answer_to, ask, read_answer, stream_to, table, wait_until, AfterAnswer,
+    StandinRunner, StandinStore,
+};
+use std::{
+    fs,
+    io::{BufRead, BufReader, Write},
+    net::{SocketAddr, TcpStream},
+    path::PathBuf,
+    process::{Child, Stdio},
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    thread,
+    time::Duration,
+};
+
+/// A gateway process with its store and one runner.
+struct Running {
+    child: Child,
+    callers: SocketAddr,
+    log: PathBuf,
+    store: StandinStore,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        // One that has ended already needs no signal.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.log);
+        let _ = fs::remove_file(settings_path(&self.log));
+    }
+}
+
+impl Running {
+    fn start(
+        test: &str,
+        runner: &StandinRunner,
+        start: impl Fn(SocketAddr, &PathBuf) -> Child,
+    ) -> Self {
+        let store = StandinStore::start();
+        store.put("config", "main", Some(table(1, all_routes())));
+        store.put("servers", "r1", Some(runner.entry("svc", "ready")));
+        let name = format!("berylmount-{test}-{}.log", std::process::id());
+        let log = std::env::temp_dir().join(name);
+        let _ = fs::remove_file(&log);
+        let child = start(store.address, &log);
+        wait_until("entry in the store", || {
+            callers_address(&store, "i1").is_some()
+        });
+        let callers = callers_address(&store, "i1").unwrap();
+        let running = Self {
+            child,
+            callers,
+            log,
+            store,
+        };
+        wait_until("first answer", || {
+            running
+                .call("GET /safe/warm", "warm")
+                .is_some_and(|answer| answer.contains(" 200 "))
+        });
+        running
+    }
+
+    fn call(&self, line: &str, id: &str) -> Option<String> {
+        ask(self.callers, &request(line, id, "k1"))
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32).unwrap();
+        kill_process(pid, signal).unwrap();
+    }
+
+    /// The log's lines that hold `part`.
+    fn lines(&self, part: &str) -> Vec<Value> {
+        let text = fs::read_to_string(&self.log).unwrap();
+        let found = text.lines().filter(|line| line.contains(part));
+        found
+            .filter_map(|line| serde_json::from_str(line).ok())
+            .collect()
+    }
+
+    fn wait_line(&self, part: &str) -> Value {
+        wait_until(part, || !self.lines(part).is_empty());
+        self.lines(part).remove(0)
+    }
+}
+
+fn request(line: &str, id: &str, key: &str) -> String {
+    format!(
+        "{line} HTTP/1.1\r\nHost: a.example\r\nBerylmount-Request-Id: {id}\r\n\
+         Berylmount-Deadline-Ms: 2500\r\nAuthorization: Token {key}\r\nContent-Length: 0\r\n\r\n"
+    )
+}
+
+/// Answers by the path: whole, as a stream, late, broken or not at all.
+fn runner(may_end: &Arc<AtomicBool>) -> StandinRunner {
+    let may_end = may_end.clone();
+    StandinRunner::start(move |request, _| {
+        let has = |part: &str| request.contains(part);
+        if has("/held") {
+            wait_until("the test's word", || may_end.load(Ordering::Relaxed));
+        }
+        match () {
+            () if has("/cut") => (
+                stream_to(request, &["id: 1\ndata: a\n\n"], false),
+                AfterAnswer::Close,
+            ),
+            () if has("/broken") => (Vec::new(), AfterAnswer::Close),
+            () if has("/silent") => (Vec::new(), AfterAnswer::Hang),
+            () if has("/failed") => (answer_to(request, "500 Failed", "x"), AfterAnswer::Keep),
+            () if has("/stream/") => (
+                stream_to(request, &["id: 1\ndata: a\n\n"], true),
+                AfterAnswer::Keep,
+            ),
+            () => (answer_to(request, "200 OK", "fine"), AfterAnswer::Keep),
+        }
+    })
+}
+
+#[test]
+fn a_planned_stop_cuts_no_request() {
+    let may_end = Arc::new(AtomicBool::new(false));
+    let runner = runner(&may_end);
+    let mut running = Running::start("stop", &runner, |store, log| spawn("i1", store, log));
+    let ready = running.wait_line("\"serving\"")["ready"]
+        .as_str()
+        .unwrap()
+        .parse()
+        .unwrap();
+    let is_ready = move || {
+        ask(ready, "GET /berylmount/ready HTTP/1.1\r\n\r\n").is_some_and(|a| a.contains(" 200 "))
+    };
+    assert!(is_ready());
+    let held: Vec<_> = ["POST /unsafe/held", "GET /stream/held"]
+        .into_iter()
+        .map(|line| {
+            let (callers, text) = (running.callers, request(line, "held", "k1"));
+            thread::spawn(move || ask(callers, &text))
+        })
+        .collect();
+    wait_until("requests at the runner", || {
+        let requests = runner.requests.lock().unwrap();
+        requests
+            .iter()
+            .filter(|request| request.contains("/held"))
+            .count()
+            == 2
+    });
+    let mut kept = TcpStream::connect(running.callers).unwrap();
+    running.signal(Signal::TERM);
+    running.wait_line("\"leaving\"");
+    assert!(!is_ready());
+    // Callers with an older list of addresses are still served.
+    kept.write_all(request("GET /safe/x", "late", "k1").as_bytes())
+        .unwrap();
+    let answer = read_answer(&mut kept).unwrap().to_ascii_lowercase();
+    assert!(
+        answer.contains(" 200 ") && answer.contains("connection: close"),
+        "{answer}"
+    );
+    may_end.store(true, Ordering::Relaxed);
+    for held in held {
+        let answer = held.join().unwrap().unwrap();
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        assert!(
+            answer.ends_with("fine") || answer.ends_with("0\r\n\r\n"),
+            "{answer}"
+        );
+    }
+    wait_until("the end of the process", || {
+        running.child.try_wait().unwrap().is_some()
+    });
+    assert!(running.child.wait().unwrap().success());
+    assert_eq!(running.wait_line("\"stopped\"")["in_flight"], 0);
+}
+
+#[test]
+fn settings_are_read_again_and_faulty_ones_are_refused() {
+    let runner = runner(&Arc::default());
+    let running = Running::start("reload", &runner, |store, log| spawn("i1", store, log));
+    running.signal(Signal::HUP);
+    running.wait_line("settings reloaded");
+    let path = settings_path(&running.log);
+    let text = fs::read_to_string(&path).unwrap();
+    fs::write(&path, text.replace("DrainMs = 2000", "DrainMs = -1")).unwrap();
+    running.signal(Signal::HUP);
+    let line = running.wait_line("settings not reloaded");
+    assert!(
+        line["fault"].as_str().unwrap().contains("Bounds.DrainMs"),
+        "{line}"
+    );
+    let answer = running.call("GET /safe/x", "after").unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+#[test]
+fn every_ending_leaves_its_line() {
+    let runner = runner(&Arc::default());
+    let running = Running::start("endings", &runner, |store, log| {
+        let output = fs::File::create(log).unwrap();
+        let mut command = command("i1", store, log);
+        command
+            .args(["--log-served", "1"])
+            .stdout(Stdio::from(output))
+            .spawn()
+            .unwrap()
+    });
+    let cases = [
+        ("GET /safe/x", "k1", "status 200"),
+        ("GET /stream/x", "k1", "streamed"),
+        ("GET /nowhere", "k1", "unknown_route"),
+        ("GET /safe/x", "other", "unknown_key"),
+        ("POST /unsafe/broken", "k1", "may_have_run"),
+        ("POST /unsafe/silent", "k1", "may_have_run_timeout"),
+        ("POST /unsafe/failed", "k1", "status 500"),
+        ("GET /stream/cut", "k1", "cut: the stream broke off"),
+    ];
+    let found: Vec<String> = cases
+        .iter()
+        .enumerate()
+        .map(|(number, (line, key, outcome))| {
+            let id = format!("case-{number}");
+            let _ = ask(running.callers, &request(line, &id, key));
+            let line = running.wait_line(&format!("\"request\":\"{id}\""));
+            let tries = line["tries"].as_str().unwrap();
+            let is_story = line["total_ms"].is_u64() && line["patience_ms"] == 2500;
+            assert!(is_story, "{line}");
+            assert_eq!(tries.is_empty(), outcome.starts_with("unknown"), "{line}");
+            line["outcome"].as_str().unwrap().to_owned()
+        })
+        .collect();
+    assert_eq!(found, cases.map(|(_, _, outcome)| outcome));
+    let mut leaving = TcpStream::connect(running.callers).unwrap();
+    leaving
+        .write_all(request("GET /safe/silent", "gone", "k1").as_bytes())
+        .unwrap();
+    wait_until("request at the runner", || {
+        runner
+            .requests
+            .lock()
+            .unwrap()
+            .iter()
+            .any(|request| request.contains("gone"))
+    });
+    drop(leaving);
+    let line = running.wait_line("\"request\":\"gone\"");
+    assert_eq!(line["outcome"], "caller gone");
+    running.store.put("servers", "r1", None);
+    running.wait_line("\"change\":\"left\"");
+    running.call("GET /safe/x", "none");
+    assert_eq!(
+        running.wait_line("\"request\":\"none\"")["outcome"],
+        "no_runner"
+    );
+}
+
+/// Many more lines than the pipe and the ring of records hold.
+const STALLED_REQUESTS: usize = 9000;
+
+#[test]
+fn a_reader_of_logs_that_stands_still_stops_no_request() {
+    let runner = runner(&Arc::default());
+    let mut running = Running::start("stalled", &runner, |store, log| {
+        let mut command = command("i1", store, log);
+        command
+            .args(["--log-served", "1"])
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap()
+    });
+    let mut kept = TcpStream::connect(running.callers).unwrap();
+    kept.set_read_timeout(Some(Duration::from_secs(20)))
+        .unwrap();
+    for number in 0..STALLED_REQUESTS {
+        let text = request("GET /nowhere", &format!("n{number}"), "k1");
+        kept.write_all(text.as_bytes()).unwrap();
+        let answer = read_answer(&mut kept).unwrap();
+        assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+    }
+    // Once it reads again, it learns how many lines are missing.
+    let output = BufReader::new(running.child.stdout.take().unwrap());
+    let mut lines = output.lines().map(Result::unwrap);
+    let line = lines.find(|line| line.contains("records dropped")).unwrap();
+    let line: Value = serde_json::from_str(&line).unwrap();
+    assert!(line["dropped"].as_u64().unwrap() > 0, "{line}");
+}
--- /dev/null
+++ b/crates/berylmount/tests/processes/mod.rs
@@ -0,0 +1,53 @@
+//! Real gateway processes for tests.
+#![allow(dead_code)]
+
+use crate::standins::StandinStore;
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+};
+
+/// Settings of a process that uses the store at `store`.
+pub(crate) fn settings_text(name: &str, store: SocketAddr) -> String {
+    format!(
+        "NodeName = {name:?}\nZone = \"north\"\nPortRange = [0, 0]\n[ListenAddrs]\n\
+         FrontendAddr = \"127.0.0.1:0\"\nReady = \"127.0.0.1:0\"\nDirectory = \"127.0.0.1:0\"\n\
+         [Limits]\nCpuShare = 0.25\nLinkMbps = 100\nMemoryMb = 128\nMaxFds = 4000\n\
+         [Bounds]\nDrainMs = 2000\nGracePeriodS = 3\n\
+         ConfigApplyMs = 2000\nRetryBudgetRatio = 0.2\nBudgetExtra = 50\nBudgetWindowS = 10\n\
+         LeaseTtlMs = 3000\nVersionApplyMs = 15000\nttl_max_s = 5\n[Platform]\n\
+         Address = \"{store}\"\nWritesPerS = 400\nReadsPerS = 2000\n"
+    )
+}
+
+/// The settings file of the process that logs to `log`.
+pub(crate) fn settings_path(log: &Path) -> PathBuf {
+    log.with_extension("toml")
+}
+
+/// A process that is not started yet, with its settings file written.
+pub(crate) fn command(name: &str, store: SocketAddr, log: &Path) -> Command {
+    let path = settings_path(log);
+    fs::write(&path, settings_text(name, store)).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_berylmount"));
+    command
+        .args(["gateway", "--metrics", "0"])
+        .env("BERYLMOUNT_BOOT", path);
+    command
+}
+
+/// Starts a process that uses the store at `store` and appends its logs to `log`.
+pub(crate) fn spawn(name: &str, store: SocketAddr, log: &Path) -> Child {
+    let output = fs::OpenOptions::new().create(true).append(true).open(log);
+    let mut command = command(name, store, log);
+    let command = command.stdout(Stdio::from(output.unwrap()));
+    command.spawn().unwrap()
+}
+
+/// Where callers reach an instance, by its entry in the store.
+pub(crate) fn callers_address(store: &StandinStore, name: &str) -> Option<SocketAddr> {
+    let entry = store.value("berylmount-instances", name)?;
+    entry["callers"].as_str()?.parse().ok()
+}
--- a/crates/berylmount/tests/soak.rs
+++ b/crates/berylmount/tests/soak.rs
@@ -14,10 +14,12 @@
 //! it longer. Seeds that failed once stay in `REGRESSIONS` with their cause.
 #![allow(clippy::unwrap_used)]
 
+mod processes;
 #[path = "../../gateway/tests/standins/mod.rs"]
 mod standins;
 
 use berylmount_standins::{FaultProxy, ProxyFaults};
+use processes::{callers_address, spawn};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 use rustix::process::{kill_process, Pid, Signal};
@@ -31,7 +33,7 @@
     io::Write,
     net::{SocketAddr, TcpStream},
     path::{Path, PathBuf},
-    process::{Child, Command, Stdio},
+    process::Child,
     sync::{
         atomic::{AtomicBool, AtomicU32, Ordering},
         Arc, Mutex,
@@ -98,31 +100,6 @@
     }
 }
 
-/// Starts a process whose settings name the proxy as store.
-fn spawn(name: &str, store: SocketAddr, log: &Path) -> Child {
-    let settings = format!(
-        "NodeName = {name:?}\nZone = \"north\"\nPortRange = [0, 0]\n[ListenAddrs]\n\
-         FrontendAddr = \"127.0.0.1:0\"\nReady = \"127.0.0.1:0\"\nDirectory = \"127.0.0.1:0\"\n\
-         [Limits]\nCpuShare = 0.25\nLinkMbps = 100\nMemoryMb = 128\nMaxFds = 4000\n[Bounds]\nDrainMs = 2000\nGracePeriodS = 3\n\
-         ConfigApplyMs = 2000\nRetryBudgetRatio = 0.2\nBudgetExtra = 50\nBudgetWindowS = 10\n\
-         LeaseTtlMs = 3000\nVersionApplyMs = 15000\nttl_max_s = 5\n[Platform]\n\
-         Address = \"{store}\"\nWritesPerS = 400\nReadsPerS = 2000\n"
-    );
-    let path = log.with_extension("toml");
-    fs::write(&path, settings).unwrap();
-    let output = fs::OpenOptions::new()
-        .create(true)
-        .append(true)
-        .open(log)
-        .unwrap();
-    Command::new(env!("CARGO_BIN_EXE_berylmount"))
-        .args(["gateway", "--metrics", "0"])
-        .env("BERYLMOUNT_BOOT", path)
-        .stdout(Stdio::from(output))
-        .spawn()
-        .unwrap()
-}
-
 /// A runner that fails a part of its requests, and counts what it runs.
 fn faulty_runner(seed: u64, runs: RunCounts) -> StandinRunner {
     let rng = Mutex::new(Pcg64::seed_from_u64(seed));
@@ -244,11 +221,6 @@
     }
 }
 
-fn callers_address(store: &StandinStore, name: &str) -> Option<SocketAddr> {
-    let entry = store.value("berylmount-instances", name)?;
-    entry["callers"].as_str()?.parse().ok()
-}
-
 /// One fault, which ends by itself or with the next one of its kind.
 fn strike(
     rng: &mut impl Rng,
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -8,7 +8,9 @@
 };
 use berylmount_adapter::request_headers::decode_request;
 use berylmount_fleet::CallerLimits;
-use berylmount_h1::{read_body, BodyReader, H1Fault, H1Stream, HeadLimits, RequestHead};
+use berylmount_h1::{
+    read_body, BodyFraming, BodyReader, H1Fault, H1Stream, HeadLimits, RequestHead,
+};
 use bytes::Bytes;
 use http::header::EXPECT;
 use std::{cell::Cell, rc::Rc, time::Duration};
@@ -148,6 +150,9 @@
     limits: CallerLimits,
 ) -> Result<Bytes, Option<AnswerReason>> {
     let framing = head.framing().map_err(|_| Some(AnswerReason::Malformed))?;
+    if matches!(framing, BodyFraming::Length(length) if length > limits.body_bytes as u64) {
+        return Err(Some(AnswerReason::BodyTooLong));
+    }
     let reader = BodyReader::new(framing);
     if reader.is_done() {
         return Ok(Bytes::new());
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -241,9 +241,16 @@
         );
     }
     let patience_ms = call.request.patience.map_or(0, |p| p.as_millis() as u64);
+    let served = match state.logs_served(&call.request.id) {
+        true => log::Level::Info,
+        false => log::Level::Debug,
+    };
     let (level, outcome) = match end {
-        CallEnd::Answered(status) => (log::Level::Debug, format!("status {}", status.as_u16())),
-        CallEnd::Streamed => (log::Level::Debug, "streamed".to_owned()),
+        CallEnd::Answered(status) if status.is_server_error() => {
+            (log::Level::Info, format!("status {}", status.as_u16()))
+        }
+        CallEnd::Answered(status) => (served, format!("status {}", status.as_u16())),
+        CallEnd::Streamed => (served, "streamed".to_owned()),
         CallEnd::Own(answer) => (log::Level::Info, answer.reason.to_string()),
         CallEnd::CallerGone => (log::Level::Info, "caller gone".to_owned()),
         CallEnd::Cut(reason) => (log::Level::Warn, format!("cut: {reason}")),
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -73,6 +73,7 @@
     beats: StdSocket,
     metrics: Arc<MetricSet>,
     first_contact: Option<SocketAddr>,
+    log_served: u32,
 }
 
 impl Gateway {
@@ -109,6 +110,7 @@
             beats,
             metrics,
             first_contact: None,
+            log_served: 0,
         })
     }
 
@@ -122,6 +124,12 @@
         self.first_contact = Some(address);
     }
 
+    /// Logs one of `every` requests that are served, at the usual level; 0 logs
+    /// none. The same requests are chosen at every instance.
+    pub fn set_log_served(&mut self, every: u32) {
+        self.log_served = every;
+    }
+
     /// Serves until the planned stop.
     ///
     /// # Errors
@@ -143,13 +151,14 @@
         log::info!(
             target: "process",
             name = settings.name, data_centre = settings.data_centre,
-            callers:% = settings.listen.callers;
+            callers:% = settings.listen.callers, ready:% = settings.listen.ready;
             "serving"
         );
         let state = Rc::new(GatewayState::new(
             settings,
             self.metrics,
             self.first_contact,
+            self.log_served,
         ));
         spawn_duties(&state);
         spawn_local(exchange_beats(state.clone(), beats));
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -36,9 +36,19 @@
     _open: OpenGuard,
 }
 
-/// Counts one open connection.
+impl RunnerStream {
+    /// A connection that was opened with its reservation.
+    pub(crate) fn new(stream: H1Stream, open: OpenGuard) -> Self {
+        Self {
+            stream,
+            _open: open,
+        }
+    }
+}
+
+/// Counts one open connection, or one that is being opened.
 #[derive(Debug)]
-struct OpenGuard(Rc<Cell<u32>>);
+pub(crate) struct OpenGuard(Rc<Cell<u32>>);
 
 impl Drop for OpenGuard {
     fn drop(&mut self) {
@@ -82,7 +92,8 @@
     /// Whether it has left.
     is_gone: Cell<bool>,
     idle: RefCell<Vec<KeptStream>>,
-    /// Open connections of this instance, idle ones included.
+    /// Open connections of this instance, idle ones and those that are being
+    /// opened included.
     open: Rc<Cell<u32>>,
     /// Requests of this instance that have not ended there.
     pub(crate) running: Cell<u32>,
@@ -223,16 +234,14 @@
         idle.retain(|kept| kept.is_usable(kept.age(now_ms)));
     }
 
-    /// Open connections of this instance.
-    pub(crate) fn open(&self) -> u32 {
-        self.open.get()
-    }
-
-    /// Counts a new connection.
-    pub(crate) fn opened(&self, stream: H1Stream) -> RunnerStream {
+    /// Takes one of `most` connections, before it is opened: others may be opened
+    /// meanwhile.
+    pub(crate) fn reserve(&self, most: u32) -> Option<OpenGuard> {
+        if self.open.get() >= most {
+            return None;
+        }
         self.open.set(self.open.get() + 1);
-        let _open = OpenGuard(self.open.clone());
-        RunnerStream { stream, _open }
+        Some(OpenGuard(self.open.clone()))
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -104,6 +104,8 @@
     pub(crate) instances: RefCell<InstanceList>,
     /// Second tries by service.
     tries: RefCell<Vec<(String, SecondTries)>>,
+    /// Of how many served requests one is logged; 0 for none.
+    log_served: u32,
     /// When the planned stop began; 0 before.
     pub(crate) leaving_since_ms: Cell<u64>,
     /// Requests that have been read and not answered.
@@ -125,11 +127,13 @@
         settings: ProcessSettings,
         metrics: Arc<MetricSet>,
         first_contact: Option<SocketAddr>,
+        log_served: u32,
     ) -> Self {
         let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         Self {
             metrics,
             first_contact,
+            log_served,
             started_ms: since_epoch.map_or(0, |passed| passed.as_millis() as u64),
             begun_ms: boot_ms(),
             retired: RefCell::default(),
@@ -302,6 +306,12 @@
         self.instances.borrow().most_known()
     }
 
+    /// Whether a request is logged though it was served.
+    pub(crate) fn logs_served(&self, request_id: &str) -> bool {
+        let every = u64::from(self.log_served);
+        every > 0 && xxh3_64(request_id.as_bytes()).is_multiple_of(every)
+    }
+
     /// Counts the first try of a request at a service.
     pub(crate) fn note_first_try(&self, service: &str, now_ms: u64) {
         self.with_tries(service, |tries| tries.note_first(now_ms));
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -129,12 +129,11 @@
         if let Some(kept) = self.runner.take_kept(boot_ms(), most_idle) {
             return Ok(kept);
         }
-        if self.runner.open() >= self.most_connections {
-            return Err("too many connections");
-        }
+        let reserved = self.runner.reserve(self.most_connections);
+        let open = reserved.ok_or("too many connections")?;
         let address = self.runner.record().address;
         match H1Stream::connect(address, CONNECT_TIME).await {
-            Ok(stream) => Ok(self.runner.opened(stream)),
+            Ok(stream) => Ok(RunnerStream::new(stream, open)),
             Err(_) => {
                 self.runner.note_end(false, boot_ms());
                 Err("no connection")
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -3,11 +3,21 @@
 
 mod standins;
 
+use serde_json::json;
 use standins::{
-    answer_to, answer_with_id, ask, header, stream_to, table, wait_until, AfterAnswer, Served,
-    StandinRunner,
+    all_routes, answer_to, answer_with_id, ask, header, route, stream_to, table, wait_until,
+    AfterAnswer, Served, StandinRunner,
+};
+use std::{
+    io::Write,
+    net::TcpStream,
+    sync::{
+        atomic::{AtomicU32, Ordering},
+        Arc,
+    },
+    thread,
+    time::Duration,
 };
-use std::{io::Write, net::TcpStream};
 
 /// Answers warm-up requests, and others by `script`.
 fn scripted(
@@ -373,3 +383,87 @@
     );
     assert_eq!(header(&answer, "berylmount-response-stamp").unwrap(), "s");
 }
+
+#[test]
+fn a_body_over_the_limit_is_refused_before_it_is_sent() {
+    let runner = sound();
+    let served = Served::start(&[("r1", &runner)]);
+    let answer = ask(
+        served.settings.listen.callers,
+        "POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token k1\r\n\
+         Content-Length: 9000000\r\n\r\n",
+    );
+    let answer = answer.unwrap();
+    assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    assert_eq!(header(&answer, "connection").as_deref(), Some("close"));
+    assert_eq!(arrivals(&runner).len(), 0);
+}
+
+/// Bytes of a body that no socket buffer holds.
+const LONG_BODY: usize = 12 << 20;
+
+/// A runner that answers after the head, and reads bodies only on its warm-up.
+fn early_runner() -> StandinRunner {
+    StandinRunner::start_with(|socket, head| {
+        let is_early = head.contains("/unsafe/");
+        let answer = answer_to(head, "200 OK", "early");
+        socket.write_all(&answer).unwrap();
+        match is_early {
+            true => AfterAnswer::Hang,
+            false => AfterAnswer::Keep,
+        }
+    })
+}
+
+#[test]
+fn an_answer_that_comes_before_the_body_is_sent_reaches_the_caller() {
+    let runner = early_runner();
+    let served = Served::start(&[("r1", &runner)]);
+    let mut long = table(2, all_routes());
+    long["Limits"]["MaxBodyBytes"] = json!(2 * LONG_BODY);
+    served.store.put("config", "main", Some(long));
+    let body = "b".repeat(LONG_BODY);
+    wait_until("the answer", || {
+        let answer = served.call("POST /unsafe/x", "id1", "", &body);
+        // Until the new table is in force the body is too long.
+        answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 200") && answer.ends_with("early"))
+    });
+}
+
+#[test]
+fn no_more_connections_are_opened_to_a_runner_than_it_takes() {
+    let (open, most) = (Arc::new(AtomicU32::new(0)), Arc::new(AtomicU32::new(0)));
+    let (counted, peak) = (open.clone(), most.clone());
+    let runner = scripted(move |request| {
+        let now = counted.fetch_add(1, Ordering::SeqCst) + 1;
+        peak.fetch_max(now, Ordering::SeqCst);
+        // Long enough that all callers come meanwhile.
+        thread::sleep(Duration::from_millis(150));
+        counted.fetch_sub(1, Ordering::SeqCst);
+        (answer_to(request, "200 OK", "fine"), AfterAnswer::Keep)
+    });
+    let served = Served::start(&[("r1", &runner)]);
+    let mut narrow = table(2, all_routes());
+    narrow["Services"][0]["MaxConnections"] = json!(2);
+    narrow["Routes"]
+        .as_array_mut()
+        .unwrap()
+        .push(route("/new/", "safe", 1, false));
+    served.store.put("config", "main", Some(narrow));
+    served.wait_status("GET /new/warm", "200", false);
+    let answers: Vec<String> = thread::scope(|scope| {
+        let call = |number: usize| {
+            served
+                .call("GET /safe/x", &format!("id{number}"), "", "")
+                .unwrap()
+        };
+        let calls: Vec<_> = (0..8)
+            .map(|number| scope.spawn(move || call(number)))
+            .collect();
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    });
+    assert!(most.load(Ordering::SeqCst) <= 2, "{most:?}");
+    let is_final = |answer: &String| answer.contains(" 200 ") || answer.contains(" 503 ");
+    assert!(answers.iter().all(is_final), "{answers:?}");
+    assert!(answers.iter().any(|answer| answer.contains(" 200 ")));
+}
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -209,9 +209,6 @@
     Hang,
 }
 
-/// Answers a request, by its text and number.
-type RunnerScript = dyn Fn(&str, usize) -> (Vec<u8>, AfterAnswer);
-
 /// A runner that answers as a script says.
 #[derive(Clone)]
 pub(crate) struct StandinRunner {
@@ -226,6 +223,30 @@
     /// Starts a runner; `script` sees the request and its number.
     pub(crate) fn start(
         script: impl Fn(&str, usize) -> (Vec<u8>, AfterAnswer) + Send + Sync + 'static,
+    ) -> Self {
+        Self::serving(move |runner, socket| {
+            let request = read_message(socket)?;
+            let number = runner.note(&request);
+            let (answer, after) = script(&request, number);
+            socket.write_all(&answer).ok()?;
+            Some(after)
+        })
+    }
+
+    /// Starts a runner that sees only a request's head, and reads no body.
+    pub(crate) fn start_with(
+        script: impl Fn(&mut TcpStream, &str) -> AfterAnswer + Send + Sync + 'static,
+    ) -> Self {
+        Self::serving(move |runner, socket| {
+            let head = read_head(socket)?;
+            runner.note(&head);
+            Some(script(socket, &head))
+        })
+    }
+
+    /// Starts a runner; `step` serves one request of a connection, `None` at its end.
+    fn serving(
+        step: impl Fn(&Self, &mut TcpStream) -> Option<AfterAnswer> + Send + Sync + 'static,
     ) -> Self {
         let listener = TcpListener::bind(any_port()).unwrap();
         let runner = Self {
@@ -233,32 +254,35 @@
             requests: Arc::default(),
             closed: Arc::default(),
         };
-        let (serving, script) = (runner.clone(), Arc::new(script));
+        let (serving, step) = (runner.clone(), Arc::new(step));
         thread::spawn(move || {
             for socket in listener.incoming() {
-                let (runner, script) = (serving.clone(), script.clone());
-                let socket = socket.unwrap();
-                thread::spawn(move || runner.serve(socket, script.as_ref()));
+                let (runner, step) = (serving.clone(), step.clone());
+                let mut socket = socket.unwrap();
+                thread::spawn(move || {
+                    while let Some(after) = step(&runner, &mut socket) {
+                        match after {
+                            AfterAnswer::Keep => {}
+                            AfterAnswer::Close => return,
+                            AfterAnswer::Hang => break,
+                        }
+                    }
+                    runner.await_end(&mut socket);
+                });
             }
         });
         runner
     }
 
-    fn serve(&self, mut socket: TcpStream, script: &RunnerScript) {
-        while let Some(request) = read_message(&mut socket) {
-            let number = {
-                let mut requests = self.requests.lock().unwrap();
-                requests.push(request.clone());
-                requests.len() - 1
-            };
-            let (answer, after) = script(&request, number);
-            if socket.write_all(&answer).is_err() || after == AfterAnswer::Close {
-                return;
-            }
-            if after == AfterAnswer::Hang {
-                break;
-            }
-        }
+    /// Notes a request; returns its number.
+    fn note(&self, request: &str) -> usize {
+        let mut requests = self.requests.lock().unwrap();
+        requests.push(request.to_owned());
+        requests.len() - 1
+    }
+
+    /// Waits until the caller closes the connection.
+    fn await_end(&self, socket: &mut TcpStream) {
         let mut rest = [0u8; 64];
         while matches!(socket.read(&mut rest), Ok(length) if length > 0) {}
         *self.closed.lock().unwrap() += 1;
@@ -278,8 +302,8 @@
     }
 }
 
-/// Reads a message with a length, as text; `None` at the end of the connection.
-pub(crate) fn read_message(socket: &mut TcpStream) -> Option<String> {
+/// Reads a message's head; `None` at the end of the connection.
+fn read_head(socket: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut byte = [0u8; 1];
     while !bytes.ends_with(b"\r\n\r\n") {
@@ -288,7 +312,12 @@
             _ => return None,
         }
     }
-    let head = String::from_utf8(bytes).unwrap();
+    Some(String::from_utf8(bytes).unwrap())
+}
+
+/// Reads a message with a length, as text; `None` at the end of the connection.
+pub(crate) fn read_message(socket: &mut TcpStream) -> Option<String> {
+    let head = read_head(socket)?;
     let length = header(&head, "content-length").map_or(0, |text| text.parse().unwrap());
     let mut body = vec![0u8; length];
     socket.read_exact(&mut body).ok()?;
@@ -481,15 +510,8 @@
 /// Reads an answer with a length or in chunks; a chunked one that breaks off is
 /// marked.
 pub(crate) fn read_answer(socket: &mut TcpStream) -> Option<String> {
-    let mut bytes = Vec::new();
+    let head = read_head(socket)?;
     let mut byte = [0u8; 1];
-    while !bytes.ends_with(b"\r\n\r\n") {
-        match socket.read(&mut byte) {
-            Ok(1) => bytes.push(byte[0]),
-            _ => return None,
-        }
-    }
-    let head = String::from_utf8(bytes).unwrap();
     if let Some(length) = header(&head, "content-length") {
         let mut body = vec![0u8; length.parse().unwrap()];
         socket.read_exact(&mut body).ok()?;
