--- a/crates/bench/src/bin/slopes/slopes.rs
+++ b/crates/bench/src/bin/slopes/slopes.rs
@@ -1,7 +1,7 @@
 //! The slopes that can be measured.
 
 use crate::usage::ProcessUsage;
-use berylmount_platform::CallKind;
+use berylmount_objects::CallKind;
 use berylmount_standins::{
     wait_until, EngineConfig, FleetConfig, TestFleet, TestProcess, CUSTOMER_KEY, CUSTOMER_KEY_HASH,
 };
--- a/crates/berylmount/src/instance_list.rs
+++ b/crates/berylmount/src/instance_list.rs
@@ -6,7 +6,7 @@
 
 use berylmount_model::InstanceRecord;
 use berylmount_peers::{MemberState, MemberView};
-use berylmount_platform::{ObjectStore, StoreError};
+use berylmount_objects::{ObjectStore, StoreError};
 use berylmount_wire::{PeerCall, PeerClient, PeerService, WireFault};
 use std::{
     sync::{
--- a/crates/berylmount/src/membership.rs
+++ b/crates/berylmount/src/membership.rs
@@ -11,7 +11,7 @@
     feed_table, process_report, serve_table, BoardConfig, LoadLevel, MemberView, MembershipParts,
     PeerHealth, PeerMembership, PeerRecord, ProcessReport,
 };
-use berylmount_platform::{CallCounts, CallKind, ObjectStore};
+use berylmount_objects::{CallCounts, CallKind, ObjectStore};
 use berylmount_settings::ProcessSettings;
 use berylmount_table::TableReplica;
 use berylmount_telemetry::{CounterMetric, GaugeMetric, MetricSet};
--- a/crates/berylmount/src/orders_command.rs
+++ b/crates/berylmount/src/orders_command.rs
@@ -10,7 +10,7 @@
     RETENTION_DAYS,
 };
 use berylmount_model::{unix_ms, CustomerName, NameError, OrderKey};
-use berylmount_platform::{ObjectStore, PlatformClient};
+use berylmount_objects::{ObjectStore, PlatformClient};
 use berylmount_settings::ProcessSettings;
 use std::{
     ffi::OsString,
--- a/crates/berylmount/src/role.rs
+++ b/crates/berylmount/src/role.rs
@@ -7,7 +7,7 @@
 use berylmount_dispatch::{DispatchParts, DispatchProcess};
 use berylmount_entry::{EntryParts, EntryProcess};
 use berylmount_model::{InstanceRole, MonotonicClock};
-use berylmount_platform::{CallCounts, ObjectStore, PlatformClient};
+use berylmount_objects::{CallCounts, ObjectStore, PlatformClient};
 use berylmount_settings::{ProcessSettings, SettingsError};
 use berylmount_table::TableReplica;
 use berylmount_telemetry::{
--- a/crates/berylmount/tests/orders.rs
+++ b/crates/berylmount/tests/orders.rs
@@ -4,7 +4,7 @@
 
 use berylmount_ledger::{service_key, unsettled_orders, LedgerDay};
 use berylmount_model::{unix_ms, CustomerName, OrderKey};
-use berylmount_platform::ObjectStore;
+use berylmount_objects::ObjectStore;
 use berylmount_standins::{
     wait_until, FleetConfig, PlatformFaults, ServiceConfig, ServiceFault, TestFleet,
 };
--- a/crates/dispatch/src/shared.rs
+++ b/crates/dispatch/src/shared.rs
@@ -6,7 +6,7 @@
     CallRefusal, InstanceName, InstanceRecord, InstanceRole, InstanceState, MonotonicClock,
     RefusalReason,
 };
-use berylmount_platform::ObjectStore;
+use berylmount_objects::ObjectStore;
 use berylmount_policy::{assignment, RetryBudget, RunnerSettings, TargetGroup};
 use berylmount_settings::ProcessSettings;
 use berylmount_table::TableReplica;
--- a/crates/dispatch/src/weights.rs
+++ b/crates/dispatch/src/weights.rs
@@ -10,7 +10,7 @@
     versions::{version_shares, wanted_versions},
 };
 use berylmount_model::{InstanceName, InstanceRecord, InstanceRole, PoolName, PoolRole, PoolRow};
-use berylmount_platform::{HeldLease, PlatformLease};
+use berylmount_objects::{HeldLease, PlatformLease};
 use berylmount_policy::assignment::{self, MemberWeight};
 use berylmount_table::TableView;
 use berylmount_targets::{
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -21,7 +21,7 @@
     operator_status::status_answer,
 };
 use berylmount_model::{unix_ms, MonotonicClock, RowKey, RowKind, TableRow};
-use berylmount_platform::ObjectStore;
+use berylmount_objects::ObjectStore;
 use berylmount_table::{
     changed_errors, diff_rows, parse_row, read_sheet, row_cells, verify_rows, write_sheet,
     ColumnName, EditError, EditReceipt, ForceReport, RowCells, RowChange, RowError, ShardDocument,
--- a/crates/entry/src/order_status.rs
+++ b/crates/entry/src/order_status.rs
@@ -6,7 +6,7 @@
 };
 use berylmount_ledger::{unsettled_below, LedgerDay, OrderEntry, SegmentName, RETENTION_DAYS};
 use berylmount_model::unix_ms;
-use berylmount_platform::ObjectStore;
+use berylmount_objects::ObjectStore;
 use std::{
     sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant},
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -11,7 +11,7 @@
     RefusalReason, WorkName,
 };
 use berylmount_peers::MemberView;
-use berylmount_platform::ObjectStore;
+use berylmount_objects::ObjectStore;
 use berylmount_policy::{
     assignment::{self, MemberWeight},
     LimitBook, LimitShare, RetryBudget,
--- a/crates/ledger/examples/ledger_rate.rs
+++ b/crates/ledger/examples/ledger_rate.rs
@@ -10,7 +10,7 @@
     RecordedAnswer,
 };
 use berylmount_model::{unix_ms, CustomerName, OrderKey, PoolName, WorkName};
-use berylmount_platform::{CallKind, ObjectStore, PlatformClient};
+use berylmount_objects::{CallKind, ObjectStore, PlatformClient};
 use berylmount_standins::{PlatformFaults, PlatformServer};
 use std::{
     net::{Ipv4Addr, SocketAddr},
--- a/crates/ledger/src/calls.rs
+++ b/crates/ledger/src/calls.rs
@@ -1,7 +1,7 @@
 //! Makes the calls that lanes ask for.
 
 use crate::{lane::PROBE_OBJECT, CallReply, LaneCall, SegmentCall};
-use berylmount_platform::{ObjectStore, StoreError, StoredObject};
+use berylmount_objects::{ObjectStore, StoreError, StoredObject};
 
 /// Makes one call and translates its result.
 ///
--- a/crates/ledger/src/order_ledger.rs
+++ b/crates/ledger/src/order_ledger.rs
@@ -7,7 +7,7 @@
     LedgerDay, OrderIntent, OrderOutcome, OutcomeSource, RecordedAnswer, WriterNonce,
 };
 use berylmount_model::{CallRefusal, RefusalReason};
-use berylmount_platform::ObjectStore;
+use berylmount_objects::ObjectStore;
 use std::{
     sync::{
         atomic::{AtomicU64, Ordering},
--- a/crates/ledger/src/read.rs
+++ b/crates/ledger/src/read.rs
@@ -4,7 +4,7 @@
     decode_segment, KeyPlace, LedgerDay, OrderEntry, OrderState, SegmentBody, SegmentName,
 };
 use berylmount_model::{CustomerName, OrderKey};
-use berylmount_platform::{ObjectStore, StoreError};
+use berylmount_objects::{ObjectStore, StoreError};
 
 /// Why entries could not be read.
 #[derive(Debug, thiserror::Error)]
--- a/crates/ledger/src/settle.rs
+++ b/crates/ledger/src/settle.rs
@@ -5,7 +5,7 @@
     LedgerLane, OrderEntry, OrderOutcome, OrderState, OutcomeSource, ReadError, SegmentBody,
     SegmentName,
 };
-use berylmount_platform::{ObjectStore, StoreError};
+use berylmount_objects::{ObjectStore, StoreError};
 
 /// Calls that one settlement may take.
 const MAX_CALLS: usize = 64;
--- a/crates/ledger/src/worker.rs
+++ b/crates/ledger/src/worker.rs
@@ -3,7 +3,7 @@
 use crate::{
     calls::make_call, CallReply, ChangeReply, ChangeRequest, ChangeTicket, LedgerConfig, LedgerLane,
 };
-use berylmount_platform::ObjectStore;
+use berylmount_objects::ObjectStore;
 use std::{
     sync::{
         atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
--- a/crates/ledger/tests/order_ledger.rs
+++ b/crates/ledger/tests/order_ledger.rs
@@ -12,7 +12,7 @@
     RefusalReason::{self, KeyExpired, PlatformUnavailable},
     RequestVerdict, WorkName,
 };
-use berylmount_platform::{CallKind, ObjectStore, MAX_VALUE_BYTES};
+use berylmount_objects::{CallKind, ObjectStore, MAX_VALUE_BYTES};
 use berylmount_standins::{wait_until, MemoryStore, WriteFault};
 use proptest::{prelude::*, test_runner::TestRunner};
 use std::{sync::Arc, thread, time::Duration};
--- a/crates/platform/src/client.rs
+++ b/crates/objects/src/client.rs
@@ -55,7 +55,7 @@
     /// A client of the platform at `address`; it connects at the first call.
     ///
     /// ```
-    /// use berylmount_platform::{ObjectStore, PlatformClient, StoreError};
+    /// use berylmount_objects::{ObjectStore, PlatformClient, StoreError};
     ///
     /// let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     /// let client = PlatformClient::new(closed);
--- a/crates/platform/src/counts.rs
+++ b/crates/objects/src/counts.rs
@@ -44,7 +44,7 @@
     /// The calls of one kind.
     ///
     /// ```
-    /// use berylmount_platform::{CallCounts, CallKind};
+    /// use berylmount_objects::{CallCounts, CallKind};
     ///
     /// let counts = CallCounts::default();
     /// counts.add_call(CallKind::Get);
--- a/crates/platform/src/lease.rs
+++ b/crates/objects/src/lease.rs
@@ -46,7 +46,7 @@
 ///
 /// ```
 /// use berylmount_model::InstanceName;
-/// use berylmount_platform::PlatformLease;
+/// use berylmount_objects::PlatformLease;
 /// use berylmount_standins::MemoryStore;
 ///
 /// let store = MemoryStore::default();
--- a/crates/platform/src/lib.rs
+++ b/crates/objects/src/lib.rs
@@ -1,4 +1,6 @@
-//! Client of the platform's object API.
+//! Client of the object API that the processes `entry` and `dispatch` use.
+//!
+//! The users' platform is met elsewhere, in `platform/`.
 //!
 //! [`ObjectStore`] is the edge at which the platform is met; everything above
 //! it uses that trait, so tests can put a store in memory behind it.
--- a/crates/platform/tests/client.rs
+++ b/crates/objects/tests/client.rs
@@ -2,7 +2,7 @@
 #![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
 
 use berylmount_model::InstanceRecord;
-use berylmount_platform::{CallKind, ObjectStore, PlatformClient, StoreError, MAX_VALUE_BYTES};
+use berylmount_objects::{CallKind, ObjectStore, PlatformClient, StoreError, MAX_VALUE_BYTES};
 use berylmount_standins::{FaultProxy, PlatformFaults, PlatformServer};
 use std::{
     io::{Read, Write},
--- a/crates/platform/tests/cut_write.rs
+++ b/crates/objects/tests/cut_write.rs
@@ -1,6 +1,6 @@
 //! A write whose sender dies while it sends stores nothing.
 
-use berylmount_platform::{CallKind, ObjectStore};
+use berylmount_objects::{CallKind, ObjectStore};
 use berylmount_standins::{wait_until, PlatformServer};
 use std::{
     io::Write,
--- a/crates/peers/tests/tables.rs
+++ b/crates/peers/tests/tables.rs
@@ -6,7 +6,7 @@
 
 use berylmount_model::{ModelName, ModelRow, TableRow, VersionName};
 use berylmount_peers::{feed_table, BoardConfig, MemberView};
-use berylmount_platform::ObjectStore;
+use berylmount_objects::ObjectStore;
 use berylmount_standins::MemoryStore;
 use berylmount_table::{FreshnessState, RowChange, TableEdit, TableEditor, TableReplica};
 use node::{node_name, start_node, LocalNode};
--- a/crates/standins/src/memory.rs
+++ b/crates/standins/src/memory.rs
@@ -4,7 +4,7 @@
 //! process, behind fuzz tests.
 
 use berylmount_model::InstanceRecord;
-use berylmount_platform::{
+use berylmount_objects::{
     CallCounts, CallKind, InstanceListing, ObjectHead, ObjectStore, StoreError, StoredObject,
     MAX_VALUE_BYTES,
 };
@@ -69,7 +69,7 @@
 /// An [`ObjectStore`] in memory.
 ///
 /// ```
-/// use berylmount_platform::{ObjectStore, StoreError};
+/// use berylmount_objects::{ObjectStore, StoreError};
 /// use berylmount_standins::{MemoryStore, WriteFault};
 ///
 /// let store = MemoryStore::default();
--- a/crates/standins/src/platform.rs
+++ b/crates/standins/src/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's object API as an HTTP server with faults.
 //!
-//! Beside the API that `berylmount-platform` documents:
+//! Beside the API that `berylmount-objects` documents:
 //!
 //! - `PUT /admin/instances?lag_ms=N`: the list of instances, shown after the lag.
 //! - `PUT /admin/faults`: a [`PlatformFaults`]; keys that are absent go back to none.
@@ -8,7 +8,7 @@
 
 use crate::{MemoryStore, WriteFault};
 use berylmount_model::InstanceRecord;
-use berylmount_platform::{CallKind, ObjectStore, StoreError, StoredObject, MAX_VALUE_BYTES};
+use berylmount_objects::{CallKind, ObjectStore, StoreError, StoredObject, MAX_VALUE_BYTES};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::BTreeMap,
--- a/crates/table/examples/table_size.rs
+++ b/crates/table/examples/table_size.rs
@@ -3,7 +3,7 @@
 //! `cargo run --release -p berylmount-table --example table_size -- CUSTOMERS`
 
 use berylmount_model::{CustomerName, CustomerRow, LimitRow, RowKind, TableRow, WorkName};
-use berylmount_platform::ObjectStore;
+use berylmount_objects::ObjectStore;
 use berylmount_standins::MemoryStore;
 use berylmount_table::{
     parse_row, ColumnName, RowCells, RowChange, TableEdit, TableEditor, TableReplica, HEAD_KEY,
--- a/crates/table/src/editor.rs
+++ b/crates/table/src/editor.rs
@@ -16,7 +16,7 @@
     TableEdit, HEAD_KEY, SHARD_PREFIX,
 };
 use berylmount_model::RowKey;
-use berylmount_platform::{ObjectStore, StoreError, MAX_VALUE_BYTES};
+use berylmount_objects::{ObjectStore, StoreError, MAX_VALUE_BYTES};
 use std::time::{Duration, Instant};
 
 /// The most rows of an edit that travels in the head.
--- a/crates/table/src/replica.rs
+++ b/crates/table/src/replica.rs
@@ -9,7 +9,7 @@
     SHARD_COUNT,
 };
 use berylmount_model::InstanceName;
-use berylmount_platform::{ObjectStore, StoreError, StoredObject};
+use berylmount_objects::{ObjectStore, StoreError, StoredObject};
 use std::{
     sync::{
         atomic::{AtomicBool, Ordering},
@@ -93,7 +93,7 @@
 /// A process's copy of the table.
 ///
 /// ```
-/// use berylmount_platform::ObjectStore;
+/// use berylmount_objects::ObjectStore;
 /// use berylmount_standins::MemoryStore;
 /// use berylmount_table::TableReplica;
 /// use std::time::Duration;
--- a/crates/table/tests/edits.rs
+++ b/crates/table/tests/edits.rs
@@ -5,7 +5,7 @@
     CustomerName, CustomerRow, LimitRow, ModelName, ModelRow, RowKey, TableRow, VersionName,
     WorkName,
 };
-use berylmount_platform::{
+use berylmount_objects::{
     InstanceListing, ObjectHead, ObjectStore, StoreError, StoredObject, MAX_VALUE_BYTES,
 };
 use berylmount_standins::{MemoryStore, WriteFault};
--- a/crates/table/tests/fuzz_table.rs
+++ b/crates/table/tests/fuzz_table.rs
@@ -7,7 +7,7 @@
 #![allow(clippy::unwrap_used, reason = "helpers of tests unwrap as tests do")]
 
 use berylmount_model::{InstanceName, ModelName, ModelRow, RowKey, TableRow, VersionName};
-use berylmount_platform::{InstanceListing, ObjectStore, StoreError, StoredObject};
+use berylmount_objects::{InstanceListing, ObjectStore, StoreError, StoredObject};
 use berylmount_standins::{MemoryStore, WriteFault};
 use berylmount_table::{
     shard_index, shard_key, EditError, PeerReport, RowChange, ShardDocument, TableEdit,
@@ -153,7 +153,7 @@
     ) -> Result<Option<StoredObject>, StoreError> {
         self.store()?.watch(key, after, Duration::ZERO)
     }
-    fn list(&self, prefix: &str) -> Result<Vec<berylmount_platform::ObjectHead>, StoreError> {
+    fn list(&self, prefix: &str) -> Result<Vec<berylmount_objects::ObjectHead>, StoreError> {
         self.store()?.list(prefix)
     }
     fn instances_after(&self, version: u64) -> Result<Option<InstanceListing>, StoreError> {
