--- a/crates/berylmount/src/instance_list.rs
+++ b/crates/berylmount/src/instance_list.rs
@@ -5,8 +5,8 @@
 //! its own list counts.
 
 use berylmount_model::InstanceRecord;
-use berylmount_peers::{MemberState, MemberView};
 use berylmount_objects::{ObjectStore, StoreError};
+use berylmount_peers::{MemberState, MemberView};
 use berylmount_wire::{PeerCall, PeerClient, PeerService, WireFault};
 use std::{
     sync::{
--- a/crates/berylmount/src/membership.rs
+++ b/crates/berylmount/src/membership.rs
@@ -7,11 +7,11 @@
 
 use crate::{instance_list::InstanceList, table_follower::TableFollower};
 use berylmount_model::{InstanceName, InstanceRecord, InstanceRole, MonotonicClock};
+use berylmount_objects::{CallCounts, CallKind, ObjectStore};
 use berylmount_peers::{
     feed_table, process_report, serve_table, BoardConfig, LoadLevel, MemberView, MembershipParts,
     PeerHealth, PeerMembership, PeerRecord, ProcessReport,
 };
-use berylmount_objects::{CallCounts, CallKind, ObjectStore};
 use berylmount_settings::ProcessSettings;
 use berylmount_table::TableReplica;
 use berylmount_telemetry::{CounterMetric, GaugeMetric, MetricSet};
--- a/crates/entry/src/shared.rs
+++ b/crates/entry/src/shared.rs
@@ -10,8 +10,8 @@
     CallRefusal, CustomerName, CustomerRow, InstanceRecord, LimitRow, MonotonicClock,
     RefusalReason, WorkName,
 };
-use berylmount_peers::MemberView;
 use berylmount_objects::ObjectStore;
+use berylmount_peers::MemberView;
 use berylmount_policy::{
     assignment::{self, MemberWeight},
     LimitBook, LimitShare, RetryBudget,
--- a/crates/peers/tests/tables.rs
+++ b/crates/peers/tests/tables.rs
@@ -5,8 +5,8 @@
 mod node;
 
 use berylmount_model::{ModelName, ModelRow, TableRow, VersionName};
-use berylmount_peers::{feed_table, BoardConfig, MemberView};
 use berylmount_objects::ObjectStore;
+use berylmount_peers::{feed_table, BoardConfig, MemberView};
 use berylmount_standins::MemoryStore;
 use berylmount_table::{FreshnessState, RowChange, TableEdit, TableEditor, TableReplica};
 use node::{node_name, start_node, LocalNode};
