Count bodies while they are read, and linger before a connection ends

Cause: bodies counted for memory only once they were whole, so callers that send slowly could hold more than the instance has. The test for it also showed that a refused caller which is still sending never saw the refusal: the connection was closed at once and reset.

Ruled out: the sum of whole bodies alone (the test fails on it).

Change: each piece counts as it comes; a body beyond the bound is refused with 503. After its end a connection reads on for half a second at most and drops what comes.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -8,10 +8,8 @@
 };
 use berylmount_adapter::request_headers::decode_request;
 use berylmount_fleet::CallerLimits;
-use berylmount_h1::{
-    read_body, BodyFraming, BodyReader, H1Fault, H1Stream, HeadLimits, RequestHead,
-};
-use bytes::Bytes;
+use berylmount_h1::{BodyFraming, BodyReader, H1Fault, H1Stream, HeadLimits, RequestHead};
+use bytes::{Bytes, BytesMut};
 use http::header::EXPECT;
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::{
@@ -36,6 +34,9 @@
 /// Time after which a leaving instance closes idle connections, in milliseconds:
 /// by then most callers use a newer list of addresses.
 const LEAVING_IDLE_MS: u64 = 4000;
+/// Time for which a caller may go on sending after the end of its connection: a
+/// body on its way, some round trips long.
+pub(crate) const LINGER: Duration = Duration::from_millis(500);
 /// How often an idle connection looks whether the instance is leaving.
 const IDLE_CHECK: Duration = Duration::from_millis(500);
 
@@ -65,7 +66,7 @@
         spawn_local(async move {
             let mut stream = H1Stream::new(socket);
             serve_connection(&state, &mut stream).await;
-            stream.shutdown().await;
+            stream.shutdown(LINGER).await;
             open.set(open.get() - 1);
         });
     }
@@ -116,7 +117,8 @@
 ) -> bool {
     let arrived_ms = boot_ms();
     let request = decode_request(&head.headers);
-    let body = match read_request_body(state, stream, &head, limits).await {
+    let mut held = HeldBytes::new(state);
+    let body = match read_request_body(&mut held, stream, &head, limits).await {
         Ok(body) => body,
         Err(Some(reason)) => {
             log::warn!(target: "callers", request = request.id, reason:% ; "request not read");
@@ -127,8 +129,6 @@
         }
         Err(None) => return false,
     };
-    let bytes = body.len() as u64;
-    state.held_bytes.set(state.held_bytes.get() + bytes);
     state.in_flight.set(state.in_flight.get() + 1);
     let call = CallerCall {
         head,
@@ -138,13 +138,39 @@
     };
     let keeps = answer_call(state, stream, call).await;
     state.in_flight.set(state.in_flight.get() - 1);
-    state.held_bytes.set(state.held_bytes.get() - bytes);
     keeps
 }
 
+/// Bytes of one body that are held; those that have come while it is read count.
+struct HeldBytes<'a> {
+    state: &'a GatewayState,
+    bytes: u64,
+}
+
+impl<'a> HeldBytes<'a> {
+    fn new(state: &'a GatewayState) -> Self {
+        Self { state, bytes: 0 }
+    }
+
+    /// Counts further bytes; `false` if all bodies together hold too many.
+    fn add(&mut self, bytes: usize) -> bool {
+        let held = &self.state.held_bytes;
+        self.bytes += bytes as u64;
+        held.set(held.get() + bytes as u64);
+        held.get() <= self.state.settings().machine.memory_bytes / BODY_MEMORY_PART
+    }
+}
+
+impl Drop for HeldBytes<'_> {
+    fn drop(&mut self) {
+        let held = &self.state.held_bytes;
+        held.set(held.get().saturating_sub(self.bytes));
+    }
+}
+
 /// Reads a body whole; `Err(None)` if the caller left.
 async fn read_request_body(
-    state: &GatewayState,
+    held: &mut HeldBytes<'_>,
     stream: &mut H1Stream,
     head: &RequestHead,
     limits: CallerLimits,
@@ -157,8 +183,7 @@
     if reader.is_done() {
         return Ok(Bytes::new());
     }
-    let most = state.settings().machine.memory_bytes / BODY_MEMORY_PART;
-    if state.held_bytes.get() > most {
+    if !held.add(0) {
         return Err(Some(AnswerReason::Overloaded));
     }
     let expects = head.headers.get(EXPECT);
@@ -166,12 +191,33 @@
         let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
         stream.write(interim).await.map_err(|_| None)?;
     }
-    match timeout(BODY_TIME, read_body(stream, reader, limits.body_bytes)).await {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(H1Fault::BodyTooLong)) => Err(Some(AnswerReason::BodyTooLong)),
-        Ok(Err(H1Fault::Malformed(_))) => Err(Some(AnswerReason::Malformed)),
-        Ok(Err(_)) => Err(None),
-        Err(_) => Err(Some(AnswerReason::RequestTimeout)),
+    let body = read_pieces(held, stream, reader, limits.body_bytes);
+    let late = Err(Some(AnswerReason::RequestTimeout));
+    timeout(BODY_TIME, body).await.unwrap_or(late)
+}
+
+async fn read_pieces(
+    held: &mut HeldBytes<'_>,
+    stream: &mut H1Stream,
+    mut reader: BodyReader,
+    limit: usize,
+) -> Result<Bytes, Option<AnswerReason>> {
+    let mut body = BytesMut::new();
+    loop {
+        let piece = reader.next(stream).await.map_err(|fault| match fault {
+            H1Fault::Malformed(_) => Some(AnswerReason::Malformed),
+            _ => None,
+        })?;
+        let Some(piece) = piece else {
+            return Ok(body.freeze());
+        };
+        if body.len() + piece.len() > limit {
+            return Err(Some(AnswerReason::BodyTooLong));
+        }
+        if !held.add(piece.len()) {
+            return Err(Some(AnswerReason::Overloaded));
+        }
+        body.extend_from_slice(&piece);
     }
 }
 
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -1,6 +1,6 @@
 //! The list of instances, and callers that ask which of them to use.
 
-use crate::{clock::boot_ms, state::GatewayState};
+use crate::{callers::LINGER, clock::boot_ms, state::GatewayState};
 use berylmount_adapter::{
     locate::{locate_body, LOCATE_PATH, READY_PATH},
     objects::{decode_own, INSTANCE_KIND},
@@ -248,7 +248,7 @@
         };
         let answer = crate::answers::encode_whole(status, &mut headers, &body, closes);
         if stream.write(&answer).await.is_err() || closes {
-            stream.shutdown().await;
+            stream.shutdown(LINGER).await;
             return;
         }
     }
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -467,3 +467,48 @@
     assert!(answers.iter().all(is_final), "{answers:?}");
     assert!(answers.iter().any(|answer| answer.contains(" 200 ")));
 }
+
+/// Memory that bodies may take by the settings of tests, with some to spare.
+const BODY_MEMORY: usize = 33 << 20;
+
+#[test]
+fn bodies_that_are_being_sent_count_for_memory() {
+    const PART: usize = 1 << 20;
+    let runner = sound();
+    let served = Served::start(&[("r1", &runner)]);
+    let mut long = table(2, all_routes());
+    long["Limits"]["MaxBodyBytes"] = json!(2 * PART);
+    long["Routes"]
+        .as_array_mut()
+        .unwrap()
+        .push(route("/new/", "safe", 1, false));
+    served.store.put("config", "main", Some(long));
+    served.wait_status("GET /new/warm", "200", false);
+    let head = format!(
+        "POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token k1\r\n\
+         Content-Length: {}\r\n\r\n",
+        PART + 1
+    );
+    let part = "b".repeat(PART);
+    // Each lacks its last byte.
+    let senders: Vec<TcpStream> = (0..BODY_MEMORY / PART)
+        .map(|_| {
+            let mut socket = TcpStream::connect(served.settings.listen.callers).unwrap();
+            // The last ones may be refused before they have sent all.
+            let _ = socket
+                .write_all(head.as_bytes())
+                .and_then(|()| socket.write_all(part.as_bytes()));
+            socket
+        })
+        .collect();
+    // What the senders wrote may not have been read yet.
+    wait_until("refusal", || {
+        let answer = served.call("POST /unsafe/x", "id1", "", &part);
+        answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 503"))
+    });
+    drop(senders);
+    wait_until("room", || {
+        let answer = served.call("POST /unsafe/x", "id2", "", &part);
+        answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 200"))
+    });
+}
--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -196,9 +196,23 @@
         }
     }
 
-    /// Ends the connection in an orderly way.
-    pub async fn shutdown(&mut self) {
+    /// Ends the connection in an orderly way: sends its end, then drops what the
+    /// peer still sends, for `most` at most.
+    ///
+    /// Closing at once while bytes arrive resets the connection, and the peer may
+    /// lose an answer that it has not read.
+    pub async fn shutdown(&mut self, most: Duration) {
+        self.buffer.clear();
         // The peer may have left first; nothing is left to do then.
-        let _ = self.socket.shutdown().await;
+        if self.socket.shutdown().await.is_err() {
+            return;
+        }
+        let rest = async {
+            while matches!(self.fill().await, Ok(count) if count > 0) {
+                self.buffer.clear();
+            }
+        };
+        // The connection ends in any case.
+        let _ = timeout(most, rest).await;
     }
 }
