Share the last free places at small fleets too

Change: the draw of the last commit but for runners is made at every fleet; only the sampling of runners stays with large ones.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -276,11 +276,11 @@
     // A plain service sheds by itself what it has no room for.
     let is_open = |view: &RunnerView| engine.is_none() || has_room(view, &placing.need);
     let mut open: Vec<usize> = (0..views.len()).filter(|i| is_open(&views[*i])).collect();
+    if engine.is_some() {
+        open = share_room(state, placing, &views, open, now_ms);
+    }
     if state.peers.borrow().is_large(now_ms) {
-        open = match engine {
-            Some(_) => share_room(state, placing, &views, open, now_ms),
-            None => sample_runners(&views, open, &mut rng()),
-        };
+        open = sample_runners(&views, open, &mut rng());
     }
     let open_views: Vec<RunnerView> = open.iter().map(|index| views[*index]).collect();
     let Some((chosen, estimate)) = choose(&open_views, &need) else {
@@ -320,7 +320,7 @@
     pace.ended_per_s *= open.len() as f64 / views.len() as f64;
     let part = placed_part(places.iter().sum(), &pace);
     if part >= 1.0 {
-        return sample_runners(views, open, &mut rng());
+        return open;
     }
     if placing.draw > part {
         return Vec::new();
