Refuse at once what would start only after its caller leaves

Debug logs at 32 to 34 s: 106,000 to 140,000 unread tokens there, first events expected after 1.2 to 1.5 s, callers gone after 2.0 s (five targets) in 18 of 1,148 requests; slots and memory were free.

Change: a runner whose first event is expected after more than three targets has no room for the request. The test plays prompts that must be read whole at an empty runner; without the bound the last one starts after more than 2 s.

Conclusion: kept, as callers learn at once what they learned after two seconds.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -12,10 +12,11 @@
 use berylmount_adapter::request_headers::CacheOrder;
 use berylmount_fleet::{EngineTraits, RouteTable, ServiceKind, ServingCustomer};
 use berylmount_policy::{
-    admission::{free_places, has_room, placed_part, AdmissionNeed},
+    admission::{free_places, has_room, placed_part, starts_soon, AdmissionNeed},
     kept_parts::{PromptTraits, TransferPlan},
     placing::{
-        choose, draw_runner, sample_runners, PlacingNeed, RunnerView, DEFAULT_PREFILL_PER_MS,
+        choose, draw_runner, estimate, sample_runners, PlacingNeed, RunnerView,
+        DEFAULT_PREFILL_PER_MS,
     },
 };
 use rand::rng;
@@ -274,7 +275,11 @@
         return PlacingResult::NoRunner;
     }
     // A plain service sheds by itself what it has no room for.
-    let is_open = |view: &RunnerView| engine.is_none() || has_room(view, &placing.need);
+    let is_open = |view: &RunnerView| {
+        let first_ms = estimate(view, &need).first_ms;
+        let has_place = || has_room(view, &placing.need) && starts_soon(first_ms, &placing.need);
+        engine.is_none() || has_place()
+    };
     let mut open: Vec<usize> = (0..views.len()).filter(|i| is_open(&views[*i])).collect();
     if engine.is_some() {
         open = share_room(state, placing, &views, open, now_ms);
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -23,6 +23,9 @@
 /// Part of the target latency for which a request waits for room. A longer wait
 /// would make it late.
 const WAIT_PART: f64 = 0.15;
+/// Target latencies within which a first event must be expected: late answers
+/// still serve callers, but some leave after a few of them.
+const SOON_FACTOR: f64 = 3.0;
 /// Time over which rates of requests are taken, in milliseconds: longer than
 /// messages between instances take, shorter than crests.
 const RATE_TIME_MS: f64 = 500.0;
@@ -98,6 +101,23 @@
     NoRoom::Refuse((need.left_ms * RETURN_PART).max(LEAST_RETURN_MS))
 }
 
+/// Whether a request's first event is expected soon enough to be worth sending.
+///
+/// Load: a runner comes back with new weights and nothing cached, while the
+/// others are full. Slots and memory are free there, so all prompts go to it and
+/// must be read whole, one after another; the later ones come after their
+/// callers have left. What is refused instead can return in a moment.
+///
+/// ```
+/// use berylmount_policy::admission::{starts_soon, AdmissionNeed};
+///
+/// let need = AdmissionNeed { target_ms: 400.0, ..AdmissionNeed::default() };
+/// assert!(starts_soon(500.0, &need) && !starts_soon(1300.0, &need));
+/// ```
+pub fn starts_soon(first_ms: f64, need: &AdmissionNeed) -> bool {
+    first_ms <= need.target_ms * SOON_FACTOR
+}
+
 /// Places that a runner has left for a request.
 ///
 /// Memory counts in units of what it has for each slot, so that places don't
--- a/crates/policy/tests/crest.rs
+++ b/crates/policy/tests/crest.rs
@@ -6,8 +6,8 @@
 #![allow(clippy::unwrap_used)]
 
 use berylmount_policy::{
-    admission::{has_room, without_room, AdmissionNeed, NoRoom},
-    placing::{choose, PlacingNeed, RunnerView},
+    admission::{has_room, starts_soon, without_room, AdmissionNeed, NoRoom},
+    placing::{choose, estimate, PlacingNeed, RunnerView},
 };
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64;
@@ -229,3 +229,44 @@
     let need = AdmissionNeed::default();
     assert!(has_room(&idle, &need) && !has_room(&switching, &need));
 }
+
+/// Prompts that must be read whole come to an empty runner, all at a time. Slots
+/// and memory are free for them all; their callers leave after five targets.
+fn rush(bounds_wait: bool) -> Vec<f64> {
+    let need = AdmissionNeed {
+        target_ms: 400.0,
+        ..AdmissionNeed::default()
+    };
+    let asks = PlacingNeed {
+        prompt_tokens: LONG.tokens,
+        memory_tokens: u64::from(LONG.tokens),
+        prefill_per_ms: 110.0,
+    };
+    let mut runner = RunnerView {
+        slots: SLOTS,
+        memory_tokens: 2 * MEMORY,
+        slowness: 1.0,
+        ..RunnerView::default()
+    };
+    let mut first_events = Vec::new();
+    for _ in 0..SLOTS {
+        let expected_ms = estimate(&runner, &asks).first_ms;
+        if !has_room(&runner, &need) || (bounds_wait && !starts_soon(expected_ms, &need)) {
+            continue;
+        }
+        runner.unread_tokens += u64::from(LONG.tokens);
+        runner.booked_tokens += u64::from(LONG.tokens);
+        runner.running += 1;
+        first_events.push(runner.unread_tokens as f64 / PREFILL);
+    }
+    first_events
+}
+
+#[test]
+fn nobody_is_sent_to_wait_until_the_caller_leaves() {
+    let longest = |firsts: &[f64]| firsts.iter().copied().fold(0.0, f64::max);
+    assert!(longest(&rush(false)) > 2000.0);
+    let bounded = rush(true);
+    assert!(longest(&bounded) < 3.0 * 400.0, "{bounded:?}");
+    assert!(bounded.len() >= 10, "{bounded:?}");
+}
