Make the test of bodies in memory deterministic

Cause: it failed once beside other work ("waited for: refusal", 10 s). Its polls of a megabyte competed with senders that had not been read yet; a sender that was refused for a poll left room, so that every later poll was served. Traced by reading: the sum then stays under the bound for good.

Ruled out: the bound itself, which the test still fails without.

Change: the bound is half a megabyte, 64 senders fill it exactly, one later answer shows that they have been read, and one call must be refused at once: stricter than before.

--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -5,8 +5,8 @@
 
 use serde_json::json;
 use standins::{
-    all_routes, answer_to, answer_with_id, ask, header, route, stream_to, table, wait_until,
-    AfterAnswer, Served, StandinRunner,
+    all_routes, answer_to, answer_with_id, ask, header, route, settings, stream_to, table,
+    wait_until, AfterAnswer, Served, StandinRunner, StandinStore,
 };
 use std::{
     io::Write,
@@ -468,22 +468,19 @@
     assert!(answers.iter().any(|answer| answer.contains(" 200 ")));
 }
 
-/// Memory that bodies may take by the settings of tests, with some to spare.
-const BODY_MEMORY: usize = 33 << 20;
-
 #[test]
 fn bodies_that_are_being_sent_count_for_memory() {
-    const PART: usize = 1 << 20;
+    const PART: usize = 8 << 10;
+    const SENDERS: usize = 64;
     let runner = sound();
-    let served = Served::start(&[("r1", &runner)]);
-    let mut long = table(2, all_routes());
-    long["Limits"]["MaxBodyBytes"] = json!(2 * PART);
-    long["Routes"]
-        .as_array_mut()
-        .unwrap()
-        .push(route("/new/", "safe", 1, false));
-    served.store.put("config", "main", Some(long));
-    served.wait_status("GET /new/warm", "200", false);
+    let store = StandinStore::start();
+    store.put("config", "main", Some(table(1, all_routes())));
+    store.put("servers", "r1", Some(runner.entry("svc", "ready")));
+    let mut small = settings("i1", store.address);
+    // Bodies may take a quarter of it: as much as the senders send.
+    small.machine.memory_bytes = 4 * (PART * SENDERS) as u64;
+    let served = Served::start_as(store, small);
+    served.wait_status("GET /safe/warm", "200", false);
     let head = format!(
         "POST /unsafe/x HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token k1\r\n\
          Content-Length: {}\r\n\r\n",
@@ -491,21 +488,16 @@
     );
     let part = "b".repeat(PART);
     // Each lacks its last byte.
-    let senders: Vec<TcpStream> = (0..BODY_MEMORY / PART)
-        .map(|_| {
-            let mut socket = TcpStream::connect(served.settings.listen.callers).unwrap();
-            // The last ones may be refused before they have sent all.
-            let _ = socket
-                .write_all(head.as_bytes())
-                .and_then(|()| socket.write_all(part.as_bytes()));
-            socket
-        })
-        .collect();
-    // What the senders wrote may not have been read yet.
-    wait_until("refusal", || {
-        let answer = served.call("POST /unsafe/x", "id1", "", &part);
-        answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 503"))
-    });
+    let send = |_| {
+        let mut socket = TcpStream::connect(served.settings.listen.callers).unwrap();
+        socket.write_all((head.clone() + &part).as_bytes()).unwrap();
+        socket
+    };
+    let senders: Vec<TcpStream> = (0..SENDERS).map(send).collect();
+    // What was written before has been read once a later request is answered.
+    served.wait_status("GET /safe/warm", "200", false);
+    let answer = served.call("POST /unsafe/x", "id1", "", &part).unwrap();
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
     drop(senders);
     wait_until("room", || {
         let answer = served.call("POST /unsafe/x", "id2", "", &part);
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -454,11 +454,13 @@
     }
 
     pub(crate) fn start_with(store: StandinStore, name: &str) -> Self {
-        let gateway = Gateway::bind(
-            settings(name, store.address),
-            Arc::new(MetricSet::new().unwrap()),
-        )
-        .unwrap();
+        let settings = settings(name, store.address);
+        Self::start_as(store, settings)
+    }
+
+    pub(crate) fn start_as(store: StandinStore, settings: ProcessSettings) -> Self {
+        let metrics = Arc::new(MetricSet::new().unwrap());
+        let gateway = Gateway::bind(settings, metrics).unwrap();
         let settings = gateway.settings().clone();
         thread::spawn(move || gateway.run().unwrap());
         Self { store, settings }
