--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -78,6 +78,14 @@
 }
 
 impl StoreContact {
+    /// For how long the store has not answered, in milliseconds.
+    pub(crate) fn lost_ms(&self, now_ms: u64) -> u64 {
+        match self.lost_at_ms.get() {
+            0 => 0,
+            lost_at_ms => now_ms.saturating_sub(lost_at_ms),
+        }
+    }
+
     /// Whether a missing entry may have lapsed only because the store was away.
     fn may_have_lapsed(&self, now_ms: u64) -> bool {
         let back_at_ms = self.back_at_ms.get();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     answers::{encode_whole, AnswerReason, OwnAnswer},
+    call_log::{class_of, note_end, CallEnd, TryLog},
     clock::boot_ms,
     placement::{place, PlacedRunner, PlacingCall, PlacingResult},
     roster::RunnerHandle,
@@ -58,24 +59,12 @@
     pub(crate) last_event: Option<u64>,
     /// When the first event went to the caller; 0 before.
     pub(crate) first_event_ms: u64,
+    /// When the last event went to the caller.
+    pub(crate) sent_at_ms: u64,
     /// Blocks of events that were sent.
     pub(crate) events: u32,
 }
 
-/// How a request ended, for the log.
-enum CallEnd {
-    /// A runner's answer went to the caller.
-    Answered(StatusCode),
-    /// A stream went to the caller whole.
-    Streamed,
-    /// An answer of our own.
-    Own(OwnAnswer),
-    /// The caller left.
-    CallerGone,
-    /// A stream broke after its start; the connection is cut.
-    Cut(&'static str),
-}
-
 /// Answers a request; returns whether the connection can carry another.
 pub(crate) async fn answer_call(
     state: &Rc<GatewayState>,
@@ -89,6 +78,7 @@
         closes,
         last_event: None,
         first_event_ms: 0,
+        sent_at_ms: 0,
         events: 0,
     };
     let mut tries = TryLog::default();
@@ -162,109 +152,6 @@
     })
 }
 
-/// Tries of one request, for the log.
-#[derive(Default)]
-struct TryLog {
-    text: String,
-    sent: u32,
-}
-
-impl TryLog {
-    fn note(&mut self, state: &GatewayState, placed: &PlacedRunner, end: &TryEnd, started_ms: u64) {
-        state.metrics.add(CounterMetric::TriesTotal, end.into(), 1);
-        let was_sent = !matches!(end, TryEnd::NotSent(_) | TryEnd::TimedOut(false));
-        self.sent += u32::from(was_sent);
-        let result = match end {
-            TryEnd::NotSent(reason) => format!("not sent ({reason})"),
-            TryEnd::NotRun(status) => format!("not run ({})", status.as_u16()),
-            TryEnd::MayHaveRun(reason) => format!("may have run ({reason})"),
-            TryEnd::Whole(answer) => format!("status {}", answer.status.as_u16()),
-            TryEnd::Streamed => "streamed".to_owned(),
-            TryEnd::Broken(reason) => format!("broken ({reason})"),
-            TryEnd::CallerGone => "caller gone".to_owned(),
-            TryEnd::TimedOut(sent) => format!("timed out (sent: {sent})"),
-        };
-        let took_ms = boot_ms().saturating_sub(started_ms);
-        let (runner, expected_ms) = (&placed.runner.record().id, placed.first_ms);
-        let sign = if self.text.is_empty() { "" } else { "; " };
-        let basis = &placed.basis;
-        self.text +=
-            &format!("{sign}{runner} {result} {took_ms} ms, expected {expected_ms:.0} by {basis}");
-        // What the runner reported last, by now perhaps to a later request.
-        if let Some(load) = placed.runner.load(boot_ms()) {
-            self.text += &format!(
-                " reported {}+{} at {}%",
-                load.running, load.waiting, load.slowness_percent
-            );
-        }
-    }
-}
-
-/// Counts and logs how a request ended.
-fn note_end(
-    state: &GatewayState,
-    call: &CallerCall,
-    sink: &CallerSink<'_>,
-    end: &CallEnd,
-    tries: &TryLog,
-) {
-    let total_ms = boot_ms().saturating_sub(call.arrived_ms);
-    let metrics = &state.metrics;
-    let verdict = match end {
-        CallEnd::Answered(status) if status.is_success() => "answered",
-        CallEnd::Answered(_) => "runner_failed",
-        CallEnd::Streamed => "streamed",
-        CallEnd::Own(_) => "refused",
-        CallEnd::CallerGone => "caller_gone",
-        CallEnd::Cut(_) => "cut",
-    };
-    metrics.add(CounterMetric::RequestsTotal, verdict, 1);
-    if let CallEnd::Own(answer) = end {
-        metrics.add(CounterMetric::RefusalsTotal, answer.reason.into(), 1);
-    }
-    let class = if call.request.prompt.is_some() {
-        "prompt"
-    } else {
-        "plain"
-    };
-    metrics.observe(
-        HistogramMetric::AnswerSeconds,
-        class,
-        total_ms as f64 / 1000.0,
-    );
-    if sink.first_event_ms > 0 {
-        let first_ms = sink.first_event_ms.saturating_sub(call.arrived_ms);
-        metrics.observe(
-            HistogramMetric::FirstTokenSeconds,
-            class,
-            first_ms as f64 / 1000.0,
-        );
-    }
-    let patience_ms = call.request.patience.map_or(0, |p| p.as_millis() as u64);
-    let served = match state.logs_served(&call.request.id) {
-        true => log::Level::Info,
-        false => log::Level::Debug,
-    };
-    let (level, outcome) = match end {
-        CallEnd::Answered(status) if status.is_server_error() => {
-            (log::Level::Info, format!("status {}", status.as_u16()))
-        }
-        CallEnd::Answered(status) => (served, format!("status {}", status.as_u16())),
-        CallEnd::Streamed => (served, "streamed".to_owned()),
-        CallEnd::Own(answer) => (log::Level::Info, answer.reason.to_string()),
-        CallEnd::CallerGone => (log::Level::Info, "caller gone".to_owned()),
-        CallEnd::Cut(reason) => (log::Level::Warn, format!("cut: {reason}")),
-    };
-    log::log!(
-        target: "request", level,
-        request = call.request.id, outcome, total_ms, patience_ms,
-        path = call.head.path(), events = sink.events,
-        first_event_ms = sink.first_event_ms.saturating_sub(call.arrived_ms),
-        tries = tries.text;
-        "request ended"
-    );
-}
-
 impl RoutedCall {
     /// Brings the request to a runner, and to others where that is allowed.
     async fn forward(
@@ -299,6 +186,7 @@
             if log.sent > 0 && !state.take_second_try(&self.service, boot_ms()) {
                 break;
             }
+            self.note_placed(state, call, &placed);
             let started_ms = boot_ms();
             let end = self.run_at(call, &placed, state, sink).await;
             log.note(state, &placed, &end, started_ms);
@@ -318,6 +206,17 @@
         verdict.conclude(sink).await
     }
 
+    /// Counts a request that goes to a runner.
+    fn note_placed(&self, state: &GatewayState, call: &CallerCall, placed: &PlacedRunner) {
+        let waited_ms = boot_ms().saturating_sub(call.arrived_ms);
+        let (class, metrics) = (class_of(call), &state.metrics);
+        let waited_s = waited_ms as f64 / 1000.0;
+        metrics.observe(HistogramMetric::QueueSeconds, class, waited_s);
+        let tokens = CounterMetric::PromptTokensTotal;
+        metrics.add(tokens, "recomputed", placed.unread_tokens);
+        metrics.add(tokens, "store", placed.fetched_tokens);
+    }
+
     /// Places the request, and waits a moment for room if there is none.
     async fn find_room(
         &self,
@@ -412,6 +311,7 @@
         let most = service.map_or(0, |s| s.max_connections);
         let run = RunnerTry {
             call,
+            metrics: &state.metrics,
             route: &self.route,
             runner: &placed.runner,
             order,
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -1,6 +1,6 @@
 //! Gauges of what the process believes.
 
-use crate::{clock::boot_ms, state::GatewayState};
+use crate::{clock::boot_ms, follow::FollowedKind, state::GatewayState};
 use berylmount_telemetry::{CounterMetric, GaugeMetric};
 use std::{rc::Rc, time::Duration};
 use tokio::time::sleep;
@@ -27,9 +27,21 @@
         metrics.set(GaugeMetric::InFlight, "", state.in_flight.get() as i64);
         let held = state.duty_notice.borrow().is_some();
         metrics.set(GaugeMetric::DutyHeld, "", i64::from(held));
+        let held_bytes = state.held_bytes.get() as i64;
+        metrics.set(GaugeMetric::HeldBytes, "", held_bytes);
+        let now_ms = boot_ms();
+        let lost_ms = state.contacts[FollowedKind::Table as usize].lost_ms(now_ms);
+        metrics.set(GaugeMetric::TableAgeMs, "", lost_ms as i64);
+        if let Some(left) = state.second_tries_left(now_ms) {
+            metrics.set(GaugeMetric::SecondTriesLeft, "", left as i64);
+        }
+        let lagging = state.stores.borrow().lagging() as i64;
+        metrics.set(GaugeMetric::LaggingStores, "", lagging);
         let live = state.peers.borrow().live_names(boot_ms()).count();
         metrics.set(GaugeMetric::Members, "live", live as i64);
         let runners = state.runners.borrow();
+        let open: u32 = runners.all().iter().map(|runner| runner.open()).sum();
+        metrics.set(GaugeMetric::Connections, "runners", i64::from(open));
         let ready = runners.all().iter().filter(|r| r.takes_requests()).count();
         metrics.set(GaugeMetric::Targets, "ready", ready as i64);
         metrics.set(
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -131,6 +131,11 @@
         self.lags = lags;
     }
 
+    /// How many stores lag.
+    pub(crate) fn lagging(&self) -> usize {
+        self.lags.len()
+    }
+
     fn lag_ms(&self, store: u64) -> f64 {
         let found = self.lags.binary_search_by_key(&store, |(key, _)| *key);
         found.map_or(0.0, |index| f64::from(self.lags[index].1))
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `roster` | runners, their connections and load |
 //! | `callers` | callers' connections |
 //! | `forward` | one request, from its head to its final answer |
+//! | `call_log` | counts and the log line of a request |
 //! | `placement` | brings runners before the policy |
 //! | `upstream` | one try of a request at a runner |
 //! | `relay` | an answer on its way to the caller |
@@ -36,6 +37,7 @@
 //! - A route table is replaced only by a newer version.
 
 mod answers;
+mod call_log;
 mod callers;
 mod clock;
 mod duty;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -47,7 +47,10 @@
     pub(crate) cache: Option<CacheOrder>,
     /// Keys of the stores that parts are fetched from.
     stores: Vec<u64>,
-    unread_tokens: u64,
+    /// Tokens of the prompt that the runner must read.
+    pub(crate) unread_tokens: u64,
+    /// Tokens of the prompt that it fetches.
+    pub(crate) fetched_tokens: u64,
     memory_tokens: u64,
 }
 
@@ -306,6 +309,7 @@
         cache,
         stores: stores.unwrap_or_default(),
         unread_tokens: u64::from(unread_tokens),
+        fetched_tokens: u64::from(views[index].known_tokens),
         memory_tokens: need.memory_tokens,
     }))
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,6 +9,7 @@
     upstream::{answer_headers, RunnerTry, TryEnd},
 };
 use berylmount_h1::{BodyReader, ResponseHead};
+use berylmount_telemetry::HistogramMetric;
 use bytes::{BufMut, BytesMut};
 use http::{header::TRANSFER_ENCODING, HeaderMap, HeaderValue, StatusCode};
 use tokio::time::timeout_at;
@@ -99,9 +100,15 @@
     output.put_slice(b"\r\n");
     sink.is_started = true;
     write(run, sink, &output).await?;
+    let now_ms = boot_ms();
     if sink.events == 0 {
-        sink.first_event_ms = boot_ms();
+        sink.first_event_ms = now_ms;
+    } else {
+        let gap_s = now_ms.saturating_sub(sink.sent_at_ms) as f64 / 1000.0;
+        run.metrics
+            .observe(HistogramMetric::TokenGapSeconds, "", gap_s);
     }
+    sink.sent_at_ms = now_ms;
     sink.events += 1;
     if block.last_id.is_some() {
         sink.last_event = block.last_id;
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -234,6 +234,11 @@
         idle.retain(|kept| kept.is_usable(kept.age(now_ms)));
     }
 
+    /// Open connections of this instance.
+    pub(crate) fn open(&self) -> u32 {
+        self.open.get()
+    }
+
     /// Takes one of `most` connections, before it is opened: others may be opened
     /// meanwhile.
     pub(crate) fn reserve(&self, most: u32) -> Option<OpenGuard> {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -323,6 +323,17 @@
         self.with_tries(service, |tries| tries.take(now_ms, instances))
     }
 
+    /// Second tries that are left to this instance, at the service that has the
+    /// fewest; `None` before any request.
+    pub(crate) fn second_tries_left(&self, now_ms: u64) -> Option<f64> {
+        let instances = self.instance_count();
+        let mut tries = self.tries.borrow_mut();
+        let left = tries
+            .iter_mut()
+            .map(|(_, tries)| tries.left(now_ms, instances));
+        left.min_by(f64::total_cmp)
+    }
+
     fn with_tries<R>(&self, service: &str, act: impl FnOnce(&mut SecondTries) -> R) -> R {
         let mut tries = self.tries.borrow_mut();
         let index = match tries.binary_search_by(|(name, _)| name.as_str().cmp(service)) {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -14,6 +14,7 @@
     push_headers, read_body, strip_hop_headers, BodyFraming, BodyReader, H1Fault, H1Stream,
     HeadLimits, ResponseHead,
 };
+use berylmount_telemetry::MetricSet;
 use bytes::{BufMut, Bytes, BytesMut};
 use http::{
     header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, EXPECT},
@@ -69,6 +70,7 @@
 /// What a try needs beside the caller's request.
 pub(crate) struct RunnerTry<'a> {
     pub(crate) call: &'a CallerCall,
+    pub(crate) metrics: &'a MetricSet,
     pub(crate) route: &'a RouteRule,
     pub(crate) runner: &'a Rc<RunnerHandle>,
     pub(crate) order: RunnerOrder<'a>,
--- a/crates/policy/src/second_tries.rs
+++ b/crates/policy/src/second_tries.rs
@@ -73,6 +73,11 @@
 
     /// Whether a second try could be taken now.
     pub fn has_room(&mut self, now_ms: u64, instances: usize) -> bool {
+        self.left(now_ms, instances) >= 1.0
+    }
+
+    /// Second tries that could be taken now.
+    pub fn left(&mut self, now_ms: u64, instances: usize) -> f64 {
         self.expire(now_ms);
         let (mut first, mut second) = (0.0, 0.0);
         for bucket in &self.buckets {
@@ -81,7 +86,7 @@
         }
         let fixed = self.bounds.extra / instances.max(1) as f64;
         let allowed = (self.bounds.ratio * first + fixed) * USED_PART;
-        second + 1.0 <= allowed
+        allowed - second
     }
 
     /// The bucket of this moment.
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -35,7 +35,8 @@
     RefusalsTotal,
     /// Tokens passed to callers.
     TokensTotal,
-    /// Prompt tokens by source: `recomputed`, `runner`, `store`.
+    /// Prompt tokens by source: `recomputed`, `runner`, `store`; at a gateway as
+    /// planned when the request was sent.
     #[strum(props(label = "source"))]
     PromptTokensTotal,
     /// Bytes of kept cache ordered over links, by direction: `fetch`, `export`.
@@ -82,14 +83,24 @@
     InFlight,
     /// Requests that wait for a runner.
     Queued,
-    /// Bytes of answers held until they are acknowledged.
+    /// Bytes of answers held until they are acknowledged; at a gateway of callers'
+    /// bodies.
     HeldBytes,
     /// Version of the table head that is in force here.
     TableVersion,
     /// Whether this process holds the duty of ordering weights: 0 or 1.
     DutyHeld,
-    /// Milliseconds since the table was last confirmed.
+    /// Milliseconds since the table was last confirmed; at a gateway for how
+    /// long the store has not answered its watch of the table.
     TableAgeMs,
+    /// Open connections, by peer: `runners`.
+    #[strum(props(label = "peer"))]
+    Connections,
+    /// Stores of kept cache that lag.
+    LaggingStores,
+    /// Second tries that this process may still make in the window, for the
+    /// service that has the fewest.
+    SecondTriesLeft,
     /// Known processes of the system, by state.
     #[strum(props(label = "state"))]
     Members,
