Watch runners in batches from the start

While the fleet starts, no instance knows yet that it is large, so each watches the runners, and 121 of them register within three seconds: a call for each at each of 63 instances.

Ruled out: the list of instances (about 380 calls), the lease (about 400), the watches of a settled fleet (3 a second).

Change: at every fleet at least 150 ms pass between two watches of the runners; a first change is still told at once.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -22,7 +22,9 @@
 /// Longest wait of one watch. A store that keeps the connection and says nothing
 /// shows only when it ends.
 const WATCH_WAIT: Duration = Duration::from_secs(5);
-/// Time between two watches in a large fleet.
+/// Time between two watches of what changes often, so that changes come in
+/// batches: while a fleet starts, an instance does not know yet that it is large,
+/// and a hundred runners register within seconds.
 const BATCH_INTERVAL: Duration = Duration::from_millis(150);
 /// Instances of a large fleet that watch a kind.
 const WATCHERS: usize = 5;
@@ -162,8 +164,8 @@
                 self.note_contact();
                 let changes = self.replica(|replica| replica.apply_watch(&told, revision));
                 apply_changes(&self.state, self.kind, &changes);
-                if self.state.peers.borrow().is_large(boot_ms()) {
-                    // Changes of many runners come in batches.
+                let is_large = self.state.peers.borrow().is_large(boot_ms());
+                if is_large || self.kind == FollowedKind::Runners {
                     sleep(BATCH_INTERVAL).await;
                 }
             }
--- a/crates/gateway/tests/instances.rs
+++ b/crates/gateway/tests/instances.rs
@@ -8,7 +8,11 @@
 use standins::{
     all_routes, answer_to, ask, table, wait_until, AfterAnswer, Served, StandinRunner, StandinStore,
 };
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
 
 fn sound() -> StandinRunner {
     StandinRunner::start(|request, _| (answer_to(request, "200 OK", "fine"), AfterAnswer::Keep))
@@ -138,3 +142,31 @@
     }
     assert_eq!(holders[0], holders[1]);
 }
+
+/// Least time between two watches of the runners, in milliseconds.
+const BATCH_MS: u128 = 150;
+
+/// While a fleet starts, each instance watches for itself; a call for each runner
+/// that registers, at each instance, is thousands of calls.
+#[test]
+fn runners_that_register_one_after_another_are_learned_in_batches() {
+    let store = StandinStore::start();
+    store.put("config", "main", Some(table(1, all_routes())));
+    let served = Served::start_with(store, "i1");
+    served.wait_ready();
+    wait_until("a watch", || served.store.watches("servers") > 0);
+    let runner = sound();
+    let (begun, before) = (Instant::now(), served.store.watches("servers"));
+    for number in 0..60 {
+        let entry = runner.entry("svc", "ready");
+        served
+            .store
+            .put("servers", &format!("r{number}"), Some(entry));
+        // Runners register some milliseconds apart.
+        thread::sleep(Duration::from_millis(8));
+    }
+    served.wait_status("GET /safe/warm", "200", false);
+    let calls = (served.store.watches("servers") - before) as u128;
+    let most = begun.elapsed().as_millis() / BATCH_MS + 2;
+    assert!(calls <= most, "{calls} watches, {most} at most");
+}
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -38,6 +38,8 @@
     revision: u64,
     /// Kind, name, revision, value; deleted ones have no value.
     objects: Vec<(String, String, u64, Option<Value>)>,
+    /// Kinds of the watches that came.
+    watches: Vec<String>,
 }
 
 /// The platform's store in memory.
@@ -157,6 +159,12 @@
         }
     }
 
+    /// How many watches of a kind came.
+    pub(crate) fn watches(&self, kind: &str) -> usize {
+        let watches = &self.state.0.lock().unwrap().watches;
+        watches.iter().filter(|watched| *watched == kind).count()
+    }
+
     fn watch(&self, kind: &str, since: u64, wait_ms: &str) -> (u16, Value) {
         let wait = Duration::from_millis(wait_ms.parse().unwrap());
         let (state, changed) = &*self.state;
@@ -166,7 +174,8 @@
                 .iter()
                 .any(|(k, _, revision, _)| k == kind && *revision > since)
         };
-        let state = state.lock().unwrap();
+        let mut state = state.lock().unwrap();
+        state.watches.push(kind.to_owned());
         let (state, _) = changed.wait_timeout_while(state, wait, has_news).unwrap();
         let newer = state
             .objects
