Let the soak play many instances

Ruled out: a second rig. The faults of one moment and the callers grow with the instances instead.

Change: SOAK_INSTANCES.

--- a/crates/berylmount/tests/soak.rs
+++ b/crates/berylmount/tests/soak.rs
@@ -11,7 +11,7 @@
 //! - afterwards every instance serves again.
 //!
 //! `SOAK_SEEDS=1..50 SOAK_SECONDS=10 cargo test -p berylmount --test soak` runs
-//! it longer. Seeds that failed once stay in `REGRESSIONS` with their cause.
+//! it longer; `SOAK_INSTANCES=60` with more processes. Seeds that failed once stay in `REGRESSIONS` with their cause.
 #![allow(clippy::unwrap_used)]
 
 mod processes;
@@ -42,9 +42,12 @@
     time::{Duration, Instant},
 };
 
+/// Instances unless `SOAK_INSTANCES` says.
 const INSTANCES: usize = 3;
 const RUNNERS: usize = 3;
+/// Least callers, and instances for each fault of one moment.
 const CALLERS: usize = 6;
+const INSTANCES_A_FAULT: usize = 6;
 /// Seeds that failed once, with the cause.
 const REGRESSIONS: [u64; 0] = [];
 
@@ -157,12 +160,19 @@
 }
 
 /// Calls instances until told to stop, on connections that it keeps.
-fn run_caller(number: usize, seed: u64, store: &StandinStore, seen: &Seen, stop: &AtomicBool) {
+fn run_caller(
+    number: usize,
+    seed: u64,
+    instances: usize,
+    store: &StandinStore,
+    seen: &Seen,
+    stop: &AtomicBool,
+) {
     let mut rng = Pcg64::seed_from_u64(seed * 100 + number as u64);
     let mut kept: BTreeMap<SocketAddr, TcpStream> = BTreeMap::new();
     let mut count = 0;
     while !stop.load(Ordering::Relaxed) {
-        let name = format!("i{}", rng.random_range(0..INSTANCES));
+        let name = format!("i{}", rng.random_range(0..instances));
         let Some(address) = callers_address(store, &name) else {
             thread::sleep(Duration::from_millis(20));
             continue;
@@ -271,7 +281,7 @@
 }
 
 /// Plays one seed and returns what was broken.
-fn play(seed: u64, span: Duration) -> Vec<String> {
+fn play(seed: u64, plan: &SoakPlan) -> Vec<String> {
     let folder =
         std::env::temp_dir().join(format!("berylmount-soak-{}-{seed}", std::process::id()));
     fs::create_dir_all(&folder).unwrap();
@@ -290,24 +300,27 @@
         })
         .collect();
     let start = |number| Instance::start(&format!("i{number}"), store.address, &folder);
-    let mut instances: Vec<Instance> = (0..INSTANCES).map(start).collect();
-    for number in 0..INSTANCES {
+    let mut instances: Vec<Instance> = (0..plan.instances).map(start).collect();
+    for number in 0..plan.instances {
         wait_until("entries", || {
             callers_address(&store, &format!("i{number}")).is_some()
         });
     }
     let (seen, stop) = (Seen::default(), AtomicBool::new(false));
     thread::scope(|scope| {
-        for number in 0..CALLERS {
+        for number in 0..CALLERS.max(plan.instances) {
             let (store, seen, stop) = (&store, &seen, &stop);
-            scope.spawn(move || run_caller(number, seed, store, seen, stop));
+            let count = plan.instances;
+            scope.spawn(move || run_caller(number, seed, count, store, seen, stop));
         }
         let mut rng = Pcg64::seed_from_u64(seed);
-        let end = Instant::now() + span;
+        let end = Instant::now() + plan.span;
         while Instant::now() < end {
             thread::sleep(Duration::from_millis(rng.random_range(50..300)));
             instances.iter_mut().for_each(Instance::revive);
-            strike(&mut rng, &mut instances, &runners, &store, &mut version);
+            for _ in 0..plan.instances.div_ceil(INSTANCES_A_FAULT) {
+                strike(&mut rng, &mut instances, &runners, &store, &mut version);
+            }
         }
         stop.store(true, Ordering::Relaxed);
     });
@@ -369,24 +382,33 @@
     faults
 }
 
-/// The seeds and the time of each, from the environment or as in CI.
-fn plan() -> (Vec<u64>, Duration) {
-    let seconds = std::env::var("SOAK_SECONDS")
-        .ok()
-        .and_then(|text| text.parse().ok());
+/// What is played.
+struct SoakPlan {
+    seeds: Vec<u64>,
+    /// Time of each seed.
+    span: Duration,
+    instances: usize,
+}
+
+/// What is played, from the environment or as in CI.
+fn plan() -> SoakPlan {
+    let number = |name: &str| std::env::var(name).ok().and_then(|text| text.parse().ok());
     let seeds = std::env::var("SOAK_SEEDS").ok().and_then(|text| {
         let (first, last) = text.split_once("..")?;
         Some((first.parse().ok()?..=last.parse().ok()?).collect())
     });
-    let seeds: Vec<u64> = seeds.unwrap_or_else(|| vec![1, 2]);
-    (seeds, Duration::from_secs(seconds.unwrap_or(3)))
+    SoakPlan {
+        seeds: seeds.unwrap_or_else(|| vec![1, 2]),
+        span: Duration::from_secs(number("SOAK_SECONDS").unwrap_or(3)),
+        instances: number("SOAK_INSTANCES").map_or(INSTANCES, |count| count as usize),
+    }
 }
 
 #[test]
 fn promises_hold_under_random_faults() {
-    let (seeds, span) = plan();
-    for seed in REGRESSIONS.into_iter().chain(seeds) {
-        let broken = play(seed, span);
+    let plan = plan();
+    for seed in REGRESSIONS.iter().chain(&plan.seeds).copied() {
+        let broken = play(seed, &plan);
         assert!(broken.is_empty(), "seed {seed}: {}", broken.join("\n"));
         println!("seed {seed}: kept");
     }
