Judge a request's wait at a runner by what is ahead of it only

Cause: the bound on the expected first event counted the request's own prompt. On a deployment with a short target and long prompts it would refuse them even at idle runners. Found by reading; no site at hand has such a route.

Change: only the wait behind others counts. The runnable example of `starts_soon` holds the case (300,000 tokens at a target of 400 ms).

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -15,8 +15,7 @@
     admission::{free_places, has_room, placed_part, starts_soon, AdmissionNeed},
     kept_parts::{PromptTraits, TransferPlan},
     placing::{
-        choose, draw_runner, estimate, sample_runners, PlacingNeed, RunnerView,
-        DEFAULT_PREFILL_PER_MS,
+        choose, draw_runner, sample_runners, PlacingNeed, RunnerView, DEFAULT_PREFILL_PER_MS,
     },
 };
 use rand::rng;
@@ -279,9 +278,8 @@
     }
     // A plain service sheds by itself what it has no room for.
     let is_open = |view: &RunnerView| {
-        let first_ms = estimate(view, &need).first_ms;
-        let has_place = || has_room(view, &placing.need) && starts_soon(first_ms, &placing.need);
-        engine.is_none() || has_place()
+        let admission = &placing.need;
+        engine.is_none() || (has_room(view, admission) && starts_soon(view, &need, admission))
     };
     let mut open: Vec<usize> = (0..views.len()).filter(|i| is_open(&views[*i])).collect();
     if engine.is_some() {
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -10,7 +10,7 @@
 //! so that large prompts are not refused more often than small ones. Less urgent
 //! requests leave some room to more urgent ones.
 
-use crate::placing::RunnerView;
+use crate::placing::{estimate, PlacingNeed, RunnerView};
 
 /// Part of a runner's slots and memory that the most urgent requests may fill.
 const FULL_PART: f64 = 1.0;
@@ -23,8 +23,8 @@
 /// Part of the target latency for which a request waits for room. A longer wait
 /// would make it late.
 const WAIT_PART: f64 = 0.15;
-/// Target latencies within which a first event must be expected: late answers
-/// still serve callers, but some leave after a few of them.
+/// Target latencies for which a request may wait behind others at a runner: late
+/// answers still serve callers, but some leave after a few of them.
 const SOON_FACTOR: f64 = 3.0;
 /// Time over which rates of requests are taken, in milliseconds: longer than
 /// messages between instances take, shorter than crests.
@@ -101,7 +101,7 @@
     NoRoom::Refuse((need.left_ms * RETURN_PART).max(LEAST_RETURN_MS))
 }
 
-/// Whether a request's first event is expected soon enough to be worth sending.
+/// Whether a request would begin soon enough at a runner to be worth sending.
 ///
 /// Load: a runner comes back with new weights and nothing cached, while the
 /// others are full. Slots and memory are free there, so all prompts go to it and
@@ -109,13 +109,29 @@
 /// callers have left. What is refused instead can return in a moment.
 ///
 /// ```
-/// use berylmount_policy::admission::{starts_soon, AdmissionNeed};
+/// use berylmount_policy::{
+///     admission::{starts_soon, AdmissionNeed}, placing::{PlacingNeed, RunnerView},
+/// };
 ///
 /// let need = AdmissionNeed { target_ms: 400.0, ..AdmissionNeed::default() };
-/// assert!(starts_soon(500.0, &need) && !starts_soon(1300.0, &need));
+/// let asks = PlacingNeed { prefill_per_ms: 100.0, ..PlacingNeed::default() };
+/// let runner = RunnerView { slowness: 1.0, unread_tokens: 50_000, ..RunnerView::default() };
+/// assert!(starts_soon(&runner, &asks, &need));
+/// let behind = RunnerView { unread_tokens: 150_000, ..runner };
+/// assert!(!starts_soon(&behind, &asks, &need));
+/// // What the request itself takes is no reason to refuse it.
+/// let long = PlacingNeed { prompt_tokens: 300_000, ..asks };
+/// assert!(starts_soon(&runner, &long, &need));
 /// ```
-pub fn starts_soon(first_ms: f64, need: &AdmissionNeed) -> bool {
-    first_ms <= need.target_ms * SOON_FACTOR
+pub fn starts_soon(runner: &RunnerView, asks: &PlacingNeed, need: &AdmissionNeed) -> bool {
+    let idle = RunnerView {
+        unread_tokens: 0,
+        running: 0,
+        booked_tokens: 0,
+        ..*runner
+    };
+    let wait_ms = estimate(runner, asks).first_ms - estimate(&idle, asks).first_ms;
+    wait_ms <= need.target_ms * SOON_FACTOR
 }
 
 /// Places that a runner has left for a request.
