--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -504,3 +504,35 @@
         answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 200"))
     });
 }
+
+/// Longer than a connection may be idle that carries an order.
+const LONG_IDLE: Duration = Duration::from_millis(1000);
+
+#[test]
+fn an_order_does_not_go_over_a_connection_that_may_be_closed_already() {
+    let runner = sound();
+    let served = Served::start(&[("r1", &runner)]);
+    let opened = || *runner.opened.lock().unwrap();
+    served.call("GET /safe/x", "id1", "", "").unwrap();
+    let before = opened();
+    thread::sleep(LONG_IDLE);
+    served.call("POST /unsafe/x", "id2", "", "b").unwrap();
+    assert_eq!(opened(), before + 1);
+}
+
+#[test]
+fn a_connection_is_not_used_beyond_the_time_that_its_runner_states() {
+    let runner = scripted(|request| {
+        let mut answer = answer_to(request, "200 OK", "fine");
+        let start = answer.iter().position(|byte| *byte == b'\n').unwrap() + 1;
+        answer.splice(start..start, *b"Keep-Alive: timeout=1\r\n");
+        (answer, AfterAnswer::Keep)
+    });
+    let served = Served::start(&[("r1", &runner)]);
+    let opened = || *runner.opened.lock().unwrap();
+    served.call("GET /safe/x", "id1", "", "").unwrap();
+    let before = opened();
+    thread::sleep(LONG_IDLE);
+    served.call("GET /safe/x", "id2", "", "").unwrap();
+    assert_eq!(opened(), before + 1);
+}
--- a/crates/gateway/tests/instances.rs
+++ b/crates/gateway/tests/instances.rs
@@ -215,3 +215,20 @@
         .filter(|r| r.starts_with("GET /safe/"));
     assert_eq!(prompts.count(), 0);
 }
+
+#[test]
+fn a_store_that_refuses_and_forgets_its_history_is_listed_anew() {
+    let runner = sound();
+    let served = Served::start(&[("r1", &runner)]);
+    served.store.refuse(true);
+    let mut routes = all_routes();
+    routes.push(standins::route("/new/", "safe", 1, false));
+    served.store.put("config", "main", Some(table(2, routes)));
+    served.store.forget_history();
+    // What is known goes on while the store is away.
+    let answer = served.call("GET /safe/x", "id1", "", "").unwrap();
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    served.store.refuse(false);
+    served.wait_status("GET /new/x", "200", false);
+    assert!(served.store.gone() > 0);
+}
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -40,6 +40,12 @@
     objects: Vec<(String, String, u64, Option<Value>)>,
     /// Kinds of the watches that came.
     watches: Vec<String>,
+    /// Whether all calls are refused.
+    is_refusing: bool,
+    /// The revision before which no history is kept.
+    kept_from: u64,
+    /// Watches whose history was gone.
+    gone: usize,
 }
 
 /// The platform's store in memory.
@@ -106,7 +112,9 @@
                 .find(|(key, _)| *key == name)
                 .map(|(_, value)| value.to_owned())
         };
+        let is_refusing = self.state.0.lock().unwrap().is_refusing;
         let (status, value) = match (request.method(), parts.as_slice()) {
+            _ if is_refusing => (503, Value::Null),
             (Method::Get, [kind]) => match field("Watch") {
                 Some(since) => self.watch(kind, since.parse().unwrap(), &field("WaitMs").unwrap()),
                 None => self.list(kind),
@@ -159,6 +167,24 @@
         }
     }
 
+    /// Refuses all calls, or takes them again.
+    pub(crate) fn refuse(&self, is_refusing: bool) {
+        let (state, changed) = &*self.state;
+        state.lock().unwrap().is_refusing = is_refusing;
+        changed.notify_all();
+    }
+
+    /// Forgets the history of all changes so far.
+    pub(crate) fn forget_history(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        state.kept_from = state.revision;
+    }
+
+    /// How many watches came whose history was gone.
+    pub(crate) fn gone(&self) -> usize {
+        self.state.0.lock().unwrap().gone
+    }
+
     /// How many watches of a kind came.
     pub(crate) fn watches(&self, kind: &str) -> usize {
         let watches = &self.state.0.lock().unwrap().watches;
@@ -176,7 +202,15 @@
         };
         let mut state = state.lock().unwrap();
         state.watches.push(kind.to_owned());
-        let (state, _) = changed.wait_timeout_while(state, wait, has_news).unwrap();
+        if since < state.kept_from {
+            state.gone += 1;
+            return (410, Value::Null);
+        }
+        let waits = |state: &mut StoreState| !state.is_refusing && has_news(state);
+        let (state, _) = changed.wait_timeout_while(state, wait, waits).unwrap();
+        if state.is_refusing {
+            return (503, Value::Null);
+        }
         let newer = state
             .objects
             .iter()
@@ -226,6 +260,8 @@
     pub(crate) requests: Arc<Mutex<Vec<String>>>,
     /// Connections that callers closed.
     pub(crate) closed: Arc<Mutex<u32>>,
+    /// Connections that callers opened.
+    pub(crate) opened: Arc<Mutex<u32>>,
 }
 
 impl StandinRunner {
@@ -262,12 +298,14 @@
             address: listener.local_addr().unwrap(),
             requests: Arc::default(),
             closed: Arc::default(),
+            opened: Arc::default(),
         };
         let (serving, step) = (runner.clone(), Arc::new(step));
         thread::spawn(move || {
             for socket in listener.incoming() {
                 let (runner, step) = (serving.clone(), step.clone());
                 let mut socket = socket.unwrap();
+                *runner.opened.lock().unwrap() += 1;
                 thread::spawn(move || {
                     while let Some(after) = step(&runner, &mut socket) {
                         match after {
