Let one piece of code serve where two stood, and do less on hot paths

Cause: the whole change was read again for twins, dead code and work done twice.

Ruled out: any change of what callers, runners or the store see.

Change: - the store client's three writes share one call; a body is read by one loop, with or without counting its pieces; the three accept loops, the two ways to take a full copy, the three decays, the keys under which instances speak of things, and the exit codes of commands have one place each; the time of day comes from the model; - the adapter no longer carries a give-up time of fetches and the runners' clock, which nothing set or read; - what others load on runners is summed in one pass for a choice, instead of a search in every beat for every runner; the addresses of beats are put together only when something is sent.

--- a/crates/berylmount/src/check_settings.rs
+++ b/crates/berylmount/src/check_settings.rs
@@ -1,17 +1,9 @@
 //! The command `check-settings`.
 
+use crate::exit_codes::{EXIT_FAULTY, EXIT_OK, EXIT_UNREADABLE};
 use berylmount_settings::{ProcessSettings, SettingsError};
 use std::{io, path::Path};
 
-/// Exit code for a file without faults.
-const EXIT_OK: u8 = 0;
-
-/// Exit code for a file with faults.
-const EXIT_FAULTY: u8 = 1;
-
-/// Exit code for a file that can't be read.
-const EXIT_UNREADABLE: u8 = 2;
-
 /// Writes `ok` or every fault of the settings file at `path`, one a line.
 ///
 /// Returns the exit code for the process.
--- a/crates/berylmount/src/gateway_command.rs
+++ b/crates/berylmount/src/gateway_command.rs
@@ -1,6 +1,9 @@
 //! The command `gateway`.
 
-use crate::operator_flags::Gateway as GatewayFlags;
+use crate::{
+    exit_codes::{EXIT_FAULTY, EXIT_NOT_STARTED, EXIT_UNREADABLE, EXIT_USAGE},
+    operator_flags::Gateway as GatewayFlags,
+};
 use berylmount_adapter::settings_file::{load_settings, SettingsFault};
 use berylmount_gateway::{Gateway, GatewayFault};
 use berylmount_telemetry::{
@@ -9,14 +12,6 @@
 use log::LevelFilter;
 use std::{ffi::OsString, net::TcpListener, sync::Arc};
 
-/// Exit code for wrong use.
-const EXIT_USAGE: u8 = 2;
-/// Exit code for settings with faults.
-const EXIT_FAULTY: u8 = 1;
-/// Exit code for settings that can't be read.
-const EXIT_UNREADABLE: u8 = 2;
-/// Exit code for a process that could not start.
-const EXIT_NOT_STARTED: u8 = 3;
 /// The variable that sets the least severe level that is logged.
 const LEVEL_VARIABLE: &str = "BERYLMOUNT_LOG";
 
--- a/crates/berylmount/src/main.rs
+++ b/crates/berylmount/src/main.rs
@@ -18,6 +18,7 @@
 //! answers, 9 for a status that asks for an operator.
 
 mod check_settings;
+mod exit_codes;
 mod gateway_command;
 mod instance_list;
 mod membership;
@@ -30,15 +31,12 @@
 mod table_follower;
 
 use crate::{
-    check_settings::check_settings, gateway_command::run_gateway_command,
+    check_settings::check_settings, exit_codes::EXIT_USAGE, gateway_command::run_gateway_command,
     orders_command::run_orders, role::run_role, status_command::run_status,
     table_command::run_table,
 };
 use std::{ffi::OsString, io, path::Path, process::ExitCode};
 
-/// Exit code for wrong use.
-const EXIT_USAGE: u8 = 2;
-
 /// What the binary can be asked to do.
 const USAGE: &str = "\
 usage: berylmount COMMAND
--- a/crates/berylmount/src/orders_command.rs
+++ b/crates/berylmount/src/orders_command.rs
@@ -4,6 +4,7 @@
 //! while no process of ours runs. A change is a conditional update and can be
 //! repeated safely.
 
+use crate::exit_codes::{EXIT_OK, EXIT_USAGE};
 use berylmount_ledger::{
     expire_day, read_entry, service_key, settle_entry, unsettled_orders, ChangeReply, DayExpiry,
     LedgerConfig, LedgerDay, OrderEntry, OrderOutcome, OrderState, OutcomeSource, ReadError,
@@ -18,12 +19,8 @@
     path::PathBuf,
 };
 
-/// Exit code for a command that did what it was asked.
-const EXIT_OK: u8 = 0;
 /// Exit code for a command that was refused or failed.
 const EXIT_REFUSED: u8 = 1;
-/// Exit code for wrong use or unreadable settings.
-const EXIT_USAGE: u8 = 2;
 /// Milliseconds in a minute.
 const MINUTE_MS: u64 = 60_000;
 /// Days before the retention that `expire` looks at.
--- a/crates/berylmount/src/role.rs
+++ b/crates/berylmount/src/role.rs
@@ -3,7 +3,10 @@
 //! Once it listens, the process prints its addresses as one line of JSON. A
 //! SIGTERM or SIGINT is the planned stop.
 
-use crate::membership::{join_peers, JoinParts, JoinedProcess, PeerListener, RoleObserver};
+use crate::{
+    exit_codes::{EXIT_FAULTY, EXIT_NOT_STARTED, EXIT_UNREADABLE},
+    membership::{join_peers, JoinParts, JoinedProcess, PeerListener, RoleObserver},
+};
 use berylmount_dispatch::{DispatchParts, DispatchProcess};
 use berylmount_entry::{EntryParts, EntryProcess};
 use berylmount_model::{InstanceRole, MonotonicClock};
@@ -29,15 +32,6 @@
     time::{SystemTime, UNIX_EPOCH},
 };
 
-/// Exit code for settings with faults.
-const EXIT_FAULTY: u8 = 1;
-
-/// Exit code for settings that can't be read.
-const EXIT_UNREADABLE: u8 = 2;
-
-/// Exit code for a process that could not start.
-const EXIT_NOT_STARTED: u8 = 3;
-
 /// Exit code for a stop that had to cut requests.
 const EXIT_CUT: u8 = 4;
 
--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -1,6 +1,7 @@
 //! Callers' connections.
 
 use crate::{
+    accept::accept_next,
     answers::{AnswerReason, OwnAnswer},
     clock::boot_ms,
     forward::{answer_call, CallerCall},
@@ -8,15 +9,13 @@
 };
 use berylmount_adapter::request_headers::decode_request;
 use berylmount_fleet::CallerLimits;
-use berylmount_h1::{BodyFraming, BodyReader, H1Fault, H1Stream, HeadLimits, RequestHead};
-use bytes::{Bytes, BytesMut};
+use berylmount_h1::{
+    read_counted_body, BodyFraming, BodyReader, H1Fault, H1Stream, HeadLimits, RequestHead,
+};
+use bytes::Bytes;
 use http::header::EXPECT;
 use std::{cell::Cell, rc::Rc, time::Duration};
-use tokio::{
-    net::TcpListener,
-    task::spawn_local,
-    time::{sleep, timeout},
-};
+use tokio::{net::TcpListener, task::spawn_local, time::timeout};
 
 /// Limits until a route table is known.
 const FIRST_LIMITS: CallerLimits = CallerLimits {
@@ -44,14 +43,7 @@
 pub(crate) async fn serve_callers(state: Rc<GatewayState>, listener: TcpListener) {
     let open: Rc<Cell<u64>> = Rc::default();
     loop {
-        let socket = match listener.accept().await {
-            Ok((socket, _)) => socket,
-            Err(error) => {
-                log::warn!(target: "callers", error:% ; "connection not accepted");
-                sleep(Duration::from_millis(50)).await;
-                continue;
-            }
-        };
+        let socket = accept_next(&listener, "callers").await;
         let most = state
             .settings()
             .machine
@@ -191,33 +183,14 @@
         let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
         stream.write(interim).await.map_err(|_| None)?;
     }
-    let body = read_pieces(held, stream, reader, limits.body_bytes);
-    let late = Err(Some(AnswerReason::RequestTimeout));
-    timeout(BODY_TIME, body).await.unwrap_or(late)
-}
-
-async fn read_pieces(
-    held: &mut HeldBytes<'_>,
-    stream: &mut H1Stream,
-    mut reader: BodyReader,
-    limit: usize,
-) -> Result<Bytes, Option<AnswerReason>> {
-    let mut body = BytesMut::new();
-    loop {
-        let piece = reader.next(stream).await.map_err(|fault| match fault {
-            H1Fault::Malformed(_) => Some(AnswerReason::Malformed),
-            _ => None,
-        })?;
-        let Some(piece) = piece else {
-            return Ok(body.freeze());
-        };
-        if body.len() + piece.len() > limit {
-            return Err(Some(AnswerReason::BodyTooLong));
-        }
-        if !held.add(piece.len()) {
-            return Err(Some(AnswerReason::Overloaded));
-        }
-        body.extend_from_slice(&piece);
+    let body = read_counted_body(stream, reader, limits.body_bytes, |bytes| held.add(bytes));
+    match timeout(BODY_TIME, body).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(H1Fault::BodyTooLong)) => Err(Some(AnswerReason::BodyTooLong)),
+        Ok(Err(H1Fault::NoRoom)) => Err(Some(AnswerReason::Overloaded)),
+        Ok(Err(H1Fault::Malformed(_))) => Err(Some(AnswerReason::Malformed)),
+        Ok(Err(_)) => Err(None),
+        Err(_) => Err(Some(AnswerReason::RequestTimeout)),
     }
 }
 
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -37,7 +37,7 @@
         }
         let lagging = state.stores.borrow().lagging() as i64;
         metrics.set(GaugeMetric::LaggingStores, "", lagging);
-        let live = state.peers.borrow().live_names(boot_ms()).count();
+        let live = state.peers.borrow().live_count(now_ms);
         metrics.set(GaugeMetric::Members, "live", live as i64);
         let runners = state.runners.borrow();
         let open: u32 = runners.all().iter().map(|runner| runner.open()).sum();
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -1,6 +1,6 @@
 //! The list of instances, and callers that ask which of them to use.
 
-use crate::{callers::LINGER, clock::boot_ms, state::GatewayState};
+use crate::{accept::accept_next, callers::LINGER, clock::boot_ms, state::GatewayState};
 use berylmount_adapter::{
     locate::{locate_body, LOCATE_PATH, READY_PATH},
     objects::{decode_own, INSTANCE_KIND},
@@ -211,16 +211,9 @@
 /// Answers callers that ask for addresses, and the platform's own check.
 pub(crate) async fn serve_questions(state: Rc<GatewayState>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                let state = state.clone();
-                spawn_local(async move { answer_questions(&state, H1Stream::new(socket)).await });
-            }
-            Err(error) => {
-                log::warn!(target: "instances", error:% ; "question not accepted");
-                sleep(Duration::from_millis(50)).await;
-            }
-        }
+        let socket = accept_next(&listener, "instances").await;
+        let state = state.clone();
+        spawn_local(async move { answer_questions(&state, H1Stream::new(socket)).await });
     }
 }
 
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -4,7 +4,7 @@
 
 pub(crate) use follow::{follow_stores, hear_gossip, StoreSnapshot};
 
-use crate::state::GatewayState;
+use crate::{peers::spoken_key, state::GatewayState};
 use berylmount_adapter::request_headers::CacheOrder;
 use berylmount_fleet::{KeptStore, PromptShape, RouteTable, ServiceKind, ServingCustomer};
 use berylmount_policy::kept_parts::{
@@ -89,7 +89,7 @@
             };
             stores.push(KnownStore {
                 name: service.name.clone(),
-                key: xxh3_64(service.name.as_bytes()),
+                key: spoken_key(&service.name),
                 store: store.clone(),
                 catalogue,
                 is_followed: true,
@@ -281,7 +281,6 @@
             scope: self.scope.clone(),
             fetch: plan.fetch.iter().map(address).collect(),
             save: plan.save.iter().map(address).collect(),
-            fetch_until_ms: None,
         };
         (order, book.fetched_from(plan))
     }
--- a/crates/gateway/src/kept/follow.rs
+++ b/crates/gateway/src/kept/follow.rs
@@ -4,7 +4,7 @@
 use crate::{
     clock::boot_ms,
     peer_link::pull_store,
-    peers::{KeptChange, KeptGossip},
+    peers::{spoken_key, KeptChange, KeptGossip},
     state::GatewayState,
 };
 use berylmount_adapter::runner_calls::{CacheChanges, CacheEvent, CallFault, RunnerClient};
@@ -12,7 +12,6 @@
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{task::spawn_local, time::sleep};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Longest wait of one call for changes; the most that stores allow.
 const WAIT: Duration = Duration::from_millis(1000);
@@ -198,7 +197,7 @@
         let events = part_events(changes);
         let told = gossip_changes(&events);
         let gap = catalogue.apply(epoch, next, has_gap, events, boot_ms());
-        let store = xxh3_64(name.as_bytes());
+        let store = spoken_key(name);
         let gossip = KeptGossip {
             store,
             epoch,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! | `clock` | a clock that counts while the machine is suspended |
 //! | `follow` | follows the object store |
 //! | `roster` | runners, their connections and load |
+//! | `accept` | takes connections |
 //! | `callers` | callers' connections |
 //! | `forward` | one request, from its head to its final answer |
 //! | `call_log` | counts and the log line of a request |
@@ -36,6 +37,7 @@
 //! - A status that promises "not run" is sent only when that is certain.
 //! - A route table is replaced only by a newer version.
 
+mod accept;
 mod answers;
 mod call_log;
 mod callers;
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -5,6 +5,7 @@
 //! over a connection of its own: a length in four bytes, then the message.
 
 use crate::{
+    accept::accept_next,
     clock::boot_ms,
     follow::{has_contact, FollowedKind},
     instances::InstanceEntry,
@@ -76,12 +77,16 @@
         waited += BEAT_TICK;
         let interval = Duration::from_millis(state.peers.borrow().interval_ms());
         let gossip = state.gossip.take();
+        let is_due = || waited >= interval || state.is_beat_due.get();
+        if gossip.is_empty() && !is_due() {
+            continue;
+        }
         let addresses = beat_addresses(&state);
         for told in gossip {
             let name = state.settings().name.clone();
             send_message(&socket, &addresses, &PeerMessage::Kept(name, told)).await;
         }
-        if waited < interval && !state.is_beat_due.get() {
+        if !is_due() {
             continue;
         }
         waited = Duration::ZERO;
@@ -209,21 +214,14 @@
 /// Answers instances that ask for a copy.
 pub(crate) async fn serve_pulls(state: Rc<GatewayState>, listener: TcpListener) {
     loop {
-        match listener.accept().await {
-            Ok((socket, _)) => {
-                let state = state.clone();
-                spawn_local(async move {
-                    let served = timeout(PULL_TIME, answer_pull(&state, socket)).await;
-                    if let Ok(Err(fault)) = served {
-                        log::warn!(target: "peers", fault:% ; "copy not passed on");
-                    }
-                });
-            }
-            Err(error) => {
-                log::warn!(target: "peers", error:% ; "connection not accepted");
-                sleep(Duration::from_millis(50)).await;
+        let socket = accept_next(&listener, "peers").await;
+        let state = state.clone();
+        spawn_local(async move {
+            let served = timeout(PULL_TIME, answer_pull(&state, socket)).await;
+            if let Ok(Err(fault)) = served {
+                log::warn!(target: "peers", fault:% ; "copy not passed on");
             }
-        }
+        });
     }
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use strum::EnumCount;
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Silence after which an instance is taken as gone, in intervals of its beats.
 const SILENT_BEATS: u64 = 6;
@@ -28,6 +29,11 @@
 /// Form of a beat; beats of another form are left out.
 const BEAT_FORMAT: u8 = 2;
 
+/// The key under which instances speak of a runner, store or service.
+pub(crate) fn spoken_key(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
 /// A part of a runner's load.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct LoadShare {
@@ -48,6 +54,18 @@
     }
 }
 
+/// The load that other instances put on runners, by runner key.
+#[derive(Debug)]
+pub(crate) struct PeerLoads(Vec<(u64, LoadShare)>);
+
+impl PeerLoads {
+    /// The load on one runner.
+    pub(crate) fn on(&self, runner_key: u64) -> LoadShare {
+        let found = self.0.binary_search_by_key(&runner_key, |(key, _)| *key);
+        found.map_or_else(|_| LoadShare::default(), |index| self.0[index].1)
+    }
+}
+
 /// What the holder of the duty tells.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct DutyNotice {
@@ -209,9 +227,9 @@
         self.peers.iter().filter(is_live)
     }
 
-    /// Names of the instances that live.
-    pub(crate) fn live_names(&self, now_ms: u64) -> impl Iterator<Item = &str> {
-        self.live(now_ms).map(|peer| peer.beat.name.as_str())
+    /// How many instances live.
+    pub(crate) fn live_count(&self, now_ms: u64) -> usize {
+        self.live(now_ms).count()
     }
 
     /// Addresses for callers of the instances that live and take requests.
@@ -236,7 +254,7 @@
 
     /// Whether the fleet is so large that only some instances ask and tell the others.
     pub(crate) fn is_large(&self, now_ms: u64) -> bool {
-        self.live(now_ms).count() >= LARGE_FLEET
+        self.live_count(now_ms) >= LARGE_FLEET
     }
 
     /// How many live instances follow a kind and have contact with the store.
@@ -269,16 +287,19 @@
         Some((peer.beat.name.clone(), peer.beat.entry.peers))
     }
 
-    /// The load that other instances put on a runner.
-    pub(crate) fn load_of(&self, runner_key: u64, now_ms: u64) -> LoadShare {
-        let mut total = LoadShare::default();
-        for peer in self.live(now_ms) {
-            let loads = &peer.beat.loads;
-            if let Ok(index) = loads.binary_search_by_key(&runner_key, |(key, _)| *key) {
-                total.add(&loads[index].1);
+    /// The load that other instances put on each runner.
+    pub(crate) fn loads(&self, now_ms: u64) -> PeerLoads {
+        let told = self.live(now_ms).flat_map(|peer| &peer.beat.loads);
+        let mut loads: Vec<(u64, LoadShare)> = told.copied().collect();
+        loads.sort_unstable_by_key(|(key, _)| *key);
+        loads.dedup_by(|next, total| {
+            let is_same = next.0 == total.0;
+            if is_same {
+                total.1.add(&next.1);
             }
-        }
-        total
+            is_same
+        });
+        PeerLoads(loads)
     }
 
     /// Requests a second that the live instances have for a service, and that end
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -382,6 +382,7 @@
     let goal = goal.map(|named| named.goal.version);
     let own_data_centre = state.settings().data_centre.clone();
     let peers = state.peers.borrow();
+    let others = peers.loads(now_ms);
     let own_notice = state.duty_notice.borrow();
     let notice = own_notice.as_ref().or_else(|| peers.duty(now_ms));
     let is_switching =
@@ -392,7 +393,7 @@
         let is_old = goal.is_some_and(|goal| weights.is_some_and(|has| has < goal));
         let load = runner.load(now_ms);
         let reported = load.map_or(0, |load| load.running + load.waiting);
-        let mut sent = peers.load_of(runner.key(), now_ms);
+        let mut sent = others.on(runner.key());
         sent.add(&runner.own_load());
         let old_ms = if is_old { OLD_WEIGHTS_MS } else { 0.0 };
         let plan = weights.and_then(|version| transfers.plan(version, &record.data_centre));
--- a/crates/gateway/src/reclaim.rs
+++ b/crates/gateway/src/reclaim.rs
@@ -134,7 +134,7 @@
 async fn free(state: &GatewayState, found: &RetiredParts) {
     let mut client = RunnerClient::new(found.address);
     let (store, count) = (found.name.as_str(), found.parts.len());
-    match client.free_parts(&found.parts, found.epoch, None).await {
+    match client.free_parts(&found.parts, found.epoch).await {
         Ok(taken) => {
             log::info!(target: "kept", store, count, taken; "retired parts freed");
             if taken {
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -64,14 +64,8 @@
         if listing.revision < self.revision {
             return Vec::new();
         }
-        let mut names: Vec<&str> = listing.objects.iter().map(|o| o.name.as_str()).collect();
-        names.sort_unstable();
-        let mut changes = self.delete_others(&names, listing.revision);
-        for object in &listing.objects {
-            changes.extend(self.update(object));
-        }
-        self.revision = listing.revision;
-        changes
+        let names = listing.objects.iter().map(|object| object.name.as_str());
+        self.replace(names.collect(), &listing.objects, listing.revision)
     }
 
     /// Takes what a watch told, up to `revision`.
@@ -95,14 +89,8 @@
         if delta.revision <= self.revision {
             return Vec::new();
         }
-        let mut names: Vec<&str> = delta.names.iter().map(String::as_str).collect();
-        names.sort_unstable();
-        let mut changes = self.delete_others(&names, delta.revision);
-        for object in &delta.objects {
-            changes.extend(self.update(object));
-        }
-        self.revision = delta.revision;
-        changes
+        let names = delta.names.iter().map(String::as_str).collect();
+        self.replace(names, &delta.objects, delta.revision)
     }
 
     /// What an instance whose copy is complete up to `since` lacks.
@@ -115,6 +103,22 @@
         }
     }
 
+    /// Keeps the objects of these names only, and takes the newer `objects`.
+    fn replace(
+        &mut self,
+        mut names: Vec<&str>,
+        objects: &[StoredObject],
+        revision: u64,
+    ) -> Vec<ReplicaChange> {
+        names.sort_unstable();
+        let mut changes = self.delete_others(&names, revision);
+        for object in objects {
+            changes.extend(self.update(object));
+        }
+        self.revision = revision;
+        changes
+    }
+
     fn find(&self, name: &str) -> Result<usize, usize> {
         self.objects
             .binary_search_by(|object| object.name.as_str().cmp(name))
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -6,7 +6,7 @@
 //!   first holds for the second.
 //! - A kept connection is used again only if it is open and silent.
 
-use crate::peers::LoadShare;
+use crate::peers::{spoken_key, LoadShare};
 use berylmount_fleet::{RunnerLoad, RunnerRecord, RunnerState};
 use berylmount_h1::H1Stream;
 use berylmount_policy::runner_health::RunnerHealth;
@@ -15,7 +15,6 @@
     rc::Rc,
     time::Duration,
 };
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Time after which a reported load says nothing, in milliseconds.
 const LOAD_AGE_MS: u64 = 400;
@@ -110,7 +109,7 @@
 impl RunnerHandle {
     fn new(record: RunnerRecord) -> Self {
         Self {
-            key: xxh3_64(record.id.as_bytes()),
+            key: spoken_key(&record.id),
             record: RefCell::new(Rc::new(record)),
             missing_since_ms: Cell::new(0),
             is_gone: Cell::new(false),
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,13 +6,14 @@
     instances::InstanceList,
     kept::StoreBook,
     lags::WaitBook,
-    peers::{DutyNotice, KeptGossip, PeerBook},
+    peers::{spoken_key, DutyNotice, KeptGossip, PeerBook},
     reclaim::OpenFetches,
     replica::KindReplica,
     roster::RunnerRoster,
 };
 use berylmount_adapter::store_client::StoreClient;
 use berylmount_fleet::{ProcessSettings, RouteTable, WeightsGoal};
+use berylmount_model::unix_ms;
 use berylmount_policy::{
     admission::{OfferRate, OthersPace},
     duty_lease::NamedRecord,
@@ -26,7 +27,6 @@
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
-    time::{SystemTime, UNIX_EPOCH},
 };
 use strum::EnumCount;
 use xxhash_rust::xxh3::xxh3_64;
@@ -37,12 +37,6 @@
 /// seconds and some more.
 const CLOCK_ERROR_MS: u64 = 2500;
 
-/// The time of day, in Unix milliseconds.
-fn unix_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |passed| passed.as_millis() as u64)
-}
-
 /// Weights that runners should have.
 #[derive(Clone, Debug)]
 pub(crate) struct NamedWeights {
@@ -326,7 +320,7 @@
     /// What the other instances do at a service, and how late it is known here.
     pub(crate) fn others_pace(&self, service: &str, now_ms: u64) -> OthersPace {
         let peers = self.peers.borrow();
-        let (offered_per_s, ended_per_s) = peers.pace_of(xxh3_64(service.as_bytes()), now_ms);
+        let (offered_per_s, ended_per_s) = peers.pace_of(spoken_key(service), now_ms);
         OthersPace {
             offered_per_s,
             ended_per_s,
@@ -336,7 +330,7 @@
 
     fn with_pace(&self, service: &str, act: impl FnOnce(&mut ServicePace)) {
         let mut paces = self.paces.borrow_mut();
-        let key = xxh3_64(service.as_bytes());
+        let key = spoken_key(service);
         let found = paces.binary_search_by_key(&key, |(known, _)| *known);
         let index = found.unwrap_or_else(|index| {
             paces.insert(index, (key, ServicePace::default()));
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -88,7 +88,7 @@
     let goal = &named.goal;
     let now_ms = boot_ms();
     let runners: Vec<Rc<RunnerHandle>> = state.runners.borrow().all().to_vec();
-    let peers = state.peers.borrow();
+    let others = state.peers.borrow().loads(now_ms);
     let view = |runner: &Rc<RunnerHandle>| {
         let key = runner.key();
         let order = book.borrow().get(key);
@@ -96,7 +96,7 @@
             version: runner.weights_of(&goal.model),
             ordered: order.version,
             ordered_at_ms: order.at_ms,
-            running: runner.running.get() + peers.load_of(key, now_ms).running,
+            running: runner.running.get() + others.on(key).running,
             is_ready: runner.takes_requests(),
         }
     };
--- a/crates/h1/src/exchange.rs
+++ b/crates/h1/src/exchange.rs
@@ -67,15 +67,34 @@
 ///
 /// Returns [`H1Fault::BodyTooLong`] for a longer body.
 pub async fn read_body(
+    stream: &mut H1Stream,
+    reader: BodyReader,
+    most_bytes: usize,
+) -> Result<Bytes, H1Fault> {
+    read_counted_body(stream, reader, most_bytes, |_| true).await
+}
+
+/// Reads a whole body of at most `most_bytes`; `has_room` learns the bytes of
+/// each piece as it comes, and tells whether they can be held.
+///
+/// # Errors
+///
+/// Returns [`H1Fault::BodyTooLong`] for a longer body, and
+/// [`H1Fault::NoRoom`] once `has_room` is false.
+pub async fn read_counted_body(
     stream: &mut H1Stream,
     mut reader: BodyReader,
     most_bytes: usize,
+    mut has_room: impl FnMut(usize) -> bool,
 ) -> Result<Bytes, H1Fault> {
     let mut body = BytesMut::new();
     while let Some(piece) = reader.next(stream).await? {
         if body.len() + piece.len() > most_bytes {
             return Err(H1Fault::BodyTooLong);
         }
+        if !has_room(piece.len()) {
+            return Err(H1Fault::NoRoom);
+        }
         body.put_slice(&piece);
     }
     Ok(body.freeze())
--- a/crates/h1/src/fault.rs
+++ b/crates/h1/src/fault.rs
@@ -23,6 +23,9 @@
     /// The body is longer than its bound.
     #[error("the body is longer than its bound")]
     BodyTooLong,
+    /// There is no room to hold the body.
+    #[error("there is no room to hold the body")]
+    NoRoom,
 }
 
 impl H1Fault {
--- a/crates/policy/src/groups.rs
+++ b/crates/policy/src/groups.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     assignment::{score, MemberWeight},
+    decay::decayed,
     queue::CLASSES,
 };
 use berylmount_model::{PieceKey, WorkClass};
@@ -64,8 +65,8 @@
 
 impl GroupState {
     fn failures_at(&self, now_ms: u64) -> f64 {
-        let passed = now_ms.saturating_sub(self.failed_ms) as f64;
-        self.failures * 0.5f64.powf(passed / FAILURE_HALF_MS)
+        let passed_ms = now_ms.saturating_sub(self.failed_ms);
+        decayed(self.failures, passed_ms, FAILURE_HALF_MS)
     }
 
     fn wait_ms(&self, class: WorkClass, now_ms: u64) -> f64 {
--- a/crates/policy/src/lateness.rs
+++ b/crates/policy/src/lateness.rs
@@ -13,6 +13,8 @@
 //!   are late, at all stores alike.
 //! - A fleet believes only what a good part of its instances tell.
 
+use crate::decay::decayed;
+
 /// Least excess over the expected time at which a request is late, in
 /// milliseconds: more than the waits of a usual crest.
 const LATE_MS: f64 = 350.0;
@@ -83,8 +85,8 @@
 
 impl StoreLag {
     fn lag_ms(&self, now_ms: u64) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.noted_at_ms) as f64;
-        self.lag_ms * 0.5_f64.powf(age_ms / HALF_LIFE_MS)
+        let age_ms = now_ms.saturating_sub(self.noted_at_ms);
+        decayed(self.lag_ms, age_ms, HALF_LIFE_MS)
     }
 
     fn note_late(&mut self, excess_ms: f64, now_ms: u64) {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod caching;
 mod capacity;
 mod class_line;
+mod decay;
 pub mod duty_lease;
 pub mod groups;
 pub mod keeping;
--- a/crates/policy/src/runner_health.rs
+++ b/crates/policy/src/runner_health.rs
@@ -4,6 +4,8 @@
 //! it reports itself healthy. Only the requests show it, so each end counts;
 //! a failure weighs at once and is forgotten slowly, unless successes follow.
 
+use crate::decay::decayed;
+
 /// Weight of one more end in the share of failures.
 const END_WEIGHT: f64 = 0.25;
 /// Time in which an old share of failures halves, in milliseconds.
@@ -27,8 +29,8 @@
     /// assert!(health.failures(1000) > 0.2 && health.failures(20_000) < 0.01);
     /// ```
     pub fn failures(&self, now_ms: u64) -> f64 {
-        let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
-        self.share * 0.5f64.powf(age_ms / HALF_LIFE_MS)
+        let age_ms = now_ms.saturating_sub(self.at_ms);
+        decayed(self.share, age_ms, HALF_LIFE_MS)
     }
 
     /// Counts how a request ended.
