Return prompts to runners that hold their prefix, and part long from short

Runners were chosen by load alone, so a prefix was read at all of them and pushed out others; the prefill rate was fixed at 110 tokens a millisecond where these engines read 51; eight instances sent their next long prompt to the same idle runner within 40 ms; and a prompt of 300 tokens waited two seconds for its fetch behind a slow link.

Change: homes of a prefix by rendezvous hashing, others copy from them; runners parted between short and long prompts by the tokens each brings; prefill rate and fixed time learned from first events by bounded steps; instances of a small fleet tell each other of long prompts at once; fetches end at a time on the runners' clock and the prompt is read; more cost for memory that would be overbooked; the log names a stream's longest pause. Tests play returning prefixes, short beside long prompts, slow links, learning among waits.

--- a/crates/gateway/src/call_log.rs
+++ b/crates/gateway/src/call_log.rs
@@ -135,6 +135,7 @@
         request = call.request.id, outcome, total_ms, patience_ms,
         path = call.head.path(), events = sink.events,
         first_event_ms = sink.first_event_ms.saturating_sub(call.arrived_ms),
+        longest_pause_ms = sink.longest_pause_ms,
         tries = tries.text;
         "request ended"
     );
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -61,6 +61,8 @@
     pub(crate) first_event_ms: u64,
     /// When the last event went to the caller.
     pub(crate) sent_at_ms: u64,
+    /// The longest time between two events.
+    pub(crate) longest_pause_ms: u64,
     /// Blocks of events that were sent.
     pub(crate) events: u32,
 }
@@ -79,6 +81,7 @@
         last_event: None,
         first_event_ms: 0,
         sent_at_ms: 0,
+        longest_pause_ms: 0,
         events: 0,
     };
     let mut tries = TryLog::default();
@@ -215,6 +218,9 @@
         let tokens = CounterMetric::PromptTokensTotal;
         metrics.add(tokens, "recomputed", placed.unread_tokens);
         metrics.add(tokens, "store", placed.fetched_tokens);
+        if call.request.prompt.is_some() {
+            state.note_prompt(&self.service, placed.length, placed.unread_tokens);
+        }
     }
 
     /// Places the request, and waits a moment for room if there is none.
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -6,10 +6,15 @@
 
 use crate::{peers::spoken_key, state::GatewayState};
 use berylmount_adapter::request_headers::CacheOrder;
-use berylmount_fleet::{KeptStore, PromptShape, RouteTable, ServiceKind, ServingCustomer};
-use berylmount_policy::kept_parts::{
-    plan_transfers, KeptPart, PartKey, PartNeed, PromptTraits, StoreCatalogue, StoreView,
-    TransferPlan,
+use berylmount_fleet::{
+    KeptStore, PromptPart, PromptShape, RouteTable, ServiceKind, ServingCustomer,
+};
+use berylmount_policy::{
+    kept_parts::{
+        plan_transfers, KeptPart, PartKey, PartNeed, PromptTraits, StoreCatalogue, StoreView,
+        TransferPlan,
+    },
+    prefix_homes::home_part,
 };
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
@@ -136,7 +141,8 @@
         self.lags.len()
     }
 
-    fn lag_ms(&self, store: u64) -> f64 {
+    /// The lag of a store, or of a runner that parts are copied from.
+    pub(crate) fn lag_ms(&self, store: u64) -> f64 {
         let found = self.lags.binary_search_by_key(&store, |(key, _)| *key);
         found.map_or(0.0, |index| f64::from(self.lags[index].1))
     }
@@ -234,7 +240,7 @@
         let isolated = customer.filter(|customer| customer.is_isolated);
         let wall = isolated.map_or(SHARED_WALL, |customer| customer.name.as_str());
         let scope = format!("{version}.{}.{wall}", prompt.model);
-        let need = |part: &berylmount_fleet::PromptPart| PartNeed {
+        let need = |part: &PromptPart| PartNeed {
             key: part_key(&scope, &part.id),
             tokens: part.tokens,
         };
@@ -242,6 +248,11 @@
         Self { scope, needs }
     }
 
+    /// Its parts with their keys.
+    pub(crate) fn needs(&self) -> &[PartNeed] {
+        &self.needs
+    }
+
     /// Plans its transfers at a runner in `data_centre`.
     pub(crate) fn plan(
         &self,
@@ -281,11 +292,24 @@
             scope: self.scope.clone(),
             fetch: plan.fetch.iter().map(address).collect(),
             save: plan.save.iter().map(address).collect(),
+            fetch_until_ms: None,
         };
         (order, book.fetched_from(plan))
     }
 }
 
+/// The key of the part that decides a prompt's homes, under all weights; `None`
+/// if it shares nothing.
+pub(crate) fn prefix_key(prompt: &PromptShape) -> Option<u64> {
+    let need = |part: &PromptPart| PartNeed {
+        key: PartKey::default(),
+        tokens: part.tokens,
+    };
+    let needs: Vec<PartNeed> = prompt.parts.iter().map(need).collect();
+    let home = &prompt.parts[home_part(&needs)?];
+    Some(xxh3_64(home.id.as_bytes()))
+}
+
 /// The version and model that a scope names; `None` for a scope of another system.
 fn scope_weights(scope: &str) -> Option<(u64, &str)> {
     let mut fields = scope.splitn(3, '.');
--- a/crates/gateway/src/kept/follow.rs
+++ b/crates/gateway/src/kept/follow.rs
@@ -187,6 +187,9 @@
         .catalogue(name)
         .map_or(0, |c| c.next());
     let changes = client.cache_events(since, WAIT).await?;
+    if let Some(clock_ms) = changes.clock_ms {
+        state.note_runner_clock(clock_ms, boot_ms());
+    }
     let needs_list = {
         let mut book = state.stores.borrow_mut();
         let Some(catalogue) = book.catalogue(name) else {
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -73,8 +73,13 @@
     spawn_local(hear_beats(state.clone(), socket.clone()));
     let mut waited = Duration::ZERO;
     loop {
-        sleep(BEAT_TICK).await;
-        waited += BEAT_TICK;
+        tokio::select! {
+            () = sleep(BEAT_TICK) => waited += BEAT_TICK,
+            () = state.placed_soon.notified() => {
+                tell_placed(&state, &socket).await;
+                continue;
+            }
+        }
         let interval = Duration::from_millis(state.peers.borrow().interval_ms());
         let gossip = state.gossip.take();
         let is_due = || waited >= interval || state.is_beat_due.get();
@@ -101,6 +106,19 @@
     }
 }
 
+/// Tells the others of long prompts that were just sent to runners. Without it,
+/// instances of a small fleet all send their next one to the same idle runner
+/// before they hear of each other's.
+async fn tell_placed(state: &GatewayState, socket: &UdpSocket) {
+    let placed = state.placed.take();
+    let addresses = beat_addresses(state);
+    let name = &state.settings().name;
+    for (runner, share) in placed {
+        let message = PeerMessage::Placed(name.clone(), runner, share);
+        send_message(socket, &addresses, &message).await;
+    }
+}
+
 async fn hear_beats(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0u8; DATAGRAM_BYTES];
     loop {
@@ -118,6 +136,9 @@
                 log::warn!(target: "peers", peer = beat.name; "beat of another form");
             }
             Ok(PeerMessage::Kept(peer, told)) => hear_gossip(&state, &peer, &told),
+            Ok(PeerMessage::Placed(peer, runner, share)) => {
+                state.peers.borrow_mut().note_placed(&peer, runner, share);
+            }
             Err(fault) => log::warn!(target: "peers", fault:% ; "message left out"),
         }
     }
@@ -132,6 +153,9 @@
     for (model, version, age_ms) in &beat.goals {
         state.apply_goal_age(model, *version, *age_ms);
     }
+    if let Some(clock_ms) = beat.runner_clock_ms {
+        state.note_runner_clock(clock_ms, boot_ms());
+    }
     if state.peers.borrow_mut().note_beat(beat, boot_ms()) {
         log::info!(target: "peers", peer; "instance heard");
     }
@@ -196,6 +220,7 @@
         beat.in_contact[kind as usize] = has_contact(state, kind);
     }
     beat.paces = state.own_paces(now_ms);
+    beat.runner_clock_ms = state.runner_clock.get().at(now_ms);
     beat.lags = state.lags.borrow().lags(now_ms);
     let runners = state.runners.borrow();
     let loads = runners
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -27,7 +27,7 @@
 /// others. Below it, asking costs less than being told late.
 const LARGE_FLEET: usize = 12;
 /// Form of a beat; beats of another form are left out.
-const BEAT_FORMAT: u8 = 2;
+const BEAT_FORMAT: u8 = 3;
 
 /// The key under which instances speak of a runner, store or service.
 pub(crate) fn spoken_key(name: &str) -> u64 {
@@ -108,6 +108,8 @@
     pub(crate) confirmed: Vec<(String, u64)>,
     /// What the holder of the duty tells.
     pub(crate) duty: Option<DutyNotice>,
+    /// The clock of runners and stores, in milliseconds.
+    pub(crate) runner_clock_ms: Option<u64>,
 }
 
 impl PeerBeat {
@@ -128,6 +130,7 @@
             paces: Vec::new(),
             confirmed: Vec::new(),
             duty: None,
+            runner_clock_ms: None,
         }
     }
 
@@ -162,6 +165,9 @@
     Beat(Box<PeerBeat>),
     /// What a store keeps, with the name of the instance that follows it.
     Kept(String, KeptGossip),
+    /// A long prompt that an instance has just sent to a runner: its name, the
+    /// runner's key, and the load that it adds.
+    Placed(String, u64, LoadShare),
 }
 
 /// Another instance.
@@ -211,6 +217,16 @@
         }
     }
 
+    /// Adds to the load that an instance puts on a runner, until its next beat.
+    pub(crate) fn note_placed(&mut self, name: &str, runner: u64, share: LoadShare) {
+        let found = self
+            .peers
+            .binary_search_by(|peer| peer.beat.name.as_str().cmp(name));
+        if let Ok(index) = found {
+            self.peers[index].beat.loads.push((runner, share));
+        }
+    }
+
     /// Forgets instances that have been silent for long.
     ///
     /// `begun_ms` is when this process began to listen.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -3,20 +3,22 @@
 use crate::{
     clock::boot_ms,
     forward::CallerCall,
-    kept::{is_retired, ScopedPrompt},
+    kept::{is_retired, prefix_key, ScopedPrompt},
     lags::{StoreWait, WaitId},
+    peers::LoadShare,
     reclaim::may_fetch,
     roster::RunnerHandle,
     state::GatewayState,
 };
 use berylmount_adapter::request_headers::CacheOrder;
-use berylmount_fleet::{EngineTraits, RouteTable, ServiceKind, ServingCustomer};
+use berylmount_fleet::{EngineTraits, PromptShape, RouteTable, ServiceKind, ServingCustomer};
 use berylmount_policy::{
     admission::{free_places, has_room, placed_part, starts_soon, AdmissionNeed},
-    kept_parts::{PromptTraits, TransferPlan},
-    placing::{
-        choose, draw_runner, sample_runners, PlacingNeed, RunnerView, DEFAULT_PREFILL_PER_MS,
-    },
+    engine_pace::FirstEvent,
+    kept_parts::{fetch_limit_ms, PromptTraits, TransferPlan},
+    placing::{choose, draw_runner, estimate, sample_runners, PlacingNeed, RunnerView},
+    prefix_homes::{expect_cached, rank_homes, CachedPrompt},
+    prompt_pools::{part_runners, PromptLength},
 };
 use rand::rng;
 use std::{rc::Rc, time::Duration};
@@ -30,6 +32,15 @@
 const BEGIN_MS: u64 = 2000;
 /// Time in which a runner drops the fetch of a request that was given up.
 const GIVEN_UP: Duration = Duration::from_millis(1000);
+/// How many times longer a copy takes between data centres.
+const REMOTE_COPY: f64 = 2.0;
+/// Part of failed requests from which on nothing is copied from a runner.
+const BAD_SOURCE: f64 = 0.3;
+/// Requests tell the pace of engines if this times the tokens that wait ahead are
+/// fewer than their own.
+const CROWD_PART: u64 = 2;
+/// Least slowness that is believed.
+const LEAST_SLOWNESS: f64 = 0.5;
 /// Part of the answer's bound that answers usually reach.
 const ANSWER_PART: f64 = 0.5;
 
@@ -51,6 +62,19 @@
     /// Tokens of the prompt that it fetches.
     pub(crate) fetched_tokens: u64,
     memory_tokens: u64,
+    /// Whether the prompt is short or long.
+    pub(crate) length: PromptLength,
+    /// What its first event tells of the engines' pace, if anything.
+    pace: Option<PaceProbe>,
+}
+
+/// What must be known of a request to learn from its first event.
+#[derive(Clone, Copy, Debug)]
+struct PaceProbe {
+    read_tokens: u64,
+    /// The way to the runner and back, in milliseconds.
+    way_ms: f64,
+    slowness: f64,
 }
 
 /// A request's part of a runner's load, until it is dropped.
@@ -63,6 +87,8 @@
     wait: Option<WaitId>,
     unread_tokens: u64,
     memory_tokens: u64,
+    pace: Option<PaceProbe>,
+    begun_ms: u64,
 }
 
 impl PlacedRunner {
@@ -80,6 +106,14 @@
         runner.unread_tokens.set(unread);
         let booked = runner.booked_tokens.get() + self.memory_tokens;
         runner.booked_tokens.set(booked);
+        if self.length == PromptLength::Long {
+            let share = LoadShare {
+                running: 1,
+                unread_tokens: self.unread_tokens,
+                booked_tokens: self.memory_tokens,
+            };
+            state.tell_placed(runner.key(), share);
+        }
         let wait = is_fetching.then(|| {
             let mut waits = state.waits.borrow_mut();
             waits.begin(self.stores.clone(), self.first_ms, boot_ms())
@@ -91,6 +125,8 @@
             runner,
             unread_tokens: self.unread_tokens,
             memory_tokens: self.memory_tokens,
+            pace: self.pace,
+            begun_ms: boot_ms(),
         }
     }
 }
@@ -101,6 +137,15 @@
         if let Some(wait) = self.end_wait() {
             wait.judge(&self.state);
         }
+        if let Some(probe) = self.pace.take() {
+            let took_ms = boot_ms().saturating_sub(self.begun_ms) as f64 - probe.way_ms;
+            let event = FirstEvent {
+                read_tokens: probe.read_tokens,
+                took_ms: took_ms / probe.slowness,
+            };
+            let service = &self.runner.record().service;
+            self.state.note_first_event(service, event);
+        }
         self.release_unread();
     }
 
@@ -180,7 +225,7 @@
 struct TransferCache<'a> {
     state: &'a GatewayState,
     placing: &'a PlacingCall<'a>,
-    token_bytes: u64,
+    traits: PromptTraits,
     now_ms: u64,
     may_fetch: bool,
     /// Prompts by version of the weights.
@@ -211,11 +256,7 @@
             return Some(known.clone());
         }
         let prompt = self.prompt(version)?;
-        let traits = PromptTraits {
-            token_bytes: self.token_bytes,
-            prefill_per_ms: DEFAULT_PREFILL_PER_MS,
-        };
-        let plan = Rc::new(prompt.plan(self.state, data_centre, traits, self.now_ms));
+        let plan = Rc::new(prompt.plan(self.state, data_centre, self.traits, self.now_ms));
         self.plans
             .push((version, data_centre.to_owned(), plan.clone()));
         Some(plan)
@@ -234,6 +275,62 @@
     }
 }
 
+/// The runners that a prompt's prefix returns to, first home first.
+struct PromptHomes<'a> {
+    homes: Vec<&'a Rc<RunnerHandle>>,
+}
+
+impl<'a> PromptHomes<'a> {
+    /// The homes among those `candidates` that take prompts of this length first.
+    fn new(
+        placing: &PlacingCall<'_>,
+        candidates: &[&'a Rc<RunnerHandle>],
+        parts: Option<&[PromptLength]>,
+        length: PromptLength,
+    ) -> Self {
+        let prompt = placing.call.request.prompt.as_ref();
+        let Some(prefix) = prompt.and_then(prefix_key) else {
+            return Self { homes: Vec::new() };
+        };
+        let takes = |index: &usize| parts.is_none_or(|parts| parts[*index] == length);
+        let takers: Vec<usize> = (0..candidates.len()).filter(takes).collect();
+        let keys: Vec<u64> = takers.iter().map(|i| candidates[*i].key()).collect();
+        let ranked = rank_homes(prefix, &keys).into_iter();
+        let homes = ranked.map(|index| candidates[takers[index]]).collect();
+        Self { homes }
+    }
+
+    /// The rank of a runner among them.
+    fn rank(&self, runner: &Rc<RunnerHandle>) -> Option<usize> {
+        self.homes.iter().position(|home| Rc::ptr_eq(home, runner))
+    }
+
+    /// The first other home with the same weights that can be copied from.
+    fn source(
+        &self,
+        placing: &PlacingCall<'_>,
+        runner: &Rc<RunnerHandle>,
+        now_ms: u64,
+    ) -> Option<&'a Rc<RunnerHandle>> {
+        let weights = weights_at(placing, runner);
+        let is_source = |home: &&Rc<RunnerHandle>| {
+            !Rc::ptr_eq(home, runner)
+                && weights_at(placing, home) == weights
+                && home.failures(now_ms) < BAD_SOURCE
+        };
+        self.homes.iter().copied().find(is_source)
+    }
+}
+
+/// Time to copy a prompt's shared parts between two runners, in milliseconds.
+fn copy_ms(engine: &EngineTraits, prompt: &ScopedPrompt, is_remote: bool, lag_ms: f64) -> f64 {
+    let shared = prompt.needs().split_last().map_or(&[][..], |(_, s)| s);
+    let tokens: u32 = shared.iter().map(|need| need.tokens).sum();
+    let bits = f64::from(tokens) * engine.token_bytes as f64 * 8.0;
+    let factor = if is_remote { REMOTE_COPY } else { 1.0 };
+    factor * bits / engine.link_bits_per_ms.max(1.0) + lag_ms
+}
+
 /// Chooses a runner of a service for a request, other than those `tried`.
 pub(crate) fn place(
     state: &GatewayState,
@@ -249,15 +346,20 @@
     let prompt = placing.call.request.prompt.as_ref();
     let prompt_tokens = prompt.map_or(0, |p| p.prompt_tokens);
     let answer_tokens = prompt.map_or(0.0, |p| f64::from(p.answer_tokens) * ANSWER_PART);
+    let pace = state.engine_pace(placing.service);
     let need = PlacingNeed {
         prompt_tokens,
         memory_tokens: u64::from(prompt_tokens) + answer_tokens as u64,
-        prefill_per_ms: DEFAULT_PREFILL_PER_MS,
+        prefill_per_ms: pace.prefill_per_ms(),
+        base_ms: pace.base_ms(),
     };
     let mut transfers = TransferCache {
         state,
         placing,
-        token_bytes: engine.map_or(0, |engine| engine.token_bytes),
+        traits: PromptTraits {
+            token_bytes: engine.map_or(0, |engine| engine.token_bytes),
+            prefill_per_ms: pace.prefill_per_ms(),
+        },
         now_ms,
         may_fetch: may_fetch(state, now_ms),
         prompts: Vec::new(),
@@ -272,7 +374,19 @@
     };
     let candidates = candidates.filter(has_weights);
     let candidates: Vec<&Rc<RunnerHandle>> = candidates.collect();
-    let views = runner_views(state, placing, engine, &candidates, &mut transfers);
+    let length = PromptLength::of(prompt_tokens, need.prefill_per_ms);
+    let mix = state.prompt_mix(placing.service);
+    let keys: Vec<u64> = candidates.iter().map(|runner| runner.key()).collect();
+    let parts = part_runners(&keys, mix.long_share());
+    let homes = PromptHomes::new(placing, &candidates, parts.as_deref(), length);
+    let mut views = runner_views(state, placing, engine, &candidates, &homes, &mut transfers);
+    if let Some(parts) = parts.filter(|_| engine.is_some()) {
+        let others = views
+            .iter_mut()
+            .zip(parts)
+            .filter(|(_, part)| *part != length);
+        others.for_each(|(view, _)| view.penalty_ms += mix.meeting_ms(need.prefill_per_ms));
+    }
     if views.is_empty() {
         return PlacingResult::NoRunner;
     }
@@ -297,12 +411,24 @@
     let weights = weights_at(placing, &runner);
     let data_centre = runner.record().data_centre.clone();
     let order = weights.and_then(|version| transfers.order(version, &data_centre));
-    let (cache, stores) = order.unzip();
+    let (mut cache, mut stores) = order.unzip();
+    let source = homes.source(placing, &runner, now_ms);
+    if let (Some(order), Some(source)) = (&mut cache, source) {
+        copy_missing(order, &transfers, weights, source);
+        stores.get_or_insert_default().push(source.key());
+    }
+    if let Some(order) = &mut cache {
+        let until = state.runner_clock.get().at(now_ms);
+        let limit_ms = fetch_limit(&views[index], &need, &placing.need);
+        order.fetch_until_ms = until.map(|clock_ms| clock_ms + limit_ms as u64);
+    }
     let unread_tokens = prompt_tokens.saturating_sub(views[index].known_tokens);
     PlacingResult::Placed(Box::new(PlacedRunner {
         runner,
         first_ms: estimate.first_ms,
-        basis: basis(&views[index]),
+        basis: basis(&views[index], &need),
+        length,
+        pace: pace_probe(&views[index], &need, prompt),
         weights,
         cache,
         stores: stores.unwrap_or_default(),
@@ -312,6 +438,39 @@
     }))
 }
 
+/// Time after which the runner should read the prompt in place of a fetch, in
+/// milliseconds.
+fn fetch_limit(runner: &RunnerView, asks: &PlacingNeed, need: &AdmissionNeed) -> f64 {
+    let alone = RunnerView {
+        known_tokens: 0,
+        fetch_ms: 0.0,
+        ..*runner
+    };
+    let first_ms = estimate(&alone, asks).first_ms;
+    let spare_ms = need.target_ms - need.waited_ms - first_ms;
+    let read_ms = f64::from(runner.known_tokens) / asks.prefill_per_ms;
+    fetch_limit_ms(spare_ms, runner.fetch_ms, read_ms)
+}
+
+/// Copies the shared parts that no store holds from another runner.
+fn copy_missing(
+    order: &mut CacheOrder,
+    transfers: &TransferCache<'_>,
+    weights: Option<u64>,
+    source: &RunnerHandle,
+) {
+    let known = transfers.prompts.iter();
+    let mut known = known.filter(|(version, _)| Some(*version) == weights);
+    let Some((_, prompt)) = known.next() else {
+        return;
+    };
+    order.fetch.resize(prompt.needs().len(), None);
+    let shared = prompt.needs().len().saturating_sub(1);
+    for fetch in order.fetch.iter_mut().take(shared) {
+        fetch.get_or_insert(source.record().address);
+    }
+}
+
 /// Takes this request's part of the room that all instances see: the runners to
 /// choose among, none if the others need it all.
 fn share_room(
@@ -336,10 +495,31 @@
     drawn.map(|index| open[index]).into_iter().collect()
 }
 
+/// What the first event will tell of the engines' pace. Nothing if it is not
+/// known what the runner must read, or much else waits there.
+fn pace_probe(
+    view: &RunnerView,
+    need: &PlacingNeed,
+    prompt: Option<&PromptShape>,
+) -> Option<PaceProbe> {
+    let shared = prompt?.parts.split_last().map_or(&[][..], |(_, s)| s);
+    let shared: u32 = shared.iter().map(|part| part.tokens).sum();
+    let is_known = view.known_tokens >= shared;
+    let read_tokens = u64::from(need.prompt_tokens.saturating_sub(view.known_tokens));
+    let is_alone = view.unread_tokens <= read_tokens / CROWD_PART;
+    (is_known && is_alone).then_some(PaceProbe {
+        read_tokens,
+        way_ms: 2.0 * view.distance_ms,
+        slowness: view.slowness.max(LEAST_SLOWNESS),
+    })
+}
+
 /// The figures of a choice, for the log.
-fn basis(view: &RunnerView) -> String {
+fn basis(view: &RunnerView, need: &PlacingNeed) -> String {
     format!(
-        "unread {} running {}/{} booked {} known {} fetch {:.0} slow {:.2} failures {:.2} penalty {:.0}",
+        "asks {} at {:.0}/ms unread {} running {}/{} booked {} known {} fetch {:.0} slow {:.2} failures {:.2} penalty {:.0}",
+        need.prompt_tokens,
+        need.prefill_per_ms,
         view.unread_tokens,
         view.running,
         view.slots,
@@ -368,12 +548,39 @@
     named.named_before((now_ms + BEGIN_MS).checked_sub(apply_ms)?)
 }
 
+/// What a runner need not read of the prompt.
+fn cached_prompt(
+    placing: &PlacingCall<'_>,
+    engine: Option<EngineTraits>,
+    runner: &Rc<RunnerHandle>,
+    homes: &PromptHomes<'_>,
+    transfers: &mut TransferCache<'_>,
+) -> CachedPrompt {
+    let (Some(engine), Some(version)) = (engine, weights_at(placing, runner)) else {
+        return CachedPrompt::default();
+    };
+    let record = runner.record();
+    let plan = transfers.plan(version, &record.data_centre);
+    let Some(prompt) = transfers.prompt(version) else {
+        return CachedPrompt::default();
+    };
+    let source = homes.source(placing, runner, transfers.now_ms);
+    let copy_ms = source.map(|source| {
+        let is_remote = source.record().data_centre != record.data_centre;
+        let lag_ms = transfers.state.stores.borrow().lag_ms(source.key());
+        copy_ms(&engine, &prompt, is_remote, lag_ms)
+    });
+    let plan = plan.as_deref().cloned().unwrap_or_default();
+    expect_cached(prompt.needs(), &plan, homes.rank(runner), copy_ms)
+}
+
 /// What is known of each candidate.
 fn runner_views(
     state: &GatewayState,
     placing: &PlacingCall<'_>,
     engine: Option<EngineTraits>,
     candidates: &[&Rc<RunnerHandle>],
+    homes: &PromptHomes<'_>,
     transfers: &mut TransferCache<'_>,
 ) -> Vec<RunnerView> {
     let now_ms = transfers.now_ms;
@@ -396,7 +603,8 @@
         let mut sent = others.on(runner.key());
         sent.add(&runner.own_load());
         let old_ms = if is_old { OLD_WEIGHTS_MS } else { 0.0 };
-        let plan = weights.and_then(|version| transfers.plan(version, &record.data_centre));
+        let rank = homes.rank(runner);
+        let cached = cached_prompt(placing, engine, runner, homes, transfers);
         RunnerView {
             unread_tokens: sent.unread_tokens,
             running: reported.max(sent.running),
@@ -411,10 +619,11 @@
                 REMOTE_MS
             },
             is_connected: runner.has_kept(now_ms, placing.most_idle),
-            known_tokens: plan.as_ref().map_or(0, |plan| plan.fetched_tokens),
-            fetch_ms: plan.as_ref().map_or(0.0, |plan| plan.fetch_ms),
+            known_tokens: cached.known_tokens,
+            fetch_ms: cached.fetch_ms,
             penalty_ms: old_ms,
             is_switching: is_switching(runner.key()),
+            home_rank: rank,
         }
     };
     candidates.iter().map(view).collect()
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -104,7 +104,9 @@
     if sink.events == 0 {
         sink.first_event_ms = now_ms;
     } else {
-        let gap_s = now_ms.saturating_sub(sink.sent_at_ms) as f64 / 1000.0;
+        let gap_ms = now_ms.saturating_sub(sink.sent_at_ms);
+        sink.longest_pause_ms = sink.longest_pause_ms.max(gap_ms);
+        let gap_s = gap_ms as f64 / 1000.0;
         run.metrics
             .observe(HistogramMetric::TokenGapSeconds, "", gap_s);
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,7 @@
     instances::InstanceList,
     kept::StoreBook,
     lags::WaitBook,
-    peers::{spoken_key, DutyNotice, KeptGossip, PeerBook},
+    peers::{spoken_key, DutyNotice, KeptGossip, LoadShare, PeerBook},
     reclaim::OpenFetches,
     replica::KindReplica,
     roster::RunnerRoster,
@@ -17,7 +17,10 @@
 use berylmount_policy::{
     admission::{OfferRate, OthersPace},
     duty_lease::NamedRecord,
+    engine_pace::{EnginePace, FirstEvent},
     lateness::LagBook,
+    prompt_pools::{PromptLength, PromptMix},
+    runner_clock::RunnerClock,
     second_tries::{SecondTries, TryBounds},
     shared_duties::DutyMember,
 };
@@ -29,6 +32,7 @@
     sync::Arc,
 };
 use strum::EnumCount;
+use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Versions of one model whose time of naming is kept.
@@ -97,6 +101,13 @@
     pub(crate) is_beat_due: Cell<bool>,
     /// What stores keep, to be passed on with the next beat.
     pub(crate) gossip: RefCell<Vec<KeptGossip>>,
+    /// The clock of runners and stores.
+    pub(crate) runner_clock: Cell<RunnerClock>,
+    /// Long prompts just sent to runners, of which the others should know: the
+    /// runner's key and the load.
+    pub(crate) placed: RefCell<Vec<(u64, LoadShare)>>,
+    /// Wakes the task that tells of them.
+    pub(crate) placed_soon: Notify,
     /// Other instances that were heard.
     pub(crate) peers: RefCell<PeerBook>,
     /// What this instance tells the others while it holds the duty.
@@ -126,6 +137,8 @@
 struct ServicePace {
     offered: OfferRate,
     ended: OfferRate,
+    engines: EnginePace,
+    mix: PromptMix,
 }
 
 impl GatewayState {
@@ -151,7 +164,10 @@
             contacts: Default::default(),
             is_beat_due: Cell::new(false),
             gossip: RefCell::default(),
+            placed: RefCell::default(),
+            placed_soon: Notify::new(),
             peers: RefCell::default(),
+            runner_clock: Cell::default(),
             duty_notice: RefCell::default(),
             store: StoreClient::new(settings.store.address),
             settings: RefCell::new(Rc::new(settings)),
@@ -274,6 +290,13 @@
         }
     }
 
+    /// Takes what the clock of runners and stores showed a moment ago.
+    pub(crate) fn note_runner_clock(&self, clock_ms: u64, now_ms: u64) {
+        let mut clock = self.runner_clock.get();
+        clock.note(clock_ms, now_ms);
+        self.runner_clock.set(clock);
+    }
+
     /// Whether the planned stop has begun.
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving_since_ms.get() > 0
@@ -307,6 +330,40 @@
         self.with_pace(service, |pace| pace.ended.note(now_ms));
     }
 
+    /// Takes the first event of a request at a service of engines.
+    pub(crate) fn note_first_event(&self, service: &str, event: FirstEvent) {
+        self.with_pace(service, |pace| pace.engines.note(event));
+    }
+
+    /// Counts a prompt of which a runner reads `tokens`.
+    pub(crate) fn note_prompt(&self, service: &str, length: PromptLength, tokens: u64) {
+        let now_ms = boot_ms();
+        self.with_pace(service, |pace| pace.mix.note(length, tokens, now_ms));
+    }
+
+    /// Tells the other instances at once of the load that a long prompt puts on a
+    /// runner. In a large fleet their messages would outgrow what they save.
+    pub(crate) fn tell_placed(&self, runner: u64, share: LoadShare) {
+        if !self.peers.borrow().is_large(boot_ms()) {
+            self.placed.borrow_mut().push((runner, share));
+            self.placed_soon.notify_one();
+        }
+    }
+
+    /// The prompts that were placed lately at a service.
+    pub(crate) fn prompt_mix(&self, service: &str) -> PromptMix {
+        let paces = self.paces.borrow();
+        let found = paces.binary_search_by_key(&spoken_key(service), |(known, _)| *known);
+        found.map_or_else(|_| PromptMix::default(), |index| paces[index].1.mix)
+    }
+
+    /// How fast a service's engines read prompts.
+    pub(crate) fn engine_pace(&self, service: &str) -> EnginePace {
+        let paces = self.paces.borrow();
+        let found = paces.binary_search_by_key(&spoken_key(service), |(known, _)| *known);
+        found.map_or_else(|_| EnginePace::default(), |index| paces[index].1.engines)
+    }
+
     /// Own requests a second for each service, and ends, by the service's key.
     pub(crate) fn own_paces(&self, now_ms: u64) -> Vec<(u64, u32, u32)> {
         let paces = self.paces.borrow();
--- /dev/null
+++ b/crates/gateway/tests/prefixes.rs
@@ -0,0 +1,106 @@
+//! Prompts with a shared prefix, and what the gateway tells runners of it.
+#![allow(clippy::unwrap_used)]
+
+mod standins;
+
+use serde_json::{json, Value};
+use standins::{
+    answer_to, arrivals, header, route, scripted, stream_to, table, AfterAnswer, Served,
+    StandinRunner, StandinStore,
+};
+
+/// A table whose service runs engines.
+fn engine_table() -> Value {
+    let mut table = table(1, vec![route("/safe/", "safe", 2, false)]);
+    let mut prompts = route("/ask/", "streaming", 2, true);
+    prompts["StickySessions"] = json!(true);
+    table["Routes"].as_array_mut().unwrap().push(prompts);
+    table["Services"][0]["Engine"] = json!({
+        "Slots": 8, "KvCapacityTokens": 70_000, "KvTokenBytes": 18_432, "LinkMbps": 180_000,
+    });
+    table
+}
+
+/// A gateway before engines; each has its own id.
+fn serve(runners: &[(&str, &StandinRunner)]) -> Served {
+    let store = StandinStore::start();
+    store.put("config", "main", Some(engine_table()));
+    for (id, runner) in runners {
+        store.put("servers", id, Some(runner.entry("svc", "ready")));
+    }
+    let served = Served::start_with(store, "i1");
+    served.wait_ready();
+    served.wait_status("GET /safe/warm", "200", false);
+    served
+}
+
+/// Asks with a prompt of two parts, the first of them shared.
+fn ask_prompt(served: &Served, id: &str, prefix: &str) -> String {
+    let headers = format!(
+        "Berylmount-Model: m\r\nBerylmount-Token-Usage: 9500,20\r\n\
+         Berylmount-Prompt-Prefix: {prefix}:9000,{id}:500\r\n\
+         Berylmount-Kv-Until: 1\r\nBerylmount-Kv-Fetch: 1.2.3.4:5\r\n"
+    );
+    served.call("POST /ask/x", id, &headers, "prompt").unwrap()
+}
+
+fn streams() -> StandinRunner {
+    scripted(|request| {
+        let answer = stream_to(request, &["id: 0\ndata: a\n\n"], true);
+        (answer, AfterAnswer::Keep)
+    })
+}
+
+#[test]
+fn a_prefix_returns_to_the_same_runner() {
+    let runners = [streams(), streams(), streams()];
+    let named = [
+        ("r1", &runners[0]),
+        ("r2", &runners[1]),
+        ("r3", &runners[2]),
+    ];
+    let served = serve(&named);
+    for prefix in ["aa", "bb", "cc", "dd"] {
+        let before: Vec<usize> = runners.iter().map(|r| arrivals(r).len()).collect();
+        for turn in 0..5 {
+            let answer = ask_prompt(&served, &format!("{prefix}{turn}"), prefix);
+            assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        }
+        let counts = runners.iter().zip(before);
+        let counts: Vec<usize> = counts.map(|(r, old)| arrivals(r).len() - old).collect();
+        assert!(counts.contains(&5), "{prefix} went to {counts:?}");
+    }
+}
+
+#[test]
+fn a_runner_that_takes_over_copies_the_prefix_from_another_home() {
+    let refuse = |request: &str| {
+        let answer = answer_to(request, "503 Service Unavailable", "");
+        let answer = String::from_utf8(answer).unwrap();
+        let marked = answer.replacen("\r\n", "\r\nberylmount-not-executed: 1\r\n", 1);
+        (marked.into_bytes(), AfterAnswer::Keep)
+    };
+    let runners = [scripted(refuse), scripted(refuse), scripted(refuse)];
+    let named = [
+        ("r1", &runners[0]),
+        ("r2", &runners[1]),
+        ("r3", &runners[2]),
+    ];
+    let served = serve(&named);
+    let answer = ask_prompt(&served, "id1", "aa");
+    assert!(answer.starts_with("HTTP/1.1 503"), "{answer}");
+    let seen: Vec<String> = runners.iter().flat_map(arrivals).collect();
+    assert_eq!(seen.len(), 2, "{seen:?}");
+    let addresses = runners.iter().map(|runner| runner.address.to_string());
+    let addresses: Vec<String> = addresses.collect();
+    for request in &seen {
+        // The shared part comes from another runner; the caller's own values
+        // of the system's headers never pass.
+        let fetch = header(request, "berylmount-kv-fetch").unwrap();
+        let (source, own) = fetch.split_once(',').unwrap();
+        assert_eq!(own, "-");
+        assert!(addresses.iter().any(|address| address == source), "{fetch}");
+        // Without the clock of the runners no time limit is named.
+        assert_eq!(header(request, "berylmount-kv-until"), None);
+    }
+}
--- a/crates/policy/src/kept_parts.rs
+++ b/crates/policy/src/kept_parts.rs
@@ -33,6 +33,14 @@
 /// Fetches of less than this time are always worth it, in milliseconds.
 const LEAST_WORTH_MS: f64 = 15.0;
 
+/// Least time that fetches may take before the prompt is read instead, in
+/// milliseconds: some transfers that were ordered before.
+const LEAST_FETCH_MS: f64 = 60.0;
+/// How many times longer than expected a fetch may take in any case.
+const FETCH_SPREAD: f64 = 2.0;
+/// Part of the spare time that a fetch may use; estimates are not that sure.
+const SPARE_PART: f64 = 0.5;
+
 /// Names a part within a scope: a hash of both.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct PartKey(pub u64);
@@ -346,6 +354,31 @@
     plan
 }
 
+/// Time after which a fetch should be given up and the prompt be read instead,
+/// in milliseconds.
+///
+/// Load: a link that turns slow, behind which transfers of ten thousand tokens
+/// queue up. A prompt of a few hundred tokens waits there for two seconds,
+/// though reading it takes a few milliseconds.
+///
+/// `spare_ms` is what is left of the target latency once the prompt has been
+/// read without the fetch, `read_ms` the time that reading takes of the runner.
+///
+/// ```
+/// use berylmount_policy::kept_parts::fetch_limit_ms;
+///
+/// assert_eq!(fetch_limit_ms(300.0, 10.0, 5.0), 150.0);
+/// assert_eq!(fetch_limit_ms(-100.0, 10.0, 5.0), 80.0);
+/// // Reading holds up the others at the runner, so a fetch may take longer.
+/// assert_eq!(fetch_limit_ms(-100.0, 10.0, 250.0), 500.0);
+/// ```
+pub fn fetch_limit_ms(spare_ms: f64, expected_ms: f64, read_ms: f64) -> f64 {
+    let least = expected_ms * FETCH_SPREAD + LEAST_FETCH_MS;
+    (spare_ms * SPARE_PART)
+        .max(least)
+        .max(read_ms * FETCH_SPREAD)
+}
+
 /// Time to fetch a part from a store, in milliseconds.
 fn fetch_ms(store: &StoreView<'_>, need: &PartNeed, data_centre: &str, token_bytes: u64) -> f64 {
     let bits = f64::from(need.tokens) * token_bytes as f64 * 8.0;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,14 +11,18 @@
 //! | [`limits`] | whether a customer may start another request |
 //! | [`queue`] | what runs next, and what is refused at once |
 //! | [`runners`] | which runner takes a request |
+//! | [`prefix_homes`] | which runners a shared prompt prefix returns to |
+//! | [`prompt_pools`] | which runners take long prompts, and which short ones |
 //! | [`prefixes`] | which runner probably holds a prompt's cache |
 //! | [`caching`] | whether to fetch kept cache or to recompute it |
 //! | [`keeping`] | what to keep when a run ends, and where |
 //! | [`kept_parts`] | what stores hold, and which parts to fetch or save |
+//! | [`engine_pace`] | how fast engines read prompts |
 //! | [`retries`] | whether to try again, hedge or give up |
 //! | [`groups`] | which dispatch group an entry asks |
 //! | [`pacing`] | when a refused caller should come back |
 //! | [`placing`] | which runner takes a request, by the time to its first event |
+//! | [`runner_clock`] | what the clock of runners and stores shows |
 //! | [`runner_health`] | how far a runner can be trusted |
 //! | [`lateness`] | which stores of kept cache answer late |
 //! | [`duty_lease`] | which instance does a duty that only one may do |
@@ -36,6 +40,7 @@
 mod class_line;
 mod decay;
 pub mod duty_lease;
+pub mod engine_pace;
 pub mod groups;
 pub mod keeping;
 pub mod kept_parts;
@@ -43,9 +48,12 @@
 pub mod limits;
 pub mod pacing;
 pub mod placing;
+pub mod prefix_homes;
 pub mod prefixes;
+pub mod prompt_pools;
 pub mod queue;
 pub mod retries;
+pub mod runner_clock;
 mod runner_events;
 pub mod runner_health;
 mod runner_query;
--- a/crates/policy/src/placing.rs
+++ b/crates/policy/src/placing.rs
@@ -12,12 +12,6 @@
     Rng,
 };
 
-/// Tokens that an engine prefills in a millisecond, until observed. Current
-/// engines of the size at hand read 100 to 160.
-pub const DEFAULT_PREFILL_PER_MS: f64 = 110.0;
-/// Time from sending to the first event at an idle engine, without prefill, in
-/// milliseconds.
-pub const BASE_FIRST_MS: f64 = 40.0;
 /// What each running request adds to a first event, in milliseconds: its part
 /// of a batch step, over the few steps until the event.
 const RUNNING_MS: f64 = 0.5;
@@ -27,6 +21,8 @@
 /// Extra cost of a runner whose memory would be overbooked, in milliseconds:
 /// the prompt waits for another to end, or preempts one.
 const MEMORY_MS: f64 = 1500.0;
+/// Part of that cost for the least overbooking.
+const MEMORY_LEAST_PART: f64 = 0.2;
 /// Cost of a runner whose slots are taken, in milliseconds.
 const SLOTS_MS: f64 = 1000.0;
 /// Cost of a failure that is certain, in milliseconds. A runner's recent share
@@ -42,7 +38,8 @@
 /// chooses among.
 ///
 /// The loads that it knows are some hundred milliseconds old; if all instances
-/// took the best runner of all, they would meet there.
+/// took the best runner of all, they would meet there. The homes of the prompt's
+/// prefix are always among them; prefixes spread over all runners.
 ///
 /// ```
 /// use berylmount_policy::placing::{sample_runners, RunnerView};
@@ -62,7 +59,8 @@
     let other = open.split_off(open.len().saturating_sub(1));
     open.sort_by_key(|index| {
         let view = &views[*index];
-        (!view.is_connected, view.distance_ms > 0.0)
+        let home = view.home_rank.unwrap_or(usize::MAX);
+        (home, !view.is_connected, view.distance_ms > 0.0)
     });
     open.truncate(count.saturating_sub(1));
     open.extend(other);
@@ -110,6 +108,8 @@
     pub is_connected: bool,
     /// Whether it loads other weights, or is about to; it refuses requests then.
     pub is_switching: bool,
+    /// Its rank among the homes of the prompt's prefix.
+    pub home_rank: Option<usize>,
     /// Tokens of this prompt that it need not read.
     pub known_tokens: u32,
     /// Time to fetch what it need not read, in milliseconds.
@@ -125,6 +125,8 @@
     pub memory_tokens: u64,
     /// Tokens that an engine prefills in a millisecond.
     pub prefill_per_ms: f64,
+    /// Time to the first event of an empty prompt at an idle engine, in milliseconds.
+    pub base_ms: f64,
 }
 
 /// Estimated time to the first event at a runner, and the cost that decides.
@@ -151,7 +153,7 @@
     let ahead_ms = runner.unread_tokens as f64 / need.prefill_per_ms;
     let own_ms = f64::from(own_tokens) / need.prefill_per_ms + runner.fetch_ms;
     let batch_ms = f64::from(runner.running) * RUNNING_MS;
-    let work_ms = (BASE_FIRST_MS + ahead_ms + own_ms + batch_ms) * runner.slowness.max(0.5);
+    let work_ms = (need.base_ms + ahead_ms + own_ms + batch_ms) * runner.slowness.max(0.5);
     let trips = if runner.is_connected { 2.0 } else { 4.0 };
     let connect_ms = if runner.is_connected { 0.0 } else { CONNECT_MS };
     let mut first_ms = work_ms + trips * runner.distance_ms + connect_ms;
@@ -162,7 +164,7 @@
     let room = runner.memory_tokens as f64 * MEMORY_PART;
     let booked = (runner.booked_tokens + need.memory_tokens) as f64;
     if runner.memory_tokens > 0 && booked > room {
-        first_ms += MEMORY_MS * (booked - room) / room;
+        first_ms += MEMORY_MS * (MEMORY_LEAST_PART + (booked - room) / room);
     }
     let cost_ms = first_ms + FAILURE_MS * runner.failures + runner.penalty_ms;
     PlacingEstimate { first_ms, cost_ms }
--- a/crates/policy/tests/crest.rs
+++ b/crates/policy/tests/crest.rs
@@ -138,6 +138,7 @@
                 prompt_tokens: kind.tokens,
                 memory_tokens: u64::from(kind.tokens),
                 prefill_per_ms: PREFILL,
+                base_ms: 40.0,
             };
             if let Some((chosen, _)) = choose(&open_views, &placing) {
                 engines[open[chosen]].waiting.push((kind, *since_ms));
@@ -241,6 +242,7 @@
         prompt_tokens: LONG.tokens,
         memory_tokens: u64::from(LONG.tokens),
         prefill_per_ms: 110.0,
+        base_ms: 40.0,
     };
     let mut runner = RunnerView {
         slots: SLOTS,
--- /dev/null
+++ b/crates/policy/tests/homes.rs
@@ -0,0 +1,152 @@
+//! Plays shared prompts that return every few seconds to engines whose memory
+//! holds a few of them, and counts what is read again.
+
+#![allow(clippy::unwrap_used)]
+
+use berylmount_policy::{
+    kept_parts::{PartKey, PartNeed, TransferPlan},
+    placing::{choose, sample_runners, PlacingNeed, RunnerView},
+    prefix_homes::{expect_cached, rank_homes},
+};
+use proptest::prelude::*;
+use rand::{Rng, RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// Memory of one engine, tokens of a shared prefix, and of a request's own part.
+const MEMORY: u64 = 73_000;
+const PREFIX: u32 = 12_800;
+const OWN: u32 = 4200;
+const PREFILL: f64 = 51.0;
+/// Requests in one play, and those a second.
+const REQUESTS: u64 = 4000;
+const PER_S: u64 = 13;
+
+/// An engine's cache: parts with their tokens, the latest used last.
+#[derive(Default)]
+struct EngineCache {
+    parts: Vec<(u64, u32)>,
+    busy_until_ms: u64,
+}
+
+impl EngineCache {
+    /// Uses a part; returns whether it was there.
+    fn touch(&mut self, part: u64, tokens: u32) -> bool {
+        let found = self.parts.iter().position(|(known, _)| *known == part);
+        if let Some(index) = found {
+            self.parts.remove(index);
+        }
+        self.parts.push((part, tokens));
+        while self.parts.iter().map(|(_, t)| u64::from(*t)).sum::<u64>() > MEMORY {
+            self.parts.remove(0);
+        }
+        found.is_some()
+    }
+}
+
+/// How runners are chosen.
+#[derive(Clone, Copy, PartialEq)]
+enum Choice {
+    /// By load alone.
+    Load,
+    /// With the homes of prefixes.
+    Homes,
+}
+
+/// Tokens of prefixes read again by an engine though one had read them.
+fn read_again(engines: usize, prefixes: u64, is_large: bool, choice: Choice, seed: u64) -> u64 {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let mut caches: Vec<EngineCache> = (0..engines).map(|_| EngineCache::default()).collect();
+    let keys: Vec<u64> = (0..engines as u64).map(|n| n * 7919 + 1).collect();
+    let mut seen = vec![false; prefixes as usize];
+    let mut again = 0;
+    let gap_ms = 1000 / (PER_S * engines as u64 / 12).max(1);
+    for number in 0..REQUESTS {
+        let now_ms = number * gap_ms;
+        let prefix = rng.random_range(0..prefixes);
+        let needs = [(prefix, PREFIX), (1 << 40 | number, OWN)];
+        let needs = needs.map(|(key, tokens)| PartNeed {
+            key: PartKey(key),
+            tokens,
+        });
+        let homes = match choice {
+            Choice::Load => Vec::new(),
+            Choice::Homes => rank_homes(prefix, &keys),
+        };
+        let view = |index: usize| {
+            let rank = homes.iter().position(|home| *home == index);
+            let wait_ms = caches[index].busy_until_ms.saturating_sub(now_ms);
+            RunnerView {
+                unread_tokens: (wait_ms as f64 * PREFILL) as u64,
+                slowness: 1.0,
+                is_connected: true,
+                known_tokens: expect_cached(&needs, &TransferPlan::default(), rank, None)
+                    .known_tokens,
+                home_rank: rank,
+                ..RunnerView::default()
+            }
+        };
+        let views: Vec<RunnerView> = (0..engines).map(view).collect();
+        let chosen = place(&views, is_large, &mut rng);
+        let engine = &mut caches[chosen];
+        let is_cached = engine.touch(prefix, PREFIX);
+        engine.touch(1 << 40 | number, OWN);
+        if !is_cached && std::mem::replace(&mut seen[prefix as usize], true) {
+            again += u64::from(PREFIX);
+        }
+        let read = if is_cached { OWN } else { OWN + PREFIX };
+        engine.busy_until_ms =
+            engine.busy_until_ms.max(now_ms) + (f64::from(read) / PREFILL) as u64;
+    }
+    again
+}
+
+fn place(views: &[RunnerView], is_large: bool, rng: &mut impl Rng) -> usize {
+    let mut open: Vec<usize> = (0..views.len()).collect();
+    if is_large {
+        open = sample_runners(views, open, rng);
+    }
+    let open_views: Vec<RunnerView> = open.iter().map(|index| views[*index]).collect();
+    let need = PlacingNeed {
+        prompt_tokens: PREFIX + OWN,
+        prefill_per_ms: PREFILL,
+        ..PlacingNeed::default()
+    };
+    open[choose(&open_views, &need).unwrap().0]
+}
+
+/// With homes at least a third less is read again, in a fleet that chooses among
+/// all runners and in one that chooses among a sample.
+#[test]
+fn prefixes_that_return_to_their_homes_are_read_again_less_often() {
+    for (engines, prefixes, is_large) in [(12, 45, false), (60, 225, true), (160, 600, true)] {
+        for seed in 1..=3 {
+            let play = |choice| read_again(engines, prefixes, is_large, choice, seed);
+            let (by_load, by_homes) = (play(Choice::Load), play(Choice::Homes));
+            assert!(
+                by_homes * 3 <= by_load * 2,
+                "{engines} engines: {by_homes} with homes, {by_load} without"
+            );
+        }
+    }
+}
+
+proptest! {
+    /// A runner that leaves or joins moves only its own prefixes.
+    #[test]
+    fn homes_move_with_their_runner_only(
+        runners in proptest::collection::btree_set(any::<u64>(), 3..40),
+        prefix in any::<u64>(),
+        gone in any::<proptest::sample::Index>(),
+    ) {
+        let runners: Vec<u64> = runners.into_iter().collect();
+        let homes: Vec<u64> = rank_homes(prefix, &runners).iter().map(|i| runners[*i]).collect();
+        let gone = runners[gone.index(runners.len())];
+        let left: Vec<u64> = runners.iter().copied().filter(|r| *r != gone).collect();
+        let moved: Vec<u64> = rank_homes(prefix, &left).iter().map(|i| left[*i]).collect();
+        match homes.iter().position(|home| *home == gone) {
+            None => prop_assert_eq!(moved, homes),
+            Some(0) => prop_assert_eq!(moved[0], homes[1]),
+            Some(_) => prop_assert_eq!(moved[0], homes[0]),
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/pace.rs
@@ -0,0 +1,105 @@
+//! Checks what is learned of engines and of their clock against what is true.
+
+#![allow(clippy::unwrap_used)]
+
+use berylmount_policy::{
+    engine_pace::{EnginePace, FirstEvent},
+    kept_parts::fetch_limit_ms,
+    runner_clock::RunnerClock,
+};
+use proptest::{collection::vec, prelude::*};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+
+/// A fifth off at most, at engines of all sizes at hand, though a third of the
+/// requests wait for others.
+#[test]
+fn the_pace_of_slow_and_fast_engines_is_learned_among_waits() {
+    for (prefill, base) in [(51.0, 62.0), (112.0, 48.0), (157.0, 40.0)] {
+        for seed in 1..=5 {
+            let mut rng = Pcg64::seed_from_u64(seed);
+            let mut pace = EnginePace::default();
+            for _ in 0..200 {
+                let read_tokens: u32 = match rng.random_bool(0.5) {
+                    true => rng.random_range(20..600),
+                    false => rng.random_range(3000..17_000),
+                };
+                let waited_ms = match rng.random_bool(0.33) {
+                    true => rng.random_range(0.0..400.0),
+                    false => rng.random_range(0.0..4.0),
+                };
+                let took_ms = base + f64::from(read_tokens) / prefill + waited_ms;
+                pace.note(FirstEvent {
+                    read_tokens: u64::from(read_tokens),
+                    took_ms,
+                });
+            }
+            let off = (pace.prefill_per_ms() / prefill - 1.0).abs();
+            assert!(off <= 0.2, "{pace:?} for {prefill}");
+            let off = (pace.base_ms() / base - 1.0).abs();
+            assert!(off <= 0.2, "{pace:?} for {base}");
+        }
+    }
+}
+
+/// Time from sending to the first event of a short prompt at an engine whose
+/// link carries `queued_ms` of transfers first.
+fn first_event_ms(queued_ms: f64, limit_ms: f64) -> f64 {
+    const BASE_MS: f64 = 60.0;
+    const READ_MS: f64 = 6.0;
+    match queued_ms <= limit_ms {
+        true => queued_ms + BASE_MS,
+        false => limit_ms + READ_MS + BASE_MS,
+    }
+}
+
+/// Behind a link that is slow for seconds, short prompts are in time.
+#[test]
+fn a_short_prompt_does_not_wait_for_a_slow_link() {
+    let target_ms = 400.0;
+    let limit_ms = fetch_limit_ms(target_ms - 66.0, 3.0, 6.0);
+    for queued_ms in [0.0, 50.0, 300.0, 2000.0] {
+        assert!(first_event_ms(queued_ms, limit_ms) <= target_ms);
+    }
+}
+
+proptest! {
+    #[test]
+    fn one_answer_moves_the_pace_by_a_bounded_step(
+        events in vec((0u64..60_000, -1e6f64..1e6), 1..80),
+    ) {
+        let mut pace = EnginePace::default();
+        for (read_tokens, took_ms) in events {
+            let before = pace;
+            pace.note(FirstEvent { read_tokens, took_ms });
+            let pairs = [
+                (before.prefill_per_ms(), pace.prefill_per_ms()),
+                (before.base_ms(), pace.base_ms()),
+            ];
+            for (old, new) in pairs {
+                prop_assert!(new.is_finite() && new > 0.0);
+                prop_assert!((new / old - 1.0).abs() <= 0.4);
+            }
+        }
+    }
+
+    /// A sample is behind by its way, so the clock is never taken as later than
+    /// it is, and by no more than the shortest way and the drift as earlier.
+    #[test]
+    fn the_runners_clock_is_known_up_to_the_shortest_way(
+        offset in 0u64..1 << 40,
+        samples in vec((0u64..3000, 0u64..200), 1..60),
+    ) {
+        let mut clock = RunnerClock::default();
+        let (mut now_ms, mut shortest) = (0, u64::MAX);
+        for (gap_ms, way_ms) in samples {
+            now_ms += gap_ms;
+            clock.note((offset + now_ms).saturating_sub(way_ms), now_ms);
+            shortest = shortest.min(way_ms);
+            let known = clock.at(now_ms).unwrap();
+            prop_assert!(known <= offset + now_ms);
+            prop_assert!(known + 200 + now_ms / 1000 >= offset + now_ms);
+        }
+        prop_assert_eq!(clock.at(now_ms + 60_000), None);
+    }
+}
