Work out once for a data centre what its runners need not read

Ruled out: fewer candidates, since the choice needs their loads.

Change: one result for each version of weights and data centre. Behaviour is the same; the tests of homes and of the gateway pass.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -232,6 +232,8 @@
     prompts: Vec<(u64, Rc<ScopedPrompt>)>,
     /// Plans by version of the weights and data centre.
     plans: Vec<(u64, String, Rc<TransferPlan>)>,
+    /// What runners that are no homes need not read, by version and data centre.
+    elsewhere: Vec<(u64, String, CachedPrompt)>,
 }
 
 impl TransferCache<'_> {
@@ -364,6 +366,7 @@
         may_fetch: may_fetch(state, now_ms),
         prompts: Vec::new(),
         plans: Vec::new(),
+        elsewhere: Vec::new(),
     };
     let is_new = |runner: &&Rc<RunnerHandle>| !tried.iter().any(|t| Rc::ptr_eq(t, runner));
     let runners = state.runners.borrow();
@@ -560,6 +563,13 @@
         return CachedPrompt::default();
     };
     let record = runner.record();
+    let rank = homes.rank(runner);
+    // Only homes differ from the other runners of their data centre.
+    let known = transfers.elsewhere.iter();
+    let mut known = known.filter(|known| known.0 == version && known.1 == record.data_centre);
+    if let Some((_, _, cached)) = known.next().filter(|_| rank.is_none()) {
+        return *cached;
+    }
     let plan = transfers.plan(version, &record.data_centre);
     let Some(prompt) = transfers.prompt(version) else {
         return CachedPrompt::default();
@@ -571,7 +581,12 @@
         copy_ms(&engine, &prompt, is_remote, lag_ms)
     });
     let plan = plan.as_deref().cloned().unwrap_or_default();
-    expect_cached(prompt.needs(), &plan, homes.rank(runner), copy_ms)
+    let cached = expect_cached(prompt.needs(), &plan, rank, copy_ms);
+    if rank.is_none() {
+        let place = (version, record.data_centre.clone(), cached);
+        transfers.elsewhere.push(place);
+    }
+    cached
 }
 
 /// What is known of each candidate.
