End answers that never end, and send on after a late copy of another answer

A runner that sends interim answers (1xx) without end held its request until the route's time limit, and then the caller got 504. A late copy of an earlier answer that arrives while a long body is still being sent stopped the sending for good; the copy was skipped by its id, and the request waited until its time limit for an answer to half a body.

Ruled out by tests that pass on the code before: bytes that are no protocol, header lines, empty lines, chunk extensions, a chunk size out of range, trailers, a body without length, an event without end, and a stream of comments without end were each ended in bounds.

Change: eight interim answers at most; writing goes on after a skipped answer; an answer that is read whole takes a 64th of the machine's memory at most instead of 8 MiB; comments are not taken as a stream's first event.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -7,7 +7,7 @@
     placement::{place, PlacedRunner, PlacingCall, PlacingResult},
     roster::RunnerHandle,
     state::GatewayState,
-    upstream::{most_idle, RunnerTry, TryEnd, WholeAnswer},
+    upstream::{most_answer_bytes, most_idle, RunnerTry, TryEnd, WholeAnswer},
 };
 use berylmount_adapter::request_headers::RunnerOrder;
 use berylmount_fleet::{CallerRequest, RouteKind, RouteRule, RouteTable, ServingCustomer};
@@ -323,6 +323,7 @@
             order,
             end: self.end,
             most_connections: (most / instances).max(1),
+            most_bytes: most_answer_bytes(state.settings().machine.memory_bytes),
         };
         run.run(sink, || booking.note_started()).await
     }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -67,7 +67,10 @@
             }
             continue;
         };
-        on_start();
+        // A comment is no event and tells nothing of the run.
+        if block.last_id.is_some() {
+            on_start();
+        }
         match send_events(run, sink, &head, &block).await {
             Ok(()) => {}
             Err(RelayStop::CallerGone) => return TryEnd::CallerGone,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -26,8 +26,11 @@
 
 /// Time for a connection to a runner: some round trips within a region.
 const CONNECT_TIME: Duration = Duration::from_millis(300);
-/// Bytes of an answer that is not a stream of events.
+/// Bytes of an answer that is not a stream of events, at most.
 const ANSWER_BYTES: usize = 8 << 20;
+/// Part of the machine's memory that one answer may take, so that several
+/// runners that send without end don't exhaust it.
+const ANSWER_PART: u64 = 64;
 /// Time to read the rest of an answer that nobody needs, so that its connection
 /// can be used again.
 const DISCARD_TIME: Duration = Duration::from_millis(100);
@@ -78,6 +81,14 @@
     pub(crate) end: Instant,
     /// Connections that this instance may hold to the runner.
     pub(crate) most_connections: u32,
+    /// Bytes that an answer may have which is read whole.
+    pub(crate) most_bytes: usize,
+}
+
+/// Bytes that an answer may have which is read whole, on a machine of so much
+/// memory.
+pub(crate) fn most_answer_bytes(memory_bytes: u64) -> usize {
+    usize::try_from(memory_bytes / ANSWER_PART).map_or(ANSWER_BYTES, |most| most.min(ANSWER_BYTES))
 }
 
 /// What interrupts the wait for a runner.
@@ -172,14 +183,8 @@
         on_start: &mut impl FnMut(),
     ) -> TryEnd {
         let bytes = self.encode();
-        let sent = stream.stream.write_until_answered(&bytes);
-        let all_sent = match guarded(sink.stream, self.end, sent).await {
-            Ok(Ok(all_sent)) => all_sent,
-            Ok(Err(_)) => return TryEnd::MayHaveRun("connection broke while sending"),
-            Err(interrupt) => return interrupted(&interrupt),
-        };
-        let head = self.read_head(&mut stream.stream);
-        let (head, reply) = match guarded(sink.stream, self.end, head).await {
+        let answered = self.send(&mut stream.stream, &bytes);
+        let (head, reply, all_sent) = match guarded(sink.stream, self.end, answered).await {
             Ok(Ok(found)) => found,
             Ok(Err(reason)) => return TryEnd::MayHaveRun(reason),
             Err(interrupt) => return interrupted(&interrupt),
@@ -213,7 +218,11 @@
         let Ok(framing) = head.framing(&self.call.head.method) else {
             return TryEnd::MayHaveRun("the answer's framing is ambiguous");
         };
-        let body = read_body(&mut stream.stream, BodyReader::new(framing), ANSWER_BYTES);
+        let body = read_body(
+            &mut stream.stream,
+            BodyReader::new(framing),
+            self.most_bytes,
+        );
         let body = match guarded(sink.stream, self.end, body).await {
             Ok(Ok(body)) => body,
             Ok(Err(_)) => return TryEnd::MayHaveRun("the answer broke off"),
@@ -230,45 +239,65 @@
         TryEnd::Whole(answer)
     }
 
-    /// Reads the head of the answer to this request; skips answers to others.
-    async fn read_head(
+    /// Sends the request and reads the head of its answer; also returns whether
+    /// all was sent by then. Answers to other requests are skipped, also those
+    /// that come while the request is being sent.
+    async fn send(
         &self,
         stream: &mut H1Stream,
-    ) -> Result<(ResponseHead, RunnerReply), &'static str> {
+        bytes: &[u8],
+    ) -> Result<(ResponseHead, RunnerReply, bool), &'static str> {
+        let mut sent = 0;
         for _ in 0..=MOST_FOREIGN {
+            let written = stream.write_until_answered(&bytes[sent..]).await;
+            sent += written.map_err(|_| "connection broke while sending")?;
             let head = stream.read_response(HeadLimits::default()).await;
             let head = head.map_err(|fault| match fault {
                 H1Fault::Malformed(_) | H1Fault::HeadTooLong => "the answer is malformed",
                 _ => "the connection broke before the answer",
             })?;
             let reply = decode_reply(&head.headers);
-            let is_own = match &reply.request_id {
-                Some(id) => *id == self.call.request.id,
-                // An answer that can't be told from a foreign one, unless it refuses.
-                None => self.call.request.id.is_empty() || !head.status.is_success(),
-            };
-            if is_own {
-                return Ok((head, reply));
+            if self.is_own(&head, &reply) {
+                return Ok((head, reply, sent == bytes.len()));
             }
-            let framing = head.framing(&self.call.head.method);
-            let framing = framing.map_err(|_| "a foreign answer is malformed")?;
-            let body = read_body(stream, BodyReader::new(framing), ANSWER_BYTES);
-            body.await.map_err(|_| "a foreign answer broke off")?;
-            log::warn!(
-                target: "upstream",
-                request = self.call.request.id, runner = self.order.runner;
-                "answer to another request skipped"
-            );
+            self.skip(stream, &head).await?;
         }
         Err("only answers to other requests came")
     }
 
+    /// Whether an answer is the one to this request.
+    fn is_own(&self, head: &ResponseHead, reply: &RunnerReply) -> bool {
+        match &reply.request_id {
+            Some(id) => *id == self.call.request.id,
+            // An answer that can't be told from a foreign one, unless it refuses.
+            None => self.call.request.id.is_empty() || !head.status.is_success(),
+        }
+    }
+
+    /// Reads the body of an answer to another request.
+    async fn skip(&self, stream: &mut H1Stream, head: &ResponseHead) -> Result<(), &'static str> {
+        let framing = head.framing(&self.call.head.method);
+        let framing = framing.map_err(|_| "a foreign answer is malformed")?;
+        let body = read_body(stream, BodyReader::new(framing), self.most_bytes);
+        body.await.map_err(|_| "a foreign answer broke off")?;
+        log::warn!(
+            target: "upstream",
+            request = self.call.request.id, runner = self.order.runner;
+            "answer to another request skipped"
+        );
+        Ok(())
+    }
+
     /// Reads the rest of an answer and keeps its connection.
     async fn finish(&self, mut stream: RunnerStream, head: ResponseHead) {
         let Ok(framing) = head.framing(&self.call.head.method) else {
             return;
         };
-        let rest = read_body(&mut stream.stream, BodyReader::new(framing), ANSWER_BYTES);
+        let rest = read_body(
+            &mut stream.stream,
+            BodyReader::new(framing),
+            self.most_bytes,
+        );
         if rest.await.is_ok() {
             self.keep(stream, &head, framing);
         }
--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -21,6 +21,8 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Probes without an answer after which a connection is broken.
 const PROBE_COUNT: u32 = 3;
+/// Interim answers before the final one; no runner sends more than a few.
+const MOST_INTERIM: usize = 8;
 /// Time that written bytes may stay unacknowledged.
 const ACK_TIMEOUT: Duration = Duration::from_millis(2500);
 
@@ -128,14 +130,16 @@
     ///
     /// # Errors
     ///
-    /// Returns [`H1Fault::Closed`] when the connection ends before its first byte.
+    /// Returns [`H1Fault::Closed`] when the connection ends before its first
+    /// byte, and [`H1Fault::Malformed`] when interim answers don't end.
     pub async fn read_response(&mut self, limits: HeadLimits) -> Result<ResponseHead, H1Fault> {
-        loop {
+        for _ in 0..=MOST_INTERIM {
             let head = self.read_head(limits, parse_response).await?;
             if !head.status.is_informational() {
                 return Ok(head);
             }
         }
+        Err(H1Fault::Malformed("too many interim answers"))
     }
 
     /// Reads bytes until `parse` finds a head.
@@ -175,25 +179,32 @@
         self.socket.write_all(bytes).await
     }
 
-    /// Writes all of `bytes` while reading what the peer sends meanwhile.
+    /// Writes `bytes` until the peer sends something.
     ///
-    /// Returns whether all was written: a peer that answers before it has read
-    /// everything ends the writing with `false`.
+    /// Returns how many were written: all of them, or fewer if the peer answers
+    /// before it has read everything.
     ///
     /// # Errors
     ///
     /// Returns the error of the connection; a part may have been written.
-    pub async fn write_until_answered(&mut self, bytes: &[u8]) -> io::Result<bool> {
+    pub async fn write_until_answered(&mut self, bytes: &[u8]) -> io::Result<usize> {
         let (mut reader, mut writer) = self.socket.split();
+        let mut written = 0;
         self.buffer.reserve(READ_BYTES);
-        tokio::select! {
-            biased;
-            written = writer.write_all(bytes) => written.map(|()| true),
-            read = reader.read_buf(&mut self.buffer) => match read? {
-                0 => Err(io::ErrorKind::ConnectionReset.into()),
-                _ => Ok(false),
-            },
+        while written < bytes.len() {
+            tokio::select! {
+                biased;
+                count = writer.write(&bytes[written..]) => match count? {
+                    0 => return Err(io::ErrorKind::WriteZero.into()),
+                    count => written += count,
+                },
+                read = reader.read_buf(&mut self.buffer) => match read? {
+                    0 => return Err(io::ErrorKind::ConnectionReset.into()),
+                    _ => break,
+                },
+            }
         }
+        Ok(written)
     }
 
     /// Ends the connection in an orderly way: sends its end, then drops what the
