--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,3 @@
+//! What the project's measuring programs share.
+
+pub mod days;
