Keep heartbeats on time while long prompts are placed

Cause: the task that sends heartbeats waited for its tick and for news of long prompts in turns, and each piece of news began the tick anew. With twenty long prompts a second at one instance heartbeats came late, with more they stopped, and the others took the instance as gone.

Ruled out: a fault of the receiver, since heartbeats were not sent at all.

Change: one interval for the task's whole life. The new test, a second instance that must go on naming the first while it places long prompts, failed before (after three seconds) and passes.

--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -23,7 +23,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream, UdpSocket},
     task::spawn_local,
-    time::{sleep, timeout},
+    time::{interval, sleep, timeout, MissedTickBehavior},
 };
 
 /// Bytes of a datagram at most.
@@ -72,9 +72,13 @@
     let socket = Rc::new(socket);
     spawn_local(hear_beats(state.clone(), socket.clone()));
     let mut waited = Duration::ZERO;
+    // Outlives the other branch, so that many long prompts don't hold it up.
+    let mut ticks = interval(BEAT_TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
-            () = sleep(BEAT_TICK) => waited += BEAT_TICK,
+            biased;
+            _ = ticks.tick() => waited += BEAT_TICK,
             () = state.placed_soon.notified() => {
                 tell_placed(&state, &socket).await;
                 continue;
--- a/crates/gateway/tests/prefixes.rs
+++ b/crates/gateway/tests/prefixes.rs
@@ -5,8 +5,13 @@
 
 use serde_json::{json, Value};
 use standins::{
-    answer_to, arrivals, header, route, scripted, stream_to, table, AfterAnswer, Served,
-    StandinRunner, StandinStore,
+    answer_to, arrivals, ask, header, route, scripted, stream_to, table, wait_until, AfterAnswer,
+    Served, StandinRunner, StandinStore,
+};
+use std::{
+    sync::atomic::{AtomicBool, Ordering},
+    thread,
+    time::Duration,
 };
 
 /// A table whose service runs engines.
@@ -16,7 +21,7 @@
     prompts["StickySessions"] = json!(true);
     table["Routes"].as_array_mut().unwrap().push(prompts);
     table["Services"][0]["Engine"] = json!({
-        "Slots": 8, "KvCapacityTokens": 70_000, "KvTokenBytes": 18_432, "LinkMbps": 180_000,
+        "Slots": 8, "KvCapacityTokens": 7_000_000, "KvTokenBytes": 18_432, "LinkMbps": 180_000,
     });
     table
 }
@@ -37,8 +42,8 @@
 /// Asks with a prompt of two parts, the first of them shared.
 fn ask_prompt(served: &Served, id: &str, prefix: &str) -> String {
     let headers = format!(
-        "Berylmount-Model: m\r\nBerylmount-Token-Usage: 9500,20\r\n\
-         Berylmount-Prompt-Prefix: {prefix}:9000,{id}:500\r\n\
+        "Berylmount-Model: m\r\nBerylmount-Token-Usage: 40500,20\r\n\
+         Berylmount-Prompt-Prefix: {prefix}:40000,{id}:500\r\n\
          Berylmount-Kv-Until: 1\r\nBerylmount-Kv-Fetch: 1.2.3.4:5\r\n"
     );
     served.call("POST /ask/x", id, &headers, "prompt").unwrap()
@@ -104,3 +109,49 @@
         assert_eq!(header(request, "berylmount-kv-until"), None);
     }
 }
+
+/// Long prompts are told to other instances at once; heartbeats go on meanwhile.
+#[test]
+fn a_stream_of_long_prompts_does_not_hold_up_heartbeats() {
+    let runners = [streams(), streams()];
+    let store = StandinStore::start();
+    store.put("config", "main", Some(engine_table()));
+    for (id, runner) in [("r1", &runners[0]), ("r2", &runners[1])] {
+        store.put("servers", id, Some(runner.entry("svc", "ready")));
+    }
+    // An instance that hears nobody names all; the third one is heard.
+    let names = ["i1", "i2", "i3"];
+    let [first, second, _third] = names.map(|name| Served::start_with(store.clone(), name));
+    let callers = first.settings.listen.callers.to_string();
+    let is_named = || {
+        let question = "GET /berylmount/resolve?Name=a&Region=r&Zone=north HTTP/1.1\r\n\r\n";
+        let locate = second.settings.listen.locate.unwrap();
+        ask(locate, question).is_some_and(|answer| answer.contains(&callers))
+    };
+    first.wait_status("GET /safe/warm", "200", false);
+    let stays_named = |checks: u32| {
+        (0..checks).all(|_| {
+            thread::sleep(Duration::from_millis(50));
+            is_named()
+        })
+    };
+    // Until all have heard each other the answer changes.
+    wait_until("the first instance to be named", || stays_named(10));
+    let is_over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for caller in 0..4 {
+            let (first, is_over) = (&first, &is_over);
+            scope.spawn(move || {
+                let mut number = 0;
+                while !is_over.load(Ordering::Relaxed) {
+                    number += 1;
+                    ask_prompt(first, &format!("{caller:x}{number:x}"), "aa");
+                }
+            });
+        }
+        // Several times as long as an instance may be silent.
+        let is_always_named = stays_named(80);
+        is_over.store(true, Ordering::Relaxed);
+        assert!(is_always_named, "the instance was taken as gone");
+    });
+}
