Part placing into the choice, what runners need not read, and bookings

Change: transfers.rs holds what runners need not read of a prompt, booking.rs the load of a sent request and what its first event tells; the choice is cut into functions of one job.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,6 +39,7 @@
 
 mod accept;
 mod answers;
+mod booking;
 mod call_log;
 mod callers;
 mod clock;
@@ -59,6 +60,7 @@
 mod replica;
 mod roster;
 mod state;
+mod transfers;
 mod upstream;
 mod weights;
 
