--- a/crates/bench/src/bin/days/days.rs
+++ b/crates/bench/src/bin/days/main.rs
@@ -1,24 +1,31 @@
 //! Writes the table of played days from journal entries, and says what changed.
 
 use berylmount_bench::days::{changes, days_of, DayLine};
-use std::{error::Error, fs, path::PathBuf};
+use std::{error::Error, fs};
 
 /// Head of the table.
 const HEAD: &str = "| site | day | worth | score | broken rules | largest price |\n\
                     | --- | --- | --- | --- | --- | --- |\n";
 
-xflags::xflags! {
-    /// Writes the table of played days, and prints what changed against the last one.
-    cmd days {
-        /// The table; lines of sites that were not played are kept.
-        required table: PathBuf
-        /// Journal entries of the runs.
-        repeated entry: PathBuf
+mod flags {
+    // The macro documents none of what it makes.
+    #![allow(missing_docs)]
+
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Writes the table of played days, and prints what changed against the last one.
+        cmd days {
+            /// The table; lines of sites that were not played are kept.
+            required table: PathBuf
+            /// Journal entries of the runs.
+            repeated entry: PathBuf
+        }
     }
 }
 
 fn main() -> Result<(), Box<dyn Error>> {
-    let flags = Days::from_env_or_exit();
+    let flags = flags::Days::from_env_or_exit();
     let old = match fs::read_to_string(&flags.table) {
         Ok(text) => text,
         Err(error) if error.kind() == std::io::ErrorKind::NotFound => String::new(),
