Write the last log lines before a process ends

Cause: the thread that writes records was detached, and the process ends when main returns; what still waited in the ring was lost. Ruled out: a signal lost (the process ended with success and answered all requests).

--- a/crates/berylmount/src/gateway_command.rs
+++ b/crates/berylmount/src/gateway_command.rs
@@ -33,16 +33,17 @@
     };
     let level = std::env::var(LEVEL_VARIABLE).ok();
     let level = level.and_then(|text| text.parse().ok());
-    let dropped = match start_bounded_logging(level.unwrap_or(LevelFilter::Info)) {
-        Ok(dropped) => dropped,
+    let logs = match start_bounded_logging(level.unwrap_or(LevelFilter::Info)) {
+        Ok(logs) => logs,
         Err(fault) => {
             eprintln!("{fault}");
             return EXIT_NOT_STARTED;
         }
     };
-    match serve(&flags, &dropped) {
+    match serve(&flags, &logs.dropped()) {
         Ok(()) => 0,
         Err(fault) => {
+            log::error!(target: "process", fault:% ; "can't serve");
             eprintln!("{fault}");
             fault.exit_code()
         }
--- a/crates/berylmount/tests/gateway_process.rs
+++ b/crates/berylmount/tests/gateway_process.rs
@@ -17,7 +17,7 @@
     io::{BufRead, BufReader, Write},
     net::{SocketAddr, TcpStream},
     path::PathBuf,
-    process::{Child, Stdio},
+    process::{Child, Command, Stdio},
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc,
@@ -188,6 +188,21 @@
     assert_eq!(running.wait_line("\"stopped\"")["in_flight"], 0);
 }
 
+#[test]
+fn a_process_that_can_not_serve_says_why_in_its_log() {
+    let nowhere = std::env::temp_dir().join("berylmount-no-such-settings.toml");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_berylmount"));
+    let command = command.arg("gateway").env("BERYLMOUNT_BOOT", nowhere);
+    let output = command.output().unwrap();
+    assert!(!output.status.success());
+    let text = String::from_utf8(output.stdout).unwrap();
+    let line: Value = serde_json::from_str(text.lines().next().unwrap()).unwrap();
+    let told = (&line["level"], &line["message"]);
+    assert_eq!(told, (&"ERROR".into(), &"can't serve".into()));
+    let fault = line["fault"].as_str().unwrap();
+    assert!(fault.contains("no-such-settings"), "{line}");
+}
+
 #[test]
 fn settings_are_read_again_and_faulty_ones_are_refused() {
     let runner = runner(&Arc::default());
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -14,7 +14,7 @@
 mod traces;
 
 pub use crate::{
-    bounded::{start_bounded_logging, DroppedRecords},
+    bounded::{start_bounded_logging, BoundedLogs, DroppedRecords},
     gate::{WorkGate, WorkGuard},
     health::{HealthFlag, HealthState},
     logging::{start_logging, LogFault, LogGuard},
