--- a/crates/gateway/tests/standins/store.rs
+++ b/crates/gateway/tests/standins/store.rs
@@ -10,8 +10,10 @@
 };
 use tiny_http::{Header, Method, Request, Response, Server};
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct StoreState {
+    /// How often it has come back from an older copy.
+    era: u64,
     revision: u64,
     /// Kind, name, revision, value; deleted ones have no value.
     objects: Vec<(String, String, u64, Option<Value>)>,
@@ -25,6 +27,9 @@
     gone: usize,
 }
 
+/// A copy of a store's state.
+pub(crate) struct StoreCopy(StoreState);
+
 /// The platform's store in memory.
 #[derive(Clone)]
 pub(crate) struct StandinStore {
@@ -64,6 +69,27 @@
         revision
     }
 
+    /// A copy of its state, to come back from later.
+    pub(crate) fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.0.lock().unwrap().clone())
+    }
+
+    /// Comes back from an older copy: what was written since is gone, and its
+    /// revisions are given out again.
+    pub(crate) fn come_back(&self, copy: &StoreCopy) {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().unwrap();
+        let (era, watches, gone) = (state.era, state.watches.clone(), state.gone);
+        *state = StoreState {
+            era: era + 1,
+            watches,
+            gone,
+            is_refusing: false,
+            ..copy.0.clone()
+        };
+        changed.notify_all();
+    }
+
     /// The value of an object.
     pub(crate) fn value(&self, kind: &str, name: &str) -> Option<Value> {
         let state = self.state.0.lock().unwrap();
@@ -114,7 +140,10 @@
             _ => (404, Value::Null),
         };
         let header = Header::from_bytes("content-type", "application/json").unwrap();
+        let era = self.state.0.lock().unwrap().era.to_string();
+        let era = Header::from_bytes("Store-Era", era).unwrap();
         let response = Response::from_string(value.to_string()).with_header(header);
+        let response = response.with_header(era);
         let _ = request.respond(response.with_status_code(status));
     }
 
@@ -179,13 +208,15 @@
         };
         let mut state = state.lock().unwrap();
         state.watches.push(kind.to_owned());
-        if since < state.kept_from {
+        if since < state.kept_from || since > state.revision {
             state.gone += 1;
             return (410, Value::Null);
         }
-        let waits = |state: &mut StoreState| !state.is_refusing && has_news(state);
+        let era = state.era;
+        let waits =
+            |state: &mut StoreState| state.era == era && !state.is_refusing && has_news(state);
         let (state, _) = changed.wait_timeout_while(state, wait, waits).unwrap();
-        if state.is_refusing {
+        if state.is_refusing || state.era != era {
             return (503, Value::Null);
         }
         let newer = state
