--- a/crates/berylmount/tests/soak.rs
+++ b/crates/berylmount/tests/soak.rs
@@ -3,7 +3,8 @@
 //! Faults come from outside the processes: signals stop, pause, kill and restart
 //! them, loopback proxies delay, cut, freeze and silence their connections to
 //! the store and to runners, runners fail and leave, tables change. Callers keep
-//! their connections until they end, and check the promises while faults last:
+//! their connections until they end, and check the promises while faults last.
+//! The store comes back from older copies, and runners ask for rest:
 //!
 //! - a request that may not be repeated runs at most once;
 //! - a request that was refused has not run and does not run later;
@@ -25,7 +26,7 @@
 use rustix::process::{kill_process, Pid, Signal};
 use standins::{
     all_routes, answer_to, ask, header, read_answer, stream_to, table, wait_until, AfterAnswer,
-    StandinRunner, StandinStore,
+    StandinRunner, StandinStore, StoreCopy,
 };
 use std::{
     collections::BTreeMap,
@@ -110,9 +111,14 @@
         let dice: u32 = rng.lock().unwrap().random_range(0..100);
         let id = header(request, "berylmount-request-id").unwrap_or_default();
         if dice < 4 {
+            let rest = if dice == 0 {
+                "retry-after: 0.2\r\n"
+            } else {
+                ""
+            };
             let refusal = format!(
                 "HTTP/1.1 503 Full\r\nberylmount-request-id: {id}\r\n\
-                 berylmount-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+                 berylmount-not-executed: 1\r\n{rest}content-length: 0\r\n\r\n"
             );
             return (refusal.into_bytes(), AfterAnswer::Keep);
         }
@@ -238,6 +244,7 @@
     runners: &[(StandinRunner, FaultProxy)],
     store: &StandinStore,
     version: &mut u64,
+    copy: &mut Option<StoreCopy>,
 ) {
     let instance = rng.random_range(0..instances.len());
     let (runner, proxy) = &runners[rng.random_range(0..runners.len())];
@@ -261,7 +268,7 @@
         },
     ];
     let fault = faults[rng.random_range(0..faults.len())];
-    match rng.random_range(0..9) {
+    match rng.random_range(0..11) {
         0 => instances[instance].restart(),
         1 => instances[instance].signal(Signal::STOP),
         2 => instances[instance].signal(Signal::CONT),
@@ -270,6 +277,16 @@
         5 => instances[instance].store.freeze(),
         6 => proxy.set(fault),
         7 => proxy.freeze(),
+        8 => *copy = Some(store.copy()),
+        9 => {
+            if let Some(copy) = copy.take() {
+                store.come_back(&copy);
+                // The operator and the runners write again, a moment later.
+                thread::sleep(Duration::from_millis(rng.random_range(0..300)));
+                store.put("config", "main", Some(table(*version, all_routes())));
+                register(runners, store);
+            }
+        }
         _ => {
             *version += 3;
             store.put("config", "main", Some(table(*version, all_routes())));
@@ -280,6 +297,15 @@
     }
 }
 
+/// Writes the runners' entries.
+fn register(runners: &[(StandinRunner, FaultProxy)], store: &StandinStore) {
+    for (number, (runner, proxy)) in runners.iter().enumerate() {
+        let mut entry = runner.entry("svc", "ready");
+        entry["Address"] = proxy.address().to_string().into();
+        store.put("servers", &format!("r{number}"), Some(entry));
+    }
+}
+
 /// Plays one seed and returns what was broken.
 fn play(seed: u64, plan: &SoakPlan) -> Vec<String> {
     let folder =
@@ -293,12 +319,10 @@
         .map(|number| {
             let runner = faulty_runner(seed + number as u64, runs.clone());
             let proxy = FaultProxy::start(runner.address).unwrap();
-            let mut entry = runner.entry("svc", "ready");
-            entry["Address"] = proxy.address().to_string().into();
-            store.put("servers", &format!("r{number}"), Some(entry));
             (runner, proxy)
         })
         .collect();
+    register(&runners, &store);
     let start = |number| Instance::start(&format!("i{number}"), store.address, &folder);
     let mut instances: Vec<Instance> = (0..plan.instances).map(start).collect();
     for number in 0..plan.instances {
@@ -314,12 +338,20 @@
             scope.spawn(move || run_caller(number, seed, count, store, seen, stop));
         }
         let mut rng = Pcg64::seed_from_u64(seed);
+        let mut copy = None;
         let end = Instant::now() + plan.span;
         while Instant::now() < end {
             thread::sleep(Duration::from_millis(rng.random_range(50..300)));
             instances.iter_mut().for_each(Instance::revive);
             for _ in 0..plan.instances.div_ceil(INSTANCES_A_FAULT) {
-                strike(&mut rng, &mut instances, &runners, &store, &mut version);
+                strike(
+                    &mut rng,
+                    &mut instances,
+                    &runners,
+                    &store,
+                    &mut version,
+                    &mut copy,
+                );
             }
         }
         stop.store(true, Ordering::Relaxed);
--- a/crates/gateway/src/answers.rs
+++ b/crates/gateway/src/answers.rs
@@ -36,6 +36,8 @@
     Leaving,
     /// Every runner that was tried refused; the request has not run.
     Refused,
+    /// All runners have asked to be left alone for a while; the request has not run.
+    RunnersRest,
     /// Too many requests wait here; the request has not run.
     Overloaded,
     /// A runner may have run the request and did not answer in time.
@@ -59,6 +61,7 @@
             | Self::TooLate
             | Self::Leaving
             | Self::Refused
+            | Self::RunnersRest
             | Self::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
             Self::MayHaveRunTimeout => StatusCode::GATEWAY_TIMEOUT,
             Self::MayHaveRun => StatusCode::BAD_GATEWAY,
--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -17,7 +17,7 @@
 use std::{cell::RefCell, rc::Rc, time::Duration};
 use tokio::time::sleep;
 
-/// The name of the lease.
+/// The name of the lease; in a later era of the store its object's name tells that.
 const LEASE_NAME: &str = "weights";
 /// Time between two looks at the lease.
 const STEP: Duration = Duration::from_millis(100);
@@ -50,6 +50,7 @@
             release(&state, &lease).await;
             return;
         }
+        lease.borrow_mut().note_era(state.store.era(), boot_ms());
         let action = {
             let role = LeaseRole {
                 is_candidate: is_candidate(&state),
@@ -78,7 +79,7 @@
 /// know the named weights first: the lease tells since when they are.
 fn is_candidate(state: &GatewayState) -> bool {
     let weights = FollowedKind::Weights as usize;
-    let knows_weights = state.replicas.borrow()[weights].revision() > 0;
+    let knows_weights = state.replicas.borrow()[weights].is_known();
     knows_weights && state.duty_rank(LEASE_NAME, boot_ms()) < CANDIDATES
 }
 
@@ -102,21 +103,40 @@
 }
 
 async fn read(state: &GatewayState, lease: &SharedLease) {
-    match state.store.get(LEASE_KIND, LEASE_NAME, true).await {
-        Ok(found) => {
-            let found = found.and_then(decode_record);
-            if let Some((_, record)) = &found {
-                state.apply_named(&record.named);
+    // The objects of earlier eras are read for the times of naming that they keep.
+    match state.store.list(LEASE_KIND, true).await {
+        Ok(listing) => {
+            let now_ms = boot_ms();
+            lease.borrow_mut().note_era(listing.revision.era, now_ms);
+            let own_name = object_name(lease.borrow().era());
+            let mut found = None;
+            for object in listing.objects {
+                let is_own = object.name == own_name;
+                let record = decode_record(object);
+                if let Some((_, record)) = &record {
+                    state.apply_named(&record.named);
+                }
+                if is_own {
+                    found = record;
+                }
             }
-            lease.borrow_mut().note_read(found, boot_ms());
+            lease.borrow_mut().note_read(found, now_ms);
         }
         Err(fault) => log::debug!(target: "duty", fault:% ; "lease not read"),
     }
 }
 
+/// The name of the lease's object in an era of the store.
+fn object_name(era: u64) -> String {
+    match era {
+        0 => LEASE_NAME.to_owned(),
+        _ => format!("{LEASE_NAME}-{era}"),
+    }
+}
+
 fn decode_record(object: StoredObject) -> Option<(u64, LeaseRecord)> {
     match decode_own::<LeaseRecord>(&object.spec) {
-        Ok(record) => Some((object.revision, record)),
+        Ok(record) => Some((object.revision.revision, record)),
         Err(fault) => {
             log::error!(target: "duty", fault:% ; "lease not usable");
             None
@@ -131,9 +151,15 @@
     record: &LeaseRecord,
 ) {
     let sent_ms = boot_ms();
-    let outcome = store_record(state, revision, record).await;
+    let era = lease.borrow().era();
+    let outcome = store_record(state, era, revision, record).await;
+    if state.store.era() != era {
+        // The write crossed the change; what it wrote is of the earlier era.
+        lease.borrow_mut().note_era(state.store.era(), boot_ms());
+        return;
+    }
     let outcome = match outcome {
-        Ok(WriteOutcome::Stored(revision)) => LeaseWrite::Stored(revision),
+        Ok(WriteOutcome::Stored(revision)) => LeaseWrite::Stored(revision.revision),
         Ok(WriteOutcome::Conflict(found)) => {
             lease
                 .borrow_mut()
@@ -157,6 +183,7 @@
 
 async fn store_record(
     state: &GatewayState,
+    era: u64,
     revision: Option<u64>,
     record: &LeaseRecord,
 ) -> Result<WriteOutcome, StoreFault> {
@@ -165,23 +192,20 @@
         ..record.clone()
     };
     let spec: Value = serde_json::to_value(&record).unwrap_or_default();
+    let (store, name) = (&state.store, object_name(era));
     match revision {
-        None => state.store.create(LEASE_KIND, LEASE_NAME, &spec).await,
-        Some(revision) => {
-            state
-                .store
-                .replace(LEASE_KIND, LEASE_NAME, revision, &spec)
-                .await
-        }
+        None => store.create(LEASE_KIND, &name, &spec).await,
+        Some(revision) => store.replace(LEASE_KIND, &name, revision, &spec).await,
     }
 }
 
 async fn release(state: &GatewayState, lease: &SharedLease) {
-    let released = lease.borrow_mut().release();
+    let era = lease.borrow().era();
+    let released = lease.borrow_mut().release(boot_ms());
     let Some((revision, record)) = released else {
         return;
     };
-    match store_record(state, Some(revision), &record).await {
+    match store_record(state, era, Some(revision), &record).await {
         Ok(_) => log::info!(target: "duty", lease = LEASE_NAME; "lease released"),
         Err(fault) => log::warn!(target: "duty", fault:% ; "lease not released, it lapses"),
     }
--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -4,18 +4,28 @@
 //! whose history is gone leads to a new listing; one that was cut goes on from
 //! its revision. What the store does not tell, because it is away or refuses
 //! this instance, other instances pass on.
+//!
+//! A store that comes back from an older copy begins a new era. What is in force
+//! stays in force until a newer version is told; runners that the copy lacks
+//! have as long to register again as after an outage.
 
 use crate::{
-    clock::boot_ms, peer_link::pull_replica, replica::ReplicaChange, roster::RosterChange,
+    clock::boot_ms,
+    neighbours::ask_neighbours,
+    peer_link::pull_replica,
+    peers::PeerBeat,
+    replica::{KindReplica, ReplicaChange, ReplicaRule},
+    roster::RosterChange,
     state::GatewayState,
 };
 use berylmount_adapter::{
     objects::{decode_runner, decode_table, decode_weights, RUNNER_KIND, TABLE_KIND, WEIGHTS_KIND},
-    store_client::{StoreFault, StoredObject, WatchOutcome},
+    store_client::{EraRevision, StoreFault, StoredObject, WatchOutcome},
 };
+use berylmount_telemetry::CounterMetric;
 use rand::{rng, RngExt};
 use serde::{Deserialize, Serialize};
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 use strum::{Display, EnumCount, EnumIter, IntoEnumIterator};
 use tokio::time::sleep;
 
@@ -61,6 +71,17 @@
 }
 
 impl FollowedKind {
+    /// All kinds, in the order of their index.
+    pub(crate) const ALL: [Self; Self::COUNT] = [Self::Table, Self::Runners, Self::Weights];
+
+    /// What a later revision of an object of this kind may do.
+    pub(crate) fn rule(self) -> ReplicaRule {
+        match self {
+            Self::Table | Self::Weights => ReplicaRule::HighestVersion,
+            Self::Runners => ReplicaRule::Latest,
+        }
+    }
+
     fn store_kind(self) -> &'static str {
         match self {
             Self::Table => TABLE_KIND,
@@ -130,7 +151,7 @@
 
 /// Whether this instance watches a kind and the store answers.
 pub(crate) fn has_contact(state: &GatewayState, kind: FollowedKind) -> bool {
-    let is_known = state.replicas.borrow()[kind as usize].revision() > 0;
+    let is_known = state.replicas.borrow()[kind as usize].is_known();
     let is_lost = state.contacts[kind as usize].lost_at_ms.get() > 0;
     is_known && !is_lost && is_watcher(state, kind)
 }
@@ -148,7 +169,13 @@
         if self.needs_listing {
             let listing = self.state.store.list(kind, false).await?;
             self.needs_listing = false;
-            let changes = self.replica(|replica| replica.apply_listing(&listing));
+            let known = self.replica(|replica| replica.revision());
+            let mut changes = self.replica(|replica| replica.apply_listing(&listing));
+            self.note_contact();
+            note_era(&self.state, self.kind, known, listing.revision);
+            if self.kind == FollowedKind::Table && known == EraRevision::default() {
+                changes.extend(ask_neighbours(&self.state, self.kind).await);
+            }
             apply_changes(&self.state, self.kind, &changes);
             return Ok(());
         }
@@ -170,14 +197,16 @@
                 }
             }
             WatchOutcome::HistoryGone => {
-                log::info!(target: "follow", kind:% = self.kind, revision; "history gone, listing");
+                log::info!(target: "follow", kind:% = self.kind, revision:%; "history gone, listing");
                 self.needs_listing = true;
+                // All instances lose their history at the same moment.
+                sleep(FIRST_BACKOFF.mul_f64(rng().random_range(0.0..1.0))).await;
             }
         }
         Ok(())
     }
 
-    fn replica<R>(&self, act: impl FnOnce(&mut crate::replica::KindReplica) -> R) -> R {
+    fn replica<R>(&self, act: impl FnOnce(&mut KindReplica) -> R) -> R {
         act(&mut self.state.replicas.borrow_mut()[self.kind as usize])
     }
 
@@ -214,23 +243,23 @@
     loop {
         sleep(PULL_INTERVAL).await;
         for kind in FollowedKind::iter() {
-            let known = state.replicas.borrow()[kind as usize].revision();
-            let ahead = state.peers.borrow().any_advanced(kind, known, boot_ms());
-            let Some((peer, address)) = ahead else {
+            let Some((peer, address, since)) = peer_ahead(&state, kind) else {
                 continue;
             };
-            match pull_replica(address, kind, known).await {
+            match pull_replica(address, kind, since).await {
                 Ok(delta) => {
                     let revision = delta.revision;
+                    let known = state.replicas.borrow()[kind as usize].revision();
                     let changes = {
                         let mut replicas = state.replicas.borrow_mut();
                         replicas[kind as usize].apply_delta(&delta)
                     };
+                    note_era(&state, kind, known, revision);
                     if !changes.is_empty() {
                         let count = changes.len();
                         log::info!(
                             target: "follow",
-                            kind:%, peer, known, revision, count;
+                            kind:%, peer, since:%, revision:%, count;
                             "changes taken from another instance"
                         );
                     }
@@ -244,6 +273,59 @@
     }
 }
 
+/// Another instance that knows more of a kind, with its address and the revision
+/// from which on to ask it: a later revision, or a higher version than the store
+/// has told since it came back from an older copy.
+fn peer_ahead(
+    state: &GatewayState,
+    kind: FollowedKind,
+) -> Option<(String, SocketAddr, EraRevision)> {
+    let (peers, now_ms) = (state.peers.borrow(), boot_ms());
+    let known = state.replicas.borrow()[kind as usize].revision();
+    let is_later = |beat: &PeerBeat| beat.changed_at[kind as usize] > known;
+    if let Some((name, address)) = peers.any_ahead(now_ms, is_later) {
+        return Some((name, address, known));
+    }
+    let (name, address) = match kind {
+        FollowedKind::Runners => None,
+        FollowedKind::Table => {
+            let version = state.table().map_or(0, |table| table.version);
+            peers.any_ahead(now_ms, |beat| beat.table_version > version)
+        }
+        FollowedKind::Weights => {
+            let is_higher = |(model, version, _): &(String, u64, u64)| {
+                let known = state.goal_of(model);
+                known.is_none_or(|known| known.goal.version < *version)
+            };
+            peers.any_ahead(now_ms, |beat| beat.goals.iter().any(is_higher))
+        }
+    }?;
+    Some((name, address, EraRevision::default()))
+}
+
+/// Notes that a kind is known in a new era of the store.
+fn note_era(state: &GatewayState, kind: FollowedKind, known: EraRevision, revision: EraRevision) {
+    if revision.era <= known.era || known == EraRevision::default() {
+        return;
+    }
+    state.contacts[kind as usize].back_at_ms.set(boot_ms());
+    if kind == FollowedKind::Runners {
+        state.runners.borrow_mut().note_era(revision.era);
+    }
+    state.metrics.add(
+        CounterMetric::StoreErasTotal,
+        "",
+        u64::from(kind == FollowedKind::Table),
+    );
+    let table = state.table().map_or(0, |table| table.version);
+    let runners = state.runners.borrow().all().len();
+    log::warn!(
+        target: "follow",
+        kind:%, before:% = known, revision:%, table, runners;
+        "the store came back from an older copy; what is in force stays"
+    );
+}
+
 /// Brings changes of a copy into force.
 fn apply_changes(state: &GatewayState, kind: FollowedKind, changes: &[ReplicaChange]) {
     if !changes.is_empty() && is_watcher(state, kind) {
@@ -256,15 +338,15 @@
             (FollowedKind::Runners, ReplicaChange::Updated(object)) => apply_runner(state, object),
             (FollowedKind::Weights, ReplicaChange::Updated(object)) => apply_goal(state, object),
             (FollowedKind::Runners, ReplicaChange::Deleted(name)) => remove_runner(state, name),
-            (_, ReplicaChange::Deleted(name)) => {
-                log::warn!(target: "follow", kind:%, name; "deletion ignored: the last one holds")
+            (_, ReplicaChange::Deleted(name) | ReplicaChange::Kept(name)) => {
+                log::warn!(target: "follow", kind:%, name; "a lower version or none was told: the last one holds");
             }
         }
     }
 }
 
 fn apply_table(state: &GatewayState, object: &StoredObject) {
-    let revision = object.revision;
+    let revision = object.revision.to_string();
     match decode_table(&object.spec) {
         Ok(table) => {
             let version = table.version;
@@ -277,11 +359,15 @@
 }
 
 fn apply_runner(state: &GatewayState, object: &StoredObject) {
-    let (runner, revision) = (object.name.as_str(), object.revision);
+    let (runner, revision) = (object.name.as_str(), object.revision.to_string());
     match decode_runner(runner, &object.spec) {
         Ok(record) => {
             let runner_state = record.state;
-            let change = state.runners.borrow_mut().upsert(record);
+            let now_ms = boot_ms();
+            let change = state
+                .runners
+                .borrow_mut()
+                .upsert(record, object.revision, now_ms);
             if let Some(change) = change {
                 log::info!(
                     target: "follow",
@@ -299,7 +385,7 @@
 }
 
 fn apply_goal(state: &GatewayState, object: &StoredObject) {
-    let (name, revision) = (object.name.as_str(), object.revision);
+    let (name, revision) = (object.name.as_str(), object.revision.to_string());
     match decode_weights(&object.spec) {
         Ok(goal) => {
             let (model, version) = (goal.model.clone(), goal.version);
@@ -333,6 +419,9 @@
         for runner in lost {
             log::info!(target: "follow", runner; "runner did not come back");
         }
+        for runner in state.runners.borrow().release_held_back(now_ms) {
+            log::info!(target: "follow", runner; "runner's entry stays: it is used again");
+        }
         for runner in state.runners.borrow().all() {
             runner.drop_old(now_ms);
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -12,7 +12,10 @@
 use berylmount_adapter::request_headers::RunnerOrder;
 use berylmount_fleet::{CallerRequest, RouteKind, RouteRule, RouteTable, ServingCustomer};
 use berylmount_h1::{H1Stream, RequestHead};
-use berylmount_policy::admission::{without_room, AdmissionNeed, NoRoom};
+use berylmount_policy::{
+    admission::{without_room, AdmissionNeed, NoRoom},
+    runner_health::is_request_at_fault,
+};
 use berylmount_telemetry::{CounterMetric, HistogramMetric};
 use bytes::Bytes;
 use http::{header::HOST, StatusCode};
@@ -31,6 +34,9 @@
 const ROOM_INTERVAL: Duration = Duration::from_millis(10);
 /// Spread of the time to come back, so that refused callers don't return together.
 const RETURN_SPREAD: Range<f64> = 0.8..1.3;
+/// Spread of the time to come back to runners that rest. Never less than they
+/// asked for.
+const REST_RETURN_SPREAD: Range<f64> = 1.0..1.3;
 /// Part of a route's time limit that a caller on its first attempt still has.
 const FRESH_PART: f64 = 0.8;
 /// Ranks of routes that are told apart within a customer's rank.
@@ -172,6 +178,7 @@
             state.note_offered(&self.service, boot_ms());
         }
         let mut tried: Vec<Rc<RunnerHandle>> = Vec::new();
+        let mut errors = RunnerErrors::default();
         let mut unsent = 0;
         let mut verdict = CallVerdict::Own(refusal(AnswerReason::NoRunner));
         loop {
@@ -179,6 +186,10 @@
                 FoundRoom::Placed(placed) => placed,
                 FoundRoom::CallerGone => return CallEnd::CallerGone,
                 FoundRoom::NoRunner => break,
+                FoundRoom::Resting(delay) => {
+                    verdict.note_rest(delay);
+                    break;
+                }
                 FoundRoom::NoRoom(_) if log.sent > 0 => break,
                 FoundRoom::NoRoom(delay) => {
                     let mut answer = refusal(AnswerReason::Overloaded);
@@ -194,6 +205,7 @@
             let end = self.run_at(call, &placed, state, sink).await;
             log.note(state, &placed, &end, started_ms);
             tried.push(placed.runner.clone());
+            errors.note(&placed.runner, &end);
             match end {
                 TryEnd::Streamed => return CallEnd::Streamed,
                 TryEnd::CallerGone => return CallEnd::CallerGone,
@@ -236,6 +248,7 @@
             match place(state, &placing, tried) {
                 PlacingResult::Placed(placed) => return FoundRoom::Placed(placed),
                 PlacingResult::NoRunner => return FoundRoom::NoRunner,
+                PlacingResult::Resting(delay) => return FoundRoom::Resting(delay),
                 PlacingResult::NoRoom => {}
             }
             if let NoRoom::Refuse(delay_ms) = without_room(&placing.need) {
@@ -335,6 +348,41 @@
     customer.map_or(route, |rank| (rank * ROUTE_RANKS).saturating_add(route))
 }
 
+/// Runners that answered one request with errors of their own; judged when the
+/// request ends.
+#[derive(Default)]
+struct RunnerErrors {
+    runners: Vec<Rc<RunnerHandle>>,
+    /// Whether another runner answered it well.
+    is_served: bool,
+}
+
+impl RunnerErrors {
+    fn note(&mut self, runner: &Rc<RunnerHandle>, end: &TryEnd) {
+        match end {
+            TryEnd::Whole(answer) if answer.status.is_server_error() => {
+                self.runners.push(runner.clone());
+            }
+            TryEnd::Whole(_) | TryEnd::Streamed => self.is_served = true,
+            _ => {}
+        }
+    }
+}
+
+impl Drop for RunnerErrors {
+    fn drop(&mut self) {
+        let now_ms = boot_ms();
+        let failures = self.runners.iter().map(|runner| runner.failures(now_ms));
+        let failures: Vec<f64> = failures.collect();
+        if !self.is_served && is_request_at_fault(&failures) {
+            return;
+        }
+        for runner in &self.runners {
+            runner.note_end(false, now_ms);
+        }
+    }
+}
+
 /// What the caller learns if no further try is made.
 enum CallVerdict {
     /// An answer of our own.
@@ -384,6 +432,16 @@
         }
     }
 
+    /// Tells the caller to come back when a runner takes requests again, if the
+    /// request has not run.
+    fn note_rest(&mut self, delay: Duration) {
+        if self.has_not_run() {
+            let mut answer = OwnAnswer::new(AnswerReason::RunnersRest);
+            answer.retry_after = Some(delay.mul_f64(rng().random_range(REST_RETURN_SPREAD)));
+            *self = Self::Own(answer);
+        }
+    }
+
     fn has_not_run(&self) -> bool {
         let reason = match self {
             Self::Own(answer) => answer.reason,
@@ -408,6 +466,8 @@
     Placed(Box<PlacedRunner>),
     /// No runner has room; the caller should come back after this time.
     NoRoom(Duration),
+    /// All runners want to be left alone, the first of them for this long.
+    Resting(Duration),
     NoRunner,
     CallerGone,
 }
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -24,6 +24,8 @@
         counted = (calls, failures);
         let version = state.table().map_or(0, |table| table.version);
         metrics.set(GaugeMetric::TableVersion, "", version as i64);
+        let era = state.store.era();
+        metrics.set(GaugeMetric::StoreEra, "", era as i64);
         metrics.set(GaugeMetric::InFlight, "", state.in_flight.get() as i64);
         let held = state.duty_notice.borrow().is_some();
         metrics.set(GaugeMetric::DutyHeld, "", i64::from(held));
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -27,6 +27,10 @@
 /// How long a caller may use an answer. Short, so that callers soon leave an
 /// instance that is gone.
 const LOCATE_TTL: Duration = Duration::from_secs(2);
+/// Time in which instances register again after the store has come back from an
+/// older copy, in milliseconds. As long as silent instances are remembered,
+/// because cached parts are freed only once all that are listed have confirmed.
+const REGISTER_AGAIN_MS: u64 = 15_000;
 /// Time to read a question.
 const QUESTION_TIME: Duration = Duration::from_secs(5);
 
@@ -59,6 +63,10 @@
     entries: Vec<(String, InstanceEntry)>,
     /// The most instances that were known at once.
     most_known: usize,
+    /// The era of the store that told the entries.
+    era: u64,
+    /// Until when entries stay that a new era lacks.
+    keeps_until_ms: u64,
 }
 
 impl InstanceList {
@@ -67,9 +75,27 @@
         self.most_known.max(1)
     }
 
-    /// Takes a new reading of the list.
-    pub(crate) fn replace(&mut self, mut entries: Vec<(String, InstanceEntry)>) {
+    /// Takes a new reading of the list. In a new era instances that the older copy
+    /// lacks stay listed until they have had time to register again.
+    pub(crate) fn replace(
+        &mut self,
+        mut entries: Vec<(String, InstanceEntry)>,
+        era: u64,
+        now_ms: u64,
+    ) {
         entries.sort_by(|a, b| a.0.cmp(&b.0));
+        if era > self.era {
+            if !self.entries.is_empty() {
+                self.keeps_until_ms = now_ms + REGISTER_AGAIN_MS;
+            }
+            self.era = era;
+        }
+        if now_ms < self.keeps_until_ms {
+            entries.append(&mut self.entries);
+            // Stable: what was read comes before what was known.
+            entries.sort_by(|a, b| a.0.cmp(&b.0));
+            entries.dedup_by(|later, first| later.0 == first.0);
+        }
         self.most_known = self.most_known.max(entries.len());
         self.entries = entries;
     }
@@ -103,18 +129,25 @@
 /// Registers this instance and keeps reading the list of instances.
 pub(crate) async fn follow_instances(state: Rc<GatewayState>) {
     let mut is_registered = false;
+    let mut registered_era = 0;
     loop {
         if state.is_leaving() {
             deregister(&state).await;
             return;
         }
+        if state.store.era() != registered_era {
+            // An older copy of the store may lack the entry.
+            is_registered = false;
+        }
         if !is_registered {
             is_registered = register(&state).await;
+            registered_era = state.store.era();
         }
         match state.store.list(INSTANCE_KIND, true).await {
             Ok(listing) => {
                 let entries = listing.objects.iter().filter_map(decode_entry).collect();
-                state.instances.borrow_mut().replace(entries);
+                let mut instances = state.instances.borrow_mut();
+                instances.replace(entries, listing.revision.era, boot_ms());
             }
             Err(fault) => log::warn!(target: "instances", fault:% ; "list not read"),
         }
@@ -127,7 +160,8 @@
             REGISTER_INTERVAL
         };
         let end = tokio::time::Instant::now() + interval;
-        while tokio::time::Instant::now() < end && !state.is_leaving() {
+        let is_old = || state.store.era() != registered_era;
+        while tokio::time::Instant::now() < end && !state.is_leaving() && !is_old() {
             sleep(Duration::from_millis(100)).await;
         }
     }
@@ -179,7 +213,7 @@
     };
     let written = state
         .store
-        .replace(INSTANCE_KIND, name, known.revision, spec);
+        .replace(INSTANCE_KIND, name, known.revision.revision, spec);
     matches!(written.await, Ok(WriteOutcome::Stored(_)))
 }
 
@@ -190,7 +224,8 @@
         let found = state.store.get(INSTANCE_KIND, &name, false).await;
         let removed = match found {
             Ok(Some(object)) => {
-                let deleted = state.store.delete(INSTANCE_KIND, &name, object.revision);
+                let revision = object.revision.revision;
+                let deleted = state.store.delete(INSTANCE_KIND, &name, revision);
                 matches!(
                     deleted.await,
                     Ok(WriteOutcome::Stored(_) | WriteOutcome::Missing)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `state` | what all tasks share |
 //! | `clock` | a clock that counts while the machine is suspended |
 //! | `follow` | follows the object store |
+//! | `neighbours` | asks other instances before the first table is in force |
 //! | `roster` | runners, their connections and load |
 //! | `accept` | takes connections |
 //! | `callers` | callers' connections |
@@ -35,7 +36,8 @@
 //! - A request that may not be repeated is sent to a second runner only after
 //!   the first one stated that it has not run it, or before anything was sent.
 //! - A status that promises "not run" is sent only when that is certain.
-//! - A route table is replaced only by a newer version.
+//! - A route table is replaced only by a newer version, also after the store has
+//!   come back from an older copy.
 
 mod accept;
 mod answers;
@@ -51,6 +53,7 @@
 mod instances;
 mod kept;
 mod lags;
+mod neighbours;
 mod peer_link;
 mod peers;
 mod placement;
@@ -67,5 +70,5 @@
 pub use crate::{
     event_split::{EventBlock, EventSplitter},
     process::{Gateway, GatewayFault},
-    replica::{KindReplica, ReplicaChange, ReplicaDelta},
+    replica::{KindReplica, ReplicaChange, ReplicaDelta, ReplicaRule},
 };
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -14,7 +14,7 @@
     replica::ReplicaDelta,
     state::GatewayState,
 };
-use berylmount_adapter::store_client::StoredObject;
+use berylmount_adapter::store_client::{EraRevision, StoredObject};
 use bincode::{config, serde as codec};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
@@ -40,7 +40,7 @@
 #[derive(Debug, Deserialize, Serialize)]
 enum PullRequest {
     /// What changed of a kind after a revision; answered by a [`PullReply`].
-    Changes(FollowedKind, u64),
+    Changes(FollowedKind, EraRevision),
     /// What the store of this key keeps; answered by a [`StoreSnapshot`].
     Store(u64),
 }
@@ -48,9 +48,9 @@
 /// Answers a question for changes. Values of objects are JSON text.
 #[derive(Debug, Deserialize, Serialize)]
 struct PullReply {
-    revision: u64,
+    revision: EraRevision,
     names: Vec<String>,
-    objects: Vec<(String, u64, String)>,
+    objects: Vec<(String, EraRevision, String)>,
 }
 
 /// Why another instance's copy could not be had.
@@ -90,7 +90,7 @@
         if gossip.is_empty() && !is_due() {
             continue;
         }
-        let addresses = beat_addresses(&state);
+        let addresses = peer_addresses(&state);
         for told in gossip {
             let name = state.settings().name.clone();
             send_message(&socket, &addresses, &PeerMessage::Kept(name, told)).await;
@@ -115,7 +115,7 @@
 /// before they hear of each other's.
 async fn tell_placed(state: &GatewayState, socket: &UdpSocket) {
     let placed = state.placed.take();
-    let addresses = beat_addresses(state);
+    let addresses = peer_addresses(state);
     let name = &state.settings().name;
     for (runner, share) in placed {
         let message = PeerMessage::Placed(name.clone(), runner, share);
@@ -178,7 +178,7 @@
 }
 
 /// Where beats go: listed and heard instances, and those that the settings name.
-fn beat_addresses(state: &GatewayState) -> Vec<SocketAddr> {
+pub(crate) fn peer_addresses(state: &GatewayState) -> Vec<SocketAddr> {
     let settings = state.settings();
     let instances = state.instances.borrow();
     let peers = state.peers.borrow();
@@ -211,6 +211,7 @@
     for (slot, replica) in beat.changed_at.iter_mut().zip(replicas.iter()) {
         *slot = replica.changed_at();
     }
+    beat.table_version = state.table().map_or(0, |table| table.version);
     let now_ms = boot_ms();
     let goals = state.goals.borrow();
     for named in goals.iter() {
@@ -279,7 +280,7 @@
 pub(crate) async fn pull_replica(
     address: SocketAddr,
     kind: FollowedKind,
-    since: u64,
+    since: EraRevision,
 ) -> Result<ReplicaDelta, PullFault> {
     let reply: PullReply = ask(address, &PullRequest::Changes(kind, since)).await?;
     let objects = reply.objects.into_iter().map(|(name, revision, text)| {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,6 +5,7 @@
 //! runner's load. Datagrams may be lost; the next one says it all again.
 
 use crate::{follow::FollowedKind, instances::InstanceEntry};
+use berylmount_adapter::store_client::EraRevision;
 use berylmount_policy::{
     engine_pace::EnginePace,
     shared_duties::{rank_among, DutyMember},
@@ -30,7 +31,7 @@
 /// others. Below it, asking costs less than being told late.
 const LARGE_FLEET: usize = 12;
 /// Form of a beat; beats of another form are left out.
-const BEAT_FORMAT: u8 = 3;
+const BEAT_FORMAT: u8 = 4;
 
 /// The key under which instances speak of a runner, store or service.
 pub(crate) fn spoken_key(name: &str) -> u64 {
@@ -95,7 +96,9 @@
     /// Whether it takes callers' requests.
     pub(crate) is_ready: bool,
     /// For each followed kind, the revision of the last change that it knows.
-    pub(crate) changed_at: [u64; FollowedKind::COUNT],
+    pub(crate) changed_at: [EraRevision; FollowedKind::COUNT],
+    /// The version of the table in force; 0 if none is.
+    pub(crate) table_version: u64,
     /// Named weights: model, version, and milliseconds since they were named.
     pub(crate) goals: Vec<(String, u64, u64)>,
     /// For each followed kind, whether it follows the store and has contact.
@@ -127,7 +130,8 @@
             started_ms,
             strength: 0,
             is_ready: false,
-            changed_at: [0; FollowedKind::COUNT],
+            changed_at: [EraRevision::default(); FollowedKind::COUNT],
+            table_version: 0,
             in_contact: [false; FollowedKind::COUNT],
             goals: Vec::new(),
             loads: Vec::new(),
@@ -294,16 +298,14 @@
         Some(self.peers[found.ok()?].beat.entry.peers)
     }
 
-    /// An instance whose copy of a kind goes beyond `known`, if any does; another
+    /// An instance whose beat is ahead of what is known here, if any is; another
     /// one each time, so that those that lag don't all ask the same.
-    pub(crate) fn any_advanced(
+    pub(crate) fn any_ahead(
         &self,
-        kind: FollowedKind,
-        known: u64,
         now_ms: u64,
+        is_ahead: impl Fn(&PeerBeat) -> bool,
     ) -> Option<(String, SocketAddr)> {
-        let changed_at = |peer: &&KnownPeer| peer.beat.changed_at[kind as usize];
-        let ahead = self.live(now_ms).filter(|peer| changed_at(peer) > known);
+        let ahead = self.live(now_ms).filter(|peer| is_ahead(&peer.beat));
         let ahead: Vec<&KnownPeer> = ahead.collect();
         let peer = ahead.choose(&mut rng())?;
         Some((peer.beat.name.clone(), peer.beat.entry.peers))
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -72,6 +72,8 @@
     Placed(Box<PlacedRunner>),
     /// Runners, but none with room.
     NoRoom,
+    /// Runners, but all want to be left alone, the first of them for this long.
+    Resting(Duration),
     /// No runner that may take it.
     NoRunner,
 }
@@ -105,7 +107,9 @@
     };
     let is_new = |runner: &&Rc<RunnerHandle>| !tried.iter().any(|t| Rc::ptr_eq(t, runner));
     let runners = state.runners.borrow();
-    let candidates = runners.ready_of(placing.service).filter(is_new);
+    let is_awake = |runner: &&Rc<RunnerHandle>| runner.rest_left(now_ms).is_none();
+    let candidates = runners.ready_of(placing.service).filter(is_awake);
+    let candidates = candidates.filter(is_new);
     let least = least_weights(state, placing, now_ms);
     let has_weights = |runner: &&Rc<RunnerHandle>| {
         least.is_none_or(|least| weights_at(placing, runner).is_none_or(|has| has >= least))
@@ -126,7 +130,11 @@
         others.for_each(|(view, _)| view.penalty_ms += mix.meeting_ms(need.prefill_per_ms));
     }
     if views.is_empty() {
-        return PlacingResult::NoRunner;
+        let resting = runners.ready_of(placing.service);
+        let rests = resting.filter_map(|runner| runner.rest_left(now_ms));
+        return rests
+            .min()
+            .map_or(PlacingResult::NoRunner, PlacingResult::Resting);
     }
     let open = open_runners(state, placing, &views, &need, engine.is_some());
     let open_views: Vec<RunnerView> = open.iter().map(|index| views[*index]).collect();
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -2,10 +2,26 @@
 //!
 //! Invariants:
 //!
-//! - The copy is complete up to its revision, and never goes back.
+//! - The copy is complete up to its revision, and never goes back; revisions are
+//!   compared with their era first.
 //! - An object is replaced only by a later revision of itself.
+//! - A versioned object is never replaced by a lower version and never deleted,
+//!   so that a store that comes back from an older copy undoes nothing.
 
-use berylmount_adapter::store_client::{ObjectChange, ObjectListing, StoredObject};
+use berylmount_adapter::{
+    objects::object_version,
+    store_client::{EraRevision, ObjectChange, ObjectListing, StoredObject},
+};
+
+/// What a later revision of an object may do to the copy.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum ReplicaRule {
+    /// Each later revision holds, and deletions do.
+    #[default]
+    Latest,
+    /// Objects carry a version of their own, and the highest one holds.
+    HighestVersion,
+}
 
 /// What became different in a copy.
 #[derive(Clone, Debug, PartialEq)]
@@ -14,13 +30,16 @@
     Updated(StoredObject),
     /// The object of this name is gone.
     Deleted(String),
+    /// The store told of a lower version of the object of this name, or of none;
+    /// the one that is held stays.
+    Kept(String),
 }
 
 /// What one instance passes on to another that lags.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ReplicaDelta {
     /// The revision up to which the delta is complete.
-    pub revision: u64,
+    pub revision: EraRevision,
     /// Names of all objects.
     pub names: Vec<String>,
     /// Objects that changed after the revision that was asked for.
@@ -30,33 +49,54 @@
 /// The copy.
 #[derive(Clone, Debug, Default)]
 pub struct KindReplica {
-    revision: u64,
-    changed_at: u64,
+    rule: ReplicaRule,
+    revision: EraRevision,
+    changed_at: EraRevision,
     objects: Vec<StoredObject>,
 }
 
 impl KindReplica {
-    /// The revision up to which the copy is complete; 0 before the first listing.
-    pub fn revision(&self) -> u64 {
+    /// An empty copy.
+    ///
+    /// ```
+    /// use berylmount_gateway::{KindReplica, ReplicaRule};
+    ///
+    /// assert!(!KindReplica::new(ReplicaRule::HighestVersion).is_known());
+    /// ```
+    pub fn new(rule: ReplicaRule) -> Self {
+        Self {
+            rule,
+            ..Self::default()
+        }
+    }
+
+    /// Whether the copy has been complete up to any revision.
+    pub fn is_known(&self) -> bool {
+        self.revision > EraRevision::default()
+    }
+
+    /// The revision up to which the copy is complete.
+    pub fn revision(&self) -> EraRevision {
         self.revision
     }
 
     /// The revision of the last change that the copy holds.
-    pub fn changed_at(&self) -> u64 {
+    pub fn changed_at(&self) -> EraRevision {
         self.changed_at
     }
 
     /// Takes a listing of all objects.
     ///
     /// ```
-    /// use berylmount_adapter::store_client::{ObjectListing, StoredObject};
+    /// use berylmount_adapter::store_client::{EraRevision, ObjectListing, StoredObject};
     /// use berylmount_gateway::{KindReplica, ReplicaChange};
     ///
-    /// let object = StoredObject { name: "a".into(), revision: 4, spec: 1.into() };
+    /// let at = |revision| EraRevision { era: 1, revision };
+    /// let object = StoredObject { name: "a".into(), revision: at(4), spec: 1.into() };
     /// let mut replica = KindReplica::default();
-    /// let full = ObjectListing { objects: vec![object.clone()], revision: 6 };
+    /// let full = ObjectListing { objects: vec![object.clone()], revision: at(6) };
     /// assert_eq!(replica.apply_listing(&full), [ReplicaChange::Updated(object)]);
-    /// let empty = ObjectListing { objects: Vec::new(), revision: 7 };
+    /// let empty = ObjectListing { objects: Vec::new(), revision: at(7) };
     /// assert_eq!(replica.apply_listing(&empty), [ReplicaChange::Deleted("a".into())]);
     /// assert_eq!(replica.apply_listing(&full), []);
     /// ```
@@ -69,8 +109,14 @@
     }
 
     /// Takes what a watch told, up to `revision`.
-    pub fn apply_watch(&mut self, told: &[ObjectChange], revision: u64) -> Vec<ReplicaChange> {
-        if revision <= self.revision {
+    ///
+    /// Changes of another era than the copy's say nothing of what lies between.
+    pub fn apply_watch(
+        &mut self,
+        told: &[ObjectChange],
+        revision: EraRevision,
+    ) -> Vec<ReplicaChange> {
+        if revision <= self.revision || revision.era != self.revision.era {
             return Vec::new();
         }
         let mut changes = Vec::new();
@@ -85,16 +131,21 @@
     }
 
     /// Takes what another instance passed on.
+    ///
+    /// Of a copy that is not newer only the higher versions are taken.
     pub fn apply_delta(&mut self, delta: &ReplicaDelta) -> Vec<ReplicaChange> {
         if delta.revision <= self.revision {
-            return Vec::new();
+            return match self.rule {
+                ReplicaRule::Latest => Vec::new(),
+                ReplicaRule::HighestVersion => self.take_higher(&delta.objects),
+            };
         }
         let names = delta.names.iter().map(String::as_str).collect();
         self.replace(names, &delta.objects, delta.revision)
     }
 
     /// What an instance whose copy is complete up to `since` lacks.
-    pub fn delta(&self, since: u64) -> ReplicaDelta {
+    pub fn delta(&self, since: EraRevision) -> ReplicaDelta {
         let newer = self.objects.iter().filter(|object| object.revision > since);
         ReplicaDelta {
             revision: self.revision,
@@ -108,9 +159,12 @@
         &mut self,
         mut names: Vec<&str>,
         objects: &[StoredObject],
-        revision: u64,
+        revision: EraRevision,
     ) -> Vec<ReplicaChange> {
         names.sort_unstable();
+        if revision.era > self.revision.era {
+            self.begin_era(revision.era);
+        }
         let mut changes = self.delete_others(&names, revision);
         for object in objects {
             changes.extend(self.update(object));
@@ -119,6 +173,36 @@
         changes
     }
 
+    /// Carries what is held into a new era, before anything in it is known: every
+    /// revision there is later than these.
+    fn begin_era(&mut self, era: u64) {
+        let start = EraRevision { era, revision: 0 };
+        for object in &mut self.objects {
+            object.revision = start;
+        }
+        self.changed_at = start;
+    }
+
+    /// Takes objects that are new or have a higher version than held. They count
+    /// as changed now, so that they are passed on.
+    fn take_higher(&mut self, objects: &[StoredObject]) -> Vec<ReplicaChange> {
+        let mut changes = Vec::new();
+        for object in objects {
+            let revision = self.revision;
+            match self.find(&object.name) {
+                Ok(index) if version_of(&self.objects[index]) >= version_of(object) => continue,
+                Ok(index) => self.objects[index] = object.clone(),
+                Err(index) => self.objects.insert(index, object.clone()),
+            }
+            if let Ok(index) = self.find(&object.name) {
+                self.objects[index].revision = revision;
+            }
+            self.changed_at = self.changed_at.max(revision);
+            changes.push(ReplicaChange::Updated(object.clone()));
+        }
+        changes
+    }
+
     fn find(&self, name: &str) -> Result<usize, usize> {
         self.objects
             .binary_search_by(|object| object.name.as_str().cmp(name))
@@ -127,6 +211,11 @@
     fn update(&mut self, object: &StoredObject) -> Option<ReplicaChange> {
         match self.find(&object.name) {
             Ok(index) if self.objects[index].revision >= object.revision => return None,
+            Ok(index) if self.is_lower(object, index) => {
+                self.objects[index].revision = object.revision;
+                self.changed_at = self.changed_at.max(object.revision);
+                return Some(ReplicaChange::Kept(object.name.clone()));
+            }
             Ok(index) => self.objects[index] = object.clone(),
             Err(index) => self.objects.insert(index, object.clone()),
         }
@@ -134,15 +223,24 @@
         Some(ReplicaChange::Updated(object.clone()))
     }
 
-    fn delete(&mut self, name: &str, revision: u64) -> Option<ReplicaChange> {
+    /// Whether an object has a lower version than the one held at `index`.
+    fn is_lower(&self, object: &StoredObject, index: usize) -> bool {
+        let held = &self.objects[index];
+        self.rule == ReplicaRule::HighestVersion && version_of(object) < version_of(held)
+    }
+
+    fn delete(&mut self, name: &str, revision: EraRevision) -> Option<ReplicaChange> {
         let index = self.find(name).ok()?;
+        if self.rule == ReplicaRule::HighestVersion {
+            return Some(ReplicaChange::Kept(name.to_owned()));
+        }
         self.objects.remove(index);
         self.changed_at = self.changed_at.max(revision);
         Some(ReplicaChange::Deleted(name.to_owned()))
     }
 
     /// Deletes the objects whose names are not in the sorted `names`.
-    fn delete_others(&mut self, names: &[&str], revision: u64) -> Vec<ReplicaChange> {
+    fn delete_others(&mut self, names: &[&str], revision: EraRevision) -> Vec<ReplicaChange> {
         let is_other = |o: &&StoredObject| names.binary_search(&o.name.as_str()).is_err();
         let others = self.objects.iter().filter(is_other);
         let others: Vec<String> = others.map(|object| object.name.clone()).collect();
@@ -150,3 +248,8 @@
         deletions.collect()
     }
 }
+
+/// The version that an object states of itself; 0 if it states none.
+fn version_of(object: &StoredObject) -> u64 {
+    object_version(&object.spec).unwrap_or_default()
+}
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -5,13 +5,20 @@
 //! - Two starts of a runner under one id are two entries; nothing known of the
 //!   first holds for the second.
 //! - A kept connection is used again only if it is open and silent.
+//! - A start of a runner that has said that it leaves gets no new request again,
+//!   whatever its entry says later.
 
 use crate::peers::{spoken_key, LoadShare};
+use berylmount_adapter::{request_headers::RunnerNotice, store_client::EraRevision};
 use berylmount_fleet::{RunnerLoad, RunnerRecord, RunnerState};
 use berylmount_h1::H1Stream;
 use berylmount_policy::runner_health::RunnerHealth;
+use rand::{rng, RngExt};
 use std::{
     cell::{Cell, RefCell},
+    collections::VecDeque,
+    net::SocketAddr,
+    ops::Range,
     rc::Rc,
     time::Duration,
 };
@@ -26,6 +33,15 @@
 /// live runners are back in the list within about two seconds, and one that left
 /// must get nothing after that.
 const MISSING_MS: u64 = 1700;
+/// Time for which the entry of a runner that was gone is not believed after the
+/// store has come back from an older copy, in milliseconds: entries of runners
+/// that don't live lapse within it, after three heartbeats of some 1.2 s.
+const OLD_COPY_MS: u64 = 5000;
+/// Spread of the time for which a runner is left alone, so that not all come back
+/// to it at once. Never less than it asked for.
+const REST_SPREAD: Range<f64> = 1.0..1.2;
+/// Departed runners that are remembered: several times a large fleet.
+const MOST_DEPARTED: usize = 1024;
 
 /// A connection to a runner; counted while it is open.
 #[derive(Debug)]
@@ -104,11 +120,24 @@
     load: Cell<(RunnerLoad, u64)>,
     /// A version of the weights that it refused or answered with, newer than its entry.
     observed_weights: Cell<Option<u64>>,
+    /// The revision of its entry.
+    entry_revision: Cell<EraRevision>,
+    /// Whether it has said that it leaves, in its entry or in an answer.
+    is_leaving: Cell<bool>,
+    /// Since when its entry is not believed, because it may come from an older
+    /// copy; 0 if it is.
+    held_back_ms: Cell<u64>,
+    /// Until when it wants no request from this instance; 0 if it takes them.
+    rest_until_ms: Cell<u64>,
 }
 
 impl RunnerHandle {
-    fn new(record: RunnerRecord) -> Self {
+    fn new(record: RunnerRecord, revision: EraRevision) -> Self {
         Self {
+            entry_revision: Cell::new(revision),
+            is_leaving: Cell::new(record.state == RunnerState::Draining),
+            held_back_ms: Cell::new(0),
+            rest_until_ms: Cell::new(0),
             key: spoken_key(&record.id),
             record: RefCell::new(Rc::new(record)),
             missing_since_ms: Cell::new(0),
@@ -143,9 +172,46 @@
         }
     }
 
-    /// Whether it may get new requests.
+    /// Whether it may get new requests, unless it rests.
     pub(crate) fn takes_requests(&self) -> bool {
-        !self.is_gone.get() && self.record.borrow().state == RunnerState::Ready
+        let is_ready = self.record.borrow().state == RunnerState::Ready;
+        let is_doubtful = self.is_leaving.get() || self.held_back_ms.get() > 0;
+        !self.is_gone.get() && is_ready && !is_doubtful
+    }
+
+    /// Notes that an answer said that it leaves; returns whether that is new.
+    fn note_leaving(&self) -> bool {
+        self.idle.borrow_mut().clear();
+        !self.is_leaving.replace(true)
+    }
+
+    /// Takes what an answer said of it.
+    pub(crate) fn note_notice(&self, notice: RunnerNotice, now_ms: u64) {
+        let record = self.record();
+        let runner = record.id.as_str();
+        if notice.is_leaving && self.note_leaving() {
+            log::info!(target: "roster", runner; "runner says that it leaves");
+        }
+        if let Some(rest) = notice.rest {
+            let rest = rest.mul_f64(rng().random_range(REST_SPREAD));
+            let rest_ms = rest.as_millis() as u64;
+            log::info!(target: "roster", runner, rest_ms; "runner wants rest");
+            self.note_rest(rest, now_ms);
+        }
+    }
+
+    /// Notes that it wants no request for `rest`.
+    fn note_rest(&self, rest: Duration, now_ms: u64) {
+        let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
+        let until_ms = now_ms.saturating_add(rest_ms);
+        self.rest_until_ms
+            .set(self.rest_until_ms.get().max(until_ms));
+    }
+
+    /// For how long it still wants no request; `None` if it takes them.
+    pub(crate) fn rest_left(&self, now_ms: u64) -> Option<Duration> {
+        let left_ms = self.rest_until_ms.get().checked_sub(now_ms)?;
+        (left_ms > 0).then_some(Duration::from_millis(left_ms))
     }
 
     /// The version of a model's weights that it has, as far as known.
@@ -249,10 +315,50 @@
     }
 }
 
+/// What holds for one start of a runner beyond its entry.
+#[derive(Debug)]
+struct DepartedRunner {
+    id: String,
+    started_ms: u64,
+    address: SocketAddr,
+    has_said_so: bool,
+    rest_until_ms: u64,
+    /// The era of the store in which its entry went.
+    era: u64,
+}
+
+impl DepartedRunner {
+    fn of(runner: &RunnerHandle, era: u64) -> Self {
+        let record = runner.record();
+        Self {
+            id: record.id.clone(),
+            started_ms: record.started_ms,
+            address: record.address,
+            has_said_so: runner.is_leaving.get(),
+            rest_until_ms: runner.rest_until_ms.get(),
+            era,
+        }
+    }
+
+    /// Whether an entry is of the same start. Starts without a time can't be told
+    /// apart.
+    fn is_same(&self, record: &RunnerRecord) -> bool {
+        let is_known = record.started_ms > 0;
+        is_known
+            && self.started_ms == record.started_ms
+            && self.id == record.id
+            && self.address == record.address
+    }
+}
+
 /// All known runners, by id.
 #[derive(Debug, Default)]
 pub(crate) struct RunnerRoster {
     runners: Vec<Rc<RunnerHandle>>,
+    /// Runners whose entries are gone, oldest first.
+    departed: VecDeque<DepartedRunner>,
+    /// The era of the store that the entries are of.
+    era: u64,
 }
 
 /// What a change of the list did to a runner.
@@ -291,32 +397,74 @@
         runners.binary_search_by(|r| r.record.borrow().id.as_str().cmp(id))
     }
 
-    /// Takes a runner's entry.
-    pub(crate) fn upsert(&mut self, record: RunnerRecord) -> Option<RosterChange> {
-        match self.find(&record.id) {
+    /// Notes that entries are told in an era of the store.
+    pub(crate) fn note_era(&mut self, era: u64) {
+        self.era = self.era.max(era);
+    }
+
+    /// Takes a runner's entry, as of a revision of the store.
+    pub(crate) fn upsert(
+        &mut self,
+        record: RunnerRecord,
+        revision: EraRevision,
+        now_ms: u64,
+    ) -> Option<RosterChange> {
+        self.note_era(revision.era);
+        let index = match self.find(&record.id) {
+            Ok(index) => index,
             Err(index) => {
-                self.runners
-                    .insert(index, Rc::new(RunnerHandle::new(record)));
-                Some(RosterChange::Joined)
+                let runner = self.joined(record, revision, now_ms);
+                self.runners.insert(index, runner);
+                return Some(RosterChange::Joined);
             }
-            Ok(index) => {
-                let known = &self.runners[index];
-                let (started, address, state) = {
-                    let record = known.record.borrow();
-                    (record.started_ms, record.address, record.state)
-                };
-                if started != record.started_ms || address != record.address {
-                    known.is_gone.set(true);
-                    known.idle.borrow_mut().clear();
-                    self.runners[index] = Rc::new(RunnerHandle::new(record));
-                    return Some(RosterChange::Joined);
-                }
-                known.missing_since_ms.set(0);
-                let changed = state != record.state;
-                *known.record.borrow_mut() = Rc::new(record);
-                changed.then_some(RosterChange::StateChanged)
+        };
+        let known = self.runners[index].clone();
+        let (started, address, state) = {
+            let record = known.record.borrow();
+            (record.started_ms, record.address, record.state)
+        };
+        if started != record.started_ms || address != record.address {
+            known.is_gone.set(true);
+            known.idle.borrow_mut().clear();
+            self.runners[index] = self.joined(record, revision, now_ms);
+            return Some(RosterChange::Joined);
+        }
+        known.missing_since_ms.set(0);
+        let before = known.entry_revision.replace(revision);
+        if revision.era == before.era && revision > before {
+            // The runner itself has written it since.
+            known.held_back_ms.set(0);
+        }
+        if record.state == RunnerState::Draining {
+            known.is_leaving.set(true);
+        } else if record.started_ms == 0 && revision.era == before.era {
+            known.is_leaving.set(false);
+        }
+        let changed = state != record.state;
+        *known.record.borrow_mut() = Rc::new(record);
+        changed.then_some(RosterChange::StateChanged)
+    }
+
+    /// A runner whose entry is new, with what is remembered of the same start.
+    fn joined(
+        &mut self,
+        record: RunnerRecord,
+        revision: EraRevision,
+        now_ms: u64,
+    ) -> Rc<RunnerHandle> {
+        let position = self.departed.iter().position(|d| d.is_same(&record));
+        let departed = position.and_then(|index| self.departed.remove(index));
+        let runner = RunnerHandle::new(record, revision);
+        if let Some(departed) = departed {
+            runner.rest_until_ms.set(departed.rest_until_ms);
+            if departed.has_said_so {
+                runner.is_leaving.set(true);
+            } else if revision.era > departed.era {
+                // An older copy holds it again; it may not live any more.
+                runner.held_back_ms.set(now_ms);
             }
         }
+        Rc::new(runner)
     }
 
     /// Takes a runner out that has left.
@@ -325,9 +473,29 @@
         let runner = self.runners.remove(index);
         runner.is_gone.set(true);
         runner.idle.borrow_mut().clear();
+        if self.departed.len() >= MOST_DEPARTED {
+            self.departed.pop_front();
+        }
+        self.departed
+            .push_back(DepartedRunner::of(&runner, self.era));
         Some(RosterChange::Left)
     }
 
+    /// Believes entries that have stayed since the store came back from an older
+    /// copy; returns the ids of their runners.
+    pub(crate) fn release_held_back(&self, now_ms: u64) -> Vec<String> {
+        let is_due = |runner: &&Rc<RunnerHandle>| {
+            let since_ms = runner.held_back_ms.get();
+            since_ms > 0 && now_ms.saturating_sub(since_ms) >= OLD_COPY_MS
+        };
+        let due = self.runners.iter().filter(is_due);
+        let released = due.map(|runner| {
+            runner.held_back_ms.set(0);
+            runner.record().id.clone()
+        });
+        released.collect()
+    }
+
     /// Notes that a runner's entry is missing after the store was away.
     pub(crate) fn note_missing(&mut self, id: &str, now_ms: u64) -> Option<RosterChange> {
         let runner = &self.runners[self.find(id).ok()?];
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -160,7 +160,7 @@
             paces: RefCell::default(),
             waits: RefCell::default(),
             lags: RefCell::default(),
-            replicas: RefCell::default(),
+            replicas: RefCell::new(FollowedKind::ALL.map(|kind| KindReplica::new(kind.rule()))),
             contacts: Default::default(),
             is_beat_due: Cell::new(false),
             gossip: RefCell::default(),
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -7,7 +7,7 @@
     roster::{RunnerHandle, RunnerStream},
 };
 use berylmount_adapter::request_headers::{
-    decode_reply, set_runner_headers, RunnerOrder, RunnerReply,
+    decode_notice, decode_reply, set_runner_headers, RunnerOrder, RunnerReply,
 };
 use berylmount_fleet::{RouteKind, RouteRule};
 use berylmount_h1::{
@@ -58,7 +58,8 @@
     NotRun(StatusCode),
     /// The runner may have run it, and no usable answer came.
     MayHaveRun(&'static str),
-    /// The runner answered whole, with success or failure.
+    /// The runner answered whole, with success or failure. A failure has not been
+    /// counted against it.
     Whole(WholeAnswer),
     /// A stream went to the caller up to its end.
     Streamed,
@@ -123,12 +124,18 @@
             Err(Interrupt::CallerGone) => return TryEnd::CallerGone,
             Err(Interrupt::TimedOut) => return TryEnd::TimedOut(false),
         };
+        // It may have asked for rest while the connection was made.
+        if self.runner.rest_left(boot_ms()).is_some() {
+            return TryEnd::NotSent("the runner rests");
+        }
         let end = self.exchange(stream, sink, &mut on_start).await;
         if let TryEnd::TimedOut(_) | TryEnd::CallerGone = end {
             return end;
         }
         let is_good = match &end {
-            TryEnd::Whole(answer) => !answer.status.is_server_error(),
+            // Perhaps the request is at fault; the caller of this judges.
+            TryEnd::Whole(answer) if answer.status.is_server_error() => return end,
+            TryEnd::Whole(_) => true,
             TryEnd::Streamed => true,
             _ => false,
         };
@@ -189,6 +196,8 @@
             Ok(Err(reason)) => return TryEnd::MayHaveRun(reason),
             Err(interrupt) => return interrupted(&interrupt),
         };
+        let notice = decode_notice(head.status, &head.headers);
+        self.runner.note_notice(notice, boot_ms());
         if let Some(load) = reply.load {
             self.runner.note_load(load, boot_ms());
         }
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -97,7 +97,7 @@
             ordered: order.version,
             ordered_at_ms: order.at_ms,
             running: runner.running.get() + others.on(key).running,
-            is_ready: runner.takes_requests(),
+            is_ready: runner.takes_requests() && runner.rest_left(now_ms).is_none(),
         }
     };
     let views: Vec<RolloutView> = runners.iter().map(view).collect();
@@ -144,6 +144,7 @@
     let record = runner.record();
     let mut client = RunnerClient::new(record.address);
     let outcome = order_runner(state, lease, &mut client, &record.id, goal).await;
+    runner.note_notice(client.notice(), boot_ms());
     let (runner_id, version) = (record.id.as_str(), goal.version);
     match outcome {
         Ok(Some(OrderOutcome::Started)) => {
--- a/crates/gateway/tests/store_eras.rs
+++ b/crates/gateway/tests/store_eras.rs
@@ -62,11 +62,16 @@
 
 #[test]
 fn a_revision_that_is_given_out_again_stands_for_another_change() {
-    let (first, second) = (sound(), sound());
+    let (first, lost, second) = (sound(), sound(), sound());
     let served = served(&[("r1", &first)]);
     let copy = served.store.copy();
     let entry = |runner: &StandinRunner| Some(runner.entry("svc", "ready"));
-    let before = served.store.put("servers", "gone", entry(&first));
+    let before = served.store.put("servers", "lost", entry(&lost));
+    served.store.put("servers", "r1", None);
+    wait_until("the change before", || {
+        served.call("GET /safe/x", "probe", "", "");
+        !arrivals(&lost).is_empty()
+    });
     served.store.come_back(&copy);
     let again = served.store.put("servers", "r2", entry(&second));
     served.store.put("servers", "r1", None);
--- a/crates/policy/src/duty_lease.rs
+++ b/crates/policy/src/duty_lease.rs
@@ -4,6 +4,13 @@
 //! holder renews it; another instance takes it after it has seen no renewal for
 //! a while by its own clock, so clocks need not agree.
 //!
+//! The store may come back from an older copy, in a new era: then the lease is
+//! gone or older, and revisions that were given out are given out again. Each era
+//! therefore has an object of its own, so that no write of an earlier era can
+//! meet it. A holder stops acting when it learns of the era. Whoever takes the
+//! lease then waits until nobody can act by an earlier one, unless it alone could
+//! act up to that moment.
+//!
 //! Invariants:
 //!
 //! - The holder acts only for a bounded time after it *sent* a renewal that
@@ -11,7 +18,8 @@
 //! - A new holder acts only when the one before can't have acted for the
 //!   exclusion time. A holder says in the lease that it acts before it does, so
 //!   one that had nothing to do excludes nobody.
-//! - The term rises with each new holder and serves as fencing number.
+//! - The term rises with each new holder and serves as fencing number. Terms of
+//!   an era are above those of all earlier ones, whatever the store has lost.
 
 use serde::{Deserialize, Serialize};
 
@@ -30,6 +38,8 @@
 const READ_MS: u64 = 600;
 /// Margin for rounding and late timers.
 const MARGIN_MS: u64 = 200;
+/// Terms of one era: more than holders can change between two drills of a store.
+const TERMS_AN_ERA: u64 = 1_000_000;
 
 /// The lease as the store holds it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -46,6 +56,10 @@
     pub is_acting: bool,
     /// Whether the holder has stopped acting.
     pub is_released: bool,
+    /// Whether acts of all earlier holders, of earlier eras too, surely exclude
+    /// nobody any more.
+    #[serde(default)]
+    pub is_settled: bool,
     /// When weights were named, as far as the holder knows. It is kept with the
     /// lease so that it outlives all processes.
     #[serde(default)]
@@ -111,6 +125,13 @@
     held: Option<HeldTerm>,
     /// Whether the record that was written last says that this instance acts.
     wrote_acting: bool,
+    /// The era of the store; 0 with a store that tells none.
+    era: u64,
+    /// When this instance learned of the era.
+    era_since_ms: u64,
+    /// The term of the era before, if this instance alone could act when it learned
+    /// of the era.
+    former: Option<HeldTerm>,
 }
 
 /// A term of this instance.
@@ -142,7 +163,49 @@
             is_absent: false,
             held: None,
             wrote_acting: false,
+            era: 0,
+            era_since_ms: 0,
+            former: None,
+        }
+    }
+
+    /// The era of the store that the lease is of.
+    pub fn era(&self) -> u64 {
+        self.era
+    }
+
+    /// Learns that the store is in `era`. A lease of an earlier one is no longer
+    /// held, and its object says nothing of this one.
+    pub fn note_era(&mut self, era: u64, now_ms: u64) {
+        if era <= self.era {
+            return;
+        }
+        // One that was still waiting does not know who else could act.
+        let acts = |held: &HeldTerm| held.acts_from_ms <= now_ms;
+        self.former = self.held.filter(|held| self.is_held(now_ms) && acts(held));
+        self.era = era;
+        self.era_since_ms = now_ms;
+        self.held = None;
+        self.seen = None;
+        self.is_absent = false;
+        self.read_at_ms = 0;
+    }
+
+    /// When acts under the leases of earlier eras are surely over.
+    fn earlier_over_ms(&self) -> u64 {
+        let is_settled = |(_, record): &(u64, LeaseRecord)| record.is_settled;
+        let is_over = self.former.is_some() || self.seen.as_ref().is_some_and(is_settled);
+        if self.era == 0 || is_over {
+            return 0;
         }
+        let last_act_ms = self.era_since_ms + self.times.valid_ms;
+        last_act_ms + self.times.exclusion_ms + MARGIN_MS
+    }
+
+    /// The least term that a new holder may take.
+    fn next_term(&self) -> u64 {
+        let seen = self.seen.as_ref().map_or(0, |(_, record)| record.term);
+        seen.max(self.era * TERMS_AN_ERA) + 1
     }
 
     /// The term in which this instance may act now, if it may.
@@ -198,7 +261,8 @@
             if now_ms < due && is_acting == held.is_acting {
                 return LeaseAction::Wait;
             }
-            let record = self.record(held.term, held.renewal + 1, is_acting);
+            let mut record = self.record(held.term, held.renewal + 1, is_acting);
+            record.is_settled = now_ms >= held.acts_from_ms;
             return LeaseAction::Replace(held.revision, record);
         }
         if !role.is_candidate {
@@ -208,15 +272,14 @@
             return LeaseAction::Read;
         }
         match &self.seen {
-            None if self.is_absent => LeaseAction::Create(self.record(1, 1, role.has_work)),
+            None if self.is_absent => LeaseAction::Create(self.first_record(role, now_ms)),
             None => LeaseAction::Wait,
             Some((revision, record)) => {
                 let silent_ms = now_ms.saturating_sub(self.seen_since_ms);
                 let lapsed = silent_ms > self.times.valid_ms + MARGIN_MS;
                 let is_own = record.holder == self.own;
                 if lapsed || record.is_released || is_own {
-                    let record = self.record(record.term + 1, 1, role.has_work);
-                    LeaseAction::Replace(*revision, record)
+                    LeaseAction::Replace(*revision, self.first_record(role, now_ms))
                 } else {
                     LeaseAction::Wait
                 }
@@ -231,10 +294,41 @@
         held.worked_at_ms > 0 && now_ms < held.worked_at_ms + excludes_ms
     }
 
+    /// The first record of a term. It says that this instance acts if it will, or if
+    /// acts of the term before, perhaps of the era before, still exclude others.
+    fn first_record(&self, role: LeaseRole, now_ms: u64) -> LeaseRecord {
+        let former = self.former.as_ref();
+        let has_acted = former.is_some_and(|former| self.should_act(former, now_ms))
+            || self.seen.as_ref().is_some_and(|(_, seen)| seen.is_acting);
+        let mut record = self.record(self.next_term(), 1, role.has_work || has_acted);
+        record.is_settled = now_ms >= self.first_act_ms(now_ms);
+        record
+    }
+
+    /// From when on this instance acts in a term that begins with a write sent at
+    /// `sent_ms`.
+    fn first_act_ms(&self, sent_ms: u64) -> u64 {
+        let earlier_ms = sent_ms.max(self.earlier_over_ms());
+        let Some((_, record)) = self.seen.as_ref().filter(|(_, record)| record.is_acting) else {
+            return earlier_ms;
+        };
+        // Acts of this instance don't exclude its own further ones, but those of the
+        // holder before may still do.
+        if record.holder == self.own && record.is_settled {
+            return earlier_ms;
+        }
+        let last_act_ms = match record.is_released {
+            true => self.seen_since_ms,
+            false => self.seen_since_ms + self.times.valid_ms,
+        };
+        earlier_ms.max(last_act_ms + self.times.exclusion_ms + MARGIN_MS)
+    }
+
     /// The record with which the holder gives the lease up, if it holds it.
-    pub fn release(&mut self) -> Option<(u64, LeaseRecord)> {
+    pub fn release(&mut self, now_ms: u64) -> Option<(u64, LeaseRecord)> {
         let held = self.held.take().filter(|held| held.is_known)?;
         let mut record = self.record(held.term, held.renewal + 1, held.is_acting);
+        record.is_settled = now_ms >= held.acts_from_ms;
         record.is_released = true;
         Some((held.revision, record))
     }
@@ -303,28 +397,11 @@
 
     /// A term that begins with a write sent at `sent_ms`.
     fn first_term(&self, revision: u64, sent_ms: u64) -> HeldTerm {
-        let mut worked_at_ms = if self.wrote_acting { sent_ms } else { 0 };
-        let (term, acts_from_ms) = match &self.seen {
-            None => (1, sent_ms),
-            Some((_, record)) => {
-                let last_act_ms = match record.is_released {
-                    true => self.seen_since_ms,
-                    false => self.seen_since_ms + self.times.valid_ms,
-                };
-                let excluded_ms = last_act_ms + self.times.exclusion_ms + MARGIN_MS;
-                // Acts of this instance don't exclude its own further ones.
-                if record.is_acting {
-                    // The lease goes on excluding others for the one before.
-                    worked_at_ms = sent_ms;
-                }
-                let is_free = record.holder == self.own || !record.is_acting;
-                let from_ms = if is_free { sent_ms } else { excluded_ms };
-                (record.term + 1, from_ms)
-            }
-        };
+        let worked_at_ms = if self.wrote_acting { sent_ms } else { 0 };
+        let acts_from_ms = self.first_act_ms(sent_ms);
         HeldTerm {
             revision,
-            term,
+            term: self.next_term(),
             renewal: 1,
             valid_until_ms: 0,
             acts_from_ms,
@@ -348,6 +425,7 @@
             renewal,
             is_acting,
             is_released: false,
+            is_settled: false,
             named: Vec::new(),
         }
     }
--- a/crates/policy/src/runner_health.rs
+++ b/crates/policy/src/runner_health.rs
@@ -3,6 +3,9 @@
 //! Load: a runner fails half of its requests, or leaves them unanswered, while
 //! it reports itself healthy. Only the requests show it, so each end counts;
 //! a failure weighs at once and is forgotten slowly, unless successes follow.
+//!
+//! Some requests fail wherever they run. Counted against their runners they make
+//! sound ones look like those above, so such a request is judged in their place.
 
 use crate::decay::decayed;
 
@@ -11,6 +14,22 @@
 /// Time in which an old share of failures halves, in milliseconds.
 const HALF_LIFE_MS: f64 = 3000.0;
 
+/// Share of failures up to which a runner counts as sound.
+const SOUND_FAILURES: f64 = 0.3;
+
+/// Whether a request is at fault that runners answered with errors of their own,
+/// given the recent share of failures of each: at least two, all sound.
+///
+/// ```
+/// use berylmount_policy::runner_health::is_request_at_fault;
+///
+/// assert!(is_request_at_fault(&[0.0, 0.1]));
+/// assert!(!is_request_at_fault(&[0.0]) && !is_request_at_fault(&[0.0, 0.6]));
+/// ```
+pub fn is_request_at_fault(failures: &[f64]) -> bool {
+    failures.len() > 1 && failures.iter().all(|share| *share <= SOUND_FAILURES)
+}
+
 /// The recent share of failures of one runner.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct RunnerHealth {
--- a/crates/policy/tests/duties.rs
+++ b/crates/policy/tests/duties.rs
@@ -1,5 +1,6 @@
 //! Plays the lease of a duty among instances that freeze, and whose writes are
-//! lost or late, and checks that acts of two holders never come too close.
+//! lost or late, with a store that comes back from older copies, and checks that
+//! acts of two holders never come too close.
 
 #![allow(clippy::unwrap_used)]
 
@@ -16,25 +17,30 @@
     exclusion_ms: 3000,
 };
 
-/// The lease's object in the store.
-#[derive(Default)]
+/// The lease's objects in the store, one for each era that wrote any.
+#[derive(Clone, Default)]
 struct StoredLease {
+    era: u64,
     revision: u64,
-    record: Option<LeaseRecord>,
+    objects: Vec<(u64, u64, LeaseRecord)>,
 }
 
 impl StoredLease {
-    fn write(&mut self, expected: u64, record: &LeaseRecord) -> bool {
-        let current = if self.record.is_some() {
-            self.revision
-        } else {
-            0
-        };
+    /// The object of an era, with its revision.
+    fn get(&self, era: u64) -> Option<(u64, LeaseRecord)> {
+        let mut objects = self.objects.iter();
+        let (_, revision, record) = objects.find(|(of, _, _)| *of == era)?;
+        Some((*revision, record.clone()))
+    }
+
+    fn write(&mut self, era: u64, expected: u64, record: &LeaseRecord) -> bool {
+        let current = self.get(era).map_or(0, |(revision, _)| revision);
         if current != expected {
             return false;
         }
         self.revision += 1;
-        self.record = Some(record.clone());
+        self.objects.retain(|(of, _, _)| *of != era);
+        self.objects.push((era, self.revision, record.clone()));
         true
     }
 }
@@ -49,6 +55,12 @@
     Late(u64),
     /// The instance stands still for this long after sending.
     Frozen(u64),
+    /// The store is copied.
+    Copied,
+    /// The store comes back from its copy.
+    CameBack,
+    /// The instance starts again.
+    Restarted,
 }
 
 fn step_fault() -> impl Strategy<Value = StepFault> {
@@ -57,6 +69,9 @@
         2 => Just(StepFault::AnswerLost),
         1 => (500u64..6000).prop_map(StepFault::Late),
         1 => (500u64..6000).prop_map(StepFault::Frozen),
+        1 => Just(StepFault::Copied),
+        1 => Just(StepFault::CameBack),
+        1 => Just(StepFault::Restarted),
     ]
 }
 
@@ -66,19 +81,32 @@
         faults in prop::collection::vec((0usize..3, step_fault(), any::<bool>()), 400),
     ) {
         let mut store = StoredLease::default();
-        let mut late: Vec<(u64, u64, LeaseRecord)> = Vec::new();
+        let mut copy = store.clone();
+        let mut late: Vec<(u64, u64, u64, LeaseRecord)> = Vec::new();
         let names = ["a", "b", "c"];
         let mut leases = names.map(|name| DutyLease::new(name, 1, TIMES));
         let mut frozen_until = [0u64; 3];
         let mut acts: Vec<(u64, usize, u64)> = Vec::new();
         for (step, (who, fault, has_work)) in faults.into_iter().enumerate() {
             let now_ms = 10_000 + step as u64 * 70;
-            late.retain(|(at_ms, revision, record)| {
+            late.retain(|(at_ms, era, revision, record)| {
                 if *at_ms <= now_ms {
-                    store.write(*revision, record);
+                    store.write(*era, *revision, record);
                 }
                 *at_ms > now_ms
             });
+            match fault {
+                StepFault::Copied => copy = store.clone(),
+                StepFault::CameBack => {
+                    let era = store.era + 1;
+                    store = StoredLease { era, ..copy.clone() };
+                }
+                StepFault::Restarted => {
+                    leases[who] = DutyLease::new(names[who], now_ms, TIMES);
+                    frozen_until[who] = now_ms;
+                }
+                _ => {}
+            }
             for (index, lease) in leases.iter().enumerate() {
                 if let Some(term) = lease.acting_term(now_ms) {
                     if frozen_until[index] <= now_ms {
@@ -91,11 +119,12 @@
             }
             let role = LeaseRole { is_candidate: true, has_work };
             let lease = &mut leases[who];
+            let era = lease.era();
             let (expected, record) = match lease.next(now_ms, role) {
                 LeaseAction::Wait => continue,
                 LeaseAction::Read => {
-                    let found = store.record.clone().map(|record| (store.revision, record));
-                    lease.note_read(found, now_ms);
+                    lease.note_era(store.era, now_ms);
+                    lease.note_read(store.get(store.era), now_ms);
                     continue;
                 }
                 LeaseAction::Create(record) => (0, record),
@@ -103,11 +132,16 @@
             };
             match fault {
                 StepFault::Late(delay_ms) => {
-                    late.push((now_ms + delay_ms, expected, record));
+                    late.push((now_ms + delay_ms, era, expected, record));
                     lease.note_write(LeaseWrite::Unclear, now_ms, now_ms + 5);
                 }
                 _ => {
-                    let stored = store.write(expected, &record);
+                    let stored = store.write(era, expected, &record);
+                    if store.era > era && !matches!(fault, StepFault::AnswerLost) {
+                        // The answer shows that the write crossed the change.
+                        lease.note_era(store.era, now_ms);
+                        continue;
+                    }
                     let write = match (fault, stored) {
                         (StepFault::AnswerLost, _) => LeaseWrite::Unclear,
                         (_, true) => LeaseWrite::Stored(store.revision),
@@ -172,7 +206,7 @@
         let LeaseAction::Create(record) = first.next(1000, idle) else {
             panic!("an absent lease is created");
         };
-        assert!(store.write(0, &record));
+        assert!(store.write(0, 0, &record));
         first.note_write(LeaseWrite::Stored(1), 1000, 1005);
         let mut second = DutyLease::new("b", 1, TIMES);
         let busy = LeaseRole {
@@ -196,6 +230,57 @@
     }
 }
 
+/// Takes the lease as soon as the times allow; returns the record and when.
+fn take(lease: &mut DutyLease, store: &mut StoredLease, from_ms: u64) -> (LeaseRecord, u64) {
+    let role = LeaseRole {
+        is_candidate: true,
+        has_work: true,
+    };
+    for now_ms in (from_ms..from_ms + 20_000).step_by(50) {
+        let (expected, record) = match lease.next(now_ms, role) {
+            LeaseAction::Wait => continue,
+            LeaseAction::Read => {
+                lease.note_era(store.era, now_ms);
+                lease.note_read(store.get(store.era), now_ms);
+                continue;
+            }
+            LeaseAction::Create(record) => (0, record),
+            LeaseAction::Replace(revision, record) => (revision, record),
+        };
+        assert!(store.write(lease.era(), expected, &record));
+        lease.note_write(LeaseWrite::Stored(store.revision), now_ms, now_ms + 5);
+        return (record, now_ms);
+    }
+    panic!("the lease was not taken");
+}
+
+/// Each era has its own object and terms; who held the lease goes on at once.
+#[test]
+fn a_lease_is_taken_anew_in_each_era() {
+    let mut store = StoredLease {
+        era: 1,
+        ..StoredLease::default()
+    };
+    let mut first = DutyLease::new("a", 1, TIMES);
+    let (record, taken_ms) = take(&mut first, &mut store, 1000);
+    assert_eq!(record.term, 1_000_001);
+    // Nobody knows who acted before the first era that this one saw.
+    assert_eq!(first.acting_term(taken_ms + 100), None);
+    let copy = store.clone();
+    store = StoredLease { era: 2, ..copy };
+    let mut second = first.clone();
+    first.note_era(2, taken_ms + 200);
+    assert!(!first.is_held(taken_ms + 200));
+    let (record, taken_ms) = take(&mut first, &mut store, taken_ms + 200);
+    assert_eq!((record.term, first.era()), (2_000_001, 2));
+    // A holder that learns of the era too late can't tell who acted meanwhile.
+    second.note_era(2, taken_ms + 9000);
+    assert_eq!(second.acting_term(taken_ms + 9000), None);
+    let (record, taken_ms) = take(&mut second, &mut store, taken_ms + 9000);
+    assert_eq!(record.term, 2_000_002);
+    assert_eq!(second.acting_term(taken_ms + 100), None);
+}
+
 #[test]
 fn the_oldest_weights_are_replaced_first() {
     let ready = RolloutView {
--- a/crates/telemetry/src/bounded.rs
+++ b/crates/telemetry/src/bounded.rs
@@ -151,7 +151,10 @@
 
 /// Leaves a record of a panic, in place of the text on standard error.
 fn log_panic(info: &PanicHookInfo<'_>) {
-    let fault = info.payload_as_str().unwrap_or("no text");
+    let payload = info.payload();
+    let text = payload.downcast_ref::<&str>().copied();
+    let text = text.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
+    let fault = text.unwrap_or("no text");
     let place = info.location().map(ToString::to_string);
     let place = place.unwrap_or_default();
     log::error!(target: "process", fault, place; "panicked");
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -59,6 +59,8 @@
     /// Calls of the platform that failed, by kind of call.
     #[strum(props(label = "call"))]
     PlatformFaultsTotal,
+    /// Times that the store came back from an older copy.
+    StoreErasTotal,
     /// Orders to targets, by outcome: `done`, `fenced`, `failed`.
     #[strum(props(label = "outcome"))]
     TargetOrdersTotal,
@@ -88,6 +90,8 @@
     HeldBytes,
     /// Version of the table head that is in force here.
     TableVersion,
+    /// The store's era: how often it has come back from an older copy.
+    StoreEra,
     /// Whether this process holds the duty of ordering weights: 0 or 1.
     DutyHeld,
     /// Milliseconds since the table was last confirmed; at a gateway for how
