Let trials leave one mechanism out of a build

The users ask for an ablation of each mechanism that is believed in. Ruled out: settings (no operator or caller may switch these) and fifteen cargo features passed through three crates. A usual build has all of them.

--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -10,6 +10,7 @@
     KeptStore, PromptPart, PromptShape, RouteTable, ServiceKind, ServingCustomer,
 };
 use berylmount_policy::{
+    ablation::PolicyMechanism,
     kept_parts::{
         plan_transfers, KeptPart, PartKey, PartNeed, PromptTraits, StoreCatalogue, StoreView,
         TransferPlan,
@@ -143,6 +144,9 @@
 
     /// The lag of a store, or of a runner that parts are copied from.
     pub(crate) fn lag_ms(&self, store: u64) -> f64 {
+        if !PolicyMechanism::StoreLags.is_on() {
+            return 0.0;
+        }
         let found = self.lags.binary_search_by_key(&store, |(key, _)| *key);
         found.map_or(0.0, |index| f64::from(self.lags[index].1))
     }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -12,6 +12,7 @@
 use berylmount_adapter::request_headers::CacheOrder;
 use berylmount_fleet::{EngineTraits, RouteTable, ServiceKind, ServingCustomer};
 use berylmount_policy::{
+    ablation::PolicyMechanism,
     admission::{free_places, has_room, placed_part, starts_soon, AdmissionNeed},
     kept_parts::PromptTraits,
     placing::{choose, draw_runner, sample_runners, PlacingNeed, RunnerView},
@@ -193,7 +194,7 @@
     if is_engine {
         open = share_room(state, placing, views, open, now_ms);
     }
-    if state.peers.borrow().is_large(now_ms) {
+    if state.peers.borrow().is_large(now_ms) && PolicyMechanism::RunnerSample.is_on() {
         open = sample_runners(views, open, &mut rng());
     }
     open
@@ -220,6 +221,7 @@
         sources.push(source.key());
     }
     let clock_ms = transfers.state.runner_clock.get().at(now_ms);
+    let clock_ms = clock_ms.filter(|_| PolicyMechanism::FetchLimit.is_on());
     let limit_ms = fetch_limit(view, need, &placing.need) as u64;
     order.fetch_until_ms = clock_ms.map(|clock_ms| clock_ms + limit_ms);
     (Some(order), sources)
@@ -239,7 +241,7 @@
     let mut pace = state.others_pace(placing.service, now_ms);
     pace.ended_per_s *= open.len() as f64 / views.len() as f64;
     let part = placed_part(places.iter().sum(), &pace);
-    if part >= 1.0 {
+    if part >= 1.0 || !PolicyMechanism::PlacedByDraw.is_on() {
         return open;
     }
     if placing.draw > part {
@@ -321,7 +323,11 @@
             booked_tokens: sent.booked_tokens,
             memory_tokens: engine.map_or(0, |engine| engine.memory_tokens),
             slowness: load.map_or(1.0, |load| f64::from(load.slowness_percent) / 100.0),
-            failures: runner.failures(now_ms),
+            failures: if PolicyMechanism::RunnerHealth.is_on() {
+                runner.failures(now_ms)
+            } else {
+                0.0
+            },
             distance_ms: if record.data_centre == own_data_centre {
                 0.0
             } else {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -15,6 +15,7 @@
 use berylmount_fleet::{ProcessSettings, RouteTable, WeightsGoal};
 use berylmount_model::unix_ms;
 use berylmount_policy::{
+    ablation::PolicyMechanism,
     admission::{OfferRate, OthersPace},
     duty_lease::NamedRecord,
     engine_pace::{EnginePace, FirstEvent},
@@ -344,7 +345,8 @@
     /// Tells the other instances at once of the load that a long prompt puts on a
     /// runner. In a large fleet their messages would outgrow what they save.
     pub(crate) fn tell_placed(&self, runner: u64, share: LoadShare) {
-        if !self.peers.borrow().is_large(boot_ms()) {
+        let is_small = !self.peers.borrow().is_large(boot_ms());
+        if is_small && PolicyMechanism::ToldPlacement.is_on() {
             self.placed.borrow_mut().push((runner, share));
             self.placed_soon.notify_one();
         }
@@ -364,6 +366,12 @@
         let paces = self.paces.borrow();
         let found = paces.binary_search_by_key(&key, |(known, _)| *known);
         let own = found.map_or_else(|_| EnginePace::default(), |index| paces[index].1.engines);
+        if !PolicyMechanism::LearnedPace.is_on() {
+            return EnginePace::default();
+        }
+        if !PolicyMechanism::SharedPace.is_on() {
+            return own;
+        }
         own.or_told(self.peers.borrow().engine_paces(key, now_ms))
     }
 
--- a/crates/gateway/src/transfers.rs
+++ b/crates/gateway/src/transfers.rs
@@ -10,6 +10,7 @@
 use berylmount_adapter::request_headers::CacheOrder;
 use berylmount_fleet::EngineTraits;
 use berylmount_policy::{
+    ablation::PolicyMechanism,
     admission::AdmissionNeed,
     kept_parts::{fetch_limit_ms, PromptTraits, TransferPlan},
     placing::{estimate, PlacingNeed, RunnerView},
@@ -51,7 +52,8 @@
 
     fn plan(&mut self, version: u64, data_centre: &str) -> Option<Rc<TransferPlan>> {
         let model = &self.placing.call.request.prompt.as_ref()?.model;
-        if !self.may_fetch || is_retired(&self.state.retired.borrow(), model, version) {
+        let may_fetch = self.may_fetch && PolicyMechanism::KeptStores.is_on();
+        if !may_fetch || is_retired(&self.state.retired.borrow(), model, version) {
             return None;
         }
         let is_same =
@@ -100,6 +102,9 @@
         let Some(prefix) = prompt.and_then(prefix_key) else {
             return Self { homes: Vec::new() };
         };
+        if !PolicyMechanism::PrefixHomes.is_on() {
+            return Self { homes: Vec::new() };
+        }
         let takes = |index: &usize| parts.is_none_or(|parts| parts[*index] == length);
         let takers: Vec<usize> = (0..candidates.len()).filter(takes).collect();
         let keys: Vec<u64> = takers.iter().map(|i| candidates[*i].key()).collect();
@@ -120,6 +125,9 @@
         runner: &Rc<RunnerHandle>,
         now_ms: u64,
     ) -> Option<&'a Rc<RunnerHandle>> {
+        if !PolicyMechanism::RunnerCopies.is_on() {
+            return None;
+        }
         let weights = weights_at(placing, runner);
         let is_source = |home: &&Rc<RunnerHandle>| {
             !Rc::ptr_eq(home, runner)
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! | module | decides |
 //! | --- | --- |
+//! | [`ablation`] | which mechanisms this build has |
 //! | [`admission`] | whether a request starts now, waits or is refused |
 //! | [`assignment`] | which member serves a customer, owns a group or keeps a prompt |
 //! | [`limits`] | whether a customer may start another request |
@@ -32,6 +33,7 @@
 //!
 //! Everything here works on hints. A wrong hint costs time, never correctness.
 
+pub mod ablation;
 pub mod admission;
 pub mod assignment;
 mod buckets;
--- a/crates/policy/src/prompt_pools.rs
+++ b/crates/policy/src/prompt_pools.rs
@@ -12,7 +12,7 @@
 //! where instances see another ratio, only the runners in between differ. The
 //! other part remains open at a cost, so that a crest of one kind spreads.
 
-use crate::decay::decayed;
+use crate::{ablation::PolicyMechanism, decay::decayed};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Time to read a prompt from which on it is long, in milliseconds: a sixth of
@@ -107,7 +107,8 @@
 /// assert_eq!(part_runners(&runners, 0.0), None);
 /// ```
 pub fn part_runners(runners: &[u64], long_share: f64) -> Option<Vec<PromptLength>> {
-    let is_mixed = (LEAST_SHARE..=1.0 - LEAST_SHARE).contains(&long_share);
+    let is_on = PolicyMechanism::PromptPools.is_on();
+    let is_mixed = is_on && (LEAST_SHARE..=1.0 - LEAST_SHARE).contains(&long_share);
     if !is_mixed || runners.len() < LEAST_RUNNERS {
         return None;
     }
--- a/crates/policy/src/runner_health.rs
+++ b/crates/policy/src/runner_health.rs
@@ -7,7 +7,7 @@
 //! Some requests fail wherever they run. Counted against their runners they make
 //! sound ones look like those above, so such a request is judged in their place.
 
-use crate::decay::decayed;
+use crate::{ablation::PolicyMechanism, decay::decayed};
 
 /// Weight of one more end in the share of failures.
 const END_WEIGHT: f64 = 0.25;
@@ -27,7 +27,8 @@
 /// assert!(!is_request_at_fault(&[0.0]) && !is_request_at_fault(&[0.0, 0.6]));
 /// ```
 pub fn is_request_at_fault(failures: &[f64]) -> bool {
-    failures.len() > 1 && failures.iter().all(|share| *share <= SOUND_FAILURES)
+    let is_on = PolicyMechanism::RequestBlame.is_on();
+    is_on && failures.len() > 1 && failures.iter().all(|share| *share <= SOUND_FAILURES)
 }
 
 /// The recent share of failures of one runner.
