--- a/crates/policy/src/duty_lease.rs
+++ b/crates/policy/src/duty_lease.rs
@@ -227,7 +227,8 @@
     /// ```
     pub fn acting_term(&self, now_ms: u64) -> Option<u64> {
         let held = self.held.filter(|held| held.is_known && held.is_acting)?;
-        let acts = (held.acts_from_ms..held.valid_until_ms).contains(&now_ms);
+        let until_ms = held.valid_until_ms.min(self.acts_until_ms(&held));
+        let acts = (held.acts_from_ms..until_ms).contains(&now_ms);
         acts.then_some(held.term)
     }
 
@@ -291,7 +292,13 @@
     /// and as long afterwards as its last act excludes others.
     fn should_act(&self, held: &HeldTerm, now_ms: u64) -> bool {
         let excludes_ms = self.times.exclusion_ms + MARGIN_MS;
-        held.worked_at_ms > 0 && now_ms < held.worked_at_ms + excludes_ms
+        held.worked_at_ms > 0 && now_ms < self.acts_until_ms(held) + excludes_ms
+    }
+
+    /// Until when a holder may act that has had no work since. Work that comes later
+    /// waits until the lease says once more that it acts.
+    fn acts_until_ms(&self, held: &HeldTerm) -> u64 {
+        held.worked_at_ms + self.times.valid_ms
     }
 
     /// The first record of a term. It says that this instance acts if it will, or if
