Hold the lease only while there is work

Change: the lease is given up once the holder's acts exclude nobody, and only who has work reads or takes it. Ruled out: longer validity for idle holders (a dead one would hold up the next rollout). Test: an idle holder gives it up and its successor acts at once; a working one excludes; without work nobody takes it; the fuzz plays releases, lost and late ones too.

--- a/crates/gateway/src/duty.rs
+++ b/crates/gateway/src/duty.rs
@@ -65,6 +65,10 @@
             LeaseAction::Replace(revision, record) => {
                 write(&state, &lease, Some(revision), &record).await;
             }
+            LeaseAction::Release(revision, record) => {
+                let era = lease.borrow().era();
+                give_up(&state, era, revision, &record).await;
+            }
         }
         let is_held = lease.borrow().is_held(boot_ms());
         if is_held != was_held {
@@ -202,10 +206,14 @@
 async fn release(state: &GatewayState, lease: &SharedLease) {
     let era = lease.borrow().era();
     let released = lease.borrow_mut().release(boot_ms());
-    let Some((revision, record)) = released else {
-        return;
-    };
-    match store_record(state, era, Some(revision), &record).await {
+    if let Some((revision, record)) = released {
+        give_up(state, era, revision, &record).await;
+    }
+}
+
+/// Writes that the lease is given up; without the write it lapses.
+async fn give_up(state: &GatewayState, era: u64, revision: u64, record: &LeaseRecord) {
+    match store_record(state, era, Some(revision), record).await {
         Ok(_) => log::info!(target: "duty", lease = LEASE_NAME; "lease released"),
         Err(fault) => log::warn!(target: "duty", fault:% ; "lease not released, it lapses"),
     }
--- a/crates/policy/src/duty_lease.rs
+++ b/crates/policy/src/duty_lease.rs
@@ -1,8 +1,9 @@
 //! Which instance does a duty that only one may do at a time.
 //!
-//! The lease is one object in the store, changed only under its revision. The
-//! holder renews it; another instance takes it after it has seen no renewal for
-//! a while by its own clock, so clocks need not agree.
+//! The lease is one object in the store, changed only under its revision. It is
+//! held only while there is work, since each renewal is a call. The holder renews
+//! it; another instance takes it after it has seen no renewal for a while by its
+//! own clock, so clocks need not agree, or at once after it was given up.
 //!
 //! The store may come back from an older copy, in a new era: then the lease is
 //! gone or older, and revisions that were given out are given out again. Each era
@@ -88,12 +89,15 @@
     Create(LeaseRecord),
     /// Replace the object at this revision.
     Replace(u64, LeaseRecord),
+    /// Replace the object at this revision, to give the lease up. It is no longer
+    /// held, however the write ends.
+    Release(u64, LeaseRecord),
 }
 
 /// What an instance is to the lease at this moment.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct LeaseRole {
-    /// Whether it takes a lease that nobody holds.
+    /// Whether it takes a lease that nobody holds, if it has work.
     pub is_candidate: bool,
     /// Whether it would act as holder.
     pub has_work: bool,
@@ -245,6 +249,9 @@
                 held.worked_at_ms = now_ms;
             }
         }
+        if let Some((revision, record)) = self.idle_release(now_ms) {
+            return LeaseAction::Release(revision, record);
+        }
         let action = self.due_action(now_ms, role);
         if let LeaseAction::Create(record) | LeaseAction::Replace(_, record) = &action {
             self.wrote_acting = record.is_acting;
@@ -266,7 +273,7 @@
             record.is_settled = now_ms >= held.acts_from_ms;
             return LeaseAction::Replace(held.revision, record);
         }
-        if !role.is_candidate {
+        if !role.is_candidate || !role.has_work {
             return LeaseAction::Wait;
         }
         if now_ms >= self.read_at_ms + READ_MS || self.read_at_ms == 0 {
@@ -288,6 +295,18 @@
         }
     }
 
+    /// The record with which a holder without work gives the lease up, once its acts
+    /// exclude nobody any more.
+    fn idle_release(&mut self, now_ms: u64) -> Option<(u64, LeaseRecord)> {
+        let held = self.held.filter(|held| held.is_known)?;
+        if self.should_act(&held, now_ms) {
+            return None;
+        }
+        let (revision, mut record) = self.release(now_ms)?;
+        record.is_acting = false;
+        Some((revision, record))
+    }
+
     /// Whether the lease should say that this instance acts: while it has work,
     /// and as long afterwards as its last act excludes others.
     fn should_act(&self, held: &HeldTerm, now_ms: u64) -> bool {
--- a/crates/policy/tests/duties.rs
+++ b/crates/policy/tests/duties.rs
@@ -127,6 +127,15 @@
                     lease.note_read(store.get(store.era), now_ms);
                     continue;
                 }
+                LeaseAction::Release(revision, record) => {
+                    match fault {
+                        StepFault::Late(delay_ms) => {
+                            late.push((now_ms + delay_ms, era, revision, record));
+                        }
+                        _ => drop(store.write(era, revision, &record)),
+                    }
+                    continue;
+                }
                 LeaseAction::Create(record) => (0, record),
                 LeaseAction::Replace(revision, record) => (revision, record),
             };
@@ -191,41 +200,39 @@
     }
 }
 
-/// A holder that says it acts excludes its successor; one without work does not.
+/// A holder excludes its successor; one that has no work left gives the lease up,
+/// and its successor acts at once. Without work nobody takes it.
 #[test]
 fn an_idle_holder_excludes_nobody() {
+    let role = |has_work| LeaseRole {
+        is_candidate: true,
+        has_work,
+    };
     for has_work in [false, true] {
         let mut store = StoredLease::default();
         let mut first = DutyLease::new("a", 1, TIMES);
-        let idle = LeaseRole {
-            is_candidate: true,
-            has_work,
-        };
-        first.next(1000, idle);
-        first.note_read(None, 1000);
-        let LeaseAction::Create(record) = first.next(1000, idle) else {
-            panic!("an absent lease is created");
-        };
-        assert!(store.write(0, 0, &record));
-        first.note_write(LeaseWrite::Stored(1), 1000, 1005);
-        let mut second = DutyLease::new("b", 1, TIMES);
-        let busy = LeaseRole {
-            is_candidate: true,
-            has_work: true,
-        };
-        let mut taken_ms = None;
-        for now_ms in (1100..9000).step_by(100) {
-            match second.next(now_ms, busy) {
-                LeaseAction::Read => second.note_read(Some((1, record.clone())), now_ms),
-                LeaseAction::Replace(1, _) => {
-                    taken_ms = Some(now_ms);
-                    second.note_write(LeaseWrite::Stored(2), now_ms, now_ms + 5);
-                    break;
+        assert_eq!(first.next(1000, role(false)), LeaseAction::Wait);
+        take(&mut first, &mut store, 1000);
+        let mut released_ms = None;
+        for now_ms in (1200..9000).step_by(100) {
+            match first.next(now_ms, role(has_work)) {
+                LeaseAction::Replace(revision, record) => {
+                    assert!(store.write(0, revision, &record));
+                    first.note_write(LeaseWrite::Stored(store.revision), now_ms, now_ms + 5);
                 }
-                _ => {}
+                LeaseAction::Release(revision, record) => {
+                    assert!(store.write(0, revision, &record));
+                    released_ms = Some(now_ms);
+                }
+                LeaseAction::Wait => {}
+                action => panic!("{action:?}"),
             }
         }
-        let taken_ms = taken_ms.unwrap();
+        assert_eq!(released_ms.is_some(), !has_work);
+        assert_eq!(first.is_held(9000), has_work);
+        // The second one sees no renewal of a holder that has died.
+        let mut second = DutyLease::new("b", 1, TIMES);
+        let (_, taken_ms) = take(&mut second, &mut store, 9000);
         assert_eq!(second.acting_term(taken_ms + 10).is_some(), !has_work);
     }
 }
@@ -246,6 +253,7 @@
             }
             LeaseAction::Create(record) => (0, record),
             LeaseAction::Replace(revision, record) => (revision, record),
+            LeaseAction::Release(..) => panic!("it has work"),
         };
         assert!(store.write(lease.era(), expected, &record));
         lease.note_write(LeaseWrite::Stored(store.revision), now_ms, now_ms + 5);
