Start large fleets from neighbours and bound the calls of a lost store

Cause: each of the processes that start listed three kinds and wrote its entry again; while too few watchers had contact every instance called the store, with up to two calls a second for each kind.

Change: in a large fleet a process takes its copies from others that live near; if nobody knows a kind, a few list it and the rest wait a second for theirs. An instance registers only where the list lacks it. While fewer than two watchers have contact, four of the others try at a time on the mean, by lot, and go on if the store answers. Four watch a kind (five before), runners every 300 ms (150).

Ruled out: longer watches (a silent connection would hold up a table).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock::boot_ms,
-    neighbours::ask_neighbours,
+    neighbours::{ask_neighbours, starts_from_neighbours},
     peer_link::pull_replica,
     peers::PeerBeat,
     replica::{KindReplica, ReplicaChange, ReplicaRule},
@@ -36,10 +36,22 @@
 /// batches: while a fleet starts, an instance does not know yet that it is large,
 /// and a hundred runners register within seconds.
 const BATCH_INTERVAL: Duration = Duration::from_millis(150);
+/// Time between two watches of runners in a large fleet: a small part of the time
+/// after which a leaving runner gets no new request.
+const LARGE_BATCH_INTERVAL: Duration = Duration::from_millis(300);
 /// Instances of a large fleet that watch a kind.
-const WATCHERS: usize = 5;
-/// Watching instances with contact below which others watch as well.
-const LEAST_WATCHERS: usize = 3;
+const WATCHERS: usize = 4;
+/// Watching instances with contact below which others try as well.
+const LEAST_WATCHERS: usize = 2;
+/// How many of the others try at a time, on the mean over the whole fleet: while
+/// the store is away all of them together must not call it more often.
+const SUBSTITUTES: f64 = 4.0;
+/// How long one of the others goes on watching once the store has answered it, in
+/// milliseconds.
+const SUBSTITUTE_MS: u64 = 3000;
+/// Time from its start for which a process does not watch that has taken copies
+/// from its neighbours, in milliseconds: by then it has heard who does.
+const SETTLE_MS: u64 = 1500;
 /// How often the others look whether they should watch.
 const OTHERS_INTERVAL: Duration = Duration::from_millis(300);
 /// Wait of the first watch after contact was lost.
@@ -98,6 +110,8 @@
     lost_at_ms: Cell<u64>,
     /// When contact was last regained.
     back_at_ms: Cell<u64>,
+    /// Until when this instance watches in place of those that should.
+    substitute_until_ms: Cell<u64>,
 }
 
 impl StoreContact {
@@ -122,16 +136,22 @@
     let mut follower = KindFollower {
         state,
         kind,
-        needs_listing: true,
+        needs_listing: false,
         backoff: FIRST_BACKOFF,
     };
+    if starts_from_neighbours(&follower.state, kind).await {
+        sleep(Duration::from_millis(SETTLE_MS)).await;
+    }
     loop {
-        if !is_watcher(&follower.state, kind) {
+        if !is_watcher(&follower.state, kind) && !follower.draws_lot() {
             sleep(OTHERS_INTERVAL).await;
             continue;
         }
         match follower.step().await {
-            Ok(()) => follower.note_contact(),
+            Ok(()) => {
+                follower.note_contact();
+                follower.stay_substitute();
+            }
             Err(fault) => follower.note_fault(&fault).await,
         }
     }
@@ -145,8 +165,13 @@
     if !peers.is_large(now_ms) {
         return true;
     }
-    let is_chosen = state.duty_rank(kind.store_kind(), now_ms) < WATCHERS;
-    is_chosen || peers.in_contact(kind, now_ms) < LEAST_WATCHERS
+    let is_substitute = now_ms < state.contacts[kind as usize].substitute_until_ms.get();
+    is_substitute || state.duty_rank(kind.store_kind(), now_ms) < WATCHERS
+}
+
+/// Whether too few of those that should watch a kind have contact with the store.
+fn lacks_watchers(state: &GatewayState, kind: FollowedKind, now_ms: u64) -> bool {
+    state.peers.borrow().in_contact(kind, now_ms) < LEAST_WATCHERS
 }
 
 /// Whether this instance watches a kind and the store answers.
@@ -166,7 +191,7 @@
 impl KindFollower {
     async fn step(&mut self) -> Result<(), StoreFault> {
         let kind = self.kind.store_kind();
-        if self.needs_listing {
+        if self.needs_listing || !self.replica(|replica| replica.is_known()) {
             let listing = self.state.store.list(kind, false).await?;
             self.needs_listing = false;
             let known = self.replica(|replica| replica.revision());
@@ -192,8 +217,10 @@
                 let changes = self.replica(|replica| replica.apply_watch(&told, revision));
                 apply_changes(&self.state, self.kind, &changes);
                 let is_large = self.state.peers.borrow().is_large(boot_ms());
-                if is_large || self.kind == FollowedKind::Runners {
-                    sleep(BATCH_INTERVAL).await;
+                match (self.kind, is_large) {
+                    (FollowedKind::Runners, true) => sleep(LARGE_BATCH_INTERVAL).await,
+                    (FollowedKind::Runners, false) | (_, true) => sleep(BATCH_INTERVAL).await,
+                    (_, false) => {}
                 }
             }
             WatchOutcome::HistoryGone => {
@@ -206,6 +233,24 @@
         Ok(())
     }
 
+    /// Whether this instance, which need not watch, tries in place of others now.
+    fn draws_lot(&self) -> bool {
+        let now_ms = boot_ms();
+        let live = self.state.peers.borrow().live_count(now_ms).max(1);
+        let chance = (SUBSTITUTES / live as f64).min(1.0);
+        lacks_watchers(&self.state, self.kind, now_ms) && rng().random_bool(chance)
+    }
+
+    /// Goes on watching in place of others while they lack contact.
+    fn stay_substitute(&self) {
+        let now_ms = boot_ms();
+        let is_chosen = self.state.duty_rank(self.kind.store_kind(), now_ms) < WATCHERS;
+        if !is_chosen && lacks_watchers(&self.state, self.kind, now_ms) {
+            let contact = &self.state.contacts[self.kind as usize];
+            contact.substitute_until_ms.set(now_ms + SUBSTITUTE_MS);
+        }
+    }
+
     fn replica<R>(&self, act: impl FnOnce(&mut KindReplica) -> R) -> R {
         act(&mut self.state.replicas.borrow_mut()[self.kind as usize])
     }
@@ -327,7 +372,7 @@
 }
 
 /// Brings changes of a copy into force.
-fn apply_changes(state: &GatewayState, kind: FollowedKind, changes: &[ReplicaChange]) {
+pub(crate) fn apply_changes(state: &GatewayState, kind: FollowedKind, changes: &[ReplicaChange]) {
     if !changes.is_empty() && is_watcher(state, kind) {
         // Those that don't watch learn of it by the next beat.
         state.is_beat_due.set(true);
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -126,30 +126,20 @@
     addresses
 }
 
-/// Registers this instance and keeps reading the list of instances.
+/// Keeps reading the list of instances, and registers this one where it is missing:
+/// at its first start, or after the store has come back from an older copy.
 pub(crate) async fn follow_instances(state: Rc<GatewayState>) {
-    let mut is_registered = false;
-    let mut registered_era = 0;
     loop {
         if state.is_leaving() {
             deregister(&state).await;
             return;
         }
-        if state.store.era() != registered_era {
-            // An older copy of the store may lack the entry.
-            is_registered = false;
-        }
+        let mut is_registered = read_list(&state).await;
         if !is_registered {
             is_registered = register(&state).await;
-            registered_era = state.store.era();
-        }
-        match state.store.list(INSTANCE_KIND, true).await {
-            Ok(listing) => {
-                let entries = listing.objects.iter().filter_map(decode_entry).collect();
-                let mut instances = state.instances.borrow_mut();
-                instances.replace(entries, listing.revision.era, boot_ms());
+            if is_registered {
+                read_list(&state).await;
             }
-            Err(fault) => log::warn!(target: "instances", fault:% ; "list not read"),
         }
         let interval = if is_registered {
             // Beats tell of other instances sooner; the list must not cost a large
@@ -159,14 +149,33 @@
         } else {
             REGISTER_INTERVAL
         };
+        let era = state.store.era();
         let end = tokio::time::Instant::now() + interval;
-        let is_old = || state.store.era() != registered_era;
-        while tokio::time::Instant::now() < end && !state.is_leaving() && !is_old() {
+        let is_due = || tokio::time::Instant::now() >= end || state.store.era() != era;
+        while !is_due() && !state.is_leaving() {
             sleep(Duration::from_millis(100)).await;
         }
     }
 }
 
+/// Reads the list of instances; returns whether this one's entry is in it.
+async fn read_list(state: &GatewayState) -> bool {
+    let listing = match state.store.list(INSTANCE_KIND, true).await {
+        Ok(listing) => listing,
+        Err(fault) => {
+            log::warn!(target: "instances", fault:% ; "list not read");
+            return false;
+        }
+    };
+    let settings = state.settings();
+    let own = (settings.name.clone(), InstanceEntry::of(&settings));
+    let entries: Vec<_> = listing.objects.iter().filter_map(decode_entry).collect();
+    let is_registered = entries.contains(&own);
+    let mut instances = state.instances.borrow_mut();
+    instances.replace(entries, listing.revision.era, boot_ms());
+    is_registered
+}
+
 fn decode_entry(object: &StoredObject) -> Option<(String, InstanceEntry)> {
     match decode_own::<InstanceEntry>(&object.spec) {
         Ok(entry) => Some((object.name.clone(), entry)),
