Let only a few instances of a large fleet call the store at its start

Change: an instance that has just registered reads the list again after 0.6 s, and waits for it before it follows kinds; while it has not heard the others, a lot that is always the same decides whether it watches; copies are taken from one neighbour, near ones first.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock::boot_ms,
-    neighbours::{ask_neighbours, starts_from_neighbours},
+    neighbours::{ask_neighbours, starts_from_neighbours, LARGE_LIST},
     peer_link::pull_replica,
     peers::PeerBeat,
     replica::{KindReplica, ReplicaChange, ReplicaRule},
@@ -22,6 +22,7 @@
     objects::{decode_runner, decode_table, decode_weights, RUNNER_KIND, TABLE_KIND, WEIGHTS_KIND},
     store_client::{EraRevision, StoreFault, StoredObject, WatchOutcome},
 };
+use berylmount_policy::shared_duties::lot_of;
 use berylmount_telemetry::CounterMetric;
 use rand::{rng, RngExt};
 use serde::{Deserialize, Serialize};
@@ -46,12 +47,13 @@
 /// How many of the others try at a time, on the mean over the whole fleet: while
 /// the store is away all of them together must not call it more often.
 const SUBSTITUTES: f64 = 4.0;
+/// Instances that watch a kind while they have not heard each other yet, on the mean.
+const FIRST_WATCHERS: f64 = 6.0;
 /// How long one of the others goes on watching once the store has answered it, in
 /// milliseconds.
 const SUBSTITUTE_MS: u64 = 3000;
-/// Time from its start for which a process does not watch that has taken copies
-/// from its neighbours, in milliseconds: by then it has heard who does.
-const SETTLE_MS: u64 = 1500;
+/// Time from its start until a process has heard the others, in milliseconds.
+const SETTLE_MS: u64 = 2500;
 /// How often the others look whether they should watch.
 const OTHERS_INTERVAL: Duration = Duration::from_millis(300);
 /// Wait of the first watch after contact was lost.
@@ -139,9 +141,7 @@
         needs_listing: false,
         backoff: FIRST_BACKOFF,
     };
-    if starts_from_neighbours(&follower.state, kind).await {
-        sleep(Duration::from_millis(SETTLE_MS)).await;
-    }
+    starts_from_neighbours(&follower.state, kind).await;
     loop {
         if !is_watcher(&follower.state, kind) && !follower.draws_lot() {
             sleep(OTHERS_INTERVAL).await;
@@ -159,16 +159,29 @@
 
 /// Whether this instance watches a kind itself. In a large fleet a few do, as
 /// long as enough of them have contact with the store.
-fn is_watcher(state: &GatewayState, kind: FollowedKind) -> bool {
+pub(crate) fn is_watcher(state: &GatewayState, kind: FollowedKind) -> bool {
     let now_ms = boot_ms();
     let peers = state.peers.borrow();
-    if !peers.is_large(now_ms) {
+    let listed = state.instances.borrow().entries().len();
+    let is_young = now_ms < state.begun_ms + SETTLE_MS;
+    let is_large = peers.is_large(now_ms) || (is_young && listed > LARGE_LIST);
+    if !is_large {
         return true;
     }
+    if now_ms < state.begun_ms + SETTLE_MS {
+        return is_first_watcher(state, kind);
+    }
     let is_substitute = now_ms < state.contacts[kind as usize].substitute_until_ms.get();
     is_substitute || state.duty_rank(kind.store_kind(), now_ms) < WATCHERS
 }
 
+/// Whether an instance that has not heard the others yet watches a kind, by a lot
+/// that is always the same for it.
+fn is_first_watcher(state: &GatewayState, kind: FollowedKind) -> bool {
+    let lot = lot_of(&state.settings().name, kind.store_kind());
+    lot * state.instance_count() as f64 <= FIRST_WATCHERS
+}
+
 /// Whether too few of those that should watch a kind have contact with the store.
 fn lacks_watchers(state: &GatewayState, kind: FollowedKind, now_ms: u64) -> bool {
     state.peers.borrow().in_contact(kind, now_ms) < LEAST_WATCHERS
@@ -199,7 +212,7 @@
             self.note_contact();
             note_era(&self.state, self.kind, known, listing.revision);
             if self.kind == FollowedKind::Table && known == EraRevision::default() {
-                changes.extend(ask_neighbours(&self.state, self.kind).await);
+                changes.extend(ask_neighbours(&self.state).await);
             }
             apply_changes(&self.state, self.kind, &changes);
             return Ok(());
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -22,6 +22,9 @@
 const LIST_INTERVAL: Duration = Duration::from_millis(2500);
 /// Instances that read the list at that pace; more read it less often.
 const LIST_FLEET: u32 = 12;
+/// Time within which instances that start together register: the spread of their
+/// starts, and some calls.
+const START_SPREAD: Duration = Duration::from_millis(600);
 /// Time between two tries to register.
 const REGISTER_INTERVAL: Duration = Duration::from_millis(500);
 /// How long a caller may use an answer. Short, so that callers soon leave an
@@ -67,6 +70,8 @@
     era: u64,
     /// Until when entries stay that a new era lacks.
     keeps_until_ms: u64,
+    /// Whether it names the instances that started together with this one.
+    is_settled: bool,
 }
 
 impl InstanceList {
@@ -100,6 +105,12 @@
         self.entries = entries;
     }
 
+    /// Whether it names the instances that started together with this one, so that
+    /// the size of the fleet shows.
+    pub(crate) fn is_settled(&self) -> bool {
+        self.is_settled
+    }
+
     /// Entries by name.
     pub(crate) fn entries(&self) -> &[(String, InstanceEntry)] {
         &self.entries
@@ -138,9 +149,12 @@
         if !is_registered {
             is_registered = register(&state).await;
             if is_registered {
+                // Others that start now register within this time.
+                sleep(START_SPREAD).await;
                 read_list(&state).await;
             }
         }
+        state.instances.borrow_mut().is_settled |= is_registered;
         let interval = if is_registered {
             // Beats tell of other instances sooner; the list must not cost a large
             // fleet a call each.
--- a/crates/gateway/src/neighbours.rs
+++ b/crates/gateway/src/neighbours.rs
@@ -6,13 +6,13 @@
 
 use crate::{
     clock::boot_ms,
-    follow::{apply_changes, FollowedKind},
+    follow::{apply_changes, is_watcher, FollowedKind},
     peer_link::{peer_addresses, pull_replica},
     replica::{ReplicaChange, ReplicaDelta},
     state::GatewayState,
 };
 use berylmount_adapter::store_client::EraRevision;
-use rand::{rng, seq::SliceRandom, RngExt};
+use rand::{rng, seq::SliceRandom};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
     task::spawn_local,
@@ -20,80 +20,88 @@
 };
 
 /// Instances that are asked: one that lives and knows is enough.
-const NEIGHBOURS: usize = 5;
+const NEIGHBOURS: usize = 3;
 /// Of these, at most so many of the same data centre.
-const NEAR_NEIGHBOURS: usize = 3;
+const NEAR_NEIGHBOURS: usize = 2;
 /// Listed instances up to which each one lists kinds itself.
-const LARGE_LIST: usize = 12;
-/// How many instances list a kind themselves that no neighbour knows, on the mean.
-const FIRST_LISTERS: f64 = 6.0;
-/// Time for those to pass it on, in milliseconds: a listing, a heartbeat, a copy.
+pub(crate) const LARGE_LIST: usize = 12;
+/// Time for those that list a kind to pass it on, in milliseconds: a listing, a heartbeat, a copy.
 const FIRST_COPY_MS: u64 = 1000;
-/// Longest wait for the list of instances, in milliseconds: some calls of the store.
-const LIST_MS: u64 = 200;
+/// Longest wait for the list of instances, in milliseconds: somewhat more than
+/// instances that start together need to register.
+const LIST_MS: u64 = 900;
 /// Time between two looks at the list.
 const LIST_INTERVAL: Duration = Duration::from_millis(10);
 /// Time for all answers: some round trips within a region.
-const ANSWER_TIME: Duration = Duration::from_millis(300);
+const ANSWER_TIME: Duration = Duration::from_millis(120);
 
-/// Takes what other instances know of a kind beyond the own copy.
-pub(crate) async fn ask_neighbours(state: &GatewayState, kind: FollowedKind) -> Vec<ReplicaChange> {
+/// Takes what other instances know of the table beyond the own copy.
+pub(crate) async fn ask_neighbours(state: &GatewayState) -> Vec<ReplicaChange> {
+    let kind = FollowedKind::Table;
     let begun_ms = boot_ms();
-    await_list(state).await;
     let addresses = neighbours(state);
     let asked = addresses.len();
     let questions = addresses
         .into_iter()
         .map(|address| spawn_local(ask(address, kind)));
     let questions: Vec<_> = questions.collect();
-    let mut deltas: Vec<ReplicaDelta> = Vec::new();
+    let mut changes = Vec::new();
     for question in questions {
         // One that panicked has left its own record.
-        deltas.extend(question.await.ok().flatten());
+        if let Some(delta) = question.await.ok().flatten() {
+            changes.extend(state.replicas.borrow_mut()[kind as usize].apply_delta(&delta));
+        }
     }
-    let answered = deltas.len();
-    let mut replicas = state.replicas.borrow_mut();
-    let replica = &mut replicas[kind as usize];
-    let changes = deltas.iter().flat_map(|delta| replica.apply_delta(delta));
-    let changes: Vec<ReplicaChange> = changes.collect();
     let took_ms = boot_ms().saturating_sub(begun_ms);
     log::info!(
         target: "follow",
-        kind:%, asked, answered, changes = changes.len(), took_ms;
+        kind:%, asked, changes = changes.len(), took_ms;
         "other instances asked at the start"
     );
     changes
 }
 
+/// Takes a copy of a kind from the first other instance that has one.
+async fn take_copy(state: &GatewayState, kind: FollowedKind) {
+    for address in neighbours(state) {
+        let Some(delta) = ask(address, kind).await else {
+            continue;
+        };
+        let changes = state.replicas.borrow_mut()[kind as usize].apply_delta(&delta);
+        apply_changes(state, kind, &changes);
+        if state.replicas.borrow()[kind as usize].is_known() {
+            return;
+        }
+    }
+}
+
 /// Takes a kind from other instances in place of the store, if the list names many:
-/// when a large fleet starts, its listings would be a burst of calls. Returns
-/// whether the kind is known now.
+/// when a large fleet starts, its listings would be a burst of calls.
 ///
 /// If none of them knows it yet, a few list it at once; the others give them time
 /// to pass it on.
-pub(crate) async fn starts_from_neighbours(state: &GatewayState, kind: FollowedKind) -> bool {
+pub(crate) async fn starts_from_neighbours(state: &GatewayState, kind: FollowedKind) {
     await_list(state).await;
-    let is_known = || state.replicas.borrow()[kind as usize].is_known();
     if state.instances.borrow().entries().len() <= LARGE_LIST {
-        return false;
+        return;
     }
-    let changes = ask_neighbours(state, kind).await;
-    apply_changes(state, kind, &changes);
-    let chance = (FIRST_LISTERS / state.instance_count() as f64).min(1.0);
-    if is_known() || rng().random_bool(chance) {
-        return is_known();
+    take_copy(state, kind).await;
+    let is_known = || state.replicas.borrow()[kind as usize].is_known();
+    if kind == FollowedKind::Table && is_known() {
+        // Another one may know a higher version.
+        let changes = ask_neighbours(state).await;
+        apply_changes(state, kind, &changes);
     }
     let end_ms = boot_ms() + FIRST_COPY_MS;
-    while !is_known() && boot_ms() < end_ms {
+    while !is_known() && !is_watcher(state, kind) && boot_ms() < end_ms {
         sleep(LIST_INTERVAL).await;
     }
-    is_known()
 }
 
-/// Waits a moment for the list of instances.
+/// Waits until the list of instances shows how large the fleet is.
 async fn await_list(state: &GatewayState) {
     let end_ms = boot_ms() + LIST_MS;
-    while state.instances.borrow().entries().is_empty() && boot_ms() < end_ms {
+    while !state.instances.borrow().is_settled() && boot_ms() < end_ms {
         sleep(LIST_INTERVAL).await;
     }
 }
--- a/crates/policy/src/shared_duties.rs
+++ b/crates/policy/src/shared_duties.rs
@@ -21,6 +21,19 @@
     pub strength: u32,
 }
 
+/// The lot of a member for a duty, from 0 to 1: the same whoever else lives, so that
+/// members that have not heard of each other yet can draw it.
+///
+/// ```
+/// use berylmount_policy::shared_duties::lot_of;
+///
+/// assert_eq!(lot_of("a", "lease"), lot_of("a", "lease"));
+/// assert!((0.0..=1.0).contains(&lot_of("b", "lease")));
+/// ```
+pub fn lot_of(member: &str, duty: &str) -> f64 {
+    pair_hash(duty.as_bytes(), member) as f64 / u64::MAX as f64
+}
+
 /// How many of `others` come before `own` for a duty.
 ///
 /// All instances that know the same members find the same order, in which the
