Ask neighbours for the table only after the store has come back once

Ruled out: a shorter wait (a loaded neighbour needs some of it). Change: era 0 asks nobody. The tests of eras pass; what it is worth is not measured by itself.

--- a/crates/gateway/src/neighbours.rs
+++ b/crates/gateway/src/neighbours.rs
@@ -35,8 +35,12 @@
 /// Time for all answers: some round trips within a region.
 const ANSWER_TIME: Duration = Duration::from_millis(120);
 
-/// Takes what other instances know of the table beyond the own copy.
+/// Takes what other instances know of the table beyond the own copy, if the store
+/// has ever come back from an older one.
 pub(crate) async fn ask_neighbours(state: &GatewayState) -> Vec<ReplicaChange> {
+    if state.store.era() == 0 {
+        return Vec::new();
+    }
     let kind = FollowedKind::Table;
     let begun_ms = boot_ms();
     let addresses = neighbours(state);
