--- a/crates/gateway/src/neighbours.rs
+++ b/crates/gateway/src/neighbours.rs
@@ -27,9 +27,9 @@
 pub(crate) const LARGE_LIST: usize = 12;
 /// Time for those that list a kind to pass it on, in milliseconds: a listing, a heartbeat, a copy.
 const FIRST_COPY_MS: u64 = 1000;
-/// Longest wait for the list of instances, in milliseconds: somewhat more than
+/// Longest wait for the list of instances, in milliseconds: more than twice what
 /// instances that start together need to register.
-const LIST_MS: u64 = 900;
+const LIST_MS: u64 = 1500;
 /// Time between two looks at the list.
 const LIST_INTERVAL: Duration = Duration::from_millis(10);
 /// Time for all answers: some round trips within a region.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,7 +17,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Silence after which an instance is taken as gone, in intervals of its beats.
-const SILENT_BEATS: u64 = 4;
+const SILENT_BEATS: u64 = 6;
 /// Least silence after which an instance is taken as gone, in milliseconds.
 const LEAST_SILENCE_MS: u64 = 1200;
 /// Time after which a silent instance gets no more beats, in milliseconds.
@@ -25,12 +25,8 @@
 /// Pace of beats for each instance, in milliseconds, so that the datagrams that
 /// an instance gets in a second don't grow with the fleet.
 const PACE_MS: u64 = 3;
-/// Instances up to which the datagrams that one gets in a second don't grow; beyond
-/// that they get fewer, so that those of all don't grow with the square of the fleet.
-const PACED_FLEET: u64 = 150;
-/// Shortest and longest interval of beats, in milliseconds. The longest is a part of
-/// the time after which a table must be in force, since beats tell of it.
-const INTERVAL_MS: (u64, u64) = (100, 1500);
+/// Shortest and longest interval of beats, in milliseconds.
+const INTERVAL_MS: (u64, u64) = (100, 1000);
 /// Live instances beyond the own from which on only some ask stores and tell the
 /// others. Below it, asking costs less than being told late.
 const LARGE_FLEET: usize = 12;
@@ -203,9 +199,7 @@
     /// The interval of beats, in milliseconds.
     pub(crate) fn interval_ms(&self) -> u64 {
         let (least, most) = INTERVAL_MS;
-        let fleet = self.peers.len() as u64 + 1;
-        let paced_ms = PACE_MS * fleet * fleet.max(PACED_FLEET) / PACED_FLEET;
-        paced_ms.clamp(least, most)
+        (PACE_MS * (self.peers.len() as u64 + 1)).clamp(least, most)
     }
 
     fn silence_ms(&self) -> u64 {
