Name heartbeats, retry shares and the prefix cache by the field's terms

The house style asks for heartbeat, retry budget and prefix cache; the code said beat, second tries and kept parts. Renamed: types, functions, modules and the gauge berylmount_retries_left (berylmount_second_tries_left before).

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -13,7 +13,7 @@
     clock::boot_ms,
     neighbours::{ask_neighbours, starts_from_neighbours, LARGE_LIST},
     peer_link::pull_replica,
-    peers::PeerBeat,
+    peers::PeerHeartbeat,
     replica::{KindReplica, ReplicaChange, ReplicaRule},
     roster::RosterChange,
     state::GatewayState,
@@ -340,7 +340,7 @@
 ) -> Option<(String, SocketAddr, EraRevision)> {
     let (peers, now_ms) = (state.peers.borrow(), boot_ms());
     let known = state.replicas.borrow()[kind as usize].revision();
-    let is_later = |beat: &PeerBeat| beat.changed_at[kind as usize] > known;
+    let is_later = |heartbeat: &PeerHeartbeat| heartbeat.changed_at[kind as usize] > known;
     if let Some((name, address)) = peers.any_ahead(now_ms, is_later) {
         return Some((name, address, known));
     }
@@ -348,14 +348,14 @@
         FollowedKind::Runners => None,
         FollowedKind::Table => {
             let version = state.table().map_or(0, |table| table.version);
-            peers.any_ahead(now_ms, |beat| beat.table_version > version)
+            peers.any_ahead(now_ms, |heartbeat| heartbeat.table_version > version)
         }
         FollowedKind::Weights => {
             let is_higher = |(model, version, _): &(String, u64, u64)| {
                 let known = state.goal_of(model);
                 known.is_none_or(|known| known.goal.version < *version)
             };
-            peers.any_ahead(now_ms, |beat| beat.goals.iter().any(is_higher))
+            peers.any_ahead(now_ms, |heartbeat| heartbeat.goals.iter().any(is_higher))
         }
     }?;
     Some((name, address, EraRevision::default()))
@@ -387,8 +387,8 @@
 /// Brings changes of a copy into force.
 pub(crate) fn apply_changes(state: &GatewayState, kind: FollowedKind, changes: &[ReplicaChange]) {
     if !changes.is_empty() && is_watcher(state, kind) {
-        // Those that don't watch learn of it by the next beat.
-        state.is_beat_due.set(true);
+        // Those that don't watch learn of it by the next heartbeat.
+        state.is_heartbeat_due.set(true);
     }
     for change in changes {
         match (kind, change) {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -197,7 +197,7 @@
                     return CallEnd::Own(answer);
                 }
             };
-            if log.sent > 0 && !state.take_second_try(&self.service, boot_ms()) {
+            if log.sent > 0 && !state.take_retry(&self.service, boot_ms()) {
                 break;
             }
             self.note_placed(state, call, &placed);
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -34,8 +34,8 @@
         let now_ms = boot_ms();
         let lost_ms = state.contacts[FollowedKind::Table as usize].lost_ms(now_ms);
         metrics.set(GaugeMetric::TableAgeMs, "", lost_ms as i64);
-        if let Some(left) = state.second_tries_left(now_ms) {
-            metrics.set(GaugeMetric::SecondTriesLeft, "", left as i64);
+        if let Some(left) = state.retries_left(now_ms) {
+            metrics.set(GaugeMetric::RetriesLeft, "", left as i64);
         }
         let lagging = state.stores.borrow().lagging() as i64;
         metrics.set(GaugeMetric::LaggingStores, "", lagging);
--- a/crates/gateway/src/kept.rs
+++ b/crates/gateway/src/kept.rs
@@ -11,7 +11,7 @@
 };
 use berylmount_policy::{
     ablation::PolicyMechanism,
-    kept_parts::{
+    prefix_cache::{
         plan_transfers, KeptPart, PartKey, PartNeed, PromptTraits, StoreCatalogue, StoreView,
         TransferPlan,
     },
--- a/crates/gateway/src/kept/follow.rs
+++ b/crates/gateway/src/kept/follow.rs
@@ -8,7 +8,7 @@
     state::GatewayState,
 };
 use berylmount_adapter::runner_calls::{CacheChanges, CacheEvent, CallFault, RunnerClient};
-use berylmount_policy::kept_parts::{KeptPart, PartEvent, PartKey, StoreCatalogue};
+use berylmount_policy::prefix_cache::{KeptPart, PartEvent, PartKey, StoreCatalogue};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{task::spawn_local, time::sleep};
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -1,6 +1,6 @@
-//! Messages between instances: beats as datagrams, copies over connections.
+//! Messages between instances: heartbeats as datagrams, copies over connections.
 //!
-//! Both are encoded with `bincode`. A beat is one datagram, because it must not
+//! Both are encoded with `bincode`. A heartbeat is one datagram, because it must not
 //! wait behind a lost one, and because a connection can go silent. A copy goes
 //! over a connection of its own: a length in four bytes, then the message.
 
@@ -10,7 +10,7 @@
     follow::{has_contact, FollowedKind},
     instances::InstanceEntry,
     kept::{hear_gossip, StoreSnapshot},
-    peers::{LoadShare, PeerBeat, PeerMessage},
+    peers::{LoadShare, PeerHeartbeat, PeerMessage},
     replica::ReplicaDelta,
     state::GatewayState,
 };
@@ -32,7 +32,7 @@
 /// some hundred kilobytes.
 const MESSAGE_BYTES: usize = 8 << 20;
 /// Time between two looks whether a message is due.
-const BEAT_TICK: Duration = Duration::from_millis(50);
+const HEARTBEAT_TICK: Duration = Duration::from_millis(50);
 /// Time for one exchange of a copy.
 const PULL_TIME: Duration = Duration::from_millis(800);
 
@@ -67,18 +67,18 @@
     Malformed(String),
 }
 
-/// Sends beats and hears those of others.
-pub(crate) async fn exchange_beats(state: Rc<GatewayState>, socket: UdpSocket) {
+/// Sends heartbeats and hears those of others.
+pub(crate) async fn exchange_heartbeats(state: Rc<GatewayState>, socket: UdpSocket) {
     let socket = Rc::new(socket);
-    spawn_local(hear_beats(state.clone(), socket.clone()));
+    spawn_local(hear_heartbeats(state.clone(), socket.clone()));
     let mut waited = Duration::ZERO;
     // Outlives the other branch, so that many long prompts don't hold it up.
-    let mut ticks = interval(BEAT_TICK);
+    let mut ticks = interval(HEARTBEAT_TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             biased;
-            _ = ticks.tick() => waited += BEAT_TICK,
+            _ = ticks.tick() => waited += HEARTBEAT_TICK,
             () = state.placed_soon.notified() => {
                 tell_placed(&state, &socket).await;
                 continue;
@@ -86,7 +86,7 @@
         }
         let interval = Duration::from_millis(state.peers.borrow().interval_ms());
         let gossip = state.gossip.take();
-        let is_due = || waited >= interval || state.is_beat_due.get();
+        let is_due = || waited >= interval || state.is_heartbeat_due.get();
         if gossip.is_empty() && !is_due() {
             continue;
         }
@@ -99,9 +99,9 @@
             continue;
         }
         waited = Duration::ZERO;
-        state.is_beat_due.set(false);
-        let beat = PeerMessage::Beat(Box::new(own_beat(&state)));
-        send_message(&socket, &addresses, &beat).await;
+        state.is_heartbeat_due.set(false);
+        let heartbeat = PeerMessage::Heartbeat(Box::new(own_heartbeat(&state)));
+        send_message(&socket, &addresses, &heartbeat).await;
         let now_ms = boot_ms();
         state
             .peers
@@ -123,21 +123,23 @@
     }
 }
 
-async fn hear_beats(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
+async fn hear_heartbeats(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0u8; DATAGRAM_BYTES];
     loop {
         let length = match socket.recv_from(&mut buffer).await {
             Ok((length, _)) => length,
             Err(error) => {
-                log::warn!(target: "peers", error:% ; "beat not received");
+                log::warn!(target: "peers", error:% ; "heartbeat not received");
                 sleep(Duration::from_millis(20)).await;
                 continue;
             }
         };
         match decode::<PeerMessage>(&buffer[..length]) {
-            Ok(PeerMessage::Beat(beat)) if beat.is_understood() => note_beat(&state, *beat),
-            Ok(PeerMessage::Beat(beat)) => {
-                log::warn!(target: "peers", peer = beat.name; "beat of another form");
+            Ok(PeerMessage::Heartbeat(heartbeat)) if heartbeat.is_understood() => {
+                note_heartbeat(&state, *heartbeat)
+            }
+            Ok(PeerMessage::Heartbeat(heartbeat)) => {
+                log::warn!(target: "peers", peer = heartbeat.name; "heartbeat of another form");
             }
             Ok(PeerMessage::Kept(peer, told)) => hear_gossip(&state, &peer, &told),
             Ok(PeerMessage::Placed(peer, runner, share)) => {
@@ -149,18 +151,22 @@
 }
 
 /// Takes what another instance tells of itself.
-fn note_beat(state: &GatewayState, beat: PeerBeat) {
-    let peer = beat.name.clone();
-    if let Some(notice) = &beat.duty {
+fn note_heartbeat(state: &GatewayState, heartbeat: PeerHeartbeat) {
+    let peer = heartbeat.name.clone();
+    if let Some(notice) = &heartbeat.duty {
         state.retire(&notice.retired);
     }
-    for (model, version, age_ms) in &beat.goals {
+    for (model, version, age_ms) in &heartbeat.goals {
         state.apply_goal_age(model, *version, *age_ms);
     }
-    if let Some(clock_ms) = beat.runner_clock_ms {
+    if let Some(clock_ms) = heartbeat.runner_clock_ms {
         state.note_runner_clock(clock_ms, boot_ms());
     }
-    if state.peers.borrow_mut().note_beat(beat, boot_ms()) {
+    if state
+        .peers
+        .borrow_mut()
+        .note_heartbeat(heartbeat, boot_ms())
+    {
         log::info!(target: "peers", peer; "instance heard");
     }
 }
@@ -177,7 +183,7 @@
     }
 }
 
-/// Where beats go: listed and heard instances, and those that the settings name.
+/// Where heartbeats go: listed and heard instances, and those that the settings name.
 pub(crate) fn peer_addresses(state: &GatewayState) -> Vec<SocketAddr> {
     let settings = state.settings();
     let instances = state.instances.borrow();
@@ -201,17 +207,17 @@
     addresses
 }
 
-fn own_beat(state: &GatewayState) -> PeerBeat {
+fn own_heartbeat(state: &GatewayState) -> PeerHeartbeat {
     let settings = state.settings();
     let entry = InstanceEntry::of(&settings);
-    let mut beat = PeerBeat::new(&settings.name, entry, state.started_ms);
-    beat.strength = settings.machine.strength();
-    beat.is_ready = !state.is_leaving() && state.table().is_some();
+    let mut heartbeat = PeerHeartbeat::new(&settings.name, entry, state.started_ms);
+    heartbeat.strength = settings.machine.strength();
+    heartbeat.is_ready = !state.is_leaving() && state.table().is_some();
     let replicas = state.replicas.borrow();
-    for (slot, replica) in beat.changed_at.iter_mut().zip(replicas.iter()) {
+    for (slot, replica) in heartbeat.changed_at.iter_mut().zip(replicas.iter()) {
         *slot = replica.changed_at();
     }
-    beat.table_version = state.table().map_or(0, |table| table.version);
+    heartbeat.table_version = state.table().map_or(0, |table| table.version);
     let now_ms = boot_ms();
     let goals = state.goals.borrow();
     for named in goals.iter() {
@@ -219,27 +225,27 @@
             let age_ms = now_ms.saturating_sub(*at_ms);
             (named.goal.model.clone(), *version, age_ms)
         });
-        beat.goals.extend(told);
+        heartbeat.goals.extend(told);
     }
     for kind in FollowedKind::iter() {
-        beat.in_contact[kind as usize] = has_contact(state, kind);
+        heartbeat.in_contact[kind as usize] = has_contact(state, kind);
     }
-    beat.paces = state.own_paces(now_ms);
-    beat.engine_paces = state.own_engine_paces();
-    beat.runner_clock_ms = state.runner_clock.get().at(now_ms);
-    beat.lags = state.lags.borrow().lags(now_ms);
+    heartbeat.paces = state.own_paces(now_ms);
+    heartbeat.engine_paces = state.own_engine_paces();
+    heartbeat.runner_clock_ms = state.runner_clock.get().at(now_ms);
+    heartbeat.lags = state.lags.borrow().lags(now_ms);
     let runners = state.runners.borrow();
     let loads = runners
         .all()
         .iter()
         .map(|runner| (runner.key(), runner.own_load()));
-    beat.loads = loads
+    heartbeat.loads = loads
         .filter(|(_, load)| *load != LoadShare::default())
         .collect();
-    beat.loads.sort_unstable_by_key(|(key, _)| *key);
-    beat.confirmed = state.fetches.borrow().confirmed(&state.retired.borrow());
-    beat.duty = state.duty_notice.borrow().clone();
-    beat
+    heartbeat.loads.sort_unstable_by_key(|(key, _)| *key);
+    heartbeat.confirmed = state.fetches.borrow().confirmed(&state.retired.borrow());
+    heartbeat.duty = state.duty_notice.borrow().clone();
+    heartbeat
 }
 
 /// Answers instances that ask for a copy.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -16,22 +16,22 @@
 use strum::EnumCount;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Silence after which an instance is taken as gone, in intervals of its beats.
-const SILENT_BEATS: u64 = 6;
+/// Silence after which an instance is taken as gone, in intervals of its heartbeats.
+const SILENT_HEARTBEATS: u64 = 6;
 /// Least silence after which an instance is taken as gone, in milliseconds.
 const LEAST_SILENCE_MS: u64 = 1200;
-/// Time after which a silent instance gets no more beats, in milliseconds.
+/// Time after which a silent instance gets no more heartbeats, in milliseconds.
 const FORGET_MS: u64 = 15_000;
-/// Pace of beats for each instance, in milliseconds, so that the datagrams that
+/// Pace of heartbeats for each instance, in milliseconds, so that the datagrams that
 /// an instance gets in a second don't grow with the fleet.
 const PACE_MS: u64 = 3;
-/// Shortest and longest interval of beats, in milliseconds.
+/// Shortest and longest interval of heartbeats, in milliseconds.
 const INTERVAL_MS: (u64, u64) = (100, 1000);
 /// Live instances beyond the own from which on only some ask stores and tell the
 /// others. Below it, asking costs less than being told late.
 const LARGE_FLEET: usize = 12;
-/// Form of a beat; beats of another form are left out.
-const BEAT_FORMAT: u8 = 4;
+/// Form of a heartbeat; heartbeats of another form are left out.
+const HEARTBEAT_FORMAT: u8 = 4;
 
 /// The key under which instances speak of a runner, store or service.
 pub(crate) fn spoken_key(name: &str) -> u64 {
@@ -83,7 +83,7 @@
 
 /// What an instance tells of itself.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) struct PeerBeat {
+pub(crate) struct PeerHeartbeat {
     format: u8,
     /// Its name.
     pub(crate) name: String,
@@ -120,11 +120,11 @@
     pub(crate) runner_clock_ms: Option<u64>,
 }
 
-impl PeerBeat {
-    /// A beat of an instance.
+impl PeerHeartbeat {
+    /// A heartbeat of an instance.
     pub(crate) fn new(name: &str, entry: InstanceEntry, started_ms: u64) -> Self {
         Self {
-            format: BEAT_FORMAT,
+            format: HEARTBEAT_FORMAT,
             name: name.to_owned(),
             entry,
             started_ms,
@@ -144,9 +144,9 @@
         }
     }
 
-    /// Whether this process understands the beat.
+    /// Whether this process understands the heartbeat.
     pub(crate) fn is_understood(&self) -> bool {
-        self.format == BEAT_FORMAT
+        self.format == HEARTBEAT_FORMAT
     }
 }
 
@@ -172,7 +172,7 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum PeerMessage {
     /// What an instance tells of itself.
-    Beat(Box<PeerBeat>),
+    Heartbeat(Box<PeerHeartbeat>),
     /// What a store keeps, with the name of the instance that follows it.
     Kept(String, KeptGossip),
     /// A long prompt that an instance has just sent to a runner: its name, the
@@ -183,7 +183,7 @@
 /// Another instance.
 #[derive(Clone, Debug)]
 struct KnownPeer {
-    beat: PeerBeat,
+    heartbeat: PeerHeartbeat,
     heard_at_ms: u64,
 }
 
@@ -196,44 +196,53 @@
 }
 
 impl PeerBook {
-    /// The interval of beats, in milliseconds.
+    /// The interval of heartbeats, in milliseconds.
     pub(crate) fn interval_ms(&self) -> u64 {
         let (least, most) = INTERVAL_MS;
         (PACE_MS * (self.peers.len() as u64 + 1)).clamp(least, most)
     }
 
     fn silence_ms(&self) -> u64 {
-        (self.interval_ms() * SILENT_BEATS).max(LEAST_SILENCE_MS)
+        (self.interval_ms() * SILENT_HEARTBEATS).max(LEAST_SILENCE_MS)
     }
 
-    /// Takes a beat; returns whether its sender was not known to live.
-    pub(crate) fn note_beat(&mut self, beat: PeerBeat, now_ms: u64) -> bool {
+    /// Takes a heartbeat; returns whether its sender was not known to live.
+    pub(crate) fn note_heartbeat(&mut self, heartbeat: PeerHeartbeat, now_ms: u64) -> bool {
         let heard_at_ms = now_ms;
         let silence_ms = self.silence_ms();
         match self
             .peers
-            .binary_search_by(|peer| peer.beat.name.cmp(&beat.name))
+            .binary_search_by(|peer| peer.heartbeat.name.cmp(&heartbeat.name))
         {
             Ok(index) => {
                 let known = &mut self.peers[index];
                 let was_silent = now_ms.saturating_sub(known.heard_at_ms) > silence_ms;
-                *known = KnownPeer { beat, heard_at_ms };
+                *known = KnownPeer {
+                    heartbeat,
+                    heard_at_ms,
+                };
                 was_silent
             }
             Err(index) => {
-                self.peers.insert(index, KnownPeer { beat, heard_at_ms });
+                self.peers.insert(
+                    index,
+                    KnownPeer {
+                        heartbeat,
+                        heard_at_ms,
+                    },
+                );
                 true
             }
         }
     }
 
-    /// Adds to the load that an instance puts on a runner, until its next beat.
+    /// Adds to the load that an instance puts on a runner, until its next heartbeat.
     pub(crate) fn note_placed(&mut self, name: &str, runner: u64, share: LoadShare) {
         let found = self
             .peers
-            .binary_search_by(|peer| peer.beat.name.as_str().cmp(name));
+            .binary_search_by(|peer| peer.heartbeat.name.as_str().cmp(name));
         if let Ok(index) = found {
-            self.peers[index].beat.loads.push((runner, share));
+            self.peers[index].heartbeat.loads.push((runner, share));
         }
     }
 
@@ -260,20 +269,20 @@
 
     /// Addresses for callers of the instances that live and take requests.
     pub(crate) fn ready_callers(&self, now_ms: u64) -> Vec<SocketAddr> {
-        let ready = self.live(now_ms).filter(|peer| peer.beat.is_ready);
-        ready.map(|peer| peer.beat.entry.callers).collect()
+        let ready = self.live(now_ms).filter(|peer| peer.heartbeat.is_ready);
+        ready.map(|peer| peer.heartbeat.entry.callers).collect()
     }
 
     /// Addresses for other instances of all that are known.
     pub(crate) fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
-        self.peers.iter().map(|peer| peer.beat.entry.peers)
+        self.peers.iter().map(|peer| peer.heartbeat.entry.peers)
     }
 
     /// How many live instances come before `own` for a duty that few do.
     pub(crate) fn rank_of(&self, own: DutyMember<'_>, duty: &str, now_ms: u64) -> usize {
         let others = self.live(now_ms).map(|peer| DutyMember {
-            name: &peer.beat.name,
-            strength: peer.beat.strength,
+            name: &peer.heartbeat.name,
+            strength: peer.heartbeat.strength,
         });
         rank_among(duty, own, &others.collect::<Vec<_>>())
     }
@@ -286,7 +295,7 @@
     /// How many live instances follow a kind and have contact with the store.
     pub(crate) fn in_contact(&self, kind: FollowedKind, now_ms: u64) -> usize {
         self.live(now_ms)
-            .filter(|peer| peer.beat.in_contact[kind as usize])
+            .filter(|peer| peer.heartbeat.in_contact[kind as usize])
             .count()
     }
 
@@ -294,26 +303,26 @@
     pub(crate) fn address_of(&self, name: &str) -> Option<SocketAddr> {
         let found = self
             .peers
-            .binary_search_by(|peer| peer.beat.name.as_str().cmp(name));
-        Some(self.peers[found.ok()?].beat.entry.peers)
+            .binary_search_by(|peer| peer.heartbeat.name.as_str().cmp(name));
+        Some(self.peers[found.ok()?].heartbeat.entry.peers)
     }
 
-    /// An instance whose beat is ahead of what is known here, if any is; another
+    /// An instance whose heartbeat is ahead of what is known here, if any is; another
     /// one each time, so that those that lag don't all ask the same.
     pub(crate) fn any_ahead(
         &self,
         now_ms: u64,
-        is_ahead: impl Fn(&PeerBeat) -> bool,
+        is_ahead: impl Fn(&PeerHeartbeat) -> bool,
     ) -> Option<(String, SocketAddr)> {
-        let ahead = self.live(now_ms).filter(|peer| is_ahead(&peer.beat));
+        let ahead = self.live(now_ms).filter(|peer| is_ahead(&peer.heartbeat));
         let ahead: Vec<&KnownPeer> = ahead.collect();
         let peer = ahead.choose(&mut rng())?;
-        Some((peer.beat.name.clone(), peer.beat.entry.peers))
+        Some((peer.heartbeat.name.clone(), peer.heartbeat.entry.peers))
     }
 
     /// The load that other instances put on each runner.
     pub(crate) fn loads(&self, now_ms: u64) -> PeerLoads {
-        let told = self.live(now_ms).flat_map(|peer| &peer.beat.loads);
+        let told = self.live(now_ms).flat_map(|peer| &peer.heartbeat.loads);
         let mut loads: Vec<(u64, LoadShare)> = told.copied().collect();
         loads.sort_unstable_by_key(|(key, _)| *key);
         loads.dedup_by(|next, total| {
@@ -329,7 +338,7 @@
     /// Requests a second that the live instances have for a service, and that end
     /// there.
     pub(crate) fn pace_of(&self, service: u64, now_ms: u64) -> (f64, f64) {
-        let paces = self.live(now_ms).flat_map(|peer| &peer.beat.paces);
+        let paces = self.live(now_ms).flat_map(|peer| &peer.heartbeat.paces);
         let of_service = paces.filter(|(key, _, _)| *key == service);
         let sum = of_service.fold((0, 0), |sum, pace| (sum.0 + pace.1, sum.1 + pace.2));
         (f64::from(sum.0), f64::from(sum.1))
@@ -341,14 +350,16 @@
         service: u64,
         now_ms: u64,
     ) -> impl Iterator<Item = EnginePace> + '_ {
-        let told = self.live(now_ms).flat_map(|peer| &peer.beat.engine_paces);
+        let told = self
+            .live(now_ms)
+            .flat_map(|peer| &peer.heartbeat.engine_paces);
         let of_service = told.filter(move |(key, _)| *key == service);
         of_service.map(|(_, pace)| *pace)
     }
 
     /// The lags of stores that each live instance tells.
     pub(crate) fn told_lags(&self, now_ms: u64) -> Vec<&[(u64, u32)]> {
-        let told = self.live(now_ms).map(|peer| peer.beat.lags.as_slice());
+        let told = self.live(now_ms).map(|peer| peer.heartbeat.lags.as_slice());
         told.collect()
     }
 
@@ -363,8 +374,8 @@
     pub(crate) fn has_confirmed(&self, name: &str, retired: &(String, u64)) -> bool {
         let found = self
             .peers
-            .binary_search_by(|peer| peer.beat.name.as_str().cmp(name));
-        found.is_ok_and(|index| self.peers[index].beat.confirmed.contains(retired))
+            .binary_search_by(|peer| peer.heartbeat.name.as_str().cmp(name));
+        found.is_ok_and(|index| self.peers[index].heartbeat.confirmed.contains(retired))
             || (found.is_err() && self.is_settled)
     }
 
@@ -372,12 +383,14 @@
     pub(crate) fn all_confirmed(&self, retired: &(String, u64)) -> bool {
         self.peers
             .iter()
-            .all(|peer| peer.beat.confirmed.contains(retired))
+            .all(|peer| peer.heartbeat.confirmed.contains(retired))
     }
 
     /// The notice of the holder with the highest term.
     pub(crate) fn duty(&self, now_ms: u64) -> Option<&DutyNotice> {
-        let notices = self.live(now_ms).filter_map(|peer| peer.beat.duty.as_ref());
+        let notices = self
+            .live(now_ms)
+            .filter_map(|peer| peer.heartbeat.duty.as_ref());
         notices.max_by_key(|notice| notice.term)
     }
 }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -14,8 +14,8 @@
 use berylmount_policy::{
     ablation::PolicyMechanism,
     admission::{free_places, has_room, placed_part, starts_soon, AdmissionNeed},
-    kept_parts::PromptTraits,
     placing::{choose, draw_runner, sample_runners, PlacingNeed, RunnerView},
+    prefix_cache::PromptTraits,
     prompt_pools::{part_runners, PromptLength},
 };
 use rand::rng;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -9,7 +9,7 @@
     instances::{follow_instances, serve_questions},
     kept::follow_stores,
     lags::keep_lags,
-    peer_link::{exchange_beats, serve_pulls},
+    peer_link::{exchange_heartbeats, serve_pulls},
     reclaim::reclaim_parts,
     state::GatewayState,
     weights::roll_out_weights,
@@ -70,7 +70,7 @@
     ready: StdListener,
     locate: Option<StdListener>,
     pulls: StdListener,
-    beats: StdSocket,
+    heartbeats: StdSocket,
     metrics: Arc<MetricSet>,
     first_contact: Option<SocketAddr>,
     log_served: u32,
@@ -91,11 +91,11 @@
         let locate = settings.listen.locate.as_mut().map(listen_on).transpose()?;
         let mut peers = settings.peer_address();
         let pulls = listen_on(&mut peers)?;
-        let beats = StdSocket::bind(peers).and_then(|socket| {
+        let heartbeats = StdSocket::bind(peers).and_then(|socket| {
             socket.set_nonblocking(true)?;
             Ok(socket)
         });
-        let beats = beats.map_err(|source| GatewayFault::Listen {
+        let heartbeats = heartbeats.map_err(|source| GatewayFault::Listen {
             address: peers,
             source,
         })?;
@@ -107,7 +107,7 @@
             ready,
             locate,
             pulls,
-            beats,
+            heartbeats,
             metrics,
             first_contact: None,
             log_served: 0,
@@ -146,7 +146,7 @@
         let ready = TcpListener::from_std(self.ready)?;
         let locate = self.locate.map(TcpListener::from_std).transpose()?;
         let pulls = TcpListener::from_std(self.pulls)?;
-        let beats = UdpSocket::from_std(self.beats)?;
+        let heartbeats = UdpSocket::from_std(self.heartbeats)?;
         let settings = self.settings;
         log::info!(
             target: "process",
@@ -161,7 +161,7 @@
             self.log_served,
         ));
         spawn_duties(&state);
-        spawn_local(exchange_beats(state.clone(), beats));
+        spawn_local(exchange_heartbeats(state.clone(), heartbeats));
         spawn_local(serve_pulls(state.clone(), pulls));
         spawn_local(serve_callers(state.clone(), callers));
         spawn_local(serve_questions(state.clone(), ready));
--- a/crates/gateway/src/reclaim.rs
+++ b/crates/gateway/src/reclaim.rs
@@ -1,9 +1,9 @@
 //! Frees cached parts of weights that nobody uses any more.
 //!
 //! A part must not be freed while a runner may still read it. So the holder of
-//! the duty first retires the weights: it tells the others in its beats that
+//! the duty first retires the weights: it tells the others in its heartbeats that
 //! parts made under older ones are not to be fetched. Each instance confirms in
-//! its own beats once its last such fetch has ended (epoch-based reclamation).
+//! its own heartbeats once its last such fetch has ended (epoch-based reclamation).
 //! Parts are freed when every instance that is known has confirmed.
 //!
 //! An instance that has heard nobody for a while fetches nothing, because it
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,8 +21,8 @@
     engine_pace::{EnginePace, FirstEvent},
     lateness::LagBook,
     prompt_pools::{PromptLength, PromptMix},
+    retry_share::{RetryBounds, RetryShare},
     runner_clock::RunnerClock,
-    second_tries::{SecondTries, TryBounds},
     shared_duties::DutyMember,
 };
 use berylmount_telemetry::MetricSet;
@@ -98,9 +98,9 @@
     pub(crate) replicas: RefCell<[KindReplica; FollowedKind::COUNT]>,
     /// Contact with the store, by kind.
     pub(crate) contacts: [StoreContact; FollowedKind::COUNT],
-    /// Whether the next beat should not wait for its interval.
-    pub(crate) is_beat_due: Cell<bool>,
-    /// What stores keep, to be passed on with the next beat.
+    /// Whether the next heartbeat should not wait for its interval.
+    pub(crate) is_heartbeat_due: Cell<bool>,
+    /// What stores keep, to be passed on with the next heartbeat.
     pub(crate) gossip: RefCell<Vec<KeptGossip>>,
     /// The clock of runners and stores.
     pub(crate) runner_clock: Cell<RunnerClock>,
@@ -121,8 +121,8 @@
     pub(crate) stores: RefCell<StoreBook>,
     /// Known instances.
     pub(crate) instances: RefCell<InstanceList>,
-    /// Second tries by service.
-    tries: RefCell<Vec<(String, SecondTries)>>,
+    /// Retries by service.
+    retry_shares: RefCell<Vec<(String, RetryShare)>>,
     /// Of how many served requests one is logged; 0 for none.
     log_served: u32,
     /// When the planned stop began; 0 before.
@@ -163,7 +163,7 @@
             lags: RefCell::default(),
             replicas: RefCell::new(FollowedKind::ALL.map(|kind| KindReplica::new(kind.rule()))),
             contacts: Default::default(),
-            is_beat_due: Cell::new(false),
+            is_heartbeat_due: Cell::new(false),
             gossip: RefCell::default(),
             placed: RefCell::default(),
             placed_soon: Notify::new(),
@@ -177,7 +177,7 @@
             goals: RefCell::default(),
             stores: RefCell::default(),
             instances: RefCell::default(),
-            tries: RefCell::default(),
+            retry_shares: RefCell::default(),
             leaving_since_ms: Cell::new(0),
             in_flight: Cell::new(0),
             held_bytes: Cell::new(0),
@@ -427,41 +427,41 @@
 
     /// Counts the first try of a request at a service.
     pub(crate) fn note_first_try(&self, service: &str, now_ms: u64) {
-        self.with_tries(service, |tries| tries.note_first(now_ms));
+        self.with_share(service, |share| share.note_first(now_ms));
     }
 
-    /// Takes a second try at a service from this instance's share.
-    pub(crate) fn take_second_try(&self, service: &str, now_ms: u64) -> bool {
+    /// Takes a retry at a service from this instance's share.
+    pub(crate) fn take_retry(&self, service: &str, now_ms: u64) -> bool {
         let instances = self.instance_count();
-        self.with_tries(service, |tries| tries.take(now_ms, instances))
+        self.with_share(service, |share| share.take(now_ms, instances))
     }
 
-    /// Second tries that are left to this instance, at the service that has the
+    /// Retries that are left to this instance, at the service that has the
     /// fewest; `None` before any request.
-    pub(crate) fn second_tries_left(&self, now_ms: u64) -> Option<f64> {
+    pub(crate) fn retries_left(&self, now_ms: u64) -> Option<f64> {
         let instances = self.instance_count();
-        let mut tries = self.tries.borrow_mut();
-        let left = tries
+        let mut shares = self.retry_shares.borrow_mut();
+        let left = shares
             .iter_mut()
-            .map(|(_, tries)| tries.left(now_ms, instances));
+            .map(|(_, share)| share.left(now_ms, instances));
         left.min_by(f64::total_cmp)
     }
 
-    fn with_tries<R>(&self, service: &str, act: impl FnOnce(&mut SecondTries) -> R) -> R {
-        let mut tries = self.tries.borrow_mut();
-        let index = match tries.binary_search_by(|(name, _)| name.as_str().cmp(service)) {
+    fn with_share<R>(&self, service: &str, act: impl FnOnce(&mut RetryShare) -> R) -> R {
+        let mut shares = self.retry_shares.borrow_mut();
+        let index = match shares.binary_search_by(|(name, _)| name.as_str().cmp(service)) {
             Ok(index) => index,
             Err(index) => {
                 let bounds = self.settings.borrow().bounds;
-                let bounds = TryBounds {
+                let bounds = RetryBounds {
                     ratio: bounds.retry_ratio,
                     extra: bounds.retry_extra,
                     window_ms: bounds.retry_window.as_millis() as u64,
                 };
-                tries.insert(index, (service.to_owned(), SecondTries::new(bounds)));
+                shares.insert(index, (service.to_owned(), RetryShare::new(bounds)));
                 index
             }
         };
-        act(&mut tries[index].1)
+        act(&mut shares[index].1)
     }
 }
--- a/crates/gateway/src/transfers.rs
+++ b/crates/gateway/src/transfers.rs
@@ -12,8 +12,8 @@
 use berylmount_policy::{
     ablation::PolicyMechanism,
     admission::AdmissionNeed,
-    kept_parts::{fetch_limit_ms, PromptTraits, TransferPlan},
     placing::{estimate, PlacingNeed, RunnerView},
+    prefix_cache::{fetch_limit_ms, PromptTraits, TransferPlan},
     prefix_homes::{expect_cached, rank_homes, CachedPrompt},
     prompt_pools::PromptLength,
 };
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,7 +17,7 @@
 //! | [`prefixes`] | which runner probably holds a prompt's cache |
 //! | [`caching`] | whether to fetch kept cache or to recompute it |
 //! | [`keeping`] | what to keep when a run ends, and where |
-//! | [`kept_parts`] | what stores hold, and which parts to fetch or save |
+//! | [`prefix_cache`] | what stores hold, and which parts to fetch or save |
 //! | [`engine_pace`] | how fast engines read prompts |
 //! | [`retries`] | whether to try again, hedge or give up |
 //! | [`groups`] | which dispatch group an entry asks |
@@ -29,7 +29,7 @@
 //! | [`duty_lease`] | which instance does a duty that only one may do |
 //! | [`weights_rollout`] | which runners load named weights next |
 //! | [`shared_duties`] | which instances do what only a few must do |
-//! | [`second_tries`] | whether a request may be sent once more |
+//! | [`retry_share`] | whether a request may be sent once more |
 //!
 //! Everything here works on hints. A wrong hint costs time, never correctness.
 
@@ -45,23 +45,23 @@
 pub mod engine_pace;
 pub mod groups;
 pub mod keeping;
-pub mod kept_parts;
 pub mod lateness;
 pub mod limits;
 pub mod pacing;
 pub mod placing;
+pub mod prefix_cache;
 pub mod prefix_homes;
 pub mod prefixes;
 pub mod prompt_pools;
 pub mod queue;
 pub mod retries;
+pub mod retry_share;
 pub mod runner_clock;
 mod runner_events;
 pub mod runner_health;
 mod runner_query;
 mod runner_state;
 pub mod runners;
-pub mod second_tries;
 pub mod shared_duties;
 pub mod weights_rollout;
 
--- a/crates/policy/src/kept_parts.rs
+++ b/crates/policy/src/prefix_cache.rs
@@ -292,7 +292,7 @@
 /// to the request alone and is not saved.
 ///
 /// ```
-/// use berylmount_policy::kept_parts::*;
+/// use berylmount_policy::prefix_cache::*;
 ///
 /// let mut catalogue = StoreCatalogue::default();
 /// let part = KeptPart {
@@ -365,7 +365,7 @@
 /// read without the fetch, `read_ms` the time that reading takes of the runner.
 ///
 /// ```
-/// use berylmount_policy::kept_parts::fetch_limit_ms;
+/// use berylmount_policy::prefix_cache::fetch_limit_ms;
 ///
 /// assert_eq!(fetch_limit_ms(300.0, 10.0, 5.0), 150.0);
 /// assert_eq!(fetch_limit_ms(-100.0, 10.0, 5.0), 80.0);
--- a/crates/policy/src/prefix_homes.rs
+++ b/crates/policy/src/prefix_homes.rs
@@ -10,7 +10,7 @@
 //! rendezvous hashing. Nothing has to be told, and a runner that leaves moves
 //! only its own prefixes.
 
-use crate::kept_parts::{PartNeed, TransferPlan};
+use crate::prefix_cache::{PartNeed, TransferPlan};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Homes of one prefix: one that usually takes it, and one for its overflow.
@@ -25,7 +25,7 @@
 /// prompts which share most of their tokens meet. `None` if it shares nothing.
 ///
 /// ```
-/// use berylmount_policy::{kept_parts::{PartKey, PartNeed}, prefix_homes::home_part};
+/// use berylmount_policy::{prefix_cache::{PartKey, PartNeed}, prefix_homes::home_part};
 ///
 /// let needs = [(1, 500), (2, 9000), (3, 2000)];
 /// let needs = needs.map(|(key, tokens)| PartNeed { key: PartKey(key), tokens });
@@ -88,7 +88,7 @@
 ///
 /// ```
 /// use berylmount_policy::{
-///     kept_parts::{PartKey, PartNeed, TransferPlan}, prefix_homes::expect_cached,
+///     prefix_cache::{PartKey, PartNeed, TransferPlan}, prefix_homes::expect_cached,
 /// };
 ///
 /// let needs = [(1, 10_000), (2, 1000)];
--- a/crates/policy/src/second_tries.rs
+++ b/crates/policy/src/retry_share.rs
@@ -1,4 +1,4 @@
-//! One process's share of the second tries that a service may get.
+//! One process's share of the retries that a service may get.
 //!
 //! Load: a runner or link fails while many requests are under way, and every
 //! instance wants to send its requests once more. The operator bounds the
@@ -15,12 +15,12 @@
 /// window than they were counted in, and instances that are not known yet.
 const USED_PART: f64 = 0.8;
 
-/// The bound on second tries at one service over all instances.
+/// The bound on retries at one service over all instances.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct TryBounds {
-    /// Second tries for each first try in the window.
+pub struct RetryBounds {
+    /// Retries for each first try in the window.
     pub ratio: f64,
-    /// Second tries beyond that in one window.
+    /// Retries beyond that in one window.
     pub extra: f64,
     /// The window in milliseconds.
     pub window_ms: u64,
@@ -28,8 +28,8 @@
 
 /// Tries of one service, counted by this process.
 #[derive(Clone, Debug)]
-pub struct SecondTries {
-    bounds: TryBounds,
+pub struct RetryShare {
+    bounds: RetryBounds,
     buckets: VecDeque<TryBucket>,
 }
 
@@ -41,9 +41,9 @@
     second: u32,
 }
 
-impl SecondTries {
+impl RetryShare {
     /// Counts for a service with these bounds.
-    pub fn new(bounds: TryBounds) -> Self {
+    pub fn new(bounds: RetryBounds) -> Self {
         let buckets = VecDeque::new();
         Self { bounds, buckets }
     }
@@ -53,13 +53,13 @@
         self.bucket(now_ms).first += 1;
     }
 
-    /// Takes one second try, if the share of one of `instances` allows it.
+    /// Takes one retry, if the share of one of `instances` allows it.
     ///
     /// ```
-    /// use berylmount_policy::second_tries::{SecondTries, TryBounds};
+    /// use berylmount_policy::retry_share::{RetryShare, RetryBounds};
     ///
-    /// let bounds = TryBounds { ratio: 0.2, extra: 10.0, window_ms: 10_000 };
-    /// let mut tries = SecondTries::new(bounds);
+    /// let bounds = RetryBounds { ratio: 0.2, extra: 10.0, window_ms: 10_000 };
+    /// let mut tries = RetryShare::new(bounds);
     /// let taken = (0..100).filter(|_| tries.take(1, 5)).count();
     /// assert_eq!(taken, 1); // a fifth of the fixed allowance, with its margin
     /// ```
@@ -71,12 +71,12 @@
         true
     }
 
-    /// Whether a second try could be taken now.
+    /// Whether a retry could be taken now.
     pub fn has_room(&mut self, now_ms: u64, instances: usize) -> bool {
         self.left(now_ms, instances) >= 1.0
     }
 
-    /// Second tries that could be taken now.
+    /// Retries that could be taken now.
     pub fn left(&mut self, now_ms: u64, instances: usize) -> f64 {
         self.expire(now_ms);
         let (mut first, mut second) = (0.0, 0.0);
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -366,7 +366,7 @@
 }
 
 #[test]
-fn a_runner_that_beat_its_expectation_makes_no_stragglers_of_the_others() {
+fn a_runner_that_heartbeat_its_expectation_makes_no_stragglers_of_the_others() {
     let mut rng = Pcg32::seed_from_u64(7);
     let (mut board, fast) = busy_board(9_000, WorkClass::Standard, &[]);
     for ticket in 0..9 {
--- a/crates/policy/tests/duties.rs
+++ b/crates/policy/tests/duties.rs
@@ -6,7 +6,7 @@
 
 use berylmount_policy::{
     duty_lease::{DutyLease, LeaseAction, LeaseRecord, LeaseRole, LeaseTimes, LeaseWrite},
-    second_tries::{SecondTries, TryBounds},
+    retry_share::{RetryBounds, RetryShare},
     shared_duties::{rank_among, DutyMember},
     weights_rollout::{next_orders, RolloutPace, RolloutView},
 };
@@ -176,11 +176,11 @@
 
     /// Seven instances that know nothing of each other keep the bound together.
     #[test]
-    fn second_tries_keep_the_bound_in_every_window(
+    fn retries_keep_the_bound_in_every_window(
         requests in prop::collection::vec((0usize..7, 0u64..200, any::<bool>()), 800),
     ) {
-        let bounds = TryBounds { ratio: 0.2, extra: 54.0, window_ms: 10_000 };
-        let mut shares: Vec<SecondTries> = (0..7).map(|_| SecondTries::new(bounds)).collect();
+        let bounds = RetryBounds { ratio: 0.2, extra: 54.0, window_ms: 10_000 };
+        let mut shares: Vec<RetryShare> = (0..7).map(|_| RetryShare::new(bounds)).collect();
         let (mut firsts, mut seconds) = (Vec::new(), Vec::new());
         let mut now_ms = 100_000;
         for (who, pause_ms, fails) in requests {
--- a/crates/policy/tests/homes.rs
+++ b/crates/policy/tests/homes.rs
@@ -4,8 +4,8 @@
 #![allow(clippy::unwrap_used)]
 
 use berylmount_policy::{
-    kept_parts::{PartKey, PartNeed, TransferPlan},
     placing::{choose, sample_runners, PlacingNeed, RunnerView},
+    prefix_cache::{PartKey, PartNeed, TransferPlan},
     prefix_homes::{expect_cached, rank_homes},
 };
 use proptest::prelude::*;
--- a/crates/policy/tests/kept.rs
+++ b/crates/policy/tests/kept.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::unwrap_used)]
 
-use berylmount_policy::kept_parts::{block_tokens, KeptPart, PartEvent, PartKey, StoreCatalogue};
+use berylmount_policy::prefix_cache::{block_tokens, KeptPart, PartEvent, PartKey, StoreCatalogue};
 use proptest::{collection::vec, prelude::*};
 use std::collections::BTreeMap;
 
--- a/crates/policy/tests/large_fleet.rs
+++ b/crates/policy/tests/large_fleet.rs
@@ -17,7 +17,7 @@
 const PER_S: f64 = 12.0;
 const RUN_MS: u64 = 600;
 /// How late instances learn of each other's load, in milliseconds.
-const BEAT_MS: u64 = 190;
+const HEARTBEAT_MS: u64 = 190;
 /// How long a connection is kept, in milliseconds.
 const KEEP_MS: u64 = 2800;
 const PLAYED_MS: u64 = 12_000;
@@ -59,7 +59,7 @@
     let mut used = vec![vec![None::<u64>; RUNNERS]; INSTANCES];
     let mut count = FleetCount::default();
     for now_ms in 0..PLAYED_MS {
-        if now_ms % BEAT_MS == 0 {
+        if now_ms % HEARTBEAT_MS == 0 {
             told = (0..RUNNERS).map(|r| load.total(r, now_ms)).collect();
         }
         for (instance, used) in used.iter_mut().enumerate() {
@@ -151,7 +151,7 @@
             ends.retain(|end| *end > now_ms);
             (ends.len()..before).for_each(|_| ended.note(now_ms));
         }
-        if now_ms % BEAT_MS == 0 {
+        if now_ms % HEARTBEAT_MS == 0 {
             told = ends.iter().map(|ends| ends.len() as u32).collect();
             own.iter_mut().for_each(|own| own.fill(0));
         }
@@ -172,7 +172,7 @@
             let pace = OthersPace {
                 offered_per_s: per_s,
                 ended_per_s: ended.per_s(now_ms) * open.len() as f64 / OPEN as f64,
-                unseen_ms: BEAT_MS as f64,
+                unseen_ms: HEARTBEAT_MS as f64,
             };
             let part = placed_part(places.iter().sum(), &pace);
             if open.is_empty() || (thins && !rng.random_bool(part)) {
--- a/crates/policy/tests/lateness.rs
+++ b/crates/policy/tests/lateness.rs
@@ -14,7 +14,7 @@
 const SLOW_EXTRA_MS: f64 = 1300.0;
 /// Part of the requests that wait long for other reasons.
 const NOISE: f64 = 0.2;
-const BEAT_MS: u64 = 380;
+const HEARTBEAT_MS: u64 = 380;
 /// Lag beyond which a part is rather read again, in milliseconds.
 const REREAD_MS: u32 = 400;
 const PLAYED_MS: u64 = 17_000;
@@ -47,7 +47,7 @@
     let mut believed: Vec<(u64, u32)> = Vec::new();
     let mut counts = [FetchCount::default(), FetchCount::default()];
     for now_ms in 1..PLAYED_MS {
-        if now_ms % BEAT_MS == 0 && learns {
+        if now_ms % HEARTBEAT_MS == 0 && learns {
             let told: Vec<Vec<(u64, u32)>> = books.iter().map(|b| b.lags(now_ms)).collect();
             let told: Vec<&[(u64, u32)]> = told.iter().map(Vec::as_slice).collect();
             believed = believed_lags(&told);
--- a/crates/policy/tests/pace.rs
+++ b/crates/policy/tests/pace.rs
@@ -4,7 +4,7 @@
 
 use berylmount_policy::{
     engine_pace::{EnginePace, FirstEvent},
-    kept_parts::fetch_limit_ms,
+    prefix_cache::fetch_limit_ms,
     runner_clock::RunnerClock,
 };
 use proptest::{collection::vec, prelude::*};
--- a/crates/policy/tests/pools.rs
+++ b/crates/policy/tests/pools.rs
@@ -17,7 +17,7 @@
 const SHORT: (u32, f64) = (380, 190.0);
 const LONG: (u32, f64) = (17_000, 13.0);
 /// How late instances learn of each other's load, in milliseconds.
-const BEAT_MS: u64 = 100;
+const HEARTBEAT_MS: u64 = 100;
 /// Target latency of short prompts, in milliseconds.
 const TARGET_MS: u64 = 400;
 const PLAYED_MS: u64 = 30_000;
@@ -53,7 +53,7 @@
             }
         }
         let unread = |line: &EngineLine| line.iter().map(|(_, t, _)| u64::from(*t)).sum::<u64>();
-        if now_ms % BEAT_MS == 0 {
+        if now_ms % HEARTBEAT_MS == 0 {
             for (told, (line, free_ms)) in told.iter_mut().zip(lines.iter().zip(&free_ms)) {
                 let reading_ms = free_ms.saturating_sub(now_ms);
                 *told = unread(line) + (reading_ms as f64 * PREFILL) as u64;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -42,7 +42,7 @@
     /// Bytes of kept cache ordered over links, by direction: `fetch`, `export`.
     #[strum(props(label = "direction"))]
     LinkBytesTotal,
-    /// Second tries, by kind: `retry`, `hedge`, `resume`, `adopt`.
+    /// Retries, by kind: `retry`, `hedge`, `resume`, `adopt`.
     #[strum(props(label = "kind"))]
     RetriesTotal,
     /// Frames dropped because they belong to another attempt.
@@ -102,9 +102,9 @@
     Connections,
     /// Stores of kept cache that lag.
     LaggingStores,
-    /// Second tries that this process may still make in the window, for the
+    /// Retries that this process may still make in the window, for the
     /// service that has the fewest.
-    SecondTriesLeft,
+    RetriesLeft,
     /// Known processes of the system, by state.
     #[strum(props(label = "state"))]
     Members,
