Answer at the end of the grace period what can't be finished

Traced: an instance got SIGTERM at 25.700 s and was still busy with streams 7.2 s later; a request that came at 32.910 s was read and passed on, and the process ended at the end of its grace period, 39 ms later, without an answer. Ruled out: a listener that closed early (the request had been read).

Change: from 0.7 of the grace period on a leaving process begins no request but refuses it at once (not run); when its time is over, each request that is under way gets its final answer: 504 if a runner may have run it, 503 if none was sent, and a stream that has begun is cut.

--- a/crates/berylmount/tests/gateway_process.rs
+++ b/crates/berylmount/tests/gateway_process.rs
@@ -188,6 +188,42 @@
     assert_eq!(running.wait_line("\"stopped\"")["in_flight"], 0);
 }
 
+/// Requests that a stop can't wait for end with an answer that says what is known
+/// of them, not with a connection that closes.
+#[test]
+fn a_planned_stop_answers_what_it_can_not_finish() {
+    let runner = runner(&Arc::default());
+    let mut running = Running::start("late", &runner, |store, log| spawn("i1", store, log));
+    running.signal(Signal::TERM);
+    running.wait_line("\"leaving\"");
+    let ask_late = |line: &str, id: &str| {
+        // Callers that would wait for longer than the process does.
+        let text = request(line, id, "k1").replace("Ms: 2500", "Ms: 9000");
+        let callers = running.callers;
+        thread::spawn(move || ask(callers, &text))
+    };
+    let sent = [
+        ask_late("POST /unsafe/silent", "sent-1"),
+        ask_late("GET /stream/silent", "sent-2"),
+    ];
+    // Near the end of the grace period nothing is begun any more.
+    let mut last = None;
+    wait_until("a refusal of the leaving process", || {
+        let answer = running.call("GET /safe/x", "new");
+        last = answer.clone().or(last.take());
+        answer.is_some_and(|answer| answer.starts_with("HTTP/1.1 503"))
+    });
+    assert!(last.unwrap().ends_with("leaving"));
+    for sent in sent {
+        let answer = sent.join().unwrap().unwrap();
+        assert!(answer.starts_with("HTTP/1.1 504"), "{answer}");
+    }
+    wait_until("the end of the process", || {
+        running.child.try_wait().unwrap().is_some()
+    });
+    assert!(running.child.wait().unwrap().success());
+}
+
 #[test]
 fn a_process_that_can_not_serve_says_why_in_its_log() {
     let nowhere = std::env::temp_dir().join("berylmount-no-such-settings.toml");
--- a/crates/gateway/src/call_log.rs
+++ b/crates/gateway/src/call_log.rs
@@ -31,9 +31,21 @@
     text: String,
     /// Tries that reached a runner.
     pub(crate) sent: u32,
+    /// Whether a try has begun that has not ended.
+    is_trying: bool,
 }
 
 impl TryLog {
+    /// Notes that a try begins.
+    pub(crate) fn begin(&mut self) {
+        self.is_trying = true;
+    }
+
+    /// Whether a runner may have run the request by now.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.sent > 0 || self.is_trying
+    }
+
     /// Notes one try.
     pub(crate) fn note(
         &mut self,
@@ -44,6 +56,7 @@
     ) {
         state.metrics.add(CounterMetric::TriesTotal, end.into(), 1);
         let was_sent = !matches!(end, TryEnd::NotSent(_) | TryEnd::TimedOut(false));
+        self.is_trying = false;
         self.sent += u32::from(was_sent);
         let result = match end {
             TryEnd::NotSent(reason) => format!("not sent ({reason})"),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -92,7 +92,13 @@
     };
     let mut tries = TryLog::default();
     let end = match routed(state, &call) {
-        Ok(routed) => routed.forward(state, &call, &mut sink, &mut tries).await,
+        Ok(routed) => {
+            let end = tokio::select! {
+                end = routed.forward(state, &call, &mut sink, &mut tries) => Some(end),
+                () = state.until_grace_over() => None,
+            };
+            end.unwrap_or_else(|| routed.timed_out(&tries, &sink))
+        }
         Err(reason) => CallEnd::Own(refusal(reason)),
     };
     note_end(state, &call, &sink, &end, &tries);
@@ -170,7 +176,9 @@
         sink: &mut CallerSink<'_>,
         log: &mut TryLog,
     ) -> CallEnd {
-        if self.route.kind == RouteKind::Streaming && state.leaving_ms() >= LEAVING_STREAM_MS {
+        let is_stream = self.route.kind == RouteKind::Streaming;
+        let is_late = is_stream && state.leaving_ms() >= LEAVING_STREAM_MS;
+        if is_late || state.begins_nothing() {
             return CallEnd::Own(refusal(AnswerReason::Leaving));
         }
         state.note_first_try(&self.service, boot_ms());
@@ -202,6 +210,7 @@
             }
             self.note_placed(state, call, &placed);
             let started_ms = boot_ms();
+            log.begin();
             let end = self.run_at(call, &placed, state, sink).await;
             log.note(state, &placed, &end, started_ms);
             tried.push(placed.runner.clone());
@@ -284,10 +293,10 @@
 
     /// The final answer when time has run out.
     fn timed_out(&self, log: &TryLog, sink: &CallerSink<'_>) -> CallEnd {
-        match (sink.is_started, log.sent) {
+        match (sink.is_started, log.may_have_run()) {
             (true, _) => CallEnd::Cut("time ran out"),
-            (false, 0) => CallEnd::Own(refusal(AnswerReason::TooLate)),
-            (false, _) => CallEnd::Own(OwnAnswer::new(AnswerReason::MayHaveRunTimeout)),
+            (false, false) => CallEnd::Own(refusal(AnswerReason::TooLate)),
+            (false, true) => CallEnd::Own(OwnAnswer::new(AnswerReason::MayHaveRunTimeout)),
         }
     }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -38,7 +38,9 @@
 const BACKLOG: i32 = 1024;
 /// Part of the grace period after which the process ends in any case; the rest
 /// covers a late timer.
-const GRACE_PART: f64 = 0.9;
+const GRACE_PART: f64 = 0.88;
+/// Time for the last answers to reach their callers.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
 /// Least time that a leaving process goes on serving, so that callers with an
 /// older answer still reach it: the time that most callers keep an answer.
 const LEAST_LEAVING: Duration = Duration::from_millis(5500);
@@ -201,7 +203,15 @@
         sleep(Duration::from_millis(50)).await;
         let passed = Duration::from_millis(state.leaving_ms());
         let is_idle = state.in_flight.get() == 0 && passed >= LEAST_LEAVING;
-        if is_idle || passed >= grace {
+        if is_idle {
+            return;
+        }
+        if passed >= grace {
+            let in_flight = state.in_flight.get();
+            log::warn!(target: "process", in_flight; "the grace period is over");
+            state.is_grace_over.set(true);
+            state.grace_over.notify_waiters();
+            sleep(LAST_ANSWERS).await;
             return;
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -31,11 +31,15 @@
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 use strum::EnumCount;
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Part of the grace period after which a leaving process begins no request: the
+/// rest, up to its end, is as long as plain requests may take.
+const LAST_BEGIN_PART: f64 = 0.7;
 /// Versions of one model whose time of naming is kept.
 const MOST_NAMED: usize = 4;
 /// By how much clocks of instances may differ, in milliseconds: a step of two
@@ -127,6 +131,10 @@
     log_served: u32,
     /// When the planned stop began; 0 before.
     pub(crate) leaving_since_ms: Cell<u64>,
+    /// Whether the time for the planned stop is over.
+    pub(crate) is_grace_over: Cell<bool>,
+    /// Wakes the requests that are under way then.
+    pub(crate) grace_over: Notify,
     /// Requests that have been read and not answered.
     pub(crate) in_flight: Cell<usize>,
     /// Bytes of requests' bodies that are held.
@@ -179,6 +187,8 @@
             instances: RefCell::default(),
             retry_shares: RefCell::default(),
             leaving_since_ms: Cell::new(0),
+            is_grace_over: Cell::new(false),
+            grace_over: Notify::new(),
             in_flight: Cell::new(0),
             held_bytes: Cell::new(0),
         }
@@ -311,6 +321,21 @@
         }
     }
 
+    /// Whether the planned stop has come so far that nothing new is begun: what is
+    /// begun later might not end before the process does.
+    pub(crate) fn begins_nothing(&self) -> bool {
+        let last = self.settings.borrow().bounds.grace.mul_f64(LAST_BEGIN_PART);
+        self.is_leaving() && Duration::from_millis(self.leaving_ms()) >= last
+    }
+
+    /// Waits until the time for the planned stop is over.
+    pub(crate) async fn until_grace_over(&self) {
+        let notified = self.grace_over.notified();
+        if !self.is_grace_over.get() {
+            notified.await;
+        }
+    }
+
     /// How many live instances come before this one for a duty that few do.
     pub(crate) fn duty_rank(&self, duty: &str, now_ms: u64) -> usize {
         let settings = self.settings();
