List kinds at once where a process takes the place of an earlier one

Ruled out: the store (it answers in milliseconds). Change: three neighbours are asked at once, for 40 ms; if none knows, a process whose name is already in the list asks the store itself. The first start of a fleet, when no callers wait, stays as it was.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -141,14 +141,15 @@
         needs_listing: false,
         backoff: FIRST_BACKOFF,
     };
-    starts_from_neighbours(&follower.state, kind).await;
+    let mut must_list = starts_from_neighbours(&follower.state, kind).await;
     loop {
-        if !is_watcher(&follower.state, kind) && !follower.draws_lot() {
+        if !must_list && !is_watcher(&follower.state, kind) && !follower.draws_lot() {
             sleep(OTHERS_INTERVAL).await;
             continue;
         }
         match follower.step().await {
             Ok(()) => {
+                must_list = false;
                 follower.note_contact();
                 follower.stay_substitute();
             }
@@ -168,7 +169,7 @@
     if !is_large {
         return true;
     }
-    if now_ms < state.begun_ms + SETTLE_MS {
+    if is_young {
         return is_first_watcher(state, kind);
     }
     let is_substitute = now_ms < state.contacts[kind as usize].substitute_until_ms.get();
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -72,6 +72,8 @@
     keeps_until_ms: u64,
     /// Whether it names the instances that started together with this one.
     is_settled: bool,
+    /// Whether an earlier process of this instance was in it when it was first read.
+    has_predecessor: Option<bool>,
 }
 
 impl InstanceList {
@@ -111,6 +113,11 @@
         self.is_settled
     }
 
+    /// Whether this process takes the place of an earlier one, so that callers wait.
+    pub(crate) fn has_predecessor(&self) -> bool {
+        self.has_predecessor == Some(true)
+    }
+
     /// Entries by name.
     pub(crate) fn entries(&self) -> &[(String, InstanceEntry)] {
         &self.entries
@@ -185,7 +192,9 @@
     let own = (settings.name.clone(), InstanceEntry::of(&settings));
     let entries: Vec<_> = listing.objects.iter().filter_map(decode_entry).collect();
     let is_registered = entries.contains(&own);
+    let has_own_name = entries.iter().any(|(name, _)| *name == own.0);
     let mut instances = state.instances.borrow_mut();
+    instances.has_predecessor.get_or_insert(has_own_name);
     instances.replace(entries, listing.revision.era, boot_ms());
     is_registered
 }
--- a/crates/gateway/src/neighbours.rs
+++ b/crates/gateway/src/neighbours.rs
@@ -15,6 +15,7 @@
 use rand::{rng, seq::SliceRandom};
 use std::{net::SocketAddr, time::Duration};
 use tokio::{
+    sync::mpsc::unbounded_channel,
     task::spawn_local,
     time::{sleep, timeout},
 };
@@ -32,6 +33,9 @@
 const LIST_MS: u64 = 1500;
 /// Time between two looks at the list.
 const LIST_INTERVAL: Duration = Duration::from_millis(10);
+/// Time for a first copy: the round trips of a question within a region. A neighbour
+/// without power does not answer at all.
+const COPY_TIME: Duration = Duration::from_millis(40);
 /// Time for all answers: some round trips within a region.
 const ANSWER_TIME: Duration = Duration::from_millis(120);
 
@@ -67,27 +71,41 @@
 
 /// Takes a copy of a kind from the first other instance that has one.
 async fn take_copy(state: &GatewayState, kind: FollowedKind) {
+    let (told, mut deltas) = unbounded_channel();
     for address in neighbours(state) {
-        let Some(delta) = ask(address, kind).await else {
-            continue;
-        };
-        let changes = state.replicas.borrow_mut()[kind as usize].apply_delta(&delta);
-        apply_changes(state, kind, &changes);
-        if state.replicas.borrow()[kind as usize].is_known() {
-            return;
-        }
+        let told = told.clone();
+        spawn_local(async move {
+            if let Some(delta) = ask(address, kind).await {
+                // The others are not waited for once one has answered.
+                let _ = told.send(delta);
+            }
+        });
     }
+    drop(told);
+    let first_copy = async {
+        while let Some(delta) = deltas.recv().await {
+            let changes = state.replicas.borrow_mut()[kind as usize].apply_delta(&delta);
+            apply_changes(state, kind, &changes);
+            if state.replicas.borrow()[kind as usize].is_known() {
+                return;
+            }
+        }
+    };
+    // Without an answer the store is asked.
+    let _ = timeout(COPY_TIME, first_copy).await;
 }
 
 /// Takes a kind from other instances in place of the store, if the list names many:
 /// when a large fleet starts, its listings would be a burst of calls.
 ///
-/// If none of them knows it yet, a few list it at once; the others give them time
-/// to pass it on.
-pub(crate) async fn starts_from_neighbours(state: &GatewayState, kind: FollowedKind) {
+/// If none of them knows it yet, as after all processes were killed, a process that
+/// takes the place of an earlier one lists it at once, because callers wait. When a
+/// fleet starts for the first time, a few list it and give the others time to take
+/// it from them. Returns whether this process is to list the kind in any case.
+pub(crate) async fn starts_from_neighbours(state: &GatewayState, kind: FollowedKind) -> bool {
     await_list(state).await;
     if state.instances.borrow().entries().len() <= LARGE_LIST {
-        return;
+        return false;
     }
     take_copy(state, kind).await;
     let is_known = || state.replicas.borrow()[kind as usize].is_known();
@@ -96,10 +114,14 @@
         let changes = ask_neighbours(state).await;
         apply_changes(state, kind, &changes);
     }
+    if state.instances.borrow().has_predecessor() {
+        return !is_known();
+    }
     let end_ms = boot_ms() + FIRST_COPY_MS;
     while !is_known() && !is_watcher(state, kind) && boot_ms() < end_ms {
         sleep(LIST_INTERVAL).await;
     }
+    false
 }
 
 /// Waits until the list of instances shows how large the fleet is.
