Wait 25 ms for a first copy from neighbours

Cause: a process that starts after all were killed waits for the whole time for neighbours without power. Change: 25 ms in place of 40.

--- a/crates/gateway/src/neighbours.rs
+++ b/crates/gateway/src/neighbours.rs
@@ -33,9 +33,9 @@
 const LIST_MS: u64 = 1500;
 /// Time between two looks at the list.
 const LIST_INTERVAL: Duration = Duration::from_millis(10);
-/// Time for a first copy: the round trips of a question within a region. A neighbour
-/// without power does not answer at all.
-const COPY_TIME: Duration = Duration::from_millis(40);
+/// Time for a first copy: some round trips within a data centre, two between data
+/// centres some milliseconds apart. A neighbour without power does not answer.
+const COPY_TIME: Duration = Duration::from_millis(25);
 /// Time for all answers: some round trips within a region.
 const ANSWER_TIME: Duration = Duration::from_millis(120);
 
