Say once what a rest, a held version and a departed runner are

The time of rest was computed in two places, a versioned object was looked up twice when a higher version was taken, a field was named otherwise than the flag it copies, and a counter was raised by zero. No behaviour changes.

--- a/crates/gateway/src/follow.rs
+++ b/crates/gateway/src/follow.rs
@@ -371,11 +371,10 @@
     if kind == FollowedKind::Runners {
         state.runners.borrow_mut().note_era(revision.era);
     }
-    state.metrics.add(
-        CounterMetric::StoreErasTotal,
-        "",
-        u64::from(kind == FollowedKind::Table),
-    );
+    if kind == FollowedKind::Table {
+        // Once for all kinds.
+        state.metrics.add(CounterMetric::StoreErasTotal, "", 1);
+    }
     let table = state.table().map_or(0, |table| table.version);
     let runners = state.runners.borrow().all().len();
     log::warn!(
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -189,13 +189,14 @@
         let mut changes = Vec::new();
         for object in objects {
             let revision = self.revision;
+            let held = StoredObject {
+                revision,
+                ..object.clone()
+            };
             match self.find(&object.name) {
                 Ok(index) if version_of(&self.objects[index]) >= version_of(object) => continue,
-                Ok(index) => self.objects[index] = object.clone(),
-                Err(index) => self.objects.insert(index, object.clone()),
-            }
-            if let Ok(index) = self.find(&object.name) {
-                self.objects[index].revision = revision;
+                Ok(index) => self.objects[index] = held,
+                Err(index) => self.objects.insert(index, held),
             }
             self.changed_at = self.changed_at.max(revision);
             changes.push(ReplicaChange::Updated(object.clone()));
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -194,20 +194,14 @@
         }
         if let Some(rest) = notice.rest {
             let rest = rest.mul_f64(rng().random_range(REST_SPREAD));
+            // The adapter bounds it to an hour.
             let rest_ms = rest.as_millis() as u64;
+            let until_ms = self.rest_until_ms.get().max(now_ms + rest_ms);
+            self.rest_until_ms.set(until_ms);
             log::info!(target: "roster", runner, rest_ms; "runner wants rest");
-            self.note_rest(rest, now_ms);
         }
     }
 
-    /// Notes that it wants no request for `rest`.
-    fn note_rest(&self, rest: Duration, now_ms: u64) {
-        let rest_ms = u64::try_from(rest.as_millis()).unwrap_or(u64::MAX);
-        let until_ms = now_ms.saturating_add(rest_ms);
-        self.rest_until_ms
-            .set(self.rest_until_ms.get().max(until_ms));
-    }
-
     /// For how long it still wants no request; `None` if it takes them.
     pub(crate) fn rest_left(&self, now_ms: u64) -> Option<Duration> {
         let left_ms = self.rest_until_ms.get().checked_sub(now_ms)?;
@@ -321,7 +315,8 @@
     id: String,
     started_ms: u64,
     address: SocketAddr,
-    has_said_so: bool,
+    /// Whether it had said that it leaves.
+    is_leaving: bool,
     rest_until_ms: u64,
     /// The era of the store in which its entry went.
     era: u64,
@@ -334,7 +329,7 @@
             id: record.id.clone(),
             started_ms: record.started_ms,
             address: record.address,
-            has_said_so: runner.is_leaving.get(),
+            is_leaving: runner.is_leaving.get(),
             rest_until_ms: runner.rest_until_ms.get(),
             era,
         }
@@ -457,7 +452,7 @@
         let runner = RunnerHandle::new(record, revision);
         if let Some(departed) = departed {
             runner.rest_until_ms.set(departed.rest_until_ms);
-            if departed.has_said_so {
+            if departed.is_leaving {
                 runner.is_leaving.set(true);
             } else if revision.era > departed.era {
                 // An older copy holds it again; it may not live any more.
