Decode and log the request limits that runners name

Change: the adapter decodes the header once into a LimitNotice. Each instance keeps the latest statement of each start of a runner, logs when it changes, and counts the first attempts and retries that it sends to such runners (limited_tries_total). Nothing is limited yet. A limit counts from when its response arrived, its absence from when the request was sent, because responses overtake each other.

Ruled out: the store as a source (entries of runners have no such field) and the runner's health path, which is not called.

The notices tests and the documentation tests of policy and adapter pass.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -211,6 +211,7 @@
                 break;
             }
             self.note_placed(state, call, &placed);
+            note_limited(state, &placed.runner, attempts.sent > 0);
             let started_ms = boot_ms();
             attempts.begin();
             let outcome = self.run_attempt(call, &placed, state, sink).await;
@@ -342,7 +343,7 @@
         let max_connections = service.map_or(0, |s| s.max_connections);
         let attempt = RunnerAttempt {
             call,
-            metrics: &state.metrics,
+            state,
             route: &self.route,
             runner: &placed.runner,
             context,
@@ -363,6 +364,15 @@
     })
 }
 
+/// Counts an attempt at a runner that has named a request limit.
+fn note_limited(state: &GatewayState, runner: &RunnerHandle, is_retry: bool) {
+    let limits = state.runner_limits.borrow();
+    if limits.limit_of(runner.limit_key()).is_some() {
+        let kind = if is_retry { "retry" } else { "first" };
+        state.metrics.add(CounterMetric::LimitedTriesTotal, kind, 1);
+    }
+}
+
 /// Runners that responded to one request with a server error. When the request ends,
 /// the failures count against the runners unless the request itself is at fault.
 #[derive(Default)]
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -112,6 +112,7 @@
         sink.longest_pause_ms = sink.longest_pause_ms.max(gap_ms);
         let gap_s = gap_ms as f64 / 1000.0;
         attempt
+            .state
             .metrics
             .observe(HistogramMetric::TokenGapSeconds, "", gap_s);
     }
--- a/crates/gateway/src/runner_registry.rs
+++ b/crates/gateway/src/runner_registry.rs
@@ -104,6 +104,8 @@
 #[derive(Debug)]
 pub(crate) struct RunnerHandle {
     key: u64,
+    /// Identifies this start of the runner in the table of request limits.
+    limit_key: u64,
     record: RefCell<Rc<RunnerRecord>>,
     /// When its entry was first missing after an outage; 0 if it is not missing.
     missing_since_ms: Cell<u64>,
@@ -145,6 +147,7 @@
             suspect_since_ms: Cell::new(0),
             backoff_until_ms: Cell::new(0),
             key: name_hash(&record.id),
+            limit_key: name_hash(&format!("{}@{}", record.id, record.started_ms)),
             record: RefCell::new(Rc::new(record)),
             missing_since_ms: Cell::new(0),
             is_removed: Cell::new(false),
@@ -169,6 +172,11 @@
         self.key
     }
 
+    /// Returns the key of this start of the runner in the table of request limits.
+    pub(crate) fn limit_key(&self) -> u64 {
+        self.limit_key
+    }
+
     /// Returns the load from this instance.
     pub(crate) fn local_load(&self) -> LoadShare {
         LoadShare {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -7,11 +7,11 @@
     peers::{name_hash, CacheGossip, HolderNotice, LoadShare, PeerTable},
     reclaim::ActiveFetches,
     replica::KindReplica,
-    runner_registry::RunnerRegistry,
+    runner_registry::{RunnerHandle, RunnerRegistry},
     store_lag::OpenWaits,
     store_watch::{StoreAvailability, WatchedKind},
 };
-use berylmount_adapter::store_client::StoreClient;
+use berylmount_adapter::{request_headers::LimitNotice, store_client::StoreClient};
 use berylmount_fleet::{DesiredVersion, ProcessSettings, RouteTable};
 use berylmount_model::unix_ms;
 use berylmount_policy::{
@@ -22,6 +22,7 @@
     prompt_pools::{PromptLength, PromptMix},
     retry_share::{RetryBounds, RetryShare},
     runner_clock::RunnerClock,
+    runner_limits::RunnerLimits,
     shared_duties::DutyMember,
     store_lags::LagTracker,
 };
@@ -126,6 +127,8 @@
     pub(crate) holder_notice: RefCell<Option<HolderNotice>>,
     /// Known runners.
     pub(crate) runners: RefCell<RunnerRegistry>,
+    /// Request limits that runners have named.
+    pub(crate) runner_limits: RefCell<RunnerLimits>,
     /// Requested weights, sorted by model.
     pub(crate) desired_weights: RefCell<Vec<DesiredWeights>>,
     /// Stores of kept cache.
@@ -193,6 +196,7 @@
             settings: RefCell::new(Rc::new(settings)),
             table: RefCell::default(),
             runners: RefCell::default(),
+            runner_limits: RefCell::default(),
             desired_weights: RefCell::default(),
             stores: RefCell::default(),
             instances: RefCell::default(),
@@ -325,6 +329,27 @@
         self.runner_clock.set(clock);
     }
 
+    /// Applies what the response to a request that was sent at `sent_ms` states about the
+    /// runner's request limit.
+    pub(crate) fn note_limit(&self, runner: &RunnerHandle, notice: LimitNotice, sent_ms: u64) {
+        let (key, now_ms) = (runner.limit_key(), boot_ms());
+        let mut limits = self.runner_limits.borrow_mut();
+        let record = runner.record();
+        let runner = record.id.as_str();
+        match notice {
+            LimitNotice::PerSecond(per_s) if limits.note_limit(key, per_s, now_ms) => {
+                log::info!(target: "roster", runner, per_s; "runner named a request limit");
+            }
+            LimitNotice::Unlimited if limits.note_no_limit(key, sent_ms) => {
+                log::info!(target: "roster", runner; "runner withdrew its request limit");
+            }
+            LimitNotice::Unreadable => {
+                log::debug!(target: "roster", runner; "ignored a request limit that is not a number");
+            }
+            LimitNotice::PerSecond(_) | LimitNotice::Unlimited | LimitNotice::Unknown => {}
+        }
+    }
+
     /// Whether the drain for a planned stop has started.
     pub(crate) fn is_draining(&self) -> bool {
         self.drain_started_ms.get() > 0
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -5,6 +5,7 @@
     forward::{CallerSink, InboundCall},
     relay::relay_events,
     runner_registry::{RunnerConnection, RunnerHandle},
+    state::GatewayState,
 };
 use berylmount_adapter::request_headers::{
     decode_notice, decode_reply, set_runner_headers, ForwardContext, RunnerReply,
@@ -14,7 +15,6 @@
     push_headers, read_body, strip_hop_headers, BodyFraming, BodyReader, H1Fault, H1Stream,
     HeadLimits, ResponseHead,
 };
-use berylmount_telemetry::MetricSet;
 use bytes::{BufMut, Bytes, BytesMut};
 use http::{
     header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, EXPECT},
@@ -76,7 +76,7 @@
 /// An attempt to run a caller's request at one runner.
 pub(crate) struct RunnerAttempt<'a> {
     pub(crate) call: &'a InboundCall,
-    pub(crate) metrics: &'a MetricSet,
+    pub(crate) state: &'a GatewayState,
     pub(crate) route: &'a RouteRule,
     pub(crate) runner: &'a Rc<RunnerHandle>,
     /// Instructions for the runner, sent as request headers.
@@ -197,6 +197,7 @@
         on_first_event: &mut impl FnMut(),
     ) -> AttemptOutcome {
         let bytes = self.encode();
+        let sent_ms = boot_ms();
         let exchange = self.send(&mut stream.stream, &bytes);
         let (head, reply, all_sent) =
             match run_cancellable(sink.stream, self.deadline, exchange).await {
@@ -206,13 +207,17 @@
             };
         let notice = decode_notice(head.status, &head.headers);
         self.runner.note_notice(notice, boot_ms());
+        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST && !reply.is_stamped;
+        // Another runner at the address says nothing about this one's limit.
+        if !is_misdirected {
+            self.state.note_limit(self.runner, notice.limit, sent_ms);
+        }
         if let Some(load) = reply.load {
             self.runner.note_load(load, boot_ms());
         }
         if let Some(version) = reply.weights {
             self.runner.note_weights(version);
         }
-        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST && !reply.is_stamped;
         if reply.is_not_executed || is_misdirected {
             let status = head.status;
             if all_sent {
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -145,8 +145,10 @@
 ) {
     let record = runner.record();
     let mut client = RunnerClient::new(record.address);
+    let sent_ms = boot_ms();
     let outcome = order_runner(state, lease, &mut client, &record.id, goal).await;
     runner.note_notice(client.notice(), boot_ms());
+    state.note_limit(runner, client.notice().limit, sent_ms);
     let (runner_id, version) = (record.id.as_str(), goal.version);
     match outcome {
         Ok(Some(OrderOutcome::Started)) => {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 //! | [`runner_placement`] | which runner of a service takes a request from a gateway instance |
 //! | [`runner_clock`] | the current time on the clock of runners and stores |
 //! | [`runner_health`] | how reliable a runner is |
+//! | [`runner_limits`] | how many requests a runner accepts, over all instances |
 //! | [`store_lags`] | which stores of kept cache answer late |
 //! | [`duty_lease`] | which instance holds the lease of a singleton duty |
 //! | [`weights_rollout`] | which runners load the requested weights next |
@@ -72,6 +73,7 @@
 pub mod runner_clock;
 mod runner_events;
 pub mod runner_health;
+pub mod runner_limits;
 pub mod runner_placement;
 mod runner_query;
 mod runner_state;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -70,6 +70,9 @@
     /// Attempts of requests at runners, by result.
     #[strum(props(label = "end"))]
     TriesTotal,
+    /// Attempts sent to runners that had named a request limit, by kind: `first`, `retry`.
+    #[strum(props(label = "kind"))]
+    LimitedTriesTotal,
     /// Log records dropped because the queue was full.
     LogRecordsDroppedTotal,
     /// Bytes of encoded membership messages, by direction: `sent`, `received`.
@@ -105,6 +108,8 @@
     /// Retries left in this process's retry budget for the current window, for the
     /// service with the fewest left.
     RetriesLeft,
+    /// Runners that have named a request limit, as far as this process knows.
+    LimitedRunners,
     /// Known member processes of the system, by state.
     #[strum(props(label = "state"))]
     Members,
