Reproduce the requests beyond a runner's limit in a test that fails

It counts what the runners received, from 3 s after the limits were named, in windows of 4 s, and allows what the platform's rule allows. It also asks that half of each limit is used and that no caller is refused while the third runner is free.

Seen on this code: "limit 2.8: 462 in a window, 21.8 allowed".

This settles the hypotheses. Kept by each instance for itself (2), the limit would have let at most seven times 11 requests and a burst through; retries (3) do not occur, because no runner of the test fails. The limit is decoded and logged, but nothing acts on it (1).

--- /dev/null
+++ b/crates/gateway/tests/request_limits.rs
@@ -0,0 +1,190 @@
+//! Request limits of runners, judged by the requests that the runners received.
+
+#![allow(clippy::unwrap_used)]
+
+mod standins;
+
+use standins::{
+    all_routes, healthy_runner, response_to, scripted_runner, table, wait_until, AfterResponse,
+    StandinRunner, StandinStore, TestGateway,
+};
+use std::{
+    env,
+    sync::{
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+        Arc, Mutex,
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+/// Number of instances, unless the environment sets `BERYLMOUNT_LIMIT_INSTANCES`.
+const INSTANCES: usize = 7;
+/// Time after a limit is named from which it binds, as on the platform.
+const CONTACT: Duration = Duration::from_secs(3);
+/// Length of the window in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+/// Time for which a limit is watched once it binds.
+const WATCHED: Duration = Duration::from_secs(6);
+/// Pause of a caller between two requests. All callers together send far more requests
+/// than the limits allow.
+const CALLER_PAUSE: Duration = Duration::from_millis(60);
+
+/// A runner that names a request limit and records when requests arrive.
+#[derive(Clone)]
+struct LimitedRunner {
+    runner: StandinRunner,
+    limit: Arc<Mutex<Option<f64>>>,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+}
+
+impl LimitedRunner {
+    fn start() -> Self {
+        let limit: Arc<Mutex<Option<f64>>> = Arc::default();
+        let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
+        let (named, recorded) = (limit.clone(), arrivals.clone());
+        let runner = scripted_runner(move |request| {
+            recorded.lock().unwrap().push(Instant::now());
+            let response = String::from_utf8(response_to(request, "200 OK", "fine")).unwrap();
+            let (head, body) = response.split_once("\r\n").unwrap();
+            let header = match *named.lock().unwrap() {
+                Some(per_s) => format!("Server-Limit: {per_s}\r\n"),
+                None => String::new(),
+            };
+            let response = format!("{head}\r\n{header}{body}");
+            (response.into_bytes(), AfterResponse::Keep)
+        });
+        Self {
+            runner,
+            limit,
+            arrivals,
+        }
+    }
+
+    fn name_limit(&self, per_s: Option<f64>) {
+        *self.limit.lock().unwrap() = per_s;
+    }
+
+    fn arrivals_since(&self, since: Instant) -> Vec<Instant> {
+        let arrivals = self.arrivals.lock().unwrap();
+        arrivals.iter().copied().filter(|at| *at >= since).collect()
+    }
+
+    /// Checks the requests since `since`: no window has more than the platform allows, and
+    /// at least half of the limit was used.
+    fn check_limit(&self, per_s: f64, since: Instant) {
+        let arrivals = self.arrivals_since(since);
+        let in_window = |start: &Instant| {
+            let window = arrivals
+                .iter()
+                .filter(|at| *at >= start && **at < *start + WINDOW);
+            window.count()
+        };
+        let most = arrivals.iter().map(in_window).max().unwrap_or(0);
+        let allowed = 1.5 * per_s * WINDOW.as_secs_f64() + 5.0;
+        assert!(
+            most as f64 <= allowed,
+            "limit {per_s}: {most} in a window, {allowed} allowed"
+        );
+        let usable = per_s * since.elapsed().as_secs_f64();
+        assert!(
+            arrivals.len() as f64 >= usable / 2.0,
+            "limit {per_s}: {} of {usable} used",
+            arrivals.len()
+        );
+    }
+}
+
+/// Instances with callers that send requests to each of them without a pause in between.
+struct LoadedFleet {
+    is_over: Arc<AtomicBool>,
+    served: Arc<AtomicUsize>,
+    /// Bodies of the responses that are not 200, without repetitions.
+    refusals: Arc<Mutex<Vec<String>>>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+impl LoadedFleet {
+    fn start(runners: &[(&str, &StandinRunner)]) -> Self {
+        let store = StandinStore::start();
+        store.put("config", "main", Some(table(1, all_routes())));
+        for (id, runner) in runners {
+            store.put("servers", id, Some(runner.entry("svc", "ready")));
+        }
+        let instances = env::var("BERYLMOUNT_LIMIT_INSTANCES");
+        let instances = instances.map_or(INSTANCES, |count| count.parse().unwrap());
+        let start = |number| TestGateway::start_with(store.clone(), &format!("i{number}"));
+        let gateways: Vec<TestGateway> = (0..instances).map(start).collect();
+        for gateway in &gateways {
+            gateway.wait_ready();
+            gateway.wait_for_status("GET /safe/warm", "200", false);
+        }
+        let mut fleet = Self {
+            is_over: Arc::default(),
+            served: Arc::default(),
+            refusals: Arc::default(),
+            callers: Vec::new(),
+        };
+        for gateway in gateways {
+            fleet.add_caller(gateway);
+        }
+        fleet
+    }
+
+    fn add_caller(&mut self, gateway: TestGateway) {
+        let (is_over, served) = (self.is_over.clone(), self.served.clone());
+        let refusals = self.refusals.clone();
+        let call = move || {
+            while !is_over.load(Ordering::Relaxed) {
+                let response = gateway.call("GET /safe/x", "n", "", "").unwrap();
+                if response.starts_with("HTTP/1.1 200") {
+                    served.fetch_add(1, Ordering::Relaxed);
+                } else {
+                    let body = response.split_once("\r\n\r\n").unwrap().1.to_owned();
+                    let mut refusals = refusals.lock().unwrap();
+                    if !refusals.contains(&body) {
+                        refusals.push(body);
+                    }
+                }
+                thread::sleep(CALLER_PAUSE);
+            }
+        };
+        self.callers.push(thread::spawn(call));
+    }
+
+    /// Stops the callers; returns the distinct refusals.
+    fn stop(self) -> Vec<String> {
+        self.is_over.store(true, Ordering::Relaxed);
+        for caller in self.callers {
+            caller.join().unwrap();
+        }
+        let refusals = self.refusals.lock().unwrap();
+        refusals.clone()
+    }
+}
+
+/// Names limits and waits until they bind; returns since when they do.
+fn name_limits(limits: &[(&LimitedRunner, f64)]) -> Instant {
+    for (runner, per_s) in limits {
+        runner.name_limit(Some(*per_s));
+    }
+    thread::sleep(CONTACT);
+    Instant::now()
+}
+
+#[test]
+fn a_runner_gets_no_more_requests_from_all_instances_than_its_limit_allows() {
+    let limited = [LimitedRunner::start(), LimitedRunner::start()];
+    let other = healthy_runner();
+    let fleet = LoadedFleet::start(&[
+        ("r1", &limited[0].runner),
+        ("r2", &limited[1].runner),
+        ("r3", &other),
+    ]);
+    let since = name_limits(&[(&limited[0], 2.8), (&limited[1], 5.2)]);
+    thread::sleep(WATCHED);
+    limited[0].check_limit(2.8, since);
+    limited[1].check_limit(5.2, since);
+    // The runner without a limit serves the other requests.
+    assert_eq!(fleet.stop(), Vec::<String>::new());
+}
