Send requests to a limited runner only with a permit of its coordinator

Cause: the limit was not acted on. A wider cause stands behind it: nothing in the gateway shares a rate among instances at run time. Retries are divided into equal shares, which works only while a share is above one.

Ruled out: retries (the test has none), one instance alone (all seven send), late learning of the limit (the rate does not fall within seconds).

Change: one instance coordinates each limited runner and issues permits from a token bucket; every request, repeats included, needs one. Statements of runners are ordered by time and reported to all instances. A denied instance leaves the runner out for a delay that grows with the number of requests for permits.

It asked that half of each limit is used while a third runner was idle and unlimited; that was wrong, since callers are served there without a wait for a permit. The same bound now stands in a test where all runners are limited, with the check that others are refused, and a third test raises, lowers and withdraws a limit.

--- a/crates/gateway/src/call_log.rs
+++ b/crates/gateway/src/call_log.rs
@@ -5,6 +5,7 @@
     forward::{CallerSink, InboundCall},
     placement::PlacedRunner,
     responses::LocalResponse,
+    runner_registry::RunnerHandle,
     state::GatewayState,
     upstream::AttemptOutcome,
 };
@@ -48,6 +49,13 @@
         self.sent > 0 || self.is_attempt_open
     }
 
+    /// Records that no permit was available for a runner with a request limit.
+    pub(crate) fn record_denial(&mut self, runner: &RunnerHandle) {
+        let separator = if self.text.is_empty() { "" } else { "; " };
+        let runner = &runner.record().id;
+        self.text += &format!("{separator}{runner} at its request limit");
+    }
+
     /// Records the end of an attempt.
     pub(crate) fn record(
         &mut self,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,6 +3,7 @@
 use crate::{
     call_log::{record_outcome, request_class, AttemptLog, CallOutcome},
     clock::boot_ms,
+    permits::acquire_permit,
     placement::{place, PlacedRunner, PlacementQuery, PlacementResult},
     responses::{encode_response, LocalReason, LocalResponse},
     runner_registry::RunnerHandle,
@@ -13,7 +14,7 @@
 use berylmount_fleet::{CallerRequest, CustomerRecord, RouteKind, RouteRule, RouteTable};
 use berylmount_h1::{H1Stream, RequestHead};
 use berylmount_policy::{
-    admission::{overload_decision, AdmissionRequest, OverloadDecision},
+    admission::{overload_decision, refusal_delay_ms, AdmissionRequest, OverloadDecision},
     runner_health::is_request_at_fault,
 };
 use berylmount_telemetry::{CounterMetric, HistogramMetric};
@@ -30,6 +31,8 @@
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(30);
 /// Maximum attempts of one request that fail before anything is sent.
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
+/// Permits that one request may be denied before it avoids runners with request limits.
+const MAX_PERMIT_DENIALS: u32 = 2;
 /// Interval at which free capacity is checked; a few steps of an engine's batch.
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Random factor on the retry delay during overload, so that rejected callers don't
@@ -192,7 +195,8 @@
         let mut unsent_attempts = 0;
         let mut fallback = FallbackOutcome::Local(rejection(LocalReason::NoRunner));
         loop {
-            let placed = match self.wait_for_capacity(state, call, sink, &tried).await {
+            let capacity = self.wait_for_capacity(state, call, sink, &tried, attempts);
+            let placed = match capacity.await {
                 CapacityWait::Placed(placed) => placed,
                 CapacityWait::CallerGone => return CallOutcome::CallerGone,
                 CapacityWait::NoRunner => break,
@@ -200,9 +204,9 @@
                     fallback.note_backoff(delay);
                     break;
                 }
-                CapacityWait::NoCapacity(_) if attempts.sent > 0 => break,
-                CapacityWait::NoCapacity(delay) => {
-                    let mut response = rejection(LocalReason::Overloaded);
+                CapacityWait::NoCapacity(..) if attempts.sent > 0 => break,
+                CapacityWait::NoCapacity(reason, delay) => {
+                    let mut response = rejection(reason);
                     response.retry_after = Some(delay.mul_f64(rng().random_range(OVERLOAD_JITTER)));
                     return CallOutcome::Local(response);
                 }
@@ -248,24 +252,45 @@
         }
     }
 
-    /// Places the request; waits for a short time if no runner has capacity.
+    /// Places the request and acquires a permit if the runner has a request limit. Waits
+    /// for a short time if no runner has capacity.
     async fn wait_for_capacity(
         &self,
         state: &GatewayState,
         call: &InboundCall,
         sink: &mut CallerSink<'_>,
         tried: &[Rc<RunnerHandle>],
+        attempts: &mut AttemptLog,
     ) -> CapacityWait {
+        let mut denials = 0;
         loop {
-            let query = self.query(call);
+            let mut query = self.query(call);
+            query.avoids_limited = denials >= MAX_PERMIT_DENIALS;
             match place(state, &query, tried) {
-                PlacementResult::Placed(placed) => return CapacityWait::Placed(placed),
+                PlacementResult::Placed(placed) => {
+                    let has_permit = tokio::select! {
+                        has_permit = acquire_permit(state, &placed.runner) => has_permit,
+                        () = sink.stream.closed() => return CapacityWait::CallerGone,
+                    };
+                    if has_permit {
+                        return CapacityWait::Placed(placed);
+                    }
+                    denials += 1;
+                    attempts.record_denial(&placed.runner);
+                    continue;
+                }
+                PlacementResult::AtLimit(delay) => {
+                    let refusal_ms = refusal_delay_ms(&query.admission);
+                    let delay = delay.max(Duration::from_secs_f64(refusal_ms / 1000.0));
+                    return CapacityWait::NoCapacity(LocalReason::RunnersAtLimit, delay);
+                }
                 PlacementResult::NoRunner => return CapacityWait::NoRunner,
                 PlacementResult::Backoff(delay) => return CapacityWait::Backoff(delay),
                 PlacementResult::NoCapacity => {}
             }
             if let OverloadDecision::Refuse(delay_ms) = overload_decision(&query.admission) {
-                return CapacityWait::NoCapacity(Duration::from_secs_f64(delay_ms / 1000.0));
+                let delay = Duration::from_secs_f64(delay_ms / 1000.0);
+                return CapacityWait::NoCapacity(LocalReason::Overloaded, delay);
             }
             tokio::select! {
                 () = sleep(CAPACITY_POLL_INTERVAL) => {}
@@ -292,6 +317,7 @@
             admission,
             draw: self.draw,
             max_idle: max_idle(&self.route),
+            avoids_limited: false,
         }
     }
 
@@ -497,8 +523,9 @@
 /// Result of waiting for a runner with capacity.
 enum CapacityWait {
     Placed(Box<PlacedRunner>),
-    /// No runner has capacity; the caller should retry after this time.
-    NoCapacity(Duration),
+    /// No runner has capacity; the reason, and the time after which the caller should
+    /// retry.
+    NoCapacity(LocalReason, Duration),
     /// All runners are in backoff; the first one accepts requests after this time.
     Backoff(Duration),
     NoRunner,
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -40,7 +40,7 @@
         }
         let lagging = state.stores.borrow().lagging_count() as i64;
         metrics.set(GaugeMetric::LaggingStores, "", lagging);
-        let limited = state.runner_limits.borrow().len() as i64;
+        let limited = state.runner_limits.borrow().limited_count() as i64;
         metrics.set(GaugeMetric::LimitedRunners, "", limited);
         let live = state.peers.borrow().live_count(now_ms);
         metrics.set(GaugeMetric::Members, "live", live as i64);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -55,6 +55,7 @@
 mod peer_bootstrap;
 mod peer_link;
 mod peers;
+mod permits;
 mod placement;
 mod process;
 mod reclaim;
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -11,12 +11,14 @@
     clock::boot_ms,
     instances::InstanceEntry,
     peers::{LoadShare, PeerHeartbeat, PeerMessage},
+    permits::{decide_permit, deliver_reply},
     replica::ReplicaDelta,
     state::GatewayState,
     store_watch::{is_connected_watcher, WatchedKind},
 };
 use berylmount_adapter::store_client::{EraRevision, StoredObject};
 use bincode::{config, serde as codec};
+use rand::rng;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 use strum::IntoEnumIterator;
@@ -34,6 +36,10 @@
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 /// Time between two checks whether a message is due.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// Minimum time between two reports of unchanged request limits.
+const LIMITS_INTERVAL: Duration = Duration::from_secs(1);
+/// That time in heartbeat intervals, which are longer in a large fleet.
+const LIMITS_HEARTBEATS: u32 = 4;
 /// Time limit for one request for a copy.
 const PULL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -72,21 +78,31 @@
 /// Sends heartbeats to the other instances, and starts the task that receives theirs.
 pub(crate) async fn exchange_heartbeats(state: Rc<GatewayState>, socket: UdpSocket) {
     let socket = Rc::new(socket);
+    let socket = state.peer_socket.get_or_init(|| socket).clone();
     spawn_local(receive_messages(state.clone(), socket.clone()));
-    let mut waited = Duration::ZERO;
+    let (mut waited, mut limits_waited) = (Duration::ZERO, Duration::ZERO);
     // Created outside of the loop, so that frequent placements do not delay the ticks.
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             biased;
-            _ = ticks.tick() => waited += TICK_INTERVAL,
+            _ = ticks.tick() => {
+                waited += TICK_INTERVAL;
+                limits_waited += TICK_INTERVAL;
+            }
             () = state.placements_ready.notified() => {
                 send_placements(&state, &socket).await;
                 continue;
             }
         }
         let interval = Duration::from_millis(state.peers.borrow().interval_ms());
+        if limits_waited >= LIMITS_INTERVAL.max(interval * LIMITS_HEARTBEATS)
+            || state.is_limit_report_due.replace(false)
+        {
+            limits_waited = Duration::ZERO;
+            send_limits(&state, &socket).await;
+        }
         let gossip = state.gossip.take();
         let is_due = || waited >= interval || state.is_heartbeat_due.get();
         if gossip.is_empty() && !is_due() {
@@ -130,11 +146,23 @@
     }
 }
 
+/// Reports request limits of runners, if there are any.
+async fn send_limits(state: &GatewayState, socket: &UdpSocket) {
+    let reports = state
+        .runner_limits
+        .borrow_mut()
+        .reports(boot_ms(), &mut rng());
+    if !reports.is_empty() {
+        let message = PeerMessage::LimitReports(reports);
+        send_message(socket, &peer_addresses(state), &message).await;
+    }
+}
+
 async fn receive_messages(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0u8; MAX_DATAGRAM_BYTES];
     loop {
-        let length = match socket.recv_from(&mut buffer).await {
-            Ok((length, _)) => length,
+        let (length, sender) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
             Err(error) => {
                 log::warn!(target: "peers", error:% ; "could not receive from the socket");
                 sleep(Duration::from_millis(20)).await;
@@ -152,6 +180,16 @@
             Ok(PeerMessage::Placed(peer, runner, share)) => {
                 state.peers.borrow_mut().note_placed(&peer, runner, share);
             }
+            Ok(PeerMessage::LimitReports(reports)) => {
+                reports.iter().for_each(|report| state.merge_limit(report));
+            }
+            Ok(PeerMessage::PermitRequest(number, report)) => {
+                let reply = PeerMessage::PermitReply(number, decide_permit(&state, &report));
+                send_message(&socket, &[sender], &reply).await;
+            }
+            Ok(PeerMessage::PermitReply(number, decision)) => {
+                deliver_reply(&state, number, decision);
+            }
             Err(fault) => {
                 log::warn!(target: "peers", fault:% ; "ignored a message that does not decode")
             }
@@ -181,7 +219,11 @@
 }
 
 /// Sends one datagram to each address.
-async fn send_message(socket: &UdpSocket, addresses: &[SocketAddr], message: &PeerMessage) {
+pub(crate) async fn send_message(
+    socket: &UdpSocket,
+    addresses: &[SocketAddr],
+    message: &PeerMessage,
+) {
     let bytes = match encode(message) {
         Ok(bytes) => bytes,
         Err(fault) => return log::error!(target: "peers", fault:% ; "could not encode a message"),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,7 +9,8 @@
 use berylmount_adapter::store_client::EraRevision;
 use berylmount_policy::{
     engine_pace::EnginePace,
-    shared_duties::{rank_among, DutyMember},
+    runner_limits::{LimitReport, PermitDecision},
+    shared_duties::{first_among, rank_among, DutyMember},
 };
 use rand::{rng, seq::IndexedRandom};
 use serde::{Deserialize, Serialize};
@@ -190,6 +191,13 @@
     /// A long prompt that an instance has just sent to a runner: name of the instance,
     /// key of the runner, and the load that the prompt adds.
     Placed(String, u64, LoadShare),
+    /// Request limits that runners have named.
+    LimitReports(Vec<LimitReport>),
+    /// A request for a permit for one request to a limited runner: a number that the reply
+    /// repeats, and what the sender knows about the limit.
+    PermitRequest(u64, LimitReport),
+    /// The reply to a permit request: its number, and the decision.
+    PermitReply(u64, PermitDecision),
 }
 
 /// Another instance, as of its last heartbeat.
@@ -300,6 +308,26 @@
         rank_among(duty, own, &others.collect::<Vec<_>>())
     }
 
+    /// Returns the address for other instances of the one that ranks first for a shared
+    /// duty among `own`, if given, and the other live instances that accept requests.
+    /// Returns `None` if `own` does, or if there is none.
+    pub(crate) fn first_other(
+        &self,
+        own: Option<DutyMember<'_>>,
+        duty: &str,
+        now_ms: u64,
+    ) -> Option<SocketAddr> {
+        let ready = self.live(now_ms).filter(|peer| peer.heartbeat.is_ready);
+        let ready: Vec<&KnownPeer> = ready.collect();
+        let members = ready.iter().map(|peer| DutyMember {
+            name: &peer.heartbeat.name,
+            strength: peer.heartbeat.strength,
+        });
+        let members: Vec<DutyMember<'_>> = members.chain(own).collect();
+        let first = ready.get(first_among(duty, &members)?)?;
+        Some(first.heartbeat.entry.peers)
+    }
+
     /// Whether the fleet is so large that only some instances poll and forward changes.
     pub(crate) fn is_large(&self, now_ms: u64) -> bool {
         self.live_count(now_ms) >= LARGE_FLEET_PEERS
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -5,7 +5,7 @@
     forward::InboundCall,
     reclaim::may_fetch,
     reservation::{prefill_sample, PrefillSample},
-    runner_registry::RunnerHandle,
+    runner_registry::{RunnerHandle, RunnerRegistry},
     state::GatewayState,
     transfers::{cached_prompt, copy_missing, fetch_limit, PromptHomes, TransferPlanner},
 };
@@ -27,6 +27,9 @@
 const OLD_WEIGHTS_PENALTY_MS: f64 = 400.0;
 /// Time from placement until a busy runner starts the request, in milliseconds.
 const START_DELAY_MS: u64 = 2000;
+/// Cost of a permit for a runner with a request limit, in milliseconds: a round trip to
+/// the instance that issues it.
+const PERMIT_COST_MS: f64 = 2.0 * REMOTE_LATENCY_MS;
 /// Expected output length as a fraction of the requested maximum.
 const OUTPUT_LENGTH_SHARE: f64 = 0.5;
 
@@ -66,6 +69,8 @@
     pub(crate) draw: f64,
     /// Longest idle time of a pooled connection that may carry the request.
     pub(crate) max_idle: Duration,
+    /// Whether runners with a request limit are left out.
+    pub(crate) avoids_limited: bool,
 }
 
 /// Result of placing a request.
@@ -76,6 +81,9 @@
     NoCapacity,
     /// Runners exist, but all are in backoff; the first backoff ends after this time.
     Backoff(Duration),
+    /// Runners exist, but those that are not in backoff are at their request limits. The
+    /// first may have a permit after this time.
+    AtLimit(Duration),
     /// No runner can serve the request.
     NoRunner,
 }
@@ -109,7 +117,9 @@
     };
     let is_untried = |runner: &&Rc<RunnerHandle>| !tried.iter().any(|t| Rc::ptr_eq(t, runner));
     let runners = state.runners.borrow();
-    let accepts_requests = |runner: &&Rc<RunnerHandle>| runner.backoff_left(now_ms).is_none();
+    let accepts_requests = |runner: &&Rc<RunnerHandle>| {
+        runner.backoff_left(now_ms).is_none() && limit_delay(state, query, runner, now_ms).is_none()
+    };
     let candidates = runners.ready_of(query.service).filter(accepts_requests);
     let candidates = candidates.filter(is_untried);
     let min_version = min_weights_version(state, query, now_ms);
@@ -135,11 +145,7 @@
             .for_each(|(view, _)| view.penalty_ms += mix.interference_ms(demand.prefill_per_ms));
     }
     if views.is_empty() {
-        let ready = runners.ready_of(query.service);
-        let backoffs = ready.filter_map(|runner| runner.backoff_left(now_ms));
-        return backoffs
-            .min()
-            .map_or(PlacementResult::NoRunner, PlacementResult::Backoff);
+        return no_candidate(state, query, &runners, now_ms);
     }
     let admissible = admissible_runners(state, query, &views, &demand, engine.is_some());
     let admissible_views: Vec<RunnerView> = admissible.iter().map(|index| views[*index]).collect();
@@ -168,6 +174,41 @@
     }))
 }
 
+/// Returns for how long the request limit of a runner excludes it; `None` if it does not.
+fn limit_delay(
+    state: &GatewayState,
+    query: &PlacementQuery<'_>,
+    runner: &RunnerHandle,
+    now_ms: u64,
+) -> Option<Duration> {
+    let limits = state.runner_limits.borrow();
+    let key = runner.limit_key();
+    let is_avoided = query.avoids_limited && limits.limit_of(key).is_some();
+    let delay_ms = limits.delay_ms(key, now_ms);
+    delay_ms
+        .or(is_avoided.then_some(0))
+        .map(Duration::from_millis)
+}
+
+/// Returns why no runner of the service is a candidate.
+fn no_candidate(
+    state: &GatewayState,
+    query: &PlacementQuery<'_>,
+    runners: &RunnerRegistry,
+    now_ms: u64,
+) -> PlacementResult {
+    let (mut first_backoff, mut first_delay) = (None::<Duration>, None::<Duration>);
+    for runner in runners.ready_of(query.service) {
+        if let Some(left) = runner.backoff_left(now_ms) {
+            first_backoff = Some(first_backoff.map_or(left, |first| first.min(left)));
+        } else if let Some(delay) = limit_delay(state, query, runner, now_ms) {
+            first_delay = Some(first_delay.map_or(delay, |first| first.min(delay)));
+        }
+    }
+    let backoff = first_backoff.map_or(PlacementResult::NoRunner, PlacementResult::Backoff);
+    first_delay.map_or(backoff, PlacementResult::AtLimit)
+}
+
 /// Returns the demand of the request on a runner.
 fn placement_demand(
     state: &GatewayState,
@@ -322,6 +363,7 @@
     let own_data_centre = state.settings().data_centre.clone();
     let peers = state.peers.borrow();
     let peer_loads = peers.loads(now_ms);
+    let limits = state.runner_limits.borrow();
     let own_notice = state.holder_notice.borrow();
     let notice = own_notice.as_ref().or_else(|| peers.holder_notice(now_ms));
     let is_switching =
@@ -336,6 +378,8 @@
         let mut sent = peer_loads.on(runner.key());
         sent.add(&runner.local_load());
         let old_weights_ms = if is_old { OLD_WEIGHTS_PENALTY_MS } else { 0.0 };
+        let is_limited = limits.limit_of(runner.limit_key()).is_some();
+        let permit_ms = if is_limited { PERMIT_COST_MS } else { 0.0 };
         let rank = homes.rank(runner);
         let cached = cached_prompt(query, engine, runner, homes, planner);
         RunnerView {
@@ -358,7 +402,7 @@
             is_connected: runner.has_idle_connection(now_ms, query.max_idle),
             cached_tokens: cached.cached_tokens,
             fetch_ms: cached.fetch_ms,
-            penalty_ms: old_weights_ms,
+            penalty_ms: old_weights_ms + permit_ms,
             is_switching: is_switching(runner.key()),
             home_rank: rank,
         }
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -40,6 +40,9 @@
     /// All runners are in the backoff that they asked for; the request has not run.
     #[strum(serialize = "runners_rest")]
     RunnersInBackoff,
+    /// All runners are at the request limits that they named; the request has not run.
+    #[strum(serialize = "runner_limits")]
+    RunnersAtLimit,
     /// The gateway or the runners lack capacity; the request has not run.
     Overloaded,
     /// A runner may have run the request but did not respond in time.
@@ -64,6 +67,7 @@
             | Self::Draining
             | Self::Refused
             | Self::RunnersInBackoff
+            | Self::RunnersAtLimit
             | Self::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
             Self::MayHaveRunTimeout => StatusCode::GATEWAY_TIMEOUT,
             Self::MayHaveRun => StatusCode::BAD_GATEWAY,
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -22,20 +22,23 @@
     prompt_pools::{PromptLength, PromptMix},
     retry_share::{RetryBounds, RetryShare},
     runner_clock::RunnerClock,
-    runner_limits::RunnerLimits,
+    runner_limits::{LimitReport, PermitDecision, RunnerLimits},
     shared_duties::DutyMember,
     store_lags::LagTracker,
 };
 use berylmount_telemetry::MetricSet;
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
     time::Duration,
 };
 use strum::EnumCount;
-use tokio::sync::Notify;
+use tokio::{
+    net::UdpSocket,
+    sync::{oneshot, Notify},
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Fraction of the grace period after which a draining process starts no request. The
@@ -129,6 +132,12 @@
     pub(crate) runners: RefCell<RunnerRegistry>,
     /// Request limits that runners have named.
     pub(crate) runner_limits: RefCell<RunnerLimits>,
+    /// Whether a change of the limits is to be reported to the other instances.
+    pub(crate) is_limit_report_due: Cell<bool>,
+    /// Open permit requests by their number, with the receiver of the reply.
+    pub(crate) permit_replies: RefCell<Vec<(u64, oneshot::Sender<PermitDecision>)>>,
+    /// The socket for datagrams to other instances, once the process serves.
+    pub(crate) peer_socket: OnceCell<Rc<UdpSocket>>,
     /// Requested weights, sorted by model.
     pub(crate) desired_weights: RefCell<Vec<DesiredWeights>>,
     /// Stores of kept cache.
@@ -197,6 +206,9 @@
             table: RefCell::default(),
             runners: RefCell::default(),
             runner_limits: RefCell::default(),
+            is_limit_report_due: Cell::new(false),
+            permit_replies: RefCell::default(),
+            peer_socket: OnceCell::new(),
             desired_weights: RefCell::default(),
             stores: RefCell::default(),
             instances: RefCell::default(),
@@ -338,9 +350,11 @@
         let runner = record.id.as_str();
         match notice {
             LimitNotice::PerSecond(per_s) if limits.note_limit(key, per_s, now_ms) => {
+                self.is_limit_report_due.set(true);
                 log::info!(target: "roster", runner, per_s; "runner named a request limit");
             }
-            LimitNotice::Unlimited if limits.note_no_limit(key, sent_ms) => {
+            LimitNotice::Unlimited if limits.note_no_limit(key, sent_ms, now_ms) => {
+                self.is_limit_report_due.set(true);
                 log::info!(target: "roster", runner; "runner withdrew its request limit");
             }
             LimitNotice::Unreadable => {
@@ -350,6 +364,27 @@
         }
     }
 
+    /// Applies what another instance knows about the request limit of a runner.
+    pub(crate) fn merge_limit(&self, report: &LimitReport) {
+        if self.runner_limits.borrow_mut().merge(report, boot_ms()) {
+            let (runner, per_s) = (report.runner, report.per_s);
+            log::info!(target: "roster", runner_key = runner, per_s:?; "request limit changed, as reported by an instance");
+        }
+    }
+
+    /// Returns the address of the instance that issues permits for a limited runner;
+    /// `None` if this instance does.
+    pub(crate) fn permit_coordinator(&self, runner: u64) -> Option<SocketAddr> {
+        let settings = self.settings();
+        let own = DutyMember {
+            name: &settings.name,
+            strength: settings.machine.capacity_millicores(),
+        };
+        let own = (!self.is_draining() && self.table().is_some()).then_some(own);
+        let duty = format!("limit {runner:x}");
+        self.peers.borrow().first_other(own, &duty, boot_ms())
+    }
+
     /// Whether the drain for a planned stop has started.
     pub(crate) fn is_draining(&self) -> bool {
         self.drain_started_ms.get() > 0
--- a/crates/gateway/tests/request_limits.rs
+++ b/crates/gateway/tests/request_limits.rs
@@ -70,9 +70,8 @@
         arrivals.iter().copied().filter(|at| *at >= since).collect()
     }
 
-    /// Checks the requests since `since`: no window has more than the platform allows, and
-    /// at least half of the limit was used.
-    fn check_limit(&self, per_s: f64, since: Instant) {
+    /// Checks that no window since `since` has more requests than the platform allows.
+    fn check_kept(&self, per_s: f64, since: Instant) {
         let arrivals = self.arrivals_since(since);
         let in_window = |start: &Instant| {
             let window = arrivals
@@ -86,11 +85,15 @@
             most as f64 <= allowed,
             "limit {per_s}: {most} in a window, {allowed} allowed"
         );
+    }
+
+    /// Checks that at least half of the limit was used since `since`.
+    fn check_used(&self, per_s: f64, since: Instant) {
         let usable = per_s * since.elapsed().as_secs_f64();
+        let used = self.arrivals_since(since).len();
         assert!(
-            arrivals.len() as f64 >= usable / 2.0,
-            "limit {per_s}: {} of {usable} used",
-            arrivals.len()
+            used as f64 >= usable / 2.0,
+            "limit {per_s}: {used} of {usable} used"
         );
     }
 }
@@ -183,8 +186,40 @@
     ]);
     let since = name_limits(&[(&limited[0], 2.8), (&limited[1], 5.2)]);
     thread::sleep(WATCHED);
-    limited[0].check_limit(2.8, since);
-    limited[1].check_limit(5.2, since);
+    limited[0].check_kept(2.8, since);
+    limited[1].check_kept(5.2, since);
     // The runner without a limit serves the other requests.
     assert_eq!(fleet.stop(), Vec::<String>::new());
 }
+
+#[test]
+fn limits_of_all_runners_are_used_and_other_callers_are_refused() {
+    let limited = [LimitedRunner::start(), LimitedRunner::start()];
+    let fleet = LoadedFleet::start(&[("r1", &limited[0].runner), ("r2", &limited[1].runner)]);
+    let since = name_limits(&[(&limited[0], 2.8), (&limited[1], 5.2)]);
+    thread::sleep(WATCHED);
+    for (runner, per_s) in limited.iter().zip([2.8, 5.2]) {
+        runner.check_kept(per_s, since);
+        runner.check_used(per_s, since);
+    }
+    assert_eq!(fleet.stop(), ["runner_limits"]);
+}
+
+#[test]
+fn a_limit_that_is_raised_lowered_or_withdrawn_takes_effect_at_all_instances() {
+    let limited = LimitedRunner::start();
+    let fleet = LoadedFleet::start(&[("r1", &limited.runner)]);
+    for per_s in [3.0, 12.0, 2.0] {
+        let since = name_limits(&[(&limited, per_s)]);
+        thread::sleep(WATCHED);
+        limited.check_kept(per_s, since);
+        limited.check_used(per_s, since);
+    }
+    limited.name_limit(None);
+    let since = Instant::now();
+    // With the limit, this would take 50 s.
+    wait_until("requests beyond the withdrawn limit", || {
+        limited.arrivals_since(since).len() > 100
+    });
+    fleet.stop();
+}
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -108,7 +108,19 @@
     {
         return OverloadDecision::Wait;
     }
-    OverloadDecision::Refuse((request.left_ms * RETRY_AFTER_FRACTION).max(MIN_RETRY_AFTER_MS))
+    OverloadDecision::Refuse(refusal_delay_ms(request))
+}
+
+/// Returns after how many milliseconds the caller of a refused request should retry.
+///
+/// ```
+/// use berylmount_policy::admission::{refusal_delay_ms, AdmissionRequest};
+///
+/// let request = AdmissionRequest { left_ms: 10_000.0, ..AdmissionRequest::default() };
+/// assert_eq!(refusal_delay_ms(&request), 2000.0);
+/// ```
+pub fn refusal_delay_ms(request: &AdmissionRequest) -> f64 {
+    (request.left_ms * RETRY_AFTER_FRACTION).max(MIN_RETRY_AFTER_MS)
 }
 
 /// Returns whether the queueing delay at a runner is short enough to send a request.
--- a/crates/policy/src/shared_duties.rs
+++ b/crates/policy/src/shared_duties.rs
@@ -37,6 +37,30 @@
     pair_hash(duty.as_bytes(), member) as f64 / u64::MAX as f64
 }
 
+/// Returns the index of the member that ranks first for a duty, in the order of
+/// [`rank_among`]; `None` without members.
+///
+/// ```
+/// use berylmount_policy::shared_duties::{first_among, DutyMember};
+///
+/// let weak = DutyMember { name: "a", strength: 120 };
+/// let strong = DutyMember { name: "b", strength: 500 };
+/// assert_eq!(first_among("limit", &[weak, strong]), Some(1));
+/// ```
+pub fn first_among(duty: &str, members: &[DutyMember<'_>]) -> Option<usize> {
+    let strongest = members.iter().map(|member| member.strength).max()?;
+    let rank = |index: &usize| duty_rank(duty, &members[*index], strongest);
+    (0..members.len()).max_by_key(rank)
+}
+
+/// Returns the rank of a member for a duty, higher first, if the strongest member has the
+/// strength `strongest`.
+fn duty_rank(duty: &str, member: &DutyMember<'_>, strongest: u32) -> (bool, u64) {
+    let min_strength = f64::from(strongest) * STRONG_FRACTION;
+    let is_strong = f64::from(member.strength) >= min_strength;
+    (is_strong, pair_hash(duty.as_bytes(), member.name))
+}
+
 /// Counts the `others` that rank before `own` for a duty.
 ///
 /// All instances that know the same members compute the same order, in which strong
@@ -53,11 +77,7 @@
 pub fn rank_among(duty: &str, own: DutyMember<'_>, others: &[DutyMember<'_>]) -> usize {
     let strengths = others.iter().map(|member| member.strength);
     let strongest = strengths.fold(own.strength, u32::max);
-    let min_strength = f64::from(strongest) * STRONG_FRACTION;
-    let rank = |member: &DutyMember<'_>| {
-        let is_strong = f64::from(member.strength) >= min_strength;
-        (is_strong, pair_hash(duty.as_bytes(), member.name))
-    };
-    let own_rank = rank(&own);
-    others.iter().filter(|other| rank(other) > own_rank).count()
+    let own_rank = duty_rank(duty, &own, strongest);
+    let ranks = others.iter().map(|other| duty_rank(duty, other, strongest));
+    ranks.filter(|rank| *rank > own_rank).count()
 }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -73,6 +73,10 @@
     /// Attempts sent to runners that had named a request limit, by kind: `first`, `retry`.
     #[strum(props(label = "kind"))]
     LimitedTriesTotal,
+    /// Requests for permits to use runners with a request limit, by outcome: `granted`,
+    /// `denied`, `no_reply`.
+    #[strum(props(label = "outcome"))]
+    PermitsTotal,
     /// Log records dropped because the queue was full.
     LogRecordsDroppedTotal,
     /// Bytes of encoded membership messages, by direction: `sent`, `received`.
