Keep and use request limits under late responses and silent coordinators

Only a stricter limit now counts from its arrival, any other statement from when its request was sent. A coordinator now issues the fraction of the recently heard instances that it still hears.

--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -183,8 +183,9 @@
             Ok(PeerMessage::LimitReports(reports)) => {
                 reports.iter().for_each(|report| state.merge_limit(report));
             }
-            Ok(PeerMessage::PermitRequest(number, report)) => {
-                let reply = PeerMessage::PermitReply(number, decide_permit(&state, &report));
+            Ok(PeerMessage::PermitRequest(request)) => {
+                let decision = decide_permit(&state, &request);
+                let reply = PeerMessage::PermitReply(request.number, decision);
                 send_message(&socket, &[sender], &reply).await;
             }
             Ok(PeerMessage::PermitReply(number, decision)) => {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -180,6 +180,17 @@
     pub(crate) changes: Vec<CacheChange>,
 }
 
+/// A request for a permit for one request to a limited runner.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct PermitRequest {
+    /// Number that the reply repeats.
+    pub(crate) number: u64,
+    /// What the sender knows about the limit.
+    pub(crate) report: LimitReport,
+    /// Whether the receiver is asked as the standby, because the coordinator did not reply.
+    pub(crate) is_standby: bool,
+}
+
 /// A datagram between instances.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum PeerMessage {
@@ -193,9 +204,8 @@
     Placed(String, u64, LoadShare),
     /// Request limits that runners have named.
     LimitReports(Vec<LimitReport>),
-    /// A request for a permit for one request to a limited runner: a number that the reply
-    /// repeats, and what the sender knows about the limit.
-    PermitRequest(u64, LimitReport),
+    /// A request for a permit for one request to a limited runner.
+    PermitRequest(PermitRequest),
     /// The reply to a permit request: its number, and the decision.
     PermitReply(u64, PermitDecision),
 }
@@ -288,6 +298,12 @@
         self.live(now_ms).count()
     }
 
+    /// Returns the fraction of live instances among those heard within [`FORGET_MS`], with
+    /// this instance in both.
+    pub(crate) fn live_share(&self, now_ms: u64) -> f64 {
+        (self.live_count(now_ms) + 1) as f64 / (self.peers.len() + 1) as f64
+    }
+
     /// Returns the addresses for callers of the live instances that accept requests.
     pub(crate) fn ready_callers(&self, now_ms: u64) -> Vec<SocketAddr> {
         let ready = self.live(now_ms).filter(|peer| peer.heartbeat.is_ready);
@@ -309,16 +325,20 @@
     }
 
     /// Returns the address for other instances of the one that ranks first for a shared
-    /// duty among `own`, if given, and the other live instances that accept requests.
-    /// Returns `None` if `own` does, or if there is none.
+    /// duty among `own`, if given, and the other live instances that accept requests,
+    /// except the one at `excluded`. Returns `None` if `own` does, or if there is none.
     pub(crate) fn first_other(
         &self,
         own: Option<DutyMember<'_>>,
         duty: &str,
+        excluded: Option<SocketAddr>,
         now_ms: u64,
     ) -> Option<SocketAddr> {
-        let ready = self.live(now_ms).filter(|peer| peer.heartbeat.is_ready);
-        let ready: Vec<&KnownPeer> = ready.collect();
+        let is_member = |peer: &&KnownPeer| {
+            let heartbeat = &peer.heartbeat;
+            heartbeat.is_ready && Some(heartbeat.entry.peers) != excluded
+        };
+        let ready: Vec<&KnownPeer> = self.live(now_ms).filter(is_member).collect();
         let members = ready.iter().map(|peer| DutyMember {
             name: &peer.heartbeat.name,
             strength: peer.heartbeat.strength,
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -1,15 +1,19 @@
 //! Permits for requests to runners that have named a request limit.
 //!
 //! One instance coordinates each limited runner: the first in rendezvous order among the
-//! live instances that accept requests. The others ask it by a datagram. A lost datagram
-//! or a dead coordinator means that no request is sent, so the limit holds in any case.
-//! An instance issues permits only while it is the coordinator by its own view, too.
+//! live instances that accept requests. The others ask it by a datagram. While it does
+//! not reply, they ask the second one, the standby, which issues a fraction of the limit.
+//! An instance issues permits only in a role that it has by its own view, too. Without a
+//! reply no request is sent, so the limit holds in any case.
 
 use crate::{
-    clock::boot_ms, peer_link::send_message, peers::PeerMessage, runner_registry::RunnerHandle,
+    clock::boot_ms,
+    peer_link::send_message,
+    peers::{PeerMessage, PermitRequest},
+    runner_registry::RunnerHandle,
     state::GatewayState,
 };
-use berylmount_policy::runner_limits::{LimitReport, PermitDecision};
+use berylmount_policy::runner_limits::{PermitDecision, STANDBY_SHARE};
 use berylmount_telemetry::CounterMetric;
 use rand::{rng, RngExt};
 use std::{net::SocketAddr, time::Duration};
@@ -18,16 +22,53 @@
 /// Time limit for the reply to a permit request; several round trips within a region.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Delay until the next permit request after one without a reply, in milliseconds.
-const NO_REPLY_DELAY_MS: u64 = 300;
-/// Delay for an instance that asked one that is not the coordinator, in milliseconds. The
-/// views of the two agree again after a few heartbeats.
+const NO_REPLY_DELAY_MS: u64 = 200;
+/// Consecutive permit requests without a reply after which the standby is asked. A single
+/// lost datagram is no evidence.
+const SILENT_MISSES: u32 = 2;
+/// Time after such a request for which the standby is asked, in milliseconds.
+const SILENT_MS: u64 = 1500;
+/// Delay for an instance that asked one that is neither coordinator nor standby, in
+/// milliseconds. The views of the two agree again after a few heartbeats.
 const REDIRECT_DELAY_MS: u64 = 200;
 
+/// A coordinator that left the last permit requests of this instance without a reply.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SilentCoordinator {
+    address: SocketAddr,
+    /// Consecutive requests without a reply.
+    misses: u32,
+    /// When the last of them timed out, by the boot clock.
+    last_ms: u64,
+}
+
+/// The part of an instance in issuing the permits for a runner.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum PermitRole {
+    /// Issues the permits.
+    Coordinator,
+    /// Issues a fraction of the permits to instances that cannot reach the coordinator.
+    Standby,
+    /// Issues none.
+    Other,
+}
+
+/// Returns the role of this instance for a runner.
+fn permit_role(state: &GatewayState, runner: u64) -> PermitRole {
+    let Some(coordinator) = state.permit_coordinator(runner, None) else {
+        return PermitRole::Coordinator;
+    };
+    match state.permit_coordinator(runner, Some(coordinator)) {
+        None => PermitRole::Standby,
+        Some(_) => PermitRole::Other,
+    }
+}
+
 /// A permit request of this instance that is open until it is dropped.
 struct OpenRequest<'a> {
     state: &'a GatewayState,
     runner: u64,
-    nonce: u64,
+    number: u64,
     decision: Option<PermitDecision>,
 }
 
@@ -37,22 +78,47 @@
         Self {
             state,
             runner,
-            nonce: rng().random(),
+            number: rng().random(),
             decision: None,
         }
     }
 
-    /// Asks the coordinator at `address`; `None` if there was no reply.
-    async fn ask(&self, address: SocketAddr) -> Option<PermitDecision> {
-        let (state, nonce) = (self.state, self.nonce);
-        let report = state
-            .runner_limits
-            .borrow()
-            .report_of(self.runner, boot_ms())?;
+    /// Returns the decision of the coordinator or, if that is silent, of the standby;
+    /// `None` if there was no reply.
+    async fn decide(&self) -> Option<PermitDecision> {
+        let (state, runner) = (self.state, self.runner);
+        let Some(coordinator) = state.permit_coordinator(runner, None) else {
+            return Some(issue_permit(state, runner, PermitRole::Coordinator));
+        };
+        if !is_silent(state, coordinator) {
+            let reply = self.ask(coordinator, false).await;
+            match reply {
+                Some(_) => note_reply(state, coordinator),
+                None => note_miss(state, coordinator),
+            }
+            return reply;
+        }
+        match state.permit_coordinator(runner, Some(coordinator)) {
+            Some(standby) => self.ask(standby, true).await,
+            None => Some(issue_permit(state, runner, PermitRole::Standby)),
+        }
+    }
+
+    /// Asks the instance at `address`; `None` if there was no reply.
+    async fn ask(&self, address: SocketAddr, is_standby: bool) -> Option<PermitDecision> {
+        let (state, number) = (self.state, self.number);
+        let report = {
+            let limits = state.runner_limits.borrow();
+            limits.report_of(self.runner, boot_ms())?
+        };
         let socket = state.peer_socket.get()?.clone();
         let (sender, receiver) = oneshot::channel();
-        state.permit_replies.borrow_mut().push((nonce, sender));
-        let message = PeerMessage::PermitRequest(nonce, report);
+        state.permit_replies.borrow_mut().push((number, sender));
+        let message = PeerMessage::PermitRequest(PermitRequest {
+            number,
+            report,
+            is_standby,
+        });
         send_message(&socket, &[address], &message).await;
         timeout(REPLY_TIMEOUT, receiver).await.ok()?.ok()
     }
@@ -61,7 +127,7 @@
 impl Drop for OpenRequest<'_> {
     fn drop(&mut self) {
         let mut replies = self.state.permit_replies.borrow_mut();
-        replies.retain(|(nonce, _)| *nonce != self.nonce);
+        replies.retain(|(number, _)| *number != self.number);
         let mut limits = self.state.runner_limits.borrow_mut();
         limits.end_request(self.runner, self.decision, boot_ms(), &mut rng());
     }
@@ -75,10 +141,7 @@
         return true;
     }
     let mut request = OpenRequest::begin(state, key);
-    let reply = match state.permit_coordinator(key) {
-        Some(address) => request.ask(address).await,
-        None => Some(state.runner_limits.borrow_mut().issue(key, boot_ms())),
-    };
+    let reply = request.decide().await;
     let outcome = match reply {
         Some(PermitDecision::Granted) => "granted",
         Some(PermitDecision::Denied(_)) => "denied",
@@ -91,14 +154,61 @@
 }
 
 /// Decides on the permit request of another instance.
-pub(crate) fn decide_permit(state: &GatewayState, report: &LimitReport) -> PermitDecision {
+pub(crate) fn decide_permit(state: &GatewayState, request: &PermitRequest) -> PermitDecision {
+    let report = &request.report;
     state.merge_limit(report);
-    match state.permit_coordinator(report.runner) {
-        Some(_) => PermitDecision::Denied(REDIRECT_DELAY_MS),
-        None => state
-            .runner_limits
-            .borrow_mut()
-            .issue(report.runner, boot_ms()),
+    match permit_role(state, report.runner) {
+        PermitRole::Standby if request.is_standby => {
+            issue_permit(state, report.runner, PermitRole::Standby)
+        }
+        PermitRole::Coordinator => issue_permit(state, report.runner, PermitRole::Coordinator),
+        PermitRole::Standby | PermitRole::Other => PermitDecision::Denied(REDIRECT_DELAY_MS),
+    }
+}
+
+/// Decides on a permit request in a role that issues permits.
+fn issue_permit(state: &GatewayState, runner: u64, role: PermitRole) -> PermitDecision {
+    let now_ms = boot_ms();
+    let mut share = state.peers.borrow().live_share(now_ms);
+    if role == PermitRole::Standby {
+        share *= STANDBY_SHARE;
+    }
+    let mut limits = state.runner_limits.borrow_mut();
+    limits.issue(runner, share, now_ms)
+}
+
+/// Whether the standby is asked instead of the coordinator at `address`.
+fn is_silent(state: &GatewayState, address: SocketAddr) -> bool {
+    let silent = state.silent_coordinators.borrow();
+    silent.iter().any(|known| {
+        let is_recent = boot_ms() < known.last_ms + SILENT_MS;
+        known.address == address && known.misses >= SILENT_MISSES && is_recent
+    })
+}
+
+/// Records that the coordinator at `address` replied.
+fn note_reply(state: &GatewayState, address: SocketAddr) {
+    let mut silent = state.silent_coordinators.borrow_mut();
+    silent.retain(|known| known.address != address);
+}
+
+/// Records that the coordinator at `address` did not reply.
+fn note_miss(state: &GatewayState, address: SocketAddr) {
+    let last_ms = boot_ms();
+    let mut silent = state.silent_coordinators.borrow_mut();
+    let known = silent.iter_mut().find(|known| known.address == address);
+    let Some(known) = known else {
+        silent.push(SilentCoordinator {
+            address,
+            misses: 1,
+            last_ms,
+        });
+        return;
+    };
+    known.misses += 1;
+    known.last_ms = last_ms;
+    if known.misses == SILENT_MISSES {
+        log::info!(target: "peers", address:% ; "instance does not reply to permit requests; asking the standby");
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -5,6 +5,7 @@
     clock::boot_ms,
     instances::InstanceList,
     peers::{name_hash, CacheGossip, HolderNotice, LoadShare, PeerTable},
+    permits::SilentCoordinator,
     reclaim::ActiveFetches,
     replica::KindReplica,
     runner_registry::{RunnerHandle, RunnerRegistry},
@@ -136,6 +137,8 @@
     pub(crate) is_limit_report_due: Cell<bool>,
     /// Open permit requests by their number, with the receiver of the reply.
     pub(crate) permit_replies: RefCell<Vec<(u64, oneshot::Sender<PermitDecision>)>>,
+    /// Coordinators that did not reply to the last permit requests.
+    pub(crate) silent_coordinators: RefCell<Vec<SilentCoordinator>>,
     /// The socket for datagrams to other instances, once the process serves.
     pub(crate) peer_socket: OnceCell<Rc<UdpSocket>>,
     /// Requested weights, sorted by model.
@@ -208,6 +211,7 @@
             runner_limits: RefCell::default(),
             is_limit_report_due: Cell::new(false),
             permit_replies: RefCell::default(),
+            silent_coordinators: RefCell::default(),
             peer_socket: OnceCell::new(),
             desired_weights: RefCell::default(),
             stores: RefCell::default(),
@@ -349,11 +353,11 @@
         let record = runner.record();
         let runner = record.id.as_str();
         match notice {
-            LimitNotice::PerSecond(per_s) if limits.note_limit(key, per_s, now_ms) => {
+            LimitNotice::PerSecond(per_s) if limits.note(key, Some(per_s), sent_ms, now_ms) => {
                 self.is_limit_report_due.set(true);
                 log::info!(target: "roster", runner, per_s; "runner named a request limit");
             }
-            LimitNotice::Unlimited if limits.note_no_limit(key, sent_ms, now_ms) => {
+            LimitNotice::Unlimited if limits.note(key, None, sent_ms, now_ms) => {
                 self.is_limit_report_due.set(true);
                 log::info!(target: "roster", runner; "runner withdrew its request limit");
             }
@@ -366,15 +370,23 @@
 
     /// Applies what another instance knows about the request limit of a runner.
     pub(crate) fn merge_limit(&self, report: &LimitReport) {
-        if self.runner_limits.borrow_mut().merge(report, boot_ms()) {
-            let (runner, per_s) = (report.runner, report.per_s);
-            log::info!(target: "roster", runner_key = runner, per_s:?; "request limit changed, as reported by an instance");
+        if !self.runner_limits.borrow_mut().merge(report, boot_ms()) {
+            return;
         }
-    }
-
-    /// Returns the address of the instance that issues permits for a limited runner;
-    /// `None` if this instance does.
-    pub(crate) fn permit_coordinator(&self, runner: u64) -> Option<SocketAddr> {
+        let runners = self.runners.borrow();
+        let mut runners = runners.all().iter();
+        let runner = runners.find(|runner| runner.limit_key() == report.runner);
+        let runner = runner.map_or_else(String::new, |runner| runner.record().id.clone());
+        log::info!(target: "roster", runner, per_s:? = report.per_s; "another instance reported a changed request limit");
+    }
+
+    /// Returns the address of the instance that issues permits for a limited runner, or
+    /// would if the one at `excluded` were gone; `None` if this instance does.
+    pub(crate) fn permit_coordinator(
+        &self,
+        runner: u64,
+        excluded: Option<SocketAddr>,
+    ) -> Option<SocketAddr> {
         let settings = self.settings();
         let own = DutyMember {
             name: &settings.name,
@@ -382,7 +394,8 @@
         };
         let own = (!self.is_draining() && self.table().is_some()).then_some(own);
         let duty = format!("limit {runner:x}");
-        self.peers.borrow().first_other(own, &duty, boot_ms())
+        let peers = self.peers.borrow();
+        peers.first_other(own, &duty, excluded, boot_ms())
     }
 
     /// Whether the drain for a planned stop has started.
--- a/crates/policy/src/runner_limits.rs
+++ b/crates/policy/src/runner_limits.rs
@@ -10,9 +10,9 @@
 //! Invariants:
 //!
 //! - Statements of a runner are ordered by time, because its responses may overtake each
-//!   other. A limit counts from when its response arrived, its absence only from when the
-//!   request was sent, so that a limit in force is not lost.
-//! - A bucket starts empty. A new coordinator therefore adds no burst to that of the
+//!   other. A stricter limit counts from when its response arrived, any other statement
+//!   only from when the request was sent, so that the limit in force is not exceeded.
+//! - A bucket starts with one permit, so a new coordinator adds no burst to that of the
 //!   previous one.
 
 use crate::{
@@ -54,6 +54,11 @@
 /// it, the difference may be the latency of messages between instances.
 const MIN_LEAD_MS: u64 = 500;
 
+/// Fraction of a limit that the standby issues while some instances cannot reach the
+/// coordinator. The coordinator may still issue the whole limit to others; together they
+/// stay well below one and a half times the limit.
+pub const STANDBY_SHARE: f64 = 0.3;
+
 /// The latest statement of a runner, for other instances.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LimitReport {
@@ -102,35 +107,30 @@
 }
 
 impl RunnerLimits {
-    /// Records that a response named a limit. Returns whether the limit changed.
+    /// Records the limit in the response to a request that was sent at `sent_ms`, or that
+    /// it named none. Returns whether the limit changed.
     ///
     /// ```
     /// use berylmount_policy::runner_limits::RunnerLimits;
     ///
     /// let mut limits = RunnerLimits::default();
-    /// assert!(limits.note_limit(7, 2.8, 1000));
-    /// assert!(!limits.note_limit(7, 2.8, 1500));
+    /// assert!(limits.note(7, Some(2.8), 900, 1000));
     /// assert_eq!(limits.limit_of(7), Some(2.8));
-    /// ```
-    pub fn note_limit(&mut self, runner: u64, per_s: f64, now_ms: u64) -> bool {
-        self.apply(runner, Some(per_s), now_ms, now_ms)
-    }
-
-    /// Records that a response to a request sent at `sent_ms` named no limit. Returns
-    /// whether that ends a limit.
-    ///
-    /// ```
-    /// use berylmount_policy::runner_limits::RunnerLimits;
-    ///
-    /// let mut limits = RunnerLimits::default();
-    /// limits.note_limit(7, 2.8, 1000);
-    /// // The response to an earlier request may have been made before the limit was named.
-    /// assert!(!limits.note_no_limit(7, 900, 1200));
-    /// assert!(limits.note_no_limit(7, 1100, 1200));
+    /// // This response may have been made before the limit was named.
+    /// assert!(!limits.note(7, None, 950, 1200));
+    /// assert!(limits.note(7, None, 1100, 1300));
     /// assert_eq!(limits.limit_of(7), None);
     /// ```
-    pub fn note_no_limit(&mut self, runner: u64, sent_ms: u64, now_ms: u64) -> bool {
-        self.find(runner).is_ok() && self.apply(runner, None, sent_ms, now_ms)
+    pub fn note(&mut self, runner: u64, per_s: Option<f64>, sent_ms: u64, now_ms: u64) -> bool {
+        let known = self.find(runner).ok();
+        let known = known.and_then(|index| self.entries[index].per_s);
+        let is_stricter = match (known, per_s) {
+            (Some(known), Some(per_s)) => per_s < known,
+            (None, Some(_)) => true,
+            (_, None) => false,
+        };
+        let at_ms = if is_stricter { now_ms } else { sent_ms };
+        self.apply(runner, per_s, at_ms, now_ms)
     }
 
     /// Applies what another instance knows. Returns whether the limit changed.
@@ -190,15 +190,20 @@
 
     /// Decides as the coordinator of a runner whether a request may be sent to it.
     ///
+    /// `share` is the fraction of the known instances that this instance can reach. After
+    /// a network partition each side has its own coordinator, and their shares add up to
+    /// at most one. It is multiplied by [`STANDBY_SHARE`] if this instance stands in for
+    /// the coordinator.
+    ///
     /// ```
     /// use berylmount_policy::runner_limits::{PermitDecision, RunnerLimits};
     ///
     /// let mut limits = RunnerLimits::default();
-    /// limits.note_limit(7, 2.0, 0);
-    /// assert_eq!(limits.issue(7, 500), PermitDecision::Granted);
-    /// assert!(matches!(limits.issue(7, 500), PermitDecision::Denied(ms) if ms >= 500));
+    /// limits.note(7, Some(2.0), 0, 0);
+    /// assert_eq!(limits.issue(7, 1.0, 0), PermitDecision::Granted);
+    /// assert!(matches!(limits.issue(7, 1.0, 0), PermitDecision::Denied(ms) if ms >= 500));
     /// ```
-    pub fn issue(&mut self, runner: u64, now_ms: u64) -> PermitDecision {
+    pub fn issue(&mut self, runner: u64, share: f64, now_ms: u64) -> PermitDecision {
         let Ok(index) = self.find(runner) else {
             return PermitDecision::Granted;
         };
@@ -206,7 +211,7 @@
         let Some(per_s) = entry.per_s else {
             return PermitDecision::Granted;
         };
-        let rate_per_s = per_s.max(MIN_RATE_PER_S);
+        let rate_per_s = (per_s * share).max(MIN_RATE_PER_S);
         let config = BucketConfig {
             rate_per_s,
             size: 1.0 + rate_per_s * BURST_S,
@@ -232,7 +237,7 @@
     /// use berylmount_policy::runner_limits::{PermitDecision, RunnerLimits};
     ///
     /// let mut limits = RunnerLimits::default();
-    /// limits.note_limit(7, 2.0, 0);
+    /// limits.note(7, Some(2.0), 0, 0);
     /// limits.begin_request(7);
     /// limits.end_request(7, Some(PermitDecision::Denied(400)), 1000, &mut rand::rng());
     /// assert!(limits.delay_ms(7, 1100).is_some_and(|ms| ms >= 300));
@@ -278,8 +283,11 @@
     /// Applies a statement unless a later one is known. Returns whether the limit changed.
     fn apply(&mut self, runner: u64, per_s: Option<f64>, at_ms: u64, now_ms: u64) -> bool {
         let Ok(index) = self.find(runner) else {
-            self.insert(runner, per_s, at_ms, now_ms);
-            return per_s.is_some();
+            let is_limit = per_s.is_some();
+            if is_limit {
+                self.insert(runner, per_s, at_ms, now_ms);
+            }
+            return is_limit;
         };
         let entry = &mut self.entries[index];
         if at_ms < entry.at_ms {
@@ -302,7 +310,7 @@
             at_ms,
             changed_ms: now_ms,
             bucket: TokenBucket {
-                tokens: 0.0,
+                tokens: 1.0,
                 filled_ms: now_ms,
             },
             requests: ArrivalRate::default(),
