Fuzz the permits of limited runners and name limits in the soak

In the soak all runners now name limits that change: 0.3, 2 and 30 requests a second, or none.

No product code is changed.

--- a/crates/berylmount/tests/soak.rs
+++ b/crates/berylmount/tests/soak.rs
@@ -2,8 +2,8 @@
 //!
 //! Faults are injected from outside of the processes. Signals stop, pause, kill
 //! and restart them; loopback proxies delay, cut, freeze and silence their
-//! connections to the store and to runners; runners fail, leave and ask for
-//! backoff; tables change; the store is restored from older backups. Callers
+//! connections to the store and to runners; runners fail, leave, ask for
+//! backoff and name request limits; tables change; the store is restored from older backups. Callers
 //! reuse their connections and check these guarantees during the faults:
 //!
 //! - a request that may not be repeated runs at most once;
@@ -50,12 +50,20 @@
 /// Minimum number of callers, and number of instances for each fault in a step.
 const CALLERS: usize = 6;
 const INSTANCES_PER_FAULT: usize = 6;
+/// Probability of a changed request limit in a step, and the limits in tenths of a
+/// request per second: below and above one for each instance, or none.
+const LIMIT_CHANGE: f64 = 0.3;
+const LIMIT_TENTHS: [u32; 4] = [0, 3, 20, 300];
 /// Seeds that failed once, with the cause.
 const REGRESSIONS: [u64; 0] = [];
 
 /// Number of runs of each request, by request id.
 type RunCounts = Arc<Mutex<BTreeMap<String, u32>>>;
 
+/// The request limit that all runners name, in tenths of a request per second; 0 for
+/// none.
+type NamedLimit = Arc<AtomicU32>;
+
 /// A gateway process behind a proxy to the store.
 struct Instance {
     name: String,
@@ -106,9 +114,9 @@
 }
 
 /// A runner that fails some of its requests and counts the runs of each request.
-fn faulty_runner(seed: u64, runs: RunCounts) -> StandinRunner {
+fn faulty_runner(seed: u64, runs: RunCounts, limit: NamedLimit) -> StandinRunner {
     let rng = Mutex::new(Pcg64::seed_from_u64(seed));
-    StandinRunner::start(move |request, _| {
+    let respond = move |request: &str| {
         let dice: u32 = rng.lock().unwrap().random_range(0..100);
         let id = header(request, "berylmount-request-id").unwrap_or_default();
         if dice < 4 {
@@ -158,9 +166,25 @@
             );
         }
         (event_stream_to(request, &parts, true), AfterResponse::Keep)
+    };
+    StandinRunner::start(move |request, _| {
+        let (response, after) = respond(request);
+        (with_limit(response, &limit), after)
     })
 }
 
+/// Adds the limit to the head of a response.
+fn with_limit(response: Vec<u8>, limit: &NamedLimit) -> Vec<u8> {
+    let tenths = limit.load(Ordering::Relaxed);
+    let head_start = response.windows(2).position(|bytes| bytes == b"\r\n");
+    let Some(status_end) = head_start.filter(|_| tenths > 0) else {
+        return response;
+    };
+    let (status, rest) = response.split_at(status_end);
+    let header = format!("\r\nserver-limit: {}", f64::from(tenths) / 10.0);
+    [status, header.as_bytes(), rest].concat()
+}
+
 /// Results that the callers collected.
 #[derive(Default)]
 struct CallerResults {
@@ -286,6 +310,7 @@
         6 => proxy.set(fault),
         7 => proxy.freeze(),
         8 => *backup = Some(store.backup()),
+
         9 => {
             if let Some(backup) = backup.take() {
                 store.restore(&backup);
@@ -322,10 +347,10 @@
     let store = StandinStore::start();
     let mut version = 1;
     store.put("config", "main", Some(table(version, all_routes())));
-    let runs = RunCounts::default();
+    let (runs, limit) = (RunCounts::default(), NamedLimit::default());
     let runners: Vec<_> = (0..RUNNERS)
         .map(|number| {
-            let runner = faulty_runner(seed + number as u64, runs.clone());
+            let runner = faulty_runner(seed + number as u64, runs.clone(), limit.clone());
             let proxy = FaultProxy::start(runner.address).unwrap();
             (runner, proxy)
         })
@@ -346,11 +371,17 @@
             scope.spawn(move || run_caller(number, seed, count, store, seen, stop));
         }
         let mut rng = Pcg64::seed_from_u64(seed);
+        // Separate, so that the other faults of a seed do not depend on the limits.
+        let mut limit_rng = Pcg64::seed_from_u64(!seed);
         let mut backup = None;
         let end = Instant::now() + plan.span;
         while Instant::now() < end {
             thread::sleep(Duration::from_millis(rng.random_range(50..300)));
             instances.iter_mut().for_each(Instance::revive);
+            if limit_rng.random_bool(LIMIT_CHANGE) {
+                let tenths = LIMIT_TENTHS[limit_rng.random_range(0..LIMIT_TENTHS.len())];
+                limit.store(tenths, Ordering::Relaxed);
+            }
             for _ in 0..plan.instances.div_ceil(INSTANCES_PER_FAULT) {
                 inject_random_fault(
                     &mut rng,
@@ -364,6 +395,7 @@
         }
         stop.store(true, Ordering::Relaxed);
     });
+    limit.store(0, Ordering::Relaxed);
     let mut violations = std::mem::take(&mut *seen.violations.lock().unwrap());
     violations.extend(recovery_faults(&mut instances, &runners, &store));
     let runs = runs.lock().unwrap();
--- a/crates/policy/tests/fuzz/main.rs
+++ b/crates/policy/tests/fuzz/main.rs
@@ -5,6 +5,7 @@
 mod budgets;
 mod limits;
 mod queue;
+mod request_limits;
 mod runners;
 
 use berylmount_model::WorkClass;
