--- a/crates/berylmount/tests/processes/mod.rs
+++ b/crates/berylmount/tests/processes/mod.rs
@@ -2,6 +2,8 @@
 #![allow(dead_code)]
 
 use crate::standins::StandinStore;
+use berylmount_standins::FaultProxy;
+use rustix::process::{kill_process, Pid, Signal};
 use std::{
     fs,
     net::SocketAddr,
@@ -51,3 +53,60 @@
     let entry = store.value("berylmount-instances", name)?;
     entry["callers"].as_str()?.parse().ok()
 }
+
+/// A gateway process behind a proxy to the store.
+pub(crate) struct Instance {
+    name: String,
+    child: Child,
+    pub(crate) store: FaultProxy,
+    log: PathBuf,
+}
+
+impl Instance {
+    /// Returns the name of the instance.
+    pub(crate) fn name(&self) -> &str {
+        &self.name
+    }
+
+    /// Starts the process; its log is in `folder`.
+    pub(crate) fn start(name: &str, store: SocketAddr, folder: &Path) -> Self {
+        let store = FaultProxy::start(store).unwrap();
+        let log = folder.join(format!("{name}.log"));
+        let child = spawn(name, store.address(), &log);
+        let name = name.to_owned();
+        Self {
+            name,
+            child,
+            store,
+            log,
+        }
+    }
+
+    /// Sends a signal to the process.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32).unwrap();
+        // The process may have exited already.
+        let _ = kill_process(pid, signal);
+    }
+
+    /// Restarts the process if it has exited, as an init system would.
+    pub(crate) fn revive(&mut self) {
+        if !matches!(self.child.try_wait(), Ok(None)) {
+            self.restart();
+        }
+    }
+
+    /// Kills the process and starts it again.
+    pub(crate) fn restart(&mut self) {
+        self.signal(Signal::KILL);
+        self.child.wait().unwrap();
+        self.child = spawn(&self.name, self.store.address(), &self.log);
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.signal(Signal::KILL);
+        let _ = self.child.wait();
+    }
+}
--- a/crates/berylmount/tests/soak.rs
+++ b/crates/berylmount/tests/soak.rs
@@ -21,10 +21,10 @@
 mod standins;
 
 use berylmount_standins::{FaultProxy, ProxyFaults};
-use processes::{callers_address, spawn};
+use processes::{callers_address, Instance};
 use rand::{Rng, RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::Signal;
 use standins::{
     all_routes, event_stream_to, header, read_response, response_to, send_request, table,
     wait_until, AfterResponse, StandinRunner, StandinStore, StoreBackup,
@@ -34,8 +34,6 @@
     fs,
     io::Write,
     net::{SocketAddr, TcpStream},
-    path::{Path, PathBuf},
-    process::Child,
     sync::{
         atomic::{AtomicBool, AtomicU32, Ordering},
         Arc, Mutex,
@@ -64,55 +62,6 @@
 /// none.
 type NamedLimit = Arc<AtomicU32>;
 
-/// A gateway process behind a proxy to the store.
-struct Instance {
-    name: String,
-    child: Child,
-    store: FaultProxy,
-    log: PathBuf,
-}
-
-impl Instance {
-    fn start(name: &str, store: SocketAddr, folder: &Path) -> Self {
-        let store = FaultProxy::start(store).unwrap();
-        let log = folder.join(format!("{name}.log"));
-        let child = spawn(name, store.address(), &log);
-        let name = name.to_owned();
-        Self {
-            name,
-            child,
-            store,
-            log,
-        }
-    }
-
-    fn signal(&self, signal: Signal) {
-        let pid = Pid::from_raw(self.child.id() as i32).unwrap();
-        // The process may have exited already.
-        let _ = kill_process(pid, signal);
-    }
-
-    /// Restarts the process if it has exited, as an init system would.
-    fn revive(&mut self) {
-        if !matches!(self.child.try_wait(), Ok(None)) {
-            self.restart();
-        }
-    }
-
-    fn restart(&mut self) {
-        self.signal(Signal::KILL);
-        self.child.wait().unwrap();
-        self.child = spawn(&self.name, self.store.address(), &self.log);
-    }
-}
-
-impl Drop for Instance {
-    fn drop(&mut self) {
-        self.signal(Signal::KILL);
-        let _ = self.child.wait();
-    }
-}
-
 /// A runner that fails some of its requests and counts the runs of each request.
 fn faulty_runner(seed: u64, runs: RunCounts, limit: NamedLimit) -> StandinRunner {
     let rng = Mutex::new(Pcg64::seed_from_u64(seed));
@@ -434,7 +383,7 @@
     }
     let end = Instant::now() + Duration::from_secs(12);
     for instance in instances {
-        let name = instance.name.clone();
+        let name = instance.name().to_owned();
         let serves = || {
             let request =
                 "GET /safe/x HTTP/1.1\r\nHost: a.example\r\nBerylmount-Request-Id: after\r\n\
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -213,9 +213,9 @@
 }
 
 /// Passes the reply of a coordinator to the request that waits for it.
-pub(crate) fn deliver_reply(state: &GatewayState, nonce: u64, decision: PermitDecision) {
+pub(crate) fn deliver_reply(state: &GatewayState, number: u64, decision: PermitDecision) {
     let mut replies = state.permit_replies.borrow_mut();
-    if let Some(index) = replies.iter().position(|(known, _)| *known == nonce) {
+    if let Some(index) = replies.iter().position(|(known, _)| *known == number) {
         let (_, sender) = replies.swap_remove(index);
         // The receiver is gone if its time limit has just passed.
         let _ = sender.send(decision);
--- a/crates/gateway/tests/request_limits.rs
+++ b/crates/gateway/tests/request_limits.rs
@@ -5,8 +5,8 @@
 mod standins;
 
 use standins::{
-    all_routes, healthy_runner, response_to, scripted_runner, table, wait_until, AfterResponse,
-    StandinRunner, StandinStore, TestGateway,
+    all_routes, healthy_runner, table, wait_until, LimitedRunner, StandinRunner, StandinStore,
+    TestGateway, LIMIT_CONTACT,
 };
 use std::{
     env,
@@ -20,84 +20,12 @@
 
 /// Number of instances, unless the environment sets `BERYLMOUNT_LIMIT_INSTANCES`.
 const INSTANCES: usize = 7;
-/// Time after a limit is named from which it binds, as on the platform.
-const CONTACT: Duration = Duration::from_secs(3);
-/// Length of the window in which requests are counted.
-const WINDOW: Duration = Duration::from_secs(4);
 /// Time for which a limit is watched once it binds.
 const WATCHED: Duration = Duration::from_secs(6);
 /// Pause of a caller between two requests. All callers together send far more requests
 /// than the limits allow.
 const CALLER_PAUSE: Duration = Duration::from_millis(60);
 
-/// A runner that names a request limit and records when requests arrive.
-#[derive(Clone)]
-struct LimitedRunner {
-    runner: StandinRunner,
-    limit: Arc<Mutex<Option<f64>>>,
-    arrivals: Arc<Mutex<Vec<Instant>>>,
-}
-
-impl LimitedRunner {
-    fn start() -> Self {
-        let limit: Arc<Mutex<Option<f64>>> = Arc::default();
-        let arrivals: Arc<Mutex<Vec<Instant>>> = Arc::default();
-        let (named, recorded) = (limit.clone(), arrivals.clone());
-        let runner = scripted_runner(move |request| {
-            recorded.lock().unwrap().push(Instant::now());
-            let response = String::from_utf8(response_to(request, "200 OK", "fine")).unwrap();
-            let (head, body) = response.split_once("\r\n").unwrap();
-            let header = match *named.lock().unwrap() {
-                Some(per_s) => format!("Server-Limit: {per_s}\r\n"),
-                None => String::new(),
-            };
-            let response = format!("{head}\r\n{header}{body}");
-            (response.into_bytes(), AfterResponse::Keep)
-        });
-        Self {
-            runner,
-            limit,
-            arrivals,
-        }
-    }
-
-    fn name_limit(&self, per_s: Option<f64>) {
-        *self.limit.lock().unwrap() = per_s;
-    }
-
-    fn arrivals_since(&self, since: Instant) -> Vec<Instant> {
-        let arrivals = self.arrivals.lock().unwrap();
-        arrivals.iter().copied().filter(|at| *at >= since).collect()
-    }
-
-    /// Checks that no window since `since` has more requests than the platform allows.
-    fn check_kept(&self, per_s: f64, since: Instant) {
-        let arrivals = self.arrivals_since(since);
-        let in_window = |start: &Instant| {
-            let window = arrivals
-                .iter()
-                .filter(|at| *at >= start && **at < *start + WINDOW);
-            window.count()
-        };
-        let most = arrivals.iter().map(in_window).max().unwrap_or(0);
-        let allowed = 1.5 * per_s * WINDOW.as_secs_f64() + 5.0;
-        assert!(
-            most as f64 <= allowed,
-            "limit {per_s}: {most} in a window, {allowed} allowed"
-        );
-    }
-
-    /// Checks that at least half of the limit was used since `since`.
-    fn check_used(&self, per_s: f64, since: Instant) {
-        let usable = per_s * since.elapsed().as_secs_f64();
-        let used = self.arrivals_since(since).len();
-        assert!(
-            used as f64 >= usable / 2.0,
-            "limit {per_s}: {used} of {usable} used"
-        );
-    }
-}
-
 /// Instances with callers that send requests to each of them without a pause in between.
 struct LoadedFleet {
     is_over: Arc<AtomicBool>,
@@ -171,7 +99,7 @@
     for (runner, per_s) in limits {
         runner.name_limit(Some(*per_s));
     }
-    thread::sleep(CONTACT);
+    thread::sleep(LIMIT_CONTACT);
     Instant::now()
 }
 
@@ -186,8 +114,8 @@
     ]);
     let since = name_limits(&[(&limited[0], 2.8), (&limited[1], 5.2)]);
     thread::sleep(WATCHED);
-    limited[0].check_kept(2.8, since);
-    limited[1].check_kept(5.2, since);
+    limited[0].check_kept(2.8, since, |_| false);
+    limited[1].check_kept(5.2, since, |_| false);
     // The runner without a limit serves the other requests.
     assert_eq!(fleet.stop(), Vec::<String>::new());
 }
@@ -199,7 +127,7 @@
     let since = name_limits(&[(&limited[0], 2.8), (&limited[1], 5.2)]);
     thread::sleep(WATCHED);
     for (runner, per_s) in limited.iter().zip([2.8, 5.2]) {
-        runner.check_kept(per_s, since);
+        runner.check_kept(per_s, since, |_| false);
         runner.check_used(per_s, since);
     }
     assert_eq!(fleet.stop(), ["runner_limits"]);
@@ -212,7 +140,7 @@
     for per_s in [3.0, 12.0, 2.0] {
         let since = name_limits(&[(&limited, per_s)]);
         thread::sleep(WATCHED);
-        limited.check_kept(per_s, since);
+        limited.check_kept(per_s, since, |_| false);
         limited.check_used(per_s, since);
     }
     limited.name_limit(None);
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -3,10 +3,12 @@
 // Each test binary uses only some of the items.
 #![allow(dead_code, unused_imports, clippy::unwrap_used)]
 
+mod limited_runner;
 mod runner;
 mod store;
 mod test_gateway;
 
+pub(crate) use limited_runner::{Arrival, LimitedRunner, LIMIT_CONTACT};
 pub(crate) use runner::{
     event_stream_to, header, healthy_runner, read_message, received_requests, response_to,
     response_with_id, scripted_runner, AfterResponse, StandinRunner,
