Keep all of the request limits' code in permits.rs

They are free functions of permits.rs now; behaviour is unchanged. The gateway's tests and the test with real processes pass.

--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -11,7 +11,7 @@
     clock::boot_ms,
     instances::InstanceEntry,
     peers::{LoadShare, PeerHeartbeat, PeerMessage},
-    permits::{decide_permit, deliver_reply},
+    permits::{decide_permit, deliver_reply, merge_limit},
     replica::ReplicaDelta,
     state::GatewayState,
     store_watch::{is_connected_watcher, WatchedKind},
@@ -181,7 +181,9 @@
                 state.peers.borrow_mut().note_placed(&peer, runner, share);
             }
             Ok(PeerMessage::LimitReports(reports)) => {
-                reports.iter().for_each(|report| state.merge_limit(report));
+                reports
+                    .iter()
+                    .for_each(|report| merge_limit(&state, report));
             }
             Ok(PeerMessage::PermitRequest(request)) => {
                 let decision = decide_permit(&state, &request);
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -1,4 +1,4 @@
-//! Permits for requests to runners that have named a request limit.
+//! Request limits that runners have named, and permits for requests to such runners.
 //!
 //! One instance coordinates each limited runner: the first in rendezvous order among the
 //! live instances that accept requests. The others ask it by a datagram. While it does
@@ -13,7 +13,11 @@
     runner_registry::RunnerHandle,
     state::GatewayState,
 };
-use berylmount_policy::runner_limits::{PermitDecision, STANDBY_SHARE};
+use berylmount_adapter::request_headers::LimitNotice;
+use berylmount_policy::{
+    runner_limits::{LimitReport, PermitDecision, STANDBY_SHARE},
+    shared_duties::DutyMember,
+};
 use berylmount_telemetry::CounterMetric;
 use rand::{rng, RngExt};
 use std::{net::SocketAddr, time::Duration};
@@ -53,12 +57,75 @@
     Other,
 }
 
+/// Applies what the response to a request that was sent at `sent_ms` states about the
+/// runner's request limit.
+pub(crate) fn note_limit(
+    state: &GatewayState,
+    runner: &RunnerHandle,
+    notice: LimitNotice,
+    sent_ms: u64,
+) {
+    let (key, now_ms) = (runner.limit_key(), boot_ms());
+    let record = runner.record();
+    let runner = record.id.as_str();
+    let per_s = match notice {
+        LimitNotice::PerSecond(per_s) => Some(per_s),
+        LimitNotice::Unlimited => None,
+        LimitNotice::Unreadable => {
+            log::debug!(target: "roster", runner; "ignored a request limit that is not a number");
+            return;
+        }
+        LimitNotice::Unknown => return,
+    };
+    let mut limits = state.runner_limits.borrow_mut();
+    if !limits.note(key, per_s, sent_ms, now_ms) {
+        return;
+    }
+    state.is_limit_report_due.set(true);
+    match per_s {
+        Some(per_s) => log::info!(target: "roster", runner, per_s; "runner named a request limit"),
+        None => log::info!(target: "roster", runner; "runner withdrew its request limit"),
+    }
+}
+
+/// Applies what another instance knows about the request limit of a runner.
+pub(crate) fn merge_limit(state: &GatewayState, report: &LimitReport) {
+    let mut limits = state.runner_limits.borrow_mut();
+    if !limits.merge(report, boot_ms()) {
+        return;
+    }
+    let runners = state.runners.borrow();
+    let mut runners = runners.all().iter();
+    let runner = runners.find(|runner| runner.limit_key() == report.runner);
+    let runner = runner.map_or_else(String::new, |runner| runner.record().id.clone());
+    log::info!(target: "roster", runner, per_s:? = report.per_s; "another instance reported a changed request limit");
+}
+
+/// Returns the address of the instance that issues permits for a runner, or would if the
+/// one at `excluded` were gone; `None` if this instance does.
+fn coordinator_of(
+    state: &GatewayState,
+    runner: u64,
+    excluded: Option<SocketAddr>,
+) -> Option<SocketAddr> {
+    let settings = state.settings();
+    let own = DutyMember {
+        name: &settings.name,
+        strength: settings.machine.capacity_millicores(),
+    };
+    let is_member = !state.is_draining() && state.table().is_some();
+    let own = is_member.then_some(own);
+    let duty = format!("limit {runner:x}");
+    let peers = state.peers.borrow();
+    peers.first_other(own, &duty, excluded, boot_ms())
+}
+
 /// Returns the role of this instance for a runner.
 fn permit_role(state: &GatewayState, runner: u64) -> PermitRole {
-    let Some(coordinator) = state.permit_coordinator(runner, None) else {
+    let Some(coordinator) = coordinator_of(state, runner, None) else {
         return PermitRole::Coordinator;
     };
-    match state.permit_coordinator(runner, Some(coordinator)) {
+    match coordinator_of(state, runner, Some(coordinator)) {
         None => PermitRole::Standby,
         Some(_) => PermitRole::Other,
     }
@@ -87,7 +154,7 @@
     /// `None` if there was no reply.
     async fn decide(&self) -> Option<PermitDecision> {
         let (state, runner) = (self.state, self.runner);
-        let Some(coordinator) = state.permit_coordinator(runner, None) else {
+        let Some(coordinator) = coordinator_of(state, runner, None) else {
             return Some(issue_permit(state, runner, PermitRole::Coordinator));
         };
         if !is_silent(state, coordinator) {
@@ -98,7 +165,7 @@
             }
             return reply;
         }
-        match state.permit_coordinator(runner, Some(coordinator)) {
+        match coordinator_of(state, runner, Some(coordinator)) {
             Some(standby) => self.ask(standby, true).await,
             None => Some(issue_permit(state, runner, PermitRole::Standby)),
         }
@@ -156,7 +223,7 @@
 /// Decides on the permit request of another instance.
 pub(crate) fn decide_permit(state: &GatewayState, request: &PermitRequest) -> PermitDecision {
     let report = &request.report;
-    state.merge_limit(report);
+    merge_limit(state, report);
     match permit_role(state, report.runner) {
         PermitRole::Standby if request.is_standby => {
             issue_permit(state, report.runner, PermitRole::Standby)
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -8,11 +8,11 @@
     permits::SilentCoordinator,
     reclaim::ActiveFetches,
     replica::KindReplica,
-    runner_registry::{RunnerHandle, RunnerRegistry},
+    runner_registry::RunnerRegistry,
     store_lag::OpenWaits,
     store_watch::{StoreAvailability, WatchedKind},
 };
-use berylmount_adapter::{request_headers::LimitNotice, store_client::StoreClient};
+use berylmount_adapter::store_client::StoreClient;
 use berylmount_fleet::{DesiredVersion, ProcessSettings, RouteTable};
 use berylmount_model::unix_ms;
 use berylmount_policy::{
@@ -23,7 +23,7 @@
     prompt_pools::{PromptLength, PromptMix},
     retry_share::{RetryBounds, RetryShare},
     runner_clock::RunnerClock,
-    runner_limits::{LimitReport, PermitDecision, RunnerLimits},
+    runner_limits::{PermitDecision, RunnerLimits},
     shared_duties::DutyMember,
     store_lags::LagTracker,
 };
@@ -345,59 +345,6 @@
         self.runner_clock.set(clock);
     }
 
-    /// Applies what the response to a request that was sent at `sent_ms` states about the
-    /// runner's request limit.
-    pub(crate) fn note_limit(&self, runner: &RunnerHandle, notice: LimitNotice, sent_ms: u64) {
-        let (key, now_ms) = (runner.limit_key(), boot_ms());
-        let mut limits = self.runner_limits.borrow_mut();
-        let record = runner.record();
-        let runner = record.id.as_str();
-        match notice {
-            LimitNotice::PerSecond(per_s) if limits.note(key, Some(per_s), sent_ms, now_ms) => {
-                self.is_limit_report_due.set(true);
-                log::info!(target: "roster", runner, per_s; "runner named a request limit");
-            }
-            LimitNotice::Unlimited if limits.note(key, None, sent_ms, now_ms) => {
-                self.is_limit_report_due.set(true);
-                log::info!(target: "roster", runner; "runner withdrew its request limit");
-            }
-            LimitNotice::Unreadable => {
-                log::debug!(target: "roster", runner; "ignored a request limit that is not a number");
-            }
-            LimitNotice::PerSecond(_) | LimitNotice::Unlimited | LimitNotice::Unknown => {}
-        }
-    }
-
-    /// Applies what another instance knows about the request limit of a runner.
-    pub(crate) fn merge_limit(&self, report: &LimitReport) {
-        if !self.runner_limits.borrow_mut().merge(report, boot_ms()) {
-            return;
-        }
-        let runners = self.runners.borrow();
-        let mut runners = runners.all().iter();
-        let runner = runners.find(|runner| runner.limit_key() == report.runner);
-        let runner = runner.map_or_else(String::new, |runner| runner.record().id.clone());
-        log::info!(target: "roster", runner, per_s:? = report.per_s; "another instance reported a changed request limit");
-    }
-
-    /// Returns the address of the instance that issues permits for a limited runner, or
-    /// would if the one at `excluded` were gone; `None` if this instance does.
-    pub(crate) fn permit_coordinator(
-        &self,
-        runner: u64,
-        excluded: Option<SocketAddr>,
-    ) -> Option<SocketAddr> {
-        let settings = self.settings();
-        let own = DutyMember {
-            name: &settings.name,
-            strength: settings.machine.capacity_millicores(),
-        };
-        let own = (!self.is_draining() && self.table().is_some()).then_some(own);
-        let duty = format!("limit {runner:x}");
-        let peers = self.peers.borrow();
-        peers.first_other(own, &duty, excluded, boot_ms())
-    }
-
     /// Whether the drain for a planned stop has started.
     pub(crate) fn is_draining(&self) -> bool {
         self.drain_started_ms.get() > 0
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -3,6 +3,7 @@
 use crate::{
     clock::boot_ms,
     forward::{CallerSink, InboundCall},
+    permits::note_limit,
     relay::relay_events,
     runner_registry::{RunnerConnection, RunnerHandle},
     state::GatewayState,
@@ -210,7 +211,7 @@
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST && !reply.is_stamped;
         // Another runner at the address says nothing about this one's limit.
         if !is_misdirected {
-            self.state.note_limit(self.runner, notice.limit, sent_ms);
+            note_limit(self.state, self.runner, notice.limit, sent_ms);
         }
         if let Some(load) = reply.load {
             self.runner.note_load(load, boot_ms());
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -7,6 +7,7 @@
 use crate::{
     clock::boot_ms,
     peers::HolderNotice,
+    permits::note_limit,
     rollout_lease::SharedLease,
     runner_registry::RunnerHandle,
     state::{DesiredWeights, GatewayState},
@@ -148,7 +149,7 @@
     let sent_ms = boot_ms();
     let outcome = order_runner(state, lease, &mut client, &record.id, goal).await;
     runner.note_notice(client.notice(), boot_ms());
-    state.note_limit(runner, client.notice().limit, sent_ms);
+    note_limit(state, runner, client.notice().limit, sent_ms);
     let (runner_id, version) = (record.id.as_str(), goal.version);
     match outcome {
         Ok(Some(OrderOutcome::Started)) => {
