--- a/crates/policy/tests/limited_fleet.rs
+++ b/crates/policy/tests/limited_fleet.rs
@@ -77,7 +77,8 @@
     /// A response: instance, runner, limit, when the request was sent.
     Response(usize, usize, Option<f64>, u64),
     Reports(usize, Vec<LimitReport>),
-    Restart(usize),
+    /// A disruption of an instance begins or ends.
+    Disrupt(usize),
 }
 
 /// A permit request of one life of an instance.
@@ -269,7 +270,7 @@
         for _ in 0..self.shape.disruptions {
             let instance = self.rng.random_range(0..self.shape.instances);
             let at_ms = self.rng.random_range(NAMED_MS..WITHDRAWN_MS);
-            self.schedule(at_ms, SimEvent::Restart(instance));
+            self.schedule(at_ms, SimEvent::Disrupt(instance));
         }
     }
 
@@ -370,7 +371,7 @@
                     }
                 }
             }
-            SimEvent::Restart(index) => self.disrupt(index),
+            SimEvent::Disrupt(index) => self.disrupt(index),
         }
     }
 
@@ -400,7 +401,7 @@
             _ => instance.cut_since_ms = Some(now_ms),
         }
         instance.excused_until_ms = now_ms + lasts_ms + CONTACT_MS;
-        self.schedule(lasts_ms, SimEvent::Restart(index));
+        self.schedule(lasts_ms, SimEvent::Disrupt(index));
     }
 
     /// Chooses a runner at random among those that are not delayed.
