Give a new process no fixed retry allowance until a window has passed

Cause: the counts of a process start empty, so each start handed out the fixed allowance again; until the list of instances was read, the whole of it, because the process knew of one instance.

Change: a process uses its share of the fixed allowance only once it has run for a whole window and the list shows the size of the fleet. By then all retries of earlier processes are out of the window. Retries under the ratio are paid for by requests of the same process, so they need no such wait. Live instances heard by heartbeat count for the size as well. A share below one retry is rounded by a number that is spread over the instances; before, 295 instances with a fixed allowance of 54 used none of it. No messages, no calls to the store. The limit on connections to a runner assumed one instance in a new process, too; it now assumes at least those in the settings.

--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -86,6 +86,11 @@
         self.max_known.max(1)
     }
 
+    /// Records that `count` instances have been heard of, with this one.
+    pub(crate) fn note_live(&mut self, count: usize) {
+        self.max_known = self.max_known.max(count);
+    }
+
     /// Replaces the entries with those read from the store. In a new era, instances that
     /// are missing in the restored backup stay listed until they have had time to
     /// register again.
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -212,11 +212,10 @@
     if let Some(clock_ms) = heartbeat.runner_clock_ms {
         state.note_runner_clock(clock_ms, boot_ms());
     }
-    if state
-        .peers
-        .borrow_mut()
-        .note_heartbeat(heartbeat, boot_ms())
-    {
+    let mut peers = state.peers.borrow_mut();
+    if peers.note_heartbeat(heartbeat, boot_ms()) {
+        let known = peers.addresses().count() + 1;
+        state.instances.borrow_mut().note_live(known);
         log::info!(target: "peers", peer; "instance is live");
     }
 }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -21,10 +21,10 @@
     duty_lease::RequestedRecord,
     engine_pace::{EnginePace, FirstEvent},
     prompt_pools::{PromptLength, PromptMix},
-    retry_share::{RetryBounds, RetryShare},
+    retry_share::{RetryBounds, RetryOwner, RetryShare},
     runner_clock::RunnerClock,
     runner_limits::{PermitDecision, RunnerLimits},
-    shared_duties::DutyMember,
+    shared_duties::{duty_score, DutyMember},
     store_lags::LagTracker,
 };
 use berylmount_telemetry::MetricSet;
@@ -489,9 +489,22 @@
         update(&mut service_stats[index].1);
     }
 
-    /// Returns the maximum number of instances known so far, at least 1.
+    /// Returns the maximum number of instances known so far, at least 1. Until the list of
+    /// instances shows the size of the fleet, at least the instances in the settings count.
     pub(crate) fn instance_count(&self) -> usize {
-        self.instances.borrow().max_known()
+        let instances = self.instances.borrow();
+        let contacts = match instances.is_settled() {
+            true => 1,
+            false => self.settings.borrow().seed_peers.len(),
+        };
+        instances.max_known().max(contacts)
+    }
+
+    /// Returns the maximum number of instances known so far; `None` until the list of
+    /// instances shows the size of the fleet.
+    fn fleet_size(&self) -> Option<usize> {
+        let instances = self.instances.borrow();
+        instances.is_settled().then(|| instances.max_known())
     }
 
     /// Whether a request that was served is sampled for the log.
@@ -508,14 +521,14 @@
     /// Takes a retry at a service from the retry budget of this instance. Returns whether
     /// one was left.
     pub(crate) fn take_retry(&self, service: &str, now_ms: u64) -> bool {
-        let instances = self.instance_count();
+        let instances = self.fleet_size();
         self.with_retry_share(service, |share| share.take(now_ms, instances))
     }
 
     /// Returns the remaining retries of this instance at the service that has the fewest;
     /// `None` before any request.
     pub(crate) fn retries_left(&self, now_ms: u64) -> Option<f64> {
-        let instances = self.instance_count();
+        let instances = self.fleet_size();
         let mut shares = self.retry_shares.borrow_mut();
         let left = shares
             .iter_mut()
@@ -528,13 +541,17 @@
         let index = match shares.binary_search_by(|(name, _)| name.as_str().cmp(service)) {
             Ok(index) => index,
             Err(index) => {
-                let bounds = self.settings.borrow().bounds;
+                let settings = self.settings.borrow();
                 let bounds = RetryBounds {
-                    ratio: bounds.retry_ratio,
-                    extra: bounds.retry_extra,
-                    window_ms: bounds.retry_window.as_millis() as u64,
+                    ratio: settings.bounds.retry_ratio,
+                    extra: settings.bounds.retry_extra,
+                    window_ms: settings.bounds.retry_window.as_millis() as u64,
+                };
+                let owner = RetryOwner {
+                    started_ms: self.started_boot_ms,
+                    rounding: duty_score(&settings.name, service),
                 };
-                shares.insert(index, (service.to_owned(), RetryShare::new(bounds)));
+                shares.insert(index, (service.to_owned(), RetryShare::new(bounds, owner)));
                 index
             }
         };
