Exclude a runner at all instances once another server has its address

Cause: runners had ended without a word, their addresses went to another service, and the store was away, so the list still named them. A response with status 421 changed nothing that an instance knew but the runner's failure rate: each request went to one such address, then to the next, and the next request did the same. The budget of the service that was meant was charged, that of the service that was reached never was.

Change: the 421 names its sender in the instance id. If that is another server, this start of the runner gets no requests from any instance: the others learn of it by a datagram within a tick. The exclusion ends by itself after 5 to 7.5 s, doubles with each further 421 up to 90 s, and ends with a response of the runner. A 421 without a sender counts at the second in a row; the runner's own 421 (other weights) does not count. Load, weights, limits and backoff in a response of another server are no longer applied to the runner.

Tests: callers_are_refused_at_once_while_other_servers_have_all_addresses got 100 arrivals before and at most 2 now; rejections_without_a_sender_... failed before as well. The other two of the file passed before and stay as guards. A fuzz test checks that exclusions begin, are shared and end.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | `store_watch` | watches the object store |
 //! | `peer_bootstrap` | asks other instances for state until the first route table is in force |
 //! | `runner_registry` | runners, their connections and load |
+//! | `exclusions` | runners whose addresses belong to other servers |
 //! | `accept` | accepts connections |
 //! | `callers` | reads requests from callers' connections |
 //! | `forward` | handles one request from its head to its final response |
@@ -49,6 +50,7 @@
 mod callers;
 mod clock;
 mod event_split;
+mod exclusions;
 mod forward;
 mod gauges;
 mod instances;
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -9,6 +9,7 @@
     accept::accept_next,
     cache_stores::{apply_gossip, StoreSnapshot},
     clock::boot_ms,
+    exclusions::merge_exclusions,
     instances::InstanceEntry,
     peers::{LoadShare, PeerHeartbeat, PeerMessage},
     permits::{decide_permit, deliver_reply, merge_limit},
@@ -36,10 +37,12 @@
 const MAX_MESSAGE_BYTES: usize = 8 << 20;
 /// Time between two checks whether a message is due.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
-/// Minimum time between two reports of unchanged request limits.
-const LIMITS_INTERVAL: Duration = Duration::from_secs(1);
+/// Minimum time between two reports of unchanged request limits and exclusions.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// That time in heartbeat intervals, which are longer in a large fleet.
-const LIMITS_HEARTBEATS: u32 = 4;
+const REPORT_HEARTBEATS: u32 = 4;
+/// Maximum number of exclusions in one datagram.
+const MAX_EXCLUSION_REPORTS: usize = 128;
 /// Time limit for one request for a copy.
 const PULL_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -80,7 +83,7 @@
     let socket = Rc::new(socket);
     let socket = state.peer_socket.get_or_init(|| socket).clone();
     spawn_local(receive_messages(state.clone(), socket.clone()));
-    let (mut waited, mut limits_waited) = (Duration::ZERO, Duration::ZERO);
+    let (mut waited, mut report_waited) = (Duration::ZERO, Duration::ZERO);
     // Created outside of the loop, so that frequent placements do not delay the ticks.
     let mut ticks = interval(TICK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -89,7 +92,7 @@
             biased;
             _ = ticks.tick() => {
                 waited += TICK_INTERVAL;
-                limits_waited += TICK_INTERVAL;
+                report_waited += TICK_INTERVAL;
             }
             () = state.placements_ready.notified() => {
                 send_placements(&state, &socket).await;
@@ -97,12 +100,16 @@
             }
         }
         let interval = Duration::from_millis(state.peers.borrow().interval_ms());
-        if limits_waited >= LIMITS_INTERVAL.max(interval * LIMITS_HEARTBEATS)
-            || state.is_limit_report_due.replace(false)
-        {
-            limits_waited = Duration::ZERO;
+        let is_report_due = report_waited >= REPORT_INTERVAL.max(interval * REPORT_HEARTBEATS);
+        if is_report_due {
+            report_waited = Duration::ZERO;
+        }
+        if state.is_limit_report_due.replace(false) || is_report_due {
             send_limits(&state, &socket).await;
         }
+        if state.is_exclusion_report_due.replace(false) || is_report_due {
+            send_exclusions(&state, &socket).await;
+        }
         let gossip = state.gossip.take();
         let is_due = || waited >= interval || state.is_heartbeat_due.get();
         if gossip.is_empty() && !is_due() {
@@ -158,6 +165,15 @@
     }
 }
 
+/// Reports runners whose addresses belong to other servers, if there are any.
+async fn send_exclusions(state: &GatewayState, socket: &UdpSocket) {
+    let reports = state.misdirected.borrow().reports(boot_ms());
+    for reports in reports.chunks(MAX_EXCLUSION_REPORTS) {
+        let message = PeerMessage::ExclusionReports(reports.to_vec());
+        send_message(socket, &peer_addresses(state), &message).await;
+    }
+}
+
 async fn receive_messages(state: Rc<GatewayState>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0u8; MAX_DATAGRAM_BYTES];
     loop {
@@ -185,6 +201,7 @@
                     .iter()
                     .for_each(|report| merge_limit(&state, report));
             }
+            Ok(PeerMessage::ExclusionReports(reports)) => merge_exclusions(&state, &reports),
             Ok(PeerMessage::PermitRequest(request)) => {
                 let decision = decide_permit(&state, &request);
                 let reply = PeerMessage::PermitReply(request.number, decision);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -9,6 +9,7 @@
 use berylmount_adapter::store_client::EraRevision;
 use berylmount_policy::{
     engine_pace::EnginePace,
+    misdirection::ExclusionReport,
     runner_limits::{LimitReport, PermitDecision},
     shared_duties::{first_among, rank_among, DutyMember},
 };
@@ -208,6 +209,8 @@
     PermitRequest(PermitRequest),
     /// The reply to a permit request: its number, and the decision.
     PermitReply(u64, PermitDecision),
+    /// Runners whose addresses belong to other servers.
+    ExclusionReports(Vec<ExclusionReport>),
 }
 
 /// Another instance, as of its last heartbeat.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     clock::boot_ms,
+    exclusions::is_excluded,
     forward::InboundCall,
     reclaim::may_fetch,
     reservation::{prefill_sample, PrefillSample},
@@ -118,7 +119,9 @@
     let is_untried = |runner: &&Rc<RunnerHandle>| !tried.iter().any(|t| Rc::ptr_eq(t, runner));
     let runners = state.runners.borrow();
     let accepts_requests = |runner: &&Rc<RunnerHandle>| {
-        runner.backoff_left(now_ms).is_none() && limit_delay(state, query, runner, now_ms).is_none()
+        runner.backoff_left(now_ms).is_none()
+            && limit_delay(state, query, runner, now_ms).is_none()
+            && !is_excluded(state, runner, now_ms)
     };
     let candidates = runners.ready_of(query.service).filter(accepts_requests);
     let candidates = candidates.filter(is_untried);
--- a/crates/gateway/src/runner_registry.rs
+++ b/crates/gateway/src/runner_registry.rs
@@ -310,6 +310,11 @@
         });
     }
 
+    /// Closes all idle connections.
+    pub(crate) fn close_idle_connections(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     /// Closes idle connections that can no longer be reused.
     pub(crate) fn close_stale_connections(&self, now_ms: u64) {
         let mut idle = self.idle.borrow_mut();
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -20,6 +20,7 @@
     admission::{ArrivalRate, PeerLoad},
     duty_lease::RequestedRecord,
     engine_pace::{EnginePace, FirstEvent},
+    misdirection::MisdirectedRunners,
     prompt_pools::{PromptLength, PromptMix},
     retry_share::{RetryBounds, RetryOwner, RetryShare},
     runner_clock::RunnerClock,
@@ -133,6 +134,10 @@
     pub(crate) runners: RefCell<RunnerRegistry>,
     /// Request limits that runners have named.
     pub(crate) runner_limits: RefCell<RunnerLimits>,
+    /// Runners whose addresses belong to other servers.
+    pub(crate) misdirected: RefCell<MisdirectedRunners>,
+    /// Whether a change of them is to be reported to the other instances.
+    pub(crate) is_exclusion_report_due: Cell<bool>,
     /// Whether a change of the limits is to be reported to the other instances.
     pub(crate) is_limit_report_due: Cell<bool>,
     /// Open permit requests by their number, with the receiver of the reply.
@@ -209,6 +214,8 @@
             table: RefCell::default(),
             runners: RefCell::default(),
             runner_limits: RefCell::default(),
+            misdirected: RefCell::default(),
+            is_exclusion_report_due: Cell::new(false),
             is_limit_report_due: Cell::new(false),
             permit_replies: RefCell::default(),
             silent_coordinators: RefCell::default(),
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     clock::boot_ms,
+    exclusions::{is_excluded, note_rejection, note_response},
     forward::{CallerSink, InboundCall},
     permits::note_limit,
     relay::relay_events,
@@ -134,6 +135,9 @@
         if self.runner.backoff_left(boot_ms()).is_some() {
             return AttemptOutcome::NotSent("the runner is in backoff");
         }
+        if is_excluded(self.state, self.runner, boot_ms()) {
+            return AttemptOutcome::NotSent("another server has the address of the runner");
+        }
         let outcome = self.exchange(stream, sink, &mut on_first_event).await;
         if let AttemptOutcome::TimedOut(_) | AttemptOutcome::CallerGone = outcome {
             return outcome;
@@ -206,18 +210,18 @@
                 Ok(Err(reason)) => return AttemptOutcome::MayHaveRun(reason),
                 Err(interrupt) => return interrupted(&interrupt),
             };
-        let notice = decode_notice(head.status, &head.headers);
-        self.runner.note_notice(notice, boot_ms());
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST && !reply.is_stamped;
-        // Another runner at the address says nothing about this one's limit.
-        if !is_misdirected {
-            note_limit(self.state, self.runner, notice.limit, sent_ms);
-        }
-        if let Some(load) = reply.load {
-            self.runner.note_load(load, boot_ms());
+        match is_misdirected {
+            true => note_rejection(self.state, self.runner, &reply),
+            false => note_response(self.state, self.runner),
         }
-        if let Some(version) = reply.weights {
-            self.runner.note_weights(version);
+        // Another server at the address says nothing about this runner.
+        let is_from_runner = match &reply.sender {
+            Some(id) => id == self.context.runner,
+            None => !is_misdirected,
+        };
+        if is_from_runner {
+            self.note_reply(&head, &reply, sent_ms);
         }
         if reply.is_not_executed || is_misdirected {
             let status = head.status;
@@ -260,6 +264,19 @@
         AttemptOutcome::Complete(response)
     }
 
+    /// Applies what the runner states about itself in its response.
+    fn note_reply(&self, head: &ResponseHead, reply: &RunnerReply, sent_ms: u64) {
+        let notice = decode_notice(head.status, &head.headers);
+        self.runner.note_notice(notice, boot_ms());
+        note_limit(self.state, self.runner, notice.limit, sent_ms);
+        if let Some(load) = reply.load {
+            self.runner.note_load(load, boot_ms());
+        }
+        if let Some(version) = reply.weights {
+            self.runner.note_weights(version);
+        }
+    }
+
     /// Sends the request and reads the head of its response; also returns whether the
     /// whole request was sent by then. Responses to other requests are discarded, even
     /// if they arrive while the request is being sent.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 //! | [`runner_placement`] | which runner of a service takes a request from a gateway instance |
 //! | [`runner_clock`] | the current time on the clock of runners and stores |
 //! | [`runner_health`] | how reliable a runner is |
+//! | [`misdirection`] | which runners lost their addresses to other servers |
 //! | [`runner_limits`] | how many requests a runner accepts, over all instances |
 //! | [`store_lags`] | which stores of kept cache answer late |
 //! | [`duty_lease`] | which instance holds the lease of a singleton duty |
@@ -62,6 +63,7 @@
 pub mod engine_pace;
 pub mod groups;
 pub mod limits;
+pub mod misdirection;
 pub mod pacing;
 pub mod prefix_cache;
 pub mod prefix_homes;
--- a/crates/policy/tests/fuzz/main.rs
+++ b/crates/policy/tests/fuzz/main.rs
@@ -4,6 +4,7 @@
 
 mod budgets;
 mod limits;
+mod misdirection;
 mod queue;
 mod request_limits;
 mod runners;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -77,6 +77,10 @@
     /// `denied`, `no_reply`.
     #[strum(props(label = "outcome"))]
     PermitsTotal,
+    /// Runners excluded because another server has their address, by how this instance
+    /// learned of it: `own` or `reported`.
+    #[strum(props(label = "source"))]
+    ExclusionsTotal,
     /// Log records dropped because the queue was full.
     LogRecordsDroppedTotal,
     /// Bytes of encoded membership messages, by direction: `sent`, `received`.
