Detect a silent watch before the instance must follow changes again

Cause: connections to the store had gone silent without a reset. A watch noticed that only at the end of its wait of 5 s and 1.5 s for the response. All watches of a kind begin anew with the same change, so they all noticed at the same moment, and no instance could learn from another one. The platform excuses an instance for 3 s and wants the change in force 2 s after its confirmation.

Change: a watch waits for 1.2 s, and for 0.5 s in a large fleet, where the others pull from the watchers afterwards. The pause between two watches is taken only after changes.

--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -31,9 +31,13 @@
 use strum::{Display, EnumCount, EnumIter, IntoEnumIterator};
 use tokio::time::sleep;
 
-/// Longest wait of one watch. A store that holds the connection open without
-/// responding is detected only when this wait ends.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(5);
+/// Longest wait of one watch. A connection that has gone silent is detected only when this
+/// wait and the time limit for the response end, together 2.7 s. The platform excuses an
+/// instance for 3 s.
+const WATCH_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Longest wait of one watch in a large fleet, where the other instances learn of changes
+/// from the watchers afterwards.
+const LARGE_WATCH_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time between two watches of kinds that change often, so that changes arrive in
 /// batches. While a fleet starts, an instance does not know yet that the fleet is large,
 /// and a hundred runners register within seconds.
@@ -234,10 +238,10 @@
             return Ok(());
         }
         let revision = self.replica(|replica| replica.revision());
-        let wait = match self.state.store_availability[self.kind as usize]
-            .unavailable_since_ms
-            .get()
-        {
+        let availability = &self.state.store_availability[self.kind as usize];
+        let is_large = self.state.peers.borrow().is_large(boot_ms());
+        let wait = match availability.unavailable_since_ms.get() {
+            0 if is_large => LARGE_WATCH_TIMEOUT,
             0 => WATCH_TIMEOUT,
             // An available store responds at the end of the wait at the latest, so a short
             // wait detects sooner that it is available again.
@@ -250,8 +254,8 @@
                 self.note_available();
                 let changes = self.replica(|replica| replica.apply_watch(&events, revision));
                 apply_changes(&self.state, self.kind, &changes);
-                let is_large = self.state.peers.borrow().is_large(boot_ms());
                 match (self.kind, is_large) {
+                    _ if changes.is_empty() => {}
                     (WatchedKind::Runners, true) => sleep(LARGE_BATCH_INTERVAL).await,
                     (WatchedKind::Runners, false) | (_, true) => sleep(BATCH_INTERVAL).await,
                     (_, false) => {}
