--- a/crates/gateway/tests/standins/store.rs
+++ b/crates/gateway/tests/standins/store.rs
@@ -10,6 +10,9 @@
 };
 use tiny_http::{Header, Method, Request, Response, Server};
 
+/// Marks values that are sent as they are, without being encoded.
+const RAW_MARK: &str = "@raw:";
+
 #[derive(Clone, Default)]
 struct StoreState {
     /// How often the store was restored from a backup.
@@ -23,6 +26,10 @@
     listings: Vec<String>,
     /// Whether all calls are refused with status 503.
     is_refusing: bool,
+    /// Maximum number of objects in a page of a listing; 0 for no maximum.
+    page_size: usize,
+    /// A change that is made right before the second page of a listing of its kind.
+    between_pages: Option<(String, String, Option<Value>)>,
     /// Revision before which the history was discarded.
     compacted_revision: u64,
     /// Number of watches that were answered with status 410 (Gone) because their revision
@@ -73,6 +80,25 @@
         revision
     }
 
+    /// Writes an object whose value is given as JSON text, which need not be valid.
+    pub(crate) fn put_text(&self, kind: &str, name: &str, text: &str) -> u64 {
+        self.put(kind, name, Some(Value::String(format!("{RAW_MARK}{text}"))))
+    }
+
+    /// Lists objects in pages of `page_size`, and makes a change right before the second
+    /// page of the next listing of its kind.
+    pub(crate) fn change_between_pages(
+        &self,
+        page_size: usize,
+        kind: &str,
+        name: &str,
+        value: Option<Value>,
+    ) {
+        let mut state = self.state.0.lock().unwrap();
+        state.page_size = page_size;
+        state.between_pages = Some((kind.into(), name.into(), value));
+    }
+
     /// Returns a backup of the state for [`Self::restore`].
     pub(crate) fn backup(&self) -> StoreBackup {
         StoreBackup(self.state.0.lock().unwrap().clone())
@@ -117,14 +143,14 @@
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
             pairs
                 .find(|(key, _)| *key == name)
-                .map(|(_, value)| value.to_owned())
+                .map(|(_, value)| percent_decode(value))
         };
         let is_refusing = self.state.0.lock().unwrap().is_refusing;
         let (status, value) = match (request.method(), parts.as_slice()) {
             _ if is_refusing => (503, Value::Null),
             (Method::Get, [kind]) => match field("Watch") {
                 Some(since) => self.watch(kind, since.parse().unwrap(), &field("WaitMs").unwrap()),
-                None => self.list(kind),
+                None => self.list(kind, &field("after").unwrap_or_default()),
             },
             (Method::Get, [kind, name]) => self.get(kind, name),
             (Method::Post, [kind]) => {
@@ -146,7 +172,7 @@
         let header = Header::from_bytes("content-type", "application/json").unwrap();
         let era = self.state.0.lock().unwrap().era.to_string();
         let era = Header::from_bytes("Store-Era", era).unwrap();
-        let response = Response::from_string(value.to_string()).with_header(header);
+        let response = Response::from_data(response_text(&value)).with_header(header);
         let response = response.with_header(era);
         let _ = request.respond(response.with_status_code(status));
     }
@@ -161,17 +187,36 @@
         listings.iter().filter(|listed| *listed == kind).count()
     }
 
-    fn list(&self, kind: &str) -> (u16, Value) {
+    fn list(&self, kind: &str, after: &str) -> (u16, Value) {
+        let change = {
+            let mut state = self.state.0.lock().unwrap();
+            let is_due = |(changed, _, _): &mut (String, String, Option<Value>)| changed == kind;
+            match after.is_empty() {
+                true => None,
+                false => state.between_pages.take_if(is_due),
+            }
+        };
+        if let Some((kind, name, value)) = change {
+            self.put(&kind, &name, value);
+        }
         let mut state = self.state.0.lock().unwrap();
         state.listings.push(kind.to_owned());
         let live = state
             .objects
             .iter()
-            .filter(|(k, _, _, value)| k == kind && value.is_some());
+            .filter(|(k, n, _, value)| k == kind && value.is_some() && n.as_str() > after);
+        let mut live: Vec<_> = live.collect();
+        live.sort_by(|a, b| a.1.cmp(&b.1));
+        let count = match state.page_size {
+            0 => live.len(),
+            size => live.len().min(size),
+        };
+        let has_more = count < live.len();
+        let live = live.into_iter().take(count);
         let items: Vec<Value> = live.map(|(_, n, r, v)| Self::object(n, *r, v)).collect();
         (
             200,
-            json!({"items": items, "HasMore": false, "AtRev": state.revision}),
+            json!({"items": items, "HasMore": has_more, "AtRev": state.revision}),
         )
     }
 
@@ -264,3 +309,39 @@
         (200, Self::object(name, revision, &value))
     }
 }
+
+/// Encodes a response, with the marked values as they are. `\u{fffd}` in such a value stands
+/// for a byte that is not UTF-8.
+fn response_text(value: &Value) -> Vec<u8> {
+    let encoded = value.to_string();
+    let mark = format!("\"{RAW_MARK}");
+    let mut text = String::new();
+    let mut rest = encoded.as_str();
+    while let Some(start) = rest.find(&mark) {
+        text += &rest[..start];
+        let mut values = serde_json::Deserializer::from_str(&rest[start..]).into_iter::<String>();
+        let raw = values.next().unwrap().unwrap();
+        text += &raw[RAW_MARK.len()..];
+        rest = &rest[start + values.byte_offset()..];
+    }
+    text += rest;
+    let bytes = text.split('\u{fffd}').map(str::as_bytes);
+    bytes.collect::<Vec<_>>().join(&0xff)
+}
+
+/// Decodes a value of a query.
+fn percent_decode(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        match byte {
+            b'%' => {
+                let digits = [rest.next().unwrap(), rest.next().unwrap()];
+                let digits = std::str::from_utf8(&digits).unwrap();
+                bytes.push(u8::from_str_radix(digits, 16).unwrap());
+            }
+            _ => bytes.push(byte),
+        }
+    }
+    String::from_utf8(bytes).unwrap()
+}
