--- a/crates/gateway/tests/store_entries.rs
+++ b/crates/gateway/tests/store_entries.rs
@@ -94,3 +94,22 @@
         received_requests(&first).len() == known
     });
 }
+
+/// Guards against a watch that continues after the revision of the last page.
+#[test]
+fn a_change_between_two_pages_of_a_listing_is_not_lost() {
+    let (gone, stays) = (healthy_runner(), healthy_runner());
+    let store = StandinStore::start();
+    store.put("config", "main", Some(table(1, all_routes())));
+    store.put("servers", "a1", Some(gone.entry("svc", "ready")));
+    store.put("servers", "b1", Some(stays.entry("svc", "ready")));
+    let draining = gone.entry("svc", "draining");
+    store.change_between_pages(1, "servers", "a1", Some(draining));
+    let gateway = TestGateway::start_with(store, "i1");
+    wait_for_requests(&gateway, &stays);
+    let known = received_requests(&gone).len();
+    for _ in 0..20 {
+        gateway.call("GET /safe/x", "probe", "", "");
+    }
+    assert_eq!(received_requests(&gone).len(), known);
+}
