--- a/crates/gateway/tests/store_entries.rs
+++ b/crates/gateway/tests/store_entries.rs
@@ -4,6 +4,7 @@
 
 mod standins;
 
+use serde_json::Value;
 use standins::{
     all_routes, healthy_runner, received_requests, table, wait_until, StandinRunner, StandinStore,
     TestGateway,
@@ -95,6 +96,20 @@
     });
 }
 
+#[test]
+fn entries_with_unusual_names_are_listed_in_pages() {
+    let runner = healthy_runner();
+    let store = StandinStore::start();
+    store.put("config", "main", Some(table(1, all_routes())));
+    for name in ["a b", "a&x=1", "a#", "a\r\nb: c", "a%20", "ü"] {
+        store.put_text("servers", name, "{}");
+    }
+    store.put("servers", "zz", Some(runner.entry("svc", "ready")));
+    store.change_between_pages(2, "servers", "zzz", Some(Value::Null));
+    let gateway = TestGateway::start_with(store, "i1");
+    wait_for_requests(&gateway, &runner);
+}
+
 /// Guards against a watch that continues after the revision of the last page.
 #[test]
 fn a_change_between_two_pages_of_a_listing_is_not_lost() {
