Attribute a refusal without an id only on a new connection

Cause: a runner repeats an earlier refusal on a kept connection. With its id, the copy is discarded as a response to another request. Without an id, any failure was accepted as the response to the present request. Change: on a connection that has carried another request, a response without an id that states or implies that the request has not run is discarded; the own response follows, or the outcome is unknown. On a new connection there is no earlier request, so it is accepted as before. Runners echo the id in their responses.

--- a/crates/gateway/src/runner_registry.rs
+++ b/crates/gateway/src/runner_registry.rs
@@ -50,6 +50,8 @@
 pub(crate) struct RunnerConnection {
     /// The connection.
     pub(crate) stream: H1Stream,
+    /// Whether it has carried an earlier request.
+    pub(crate) is_reused: bool,
     _slot: ConnectionSlot,
 }
 
@@ -58,6 +60,7 @@
     pub(crate) fn new(stream: H1Stream, slot: ConnectionSlot) -> Self {
         Self {
             stream,
+            is_reused: false,
             _slot: slot,
         }
     }
@@ -303,6 +306,10 @@
         if self.is_removed.get() {
             return;
         }
+        let connection = RunnerConnection {
+            is_reused: true,
+            ..connection
+        };
         self.idle.borrow_mut().push(IdleConnection {
             connection,
             idle_since_ms: now_ms,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -203,7 +203,7 @@
     ) -> AttemptOutcome {
         let bytes = self.encode();
         let sent_ms = boot_ms();
-        let exchange = self.send(&mut stream.stream, &bytes);
+        let exchange = self.send(&mut stream, &bytes);
         let (head, reply, all_sent) =
             match run_cancellable(sink.stream, self.deadline, exchange).await {
                 Ok(Ok(found)) => found,
@@ -282,9 +282,11 @@
     /// if they arrive while the request is being sent.
     async fn send(
         &self,
-        stream: &mut H1Stream,
+        connection: &mut RunnerConnection,
         bytes: &[u8],
     ) -> Result<(ResponseHead, RunnerReply, bool), &'static str> {
+        let is_reused = connection.is_reused;
+        let stream = &mut connection.stream;
         let mut sent = 0;
         for _ in 0..=MAX_FOREIGN_RESPONSES {
             let written = stream.write_until_response(&bytes[sent..]).await;
@@ -295,7 +297,7 @@
                 _ => "the connection broke before the response",
             })?;
             let reply = decode_reply(&head.headers);
-            if self.is_response_to_call(&head, &reply) {
+            if self.is_response_to_call(&head, &reply, is_reused) {
                 return Ok((head, reply, sent == bytes.len()));
             }
             self.discard_response(stream, &head).await?;
@@ -304,9 +306,17 @@
     }
 
     /// Returns whether a response belongs to this request.
-    fn is_response_to_call(&self, head: &ResponseHead, reply: &RunnerReply) -> bool {
+    fn is_response_to_call(
+        &self,
+        head: &ResponseHead,
+        reply: &RunnerReply,
+        is_reused: bool,
+    ) -> bool {
         match &reply.request_id {
             Some(id) => *id == self.call.request.id,
+            // On a connection that has carried another request, a statement that the
+            // request has not run may be a copy of an earlier one.
+            None if is_reused && (reply.is_not_executed || is_refusal(head.status)) => false,
             // A successful response without an id may belong to another request. A failure
             // is accepted.
             None => self.call.request.id.is_empty() || !head.status.is_success(),
@@ -361,6 +371,17 @@
     }
 }
 
+/// Whether a status tells callers that the request has not run.
+fn is_refusal(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns the longest idle time of a connection reused for requests of a route.
 pub(crate) fn max_idle(route: &RouteRule) -> Duration {
     match route.is_retryable() {
