Send few copies of a large table at a time

Cause: all instances pull the table from the four that watch the store, at the same moment. Each copy then took longer than its limit of 0.8 s, so it was sent in vain and asked for again: 197 pulls timed out. Each copy was encoded anew as well.

Change: a large copy is encoded once; as many are sent at a time as the link carries (one for each 25 Mbit/s, eight at most), and the others are turned away at once and ask again, then also the instances that have received it. The time limit holds for each block of a copy, so that a slow link still gets one. Each kind is pulled by a task of its own, so that a large table does not delay what is known of runners.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 //! | `event_split` | splits a byte stream at event boundaries |
 //! | `responses` | responses that the gateway generates itself |
 //! | `replica` | replicas of the store's objects |
+//! | `copies` | copies of objects that are sent to other instances |
 //! | `cache_stores` | KV cache stores: catalogues and transfer plans |
 //! | `store_lag` | latency of requests that fetch from KV cache stores |
 //! | `reclaim` | frees cached prompt parts of retired weights |
@@ -49,6 +50,7 @@
 mod call_log;
 mod callers;
 mod clock;
+mod copies;
 mod event_split;
 mod exclusions;
 mod forward;
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -9,6 +9,7 @@
     accept::accept_next,
     cache_stores::{apply_gossip, StoreSnapshot},
     clock::boot_ms,
+    copies::CopyVersion,
     exclusions::merge_exclusions,
     instances::InstanceEntry,
     peers::{LoadShare, PeerHeartbeat, PeerMessage},
@@ -19,9 +20,10 @@
 };
 use berylmount_adapter::store_client::{EraRevision, StoredObject};
 use bincode::{config, serde as codec};
+use bytes::Bytes;
 use rand::rng;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
 use strum::IntoEnumIterator;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -43,8 +45,13 @@
 const REPORT_HEARTBEATS: u32 = 4;
 /// Maximum number of exclusions in one datagram.
 const MAX_EXCLUSION_REPORTS: usize = 128;
-/// Time limit for one request for a copy.
+/// Time limit for the start of the reply to a request for a copy, and for each further
+/// block of it.
 const PULL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Time limit for the other instance to receive what was written of a copy.
+const DELIVERY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Size of the blocks in which a copy is sent and received, in bytes.
+const COPY_BLOCK_BYTES: usize = 64 * 1024;
 
 /// A request to another instance for a copy of its state.
 #[derive(Debug, Deserialize, Serialize)]
@@ -73,6 +80,9 @@
     /// The request timed out.
     #[error("the request timed out")]
     TimedOut,
+    /// The other instance sends too many copies at this moment.
+    #[error("the instance is busy")]
+    Busy,
     /// A message does not decode.
     #[error("malformed message: {0}")]
     Malformed(String),
@@ -328,8 +338,7 @@
         let socket = accept_next(&listener, "peers").await;
         let state = state.clone();
         spawn_local(async move {
-            let served = timeout(PULL_TIMEOUT, reply_to_pull(&state, socket)).await;
-            if let Ok(Err(fault)) = served {
+            if let Err(fault) = reply_to_pull(&state, socket).await {
                 log::warn!(target: "peers", fault:% ; "could not send a copy to another instance");
             }
         });
@@ -341,10 +350,31 @@
         PullRequest::Changes(kind, since) => (kind, since),
         PullRequest::Store(store) => {
             let snapshot = state.stores.borrow().snapshot(store);
-            return write_message(&mut socket, &snapshot).await;
+            return write_message(&mut socket, &encode(&snapshot)?).await;
         }
     };
-    let delta = state.replicas.borrow()[kind as usize].delta(since);
+    let delta = || state.replicas.borrow()[kind as usize].delta(since);
+    let version = CopyVersion {
+        since,
+        revision: state.replicas.borrow()[kind as usize].revision(),
+        table: state.table().map_or(0, |table| table.version),
+    };
+    let bytes = state.copies.encoded(kind, version, delta, encode_reply)?;
+    let link_mbps = state.settings().machine.link_mbps;
+    let Some(_slot) = state.copies.take_slot(bytes.len(), link_mbps) else {
+        // An empty message tells that this instance is busy.
+        return write_message(&mut socket, &[]).await;
+    };
+    write_message(&mut socket, &bytes).await?;
+    // The other instance closes the connection once it has the copy. Until then it is still
+    // being sent from the buffers of the kernel.
+    let closed = socket.read_u8();
+    // At the time limit the connection is closed, and the other instance asks again.
+    let _ = timeout(DELIVERY_TIMEOUT, closed).await;
+    Ok(())
+}
+
+fn encode_reply(delta: ReplicaDelta) -> Result<Bytes, PullFault> {
     let objects = delta.objects.into_iter();
     let reply = PullReply {
         revision: delta.revision,
@@ -353,7 +383,7 @@
             .map(|o| (o.name, o.revision, o.spec.to_string()))
             .collect(),
     };
-    write_message(&mut socket, &reply).await
+    Ok(encode(&reply)?.into())
 }
 
 /// Pulls the objects of a kind that changed after `since` from the instance at `address`.
@@ -393,34 +423,44 @@
     address: SocketAddr,
     request: &PullRequest,
 ) -> Result<R, PullFault> {
-    let exchange = async {
-        let mut socket = TcpStream::connect(address).await?;
-        write_message(&mut socket, request).await?;
-        read_message::<R>(&mut socket).await
-    };
-    timeout(PULL_TIMEOUT, exchange)
-        .await
-        .map_err(|_| PullFault::TimedOut)?
+    let mut socket = within_limit(TcpStream::connect(address)).await?;
+    write_message(&mut socket, &encode(request)?).await?;
+    read_message::<R>(&mut socket).await
 }
 
+/// Applies the time limit of one step of a copy.
+async fn within_limit<T>(step: impl Future<Output = io::Result<T>>) -> Result<T, PullFault> {
+    let result = timeout(PULL_TIMEOUT, step).await;
+    Ok(result.map_err(|_| PullFault::TimedOut)??)
+}
+
+/// Reads one message. The time limit holds for its start and for each block, so that a slow
+/// link is no fault as long as bytes arrive.
 async fn read_message<M: DeserializeOwned>(socket: &mut TcpStream) -> Result<M, PullFault> {
-    let length = socket.read_u32().await? as usize;
+    let length = within_limit(socket.read_u32()).await? as usize;
+    if length == 0 {
+        return Err(PullFault::Busy);
+    }
     if length > MAX_MESSAGE_BYTES {
         return Err(PullFault::Malformed(format!(
             "a length of {length} bytes exceeds the limit"
         )));
     }
     let mut bytes = vec![0u8; length];
-    socket.read_exact(&mut bytes).await?;
+    for block in bytes.chunks_mut(COPY_BLOCK_BYTES) {
+        within_limit(socket.read_exact(block)).await?;
+    }
     decode(&bytes)
 }
 
-async fn write_message<M: Serialize>(socket: &mut TcpStream, message: &M) -> Result<(), PullFault> {
-    let bytes = encode(message)?;
+/// Writes one message, with the same time limits.
+async fn write_message(socket: &mut TcpStream, bytes: &[u8]) -> Result<(), PullFault> {
     let length = u32::try_from(bytes.len());
     let length = length.map_err(|error| PullFault::Malformed(error.to_string()))?;
-    socket.write_u32(length).await?;
-    socket.write_all(&bytes).await?;
+    within_limit(socket.write_u32(length)).await?;
+    for block in bytes.chunks(COPY_BLOCK_BYTES) {
+        within_limit(socket.write_all(block)).await?;
+    }
     Ok(())
 }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -185,10 +185,10 @@
 fn spawn_background_tasks(state: &Rc<GatewayState>) {
     for kind in WatchedKind::iter() {
         spawn_local(watch_kind(state.clone(), kind));
+        spawn_local(pull_from_peers(state.clone(), kind));
     }
     spawn_local(expire_runners(state.clone()));
     spawn_local(update_gauges(state.clone()));
-    spawn_local(pull_from_peers(state.clone()));
     spawn_local(watch_stores(state.clone()));
     spawn_local(update_store_lags(state.clone()));
     spawn_local(sync_instance_list(state.clone()));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -3,6 +3,7 @@
 use crate::{
     cache_stores::StoreRegistry,
     clock::boot_ms,
+    copies::CopyServer,
     instances::InstanceList,
     peers::{name_hash, CacheGossip, HolderNotice, LoadShare, PeerTable},
     permits::SilentCoordinator,
@@ -107,6 +108,8 @@
     pub(crate) fetches: RefCell<ActiveFetches>,
     /// Statistics of services of engines, sorted by the key of the service.
     service_stats: RefCell<Vec<(u64, ServiceStats)>>,
+    /// Copies of objects for other instances.
+    pub(crate) copies: CopyServer,
     /// Requests that fetch from stores and wait for their first event.
     pub(crate) waits: RefCell<OpenWaits>,
     /// Lags of stores as observed by this instance.
@@ -198,6 +201,7 @@
             retired: RefCell::default(),
             fetches: RefCell::default(),
             service_stats: RefCell::default(),
+            copies: CopyServer::default(),
             waits: RefCell::default(),
             lags: RefCell::default(),
             replicas: RefCell::new(WatchedKind::ALL.map(|kind| KindReplica::new(kind.rule()))),
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -13,7 +13,7 @@
 use crate::{
     clock::boot_ms,
     peer_bootstrap::{bootstrap_from_peers, pull_newer_table, LARGE_FLEET_ENTRIES},
-    peer_link::pull_replica,
+    peer_link::{pull_replica, PullFault},
     peers::PeerHeartbeat,
     replica::{KindReplica, ReplicaChange, ReplicaRule},
     runner_registry::RunnerChange,
@@ -28,7 +28,7 @@
 use rand::{rng, RngExt};
 use serde::{Deserialize, Serialize};
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
-use strum::{Display, EnumCount, EnumIter, IntoEnumIterator};
+use strum::{Display, EnumCount, EnumIter};
 use tokio::time::sleep;
 
 /// Longest wait of one watch. A connection that has gone silent is detected only when this
@@ -324,38 +324,40 @@
     }
 }
 
-/// Pulls changes from other instances that have newer objects than this one.
-pub(crate) async fn pull_from_peers(state: Rc<GatewayState>) {
+/// Pulls changes of a kind from other instances that have newer objects than this one.
+pub(crate) async fn pull_from_peers(state: Rc<GatewayState>, kind: WatchedKind) {
     loop {
         sleep(PULL_INTERVAL).await;
-        for kind in WatchedKind::iter() {
-            let Some((peer, address, since)) = peer_ahead(&state, kind) else {
+        let Some((peer, address, since)) = peer_ahead(&state, kind) else {
+            continue;
+        };
+        let delta = match pull_replica(address, kind, since).await {
+            Ok(delta) => delta,
+            Err(PullFault::Busy) => {
+                log::debug!(target: "follow", kind:%, peer; "the peer sends too many copies now");
                 continue;
-            };
-            match pull_replica(address, kind, since).await {
-                Ok(delta) => {
-                    let revision = delta.revision;
-                    let known = state.replicas.borrow()[kind as usize].revision();
-                    let changes = {
-                        let mut replicas = state.replicas.borrow_mut();
-                        replicas[kind as usize].apply_delta(&delta)
-                    };
-                    note_era(&state, kind, known, revision);
-                    if !changes.is_empty() {
-                        let count = changes.len();
-                        log::info!(
-                            target: "follow",
-                            kind:%, peer, since:%, revision:%, count;
-                            "pulled changes from the peer"
-                        );
-                    }
-                    apply_changes(&state, kind, &changes);
-                }
-                Err(fault) => {
-                    log::warn!(target: "follow", kind:%, peer, fault:% ; "could not pull changes from the peer")
-                }
             }
+            Err(fault) => {
+                log::warn!(target: "follow", kind:%, peer, fault:% ; "could not pull changes from the peer");
+                continue;
+            }
+        };
+        let revision = delta.revision;
+        let known = state.replicas.borrow()[kind as usize].revision();
+        let changes = {
+            let mut replicas = state.replicas.borrow_mut();
+            replicas[kind as usize].apply_delta(&delta)
+        };
+        note_era(&state, kind, known, revision);
+        if !changes.is_empty() {
+            let count = changes.len();
+            log::info!(
+                target: "follow",
+                kind:%, peer, since:%, revision:%, count;
+                "pulled changes from the peer"
+            );
         }
+        apply_changes(&state, kind, &changes);
     }
 }
 
