--- a/crates/gateway/src/call_log.rs
+++ b/crates/gateway/src/call_log.rs
@@ -9,6 +9,7 @@
     state::GatewayState,
     upstream::AttemptOutcome,
 };
+use berylmount_fleet::PromptShape;
 use berylmount_telemetry::{CounterMetric, HistogramMetric};
 use http::StatusCode;
 
@@ -56,6 +57,14 @@
         self.text += &format!("{separator}{runner} at its request limit");
     }
 
+    /// Records that the request is not sent because parts of its prompt crash runners.
+    pub(crate) fn record_blamed(&mut self, prompt: Option<&PromptShape>) {
+        let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
+        let ids: Vec<&str> = parts.iter().map(|part| part.id.as_str()).collect();
+        let separator = if self.text.is_empty() { "" } else { "; " };
+        self.text += &format!("{separator}not sent, parts {}", ids.join(","));
+    }
+
     /// Records the end of an attempt.
     pub(crate) fn record(
         &mut self,
@@ -76,7 +85,9 @@
         let result = match outcome {
             AttemptOutcome::NotSent(reason) => format!("not sent ({reason})"),
             AttemptOutcome::NotRun(status) => format!("not run ({})", status.as_u16()),
-            AttemptOutcome::MayHaveRun(reason) => format!("may have run ({reason})"),
+            AttemptOutcome::MayHaveRun(reason) | AttemptOutcome::Disconnected(reason) => {
+                format!("may have run ({reason})")
+            }
             AttemptOutcome::Complete(response) => format!("status {}", response.status.as_u16()),
             AttemptOutcome::Streamed => "streamed".to_owned(),
             AttemptOutcome::StreamFailed(reason) => format!("broken ({reason})"),
--- /dev/null
+++ b/crates/gateway/src/crash_parts.rs
@@ -0,0 +1,347 @@
+//! Prompt parts that crash runners: evidence, verdicts and their exchange.
+//!
+//! Each instance sends its evidence to a few analysts, which are the same for all instances
+//! with the same view of the fleet. An analyst asks all instances for the answers of suspect
+//! parts and tells them which parts are blamed. Nothing is sent while no request breaks.
+//!
+//! Blamed parts are also written to the object store, so that they outlive a restart of all
+//! processes. A process that starts reads them before it serves prompts.
+
+use crate::{
+    clock::boot_ms,
+    peer_link::{peer_addresses, send_message},
+    peers::{name_hash, PeerMessage},
+    responses::LocalReason,
+    runner_registry::RunnerHandle,
+    state::GatewayState,
+    upstream::AttemptOutcome,
+};
+use berylmount_fleet::PromptShape;
+use berylmount_policy::{
+    blamed_parts::{BlameReport, BlamedParts, PromptDecision},
+    part_evidence::{BreakReport, EvidenceReport, PartEvidence, MAX_PARTS},
+    part_verdicts::PartAnalyst,
+    shared_duties::DutyMember,
+};
+use berylmount_telemetry::CounterMetric;
+use rand::{rng, RngExt};
+use serde::{Deserialize, Serialize};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{net::UdpSocket, time::sleep};
+
+pub(crate) mod stored;
+
+/// The duty by which analysts are selected.
+const ANALYST_DUTY: &str = "crash parts";
+/// Number of analysts. One suffices; the others take over without a loss of evidence.
+const ANALYSTS: usize = 3;
+/// Time between two checks whether messages are due or parts are at fault.
+const TICK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two reports while there is evidence, and at least, in milliseconds.
+const REPORT_MS: u64 = 500;
+const MIN_REPORT_MS: u64 = 100;
+/// Time between two judgements of the evidence, in milliseconds.
+const JUDGE_MS: u64 = 150;
+/// Time between two selections of the analysts, in milliseconds.
+const SELECT_MS: u64 = 500;
+/// Minimum time between two changed lists of suspects, in milliseconds.
+const SUSPECT_MS: u64 = 200;
+/// Time between two notices without a change, in milliseconds.
+const NOTICE_MS: u64 = 1000;
+/// Time from which a process serves prompts even if it could not learn which parts are
+/// blamed, in milliseconds.
+const MAX_START_MS: u64 = 1500;
+
+/// What analysts tell all instances.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct AnalystNotice {
+    /// Parts whose answers all instances should report, sorted.
+    suspects: Vec<u64>,
+    blamed: Vec<BlameReport>,
+}
+
+/// What this instance knows about parts that crash runners.
+#[derive(Debug, Default)]
+pub(crate) struct CrashParts {
+    evidence: RefCell<PartEvidence>,
+    analyst: RefCell<PartAnalyst>,
+    blamed: RefCell<BlamedParts>,
+    /// The last list of suspects from an analyst.
+    suspects: RefCell<Vec<u64>>,
+    /// Whether evidence is sent without waiting for the interval.
+    is_evidence_due: Cell<bool>,
+    /// Whether the blamed parts have changed since the last notice.
+    is_notice_due: Cell<bool>,
+    /// Whether this process has learned which parts are blamed.
+    is_informed: Cell<bool>,
+    /// Whether this instance was an analyst when the analysts were last selected.
+    is_analyst: Cell<bool>,
+}
+
+/// Returns the keys of the parts of a prompt that other prompts may share, sorted.
+pub(crate) fn part_keys(prompt: Option<&PromptShape>) -> Vec<u64> {
+    let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
+    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+    let keys = shared.iter().map(|part| name_hash(&part.id));
+    let mut keys: Vec<u64> = keys.take(MAX_PARTS).collect();
+    keys.sort_unstable();
+    keys.dedup();
+    keys
+}
+
+/// Whether this process has learned which parts are blamed, or could not.
+pub(crate) fn is_informed(state: &GatewayState) -> bool {
+    state.crash_parts.is_informed.get() || boot_ms() >= state.started_boot_ms + MAX_START_MS
+}
+
+/// Returns why a prompt with these parts is refused, and when the caller should retry; `None`
+/// if it is not.
+pub(crate) fn refusal_of(state: &GatewayState, parts: &[u64]) -> Option<(LocalReason, Duration)> {
+    let blamed = state.crash_parts.blamed.borrow();
+    refusal(&blamed.preview(parts, boot_ms()))
+}
+
+/// Decides whether a prompt with these parts is sent now. If so, it is announced to the other
+/// instances where parts are on probation. Otherwise returns the refusal.
+pub(crate) async fn decide_prompt(
+    state: &GatewayState,
+    parts: &[u64],
+) -> Option<(LocalReason, Duration)> {
+    let decision = {
+        let mut blamed = state.crash_parts.blamed.borrow_mut();
+        blamed.decide(parts, boot_ms())
+    };
+    let PromptDecision::Send(probed) = decision else {
+        return refusal(&decision);
+    };
+    if let (false, Some(socket)) = (probed.is_empty(), state.peer_socket.get().cloned()) {
+        let message = PeerMessage::PartProbe(probed);
+        send_message(&socket, &peer_addresses(state), &message).await;
+    }
+    None
+}
+
+fn refusal(decision: &PromptDecision) -> Option<(LocalReason, Duration)> {
+    let (reason, left_ms) = match decision {
+        PromptDecision::Send(_) => return None,
+        PromptDecision::Refuse(left_ms) => (LocalReason::CrashingPart, left_ms),
+        PromptDecision::Wait(left_ms) => (LocalReason::SuspectPart, left_ms),
+    };
+    Some((reason, Duration::from_millis(*left_ms)))
+}
+
+/// Records that another instance has sent a prompt with these sets of parts on probation.
+pub(crate) fn note_probe(state: &GatewayState, probed: &[Vec<u64>]) {
+    let mut blamed = state.crash_parts.blamed.borrow_mut();
+    blamed.note_sent(probed, boot_ms());
+}
+
+/// Records the end of an attempt to run a prompt.
+pub(crate) fn note_attempt(
+    state: &GatewayState,
+    service: &str,
+    runner: &RunnerHandle,
+    parts: &[u64],
+    outcome: &AttemptOutcome,
+) {
+    let (service, now_ms) = (name_hash(service), boot_ms());
+    let mut evidence = state.crash_parts.evidence.borrow_mut();
+    match outcome {
+        AttemptOutcome::Streamed => evidence.note_answer(service, parts, now_ms),
+        AttemptOutcome::Complete(response) if response.status.is_success() => {
+            evidence.note_answer(service, parts, now_ms);
+        }
+        AttemptOutcome::Disconnected(_) => {
+            let report = BreakReport {
+                id: rng().random(),
+                service,
+                runner: runner.limit_key(),
+                age_ms: 0,
+                parts: parts.to_vec(),
+            };
+            evidence.note_break(report, now_ms);
+            state.crash_parts.is_evidence_due.set(true);
+            convict(state, parts, now_ms);
+        }
+        _ => {}
+    }
+}
+
+/// Blames parts on probation for good if a request with them broke.
+fn convict(state: &GatewayState, parts: &[u64], broken_ms: u64) {
+    let mut blamed = state.crash_parts.blamed.borrow_mut();
+    if blamed.convict(parts, broken_ms, boot_ms()) {
+        state.crash_parts.is_notice_due.set(true);
+        let parts = blame_name(parts);
+        log::warn!(target: "parts", parts; "a prompt with parts on probation crashed its runner");
+    }
+}
+
+/// Applies the evidence of a process, as an analyst.
+pub(crate) fn merge_evidence(state: &GatewayState, process: u64, report: EvidenceReport) {
+    let now_ms = boot_ms();
+    for broken in &report.breaks {
+        convict(state, &broken.parts, now_ms.saturating_sub(broken.age_ms));
+    }
+    let mut analyst = state.crash_parts.analyst.borrow_mut();
+    analyst.merge(process, report, now_ms);
+}
+
+/// Applies the notice of an analyst. The next report is sent at once if it is asked for other
+/// parts than the last one.
+pub(crate) fn apply_notice(state: &GatewayState, notice: AnalystNotice) {
+    for report in &notice.blamed {
+        adopt(state, report, "reported");
+    }
+    let crash_parts = &state.crash_parts;
+    crash_parts.is_informed.set(true);
+    let mut suspects = crash_parts.suspects.borrow_mut();
+    if *suspects != notice.suspects {
+        *suspects = notice.suspects;
+        crash_parts.is_evidence_due.set(true);
+    }
+}
+
+/// Blames parts, unless they are blamed already.
+fn adopt(state: &GatewayState, report: &BlameReport, source: &'static str) {
+    let crash_parts = &state.crash_parts;
+    if !crash_parts.blamed.borrow_mut().adopt(report, boot_ms()) {
+        return;
+    }
+    crash_parts.is_notice_due.set(true);
+    let metric = CounterMetric::BlamedPartsTotal;
+    state.metrics.add(metric, source, 1);
+    let (parts, is_certain) = (blame_name(&report.parts), report.is_certain);
+    log::warn!(target: "parts", parts, is_certain, source, age_ms = report.age_ms; "prompt parts crash runners; prompts with them are refused");
+}
+
+/// Sends evidence and, as an analyst, judges the evidence of all instances.
+pub(crate) async fn exchange_evidence(state: Rc<GatewayState>) {
+    let mut schedule = EvidenceSchedule::default();
+    loop {
+        sleep(TICK_INTERVAL).await;
+        let Some(socket) = state.peer_socket.get().cloned() else {
+            continue;
+        };
+        let (crash_parts, now_ms) = (&state.crash_parts, boot_ms());
+        let has_breaks = crash_parts.evidence.borrow_mut().has_breaks(now_ms);
+        let has_evidence = crash_parts.analyst.borrow_mut().has_evidence(now_ms);
+        let is_asked = !crash_parts.suspects.borrow().is_empty();
+        let has_blamed = !crash_parts.blamed.borrow_mut().reports(now_ms).is_empty();
+        if !(has_breaks || has_evidence || is_asked || has_blamed) {
+            continue;
+        }
+        schedule.update_analysts(&state);
+        let min_ms = match crash_parts.is_evidence_due.get() {
+            true => MIN_REPORT_MS,
+            false => REPORT_MS,
+        };
+        if (has_breaks || is_asked) && now_ms >= schedule.reported_ms + min_ms {
+            crash_parts.is_evidence_due.set(false);
+            schedule.reported_ms = now_ms;
+            schedule.report(&state, &socket).await;
+        }
+        if !crash_parts.is_analyst.get() {
+            crash_parts.is_notice_due.set(false);
+            continue;
+        }
+        if has_evidence && now_ms >= schedule.judged_ms + JUDGE_MS {
+            schedule.judged_ms = now_ms;
+            judge(&state);
+        }
+        schedule.notify(&state, &socket).await;
+    }
+}
+
+/// Blames the parts that the evidence of all instances shows to be at fault.
+fn judge(state: &GatewayState) {
+    let mut analyst = state.crash_parts.analyst.borrow_mut();
+    for verdict in analyst.verdicts(boot_ms()) {
+        let report = BlameReport {
+            parts: verdict.parts,
+            is_certain: verdict.is_certain,
+            age_ms: 0,
+        };
+        adopt(state, &report, "own");
+    }
+}
+
+/// When an instance last sent its messages, and to whom. Times are of the boot clock.
+#[derive(Debug, Default)]
+struct EvidenceSchedule {
+    reported_ms: u64,
+    judged_ms: u64,
+    notified_ms: u64,
+    /// The suspects of the last notice.
+    suspects: Vec<u64>,
+    /// Addresses of the other analysts.
+    analysts: Vec<SocketAddr>,
+    /// When the analysts were last selected.
+    selected_ms: u64,
+}
+
+impl EvidenceSchedule {
+    /// Selects the analysts among the live instances, from time to time.
+    fn update_analysts(&mut self, state: &GatewayState) {
+        let now_ms = boot_ms();
+        if self.selected_ms > 0 && now_ms < self.selected_ms + SELECT_MS {
+            return;
+        }
+        self.selected_ms = now_ms;
+        let settings = state.settings();
+        let own = DutyMember {
+            name: &settings.name,
+            strength: settings.machine.capacity_millicores(),
+        };
+        let peers = state.peers.borrow();
+        let (analysts, is_analyst) = peers.first_members(own, ANALYST_DUTY, ANALYSTS, now_ms);
+        self.analysts = analysts;
+        state.crash_parts.is_analyst.set(is_analyst);
+    }
+
+    /// Sends the evidence of this instance to the analysts.
+    async fn report(&self, state: &GatewayState, socket: &UdpSocket) {
+        let report = {
+            let suspects = state.crash_parts.suspects.borrow();
+            let mut evidence = state.crash_parts.evidence.borrow_mut();
+            evidence.report(&suspects, boot_ms())
+        };
+        let settings = state.settings();
+        let process = name_hash(&format!("{}@{}", settings.name, state.started_ms));
+        if state.crash_parts.is_analyst.get() {
+            merge_evidence(state, process, report.clone());
+        }
+        let message = PeerMessage::PartEvidence(process, report);
+        send_message(socket, &self.analysts, &message).await;
+    }
+
+    /// Tells all instances the suspects and the blamed parts, if that is due.
+    async fn notify(&mut self, state: &GatewayState, socket: &UdpSocket) {
+        let (crash_parts, now_ms) = (&state.crash_parts, boot_ms());
+        let suspects = crash_parts.analyst.borrow_mut().suspects(now_ms);
+        let blamed = crash_parts.blamed.borrow_mut().reports(now_ms);
+        let age_ms = now_ms.saturating_sub(self.notified_ms);
+        let has_changed = suspects != self.suspects && age_ms >= SUSPECT_MS;
+        let is_repeated = age_ms >= NOTICE_MS && !(suspects.is_empty() && blamed.is_empty());
+        if !crash_parts.is_notice_due.replace(false) && !has_changed && !is_repeated {
+            return;
+        }
+        self.notified_ms = now_ms;
+        self.suspects.clone_from(&suspects);
+        let notice = AnalystNotice { suspects, blamed };
+        apply_notice(state, notice.clone());
+        let message = PeerMessage::AnalystNotice(notice);
+        send_message(socket, &peer_addresses(state), &message).await;
+    }
+}
+
+/// Returns the name of a set of parts in logs and in the store.
+fn blame_name(parts: &[u64]) -> String {
+    let names: Vec<String> = parts.iter().map(|part| format!("{part:016x}")).collect();
+    names.join("-")
+}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,6 +3,7 @@
 use crate::{
     call_log::{record_outcome, request_class, AttemptLog, CallOutcome},
     clock::boot_ms,
+    crash_parts::{decide_prompt, is_informed, note_attempt, part_keys, refusal_of},
     permits::acquire_permit,
     placement::{place, PlacedRunner, PlacementQuery, PlacementResult},
     responses::{encode_response, LocalReason, LocalResponse},
@@ -187,6 +188,10 @@
             return CallOutcome::Local(rejection(LocalReason::Draining));
         }
         state.note_first_attempt(&self.service, boot_ms());
+        let parts = part_keys(call.request.prompt.as_ref());
+        if let Some(refusal) = self.refuse_parts(state, call, &parts, attempts) {
+            return CallOutcome::Local(refusal);
+        }
         if call.request.prompt.is_some() {
             state.note_offered(&self.service, boot_ms());
         }
@@ -214,12 +219,22 @@
             if attempts.sent > 0 && !state.take_retry(&self.service, boot_ms()) {
                 break;
             }
+            if let Some((reason, delay)) = decide_prompt(state, &parts).await {
+                attempts.record_blamed(call.request.prompt.as_ref());
+                if attempts.sent == 0 {
+                    return CallOutcome::Local(refused_for(reason, delay));
+                }
+                break;
+            }
             self.note_placed(state, call, &placed);
             note_limited(state, &placed.runner, attempts.sent > 0);
             let started_ms = boot_ms();
             attempts.begin();
             let outcome = self.run_attempt(call, &placed, state, sink).await;
             attempts.record(state, &placed, &outcome, started_ms);
+            if call.request.prompt.is_some() {
+                note_attempt(state, &self.service, &placed.runner, &parts, &outcome);
+            }
             tried.push(placed.runner.clone());
             errors.note(&placed.runner, &outcome);
             match outcome {
@@ -238,6 +253,24 @@
         fallback.deliver_to(sink).await
     }
 
+    /// Returns the refusal of a prompt whose parts crash runners, or of any prompt as long as
+    /// this process does not know which do.
+    fn refuse_parts(
+        &self,
+        state: &GatewayState,
+        call: &InboundCall,
+        parts: &[u64],
+        attempts: &mut AttemptLog,
+    ) -> Option<LocalResponse> {
+        let prompt = call.request.prompt.as_ref()?;
+        if !is_informed(state) {
+            return Some(rejection(LocalReason::Starting));
+        }
+        let (reason, delay) = refusal_of(state, parts)?;
+        attempts.record_blamed(Some(prompt));
+        Some(refused_for(reason, delay))
+    }
+
     /// Updates the metrics of a request that is sent to a runner.
     fn note_placed(&self, state: &GatewayState, call: &InboundCall, placed: &PlacedRunner) {
         let waited_ms = boot_ms().saturating_sub(call.arrived_ms);
@@ -381,6 +414,13 @@
     }
 }
 
+/// Builds a refusal with a retry delay.
+fn refused_for(reason: LocalReason, delay: Duration) -> LocalResponse {
+    let mut refusal = LocalResponse::new(reason);
+    refusal.retry_after = Some(delay);
+    refusal
+}
+
 /// Combines priorities for the engine; the customer's takes precedence over the
 /// route's.
 fn engine_priority(customer: Option<u8>, route: u8) -> u8 {
@@ -467,7 +507,7 @@
                 }
                 true
             }
-            AttemptOutcome::MayHaveRun(_) => {
+            AttemptOutcome::MayHaveRun(_) | AttemptOutcome::Disconnected(_) => {
                 if !matches!(self, Self::Runner(_)) {
                     *self = Self::Local(LocalResponse::new(LocalReason::MayHaveRun));
                 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 //! | `event_split` | splits a byte stream at event boundaries |
 //! | `responses` | responses that the gateway generates itself |
 //! | `replica` | replicas of the store's objects |
+//! | `crash_parts` | prompt parts that crash runners |
 //! | `copies` | copies of objects that are sent to other instances |
 //! | `cache_stores` | KV cache stores: catalogues and transfer plans |
 //! | `store_lag` | latency of requests that fetch from KV cache stores |
@@ -51,6 +52,7 @@
 mod callers;
 mod clock;
 mod copies;
+mod crash_parts;
 mod event_split;
 mod exclusions;
 mod forward;
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -10,6 +10,7 @@
     cache_stores::{apply_gossip, StoreSnapshot},
     clock::boot_ms,
     copies::CopyVersion,
+    crash_parts::{apply_notice, merge_evidence, note_probe},
     exclusions::merge_exclusions,
     instances::InstanceEntry,
     peers::{LoadShare, PeerHeartbeat, PeerMessage},
@@ -212,6 +213,11 @@
                     .for_each(|report| merge_limit(&state, report));
             }
             Ok(PeerMessage::ExclusionReports(reports)) => merge_exclusions(&state, &reports),
+            Ok(PeerMessage::PartEvidence(process, report)) => {
+                merge_evidence(&state, process, report);
+            }
+            Ok(PeerMessage::PartProbe(probed)) => note_probe(&state, &probed),
+            Ok(PeerMessage::AnalystNotice(notice)) => apply_notice(&state, notice),
             Ok(PeerMessage::PermitRequest(request)) => {
                 let decision = decide_permit(&state, &request);
                 let reply = PeerMessage::PermitReply(request.number, decision);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,11 +5,12 @@
 //! load of each runner. Lost datagrams are not sent again, because each one repeats the
 //! whole state.
 
-use crate::{instances::InstanceEntry, store_watch::WatchedKind};
+use crate::{crash_parts::AnalystNotice, instances::InstanceEntry, store_watch::WatchedKind};
 use berylmount_adapter::store_client::EraRevision;
 use berylmount_policy::{
     engine_pace::EnginePace,
     misdirection::ExclusionReport,
+    part_evidence::EvidenceReport,
     runner_limits::{LimitReport, PermitDecision},
     shared_duties::{first_among, rank_among, DutyMember},
 };
@@ -211,6 +212,12 @@
     PermitReply(u64, PermitDecision),
     /// Runners whose addresses belong to other servers.
     ExclusionReports(Vec<ExclusionReport>),
+    /// What an instance observed about prompt parts and crashes, with the key of its process.
+    PartEvidence(u64, EvidenceReport),
+    /// What an analyst of that evidence tells all instances.
+    AnalystNotice(AnalystNotice),
+    /// Sets of parts on probation that are in a prompt which an instance sends to a runner.
+    PartProbe(Vec<Vec<u64>>),
 }
 
 /// Another instance, as of its last heartbeat.
@@ -351,6 +358,35 @@
         Some(first.heartbeat.entry.peers)
     }
 
+    /// Returns the addresses for other instances of the live ones among the first `count`
+    /// for a shared duty, and whether `own` is one of them.
+    pub(crate) fn first_members(
+        &self,
+        own: DutyMember<'_>,
+        duty: &str,
+        count: usize,
+        now_ms: u64,
+    ) -> (Vec<SocketAddr>, bool) {
+        let live: Vec<&KnownPeer> = self.live(now_ms).collect();
+        let members = live.iter().map(|peer| DutyMember {
+            name: &peer.heartbeat.name,
+            strength: peer.heartbeat.strength,
+        });
+        let mut members: Vec<DutyMember<'_>> = members.chain([own]).collect();
+        let mut live: Vec<Option<SocketAddr>> = live
+            .iter()
+            .map(|peer| Some(peer.heartbeat.entry.peers))
+            .chain([None])
+            .collect();
+        let mut first = Vec::new();
+        while let Some(index) = first_among(duty, &members).filter(|_| first.len() < count) {
+            members.swap_remove(index);
+            first.push(live.swap_remove(index));
+        }
+        let is_own = first.contains(&None);
+        (first.into_iter().flatten().collect(), is_own)
+    }
+
     /// Whether the fleet is so large that only some instances poll and forward changes.
     pub(crate) fn is_large(&self, now_ms: u64) -> bool {
         self.live_count(now_ms) >= LARGE_FLEET_PEERS
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -4,6 +4,7 @@
     cache_stores::watch_stores,
     callers::serve_callers,
     clock::boot_ms,
+    crash_parts::{exchange_evidence, stored::store_blamed_parts},
     gauges::update_gauges,
     instances::{serve_locate, sync_instance_list},
     peer_link::{exchange_heartbeats, serve_pulls},
@@ -187,6 +188,8 @@
         spawn_local(watch_kind(state.clone(), kind));
         spawn_local(pull_from_peers(state.clone(), kind));
     }
+    spawn_local(exchange_evidence(state.clone()));
+    spawn_local(store_blamed_parts(state.clone()));
     spawn_local(expire_runners(state.clone()));
     spawn_local(update_gauges(state.clone()));
     spawn_local(watch_stores(state.clone()));
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -44,6 +44,9 @@
         };
         let chunk = match chunk {
             Err(_) => return AttemptOutcome::TimedOut(true),
+            Ok(Err(_)) if !sink.is_started => {
+                return AttemptOutcome::Disconnected("the stream broke off");
+            }
             Ok(Err(_)) => return stream_failure(sink, "the stream broke off"),
             Ok(Ok(chunk)) => chunk,
         };
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -45,6 +45,14 @@
     RunnersAtLimit,
     /// The gateway or the runners lack capacity; the request has not run.
     Overloaded,
+    /// This process has just started and does not know yet which prompts crash runners; the
+    /// request has not run.
+    Starting,
+    /// A part of the prompt crashes runners; the request has not run.
+    CrashingPart,
+    /// A part of the prompt may crash runners, and another prompt with it was just sent; the
+    /// request has not run.
+    SuspectPart,
     /// A runner may have run the request but did not respond in time.
     MayHaveRunTimeout,
     /// A runner may have run the request, but its response was lost or invalid.
@@ -68,7 +76,10 @@
             | Self::Refused
             | Self::RunnersInBackoff
             | Self::RunnersAtLimit
-            | Self::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Overloaded
+            | Self::Starting
+            | Self::CrashingPart
+            | Self::SuspectPart => StatusCode::SERVICE_UNAVAILABLE,
             Self::MayHaveRunTimeout => StatusCode::GATEWAY_TIMEOUT,
             Self::MayHaveRun => StatusCode::BAD_GATEWAY,
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -4,6 +4,7 @@
     cache_stores::StoreRegistry,
     clock::boot_ms,
     copies::CopyServer,
+    crash_parts::CrashParts,
     instances::InstanceList,
     peers::{name_hash, CacheGossip, HolderNotice, LoadShare, PeerTable},
     permits::SilentCoordinator,
@@ -108,6 +109,8 @@
     pub(crate) fetches: RefCell<ActiveFetches>,
     /// Statistics of services of engines, sorted by the key of the service.
     service_stats: RefCell<Vec<(u64, ServiceStats)>>,
+    /// Prompt parts that crash runners.
+    pub(crate) crash_parts: CrashParts,
     /// Copies of objects for other instances.
     pub(crate) copies: CopyServer,
     /// Requests that fetch from stores and wait for their first event.
@@ -201,6 +204,7 @@
             retired: RefCell::default(),
             fetches: RefCell::default(),
             service_stats: RefCell::default(),
+            crash_parts: CrashParts::default(),
             copies: CopyServer::default(),
             waits: RefCell::default(),
             lags: RefCell::default(),
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -60,6 +60,9 @@
     NotRun(StatusCode),
     /// The runner may have run the request, and no usable response was received.
     MayHaveRun(&'static str),
+    /// The connection broke before any part of a response was passed on; the runner may
+    /// have run the request.
+    Disconnected(&'static str),
     /// The runner sent a complete response, with success or failure. A failure has not
     /// been counted against the runner yet.
     #[strum(serialize = "whole")]
@@ -98,6 +101,23 @@
         .map_or(MAX_RESPONSE_BYTES, |max| max.min(MAX_RESPONSE_BYTES))
 }
 
+/// Why no response to a request was received.
+enum SendFailure {
+    /// The connection broke.
+    Disconnected(&'static str),
+    /// The response cannot be used.
+    Unusable(&'static str),
+}
+
+impl From<SendFailure> for AttemptOutcome {
+    fn from(failure: SendFailure) -> Self {
+        match failure {
+            SendFailure::Disconnected(reason) => Self::Disconnected(reason),
+            SendFailure::Unusable(reason) => Self::MayHaveRun(reason),
+        }
+    }
+}
+
 /// Why waiting for a runner was interrupted.
 enum WaitInterrupt {
     CallerGone,
@@ -207,7 +227,7 @@
         let (head, reply, all_sent) =
             match run_cancellable(sink.stream, self.deadline, exchange).await {
                 Ok(Ok(found)) => found,
-                Ok(Err(reason)) => return AttemptOutcome::MayHaveRun(reason),
+                Ok(Err(failure)) => return failure.into(),
                 Err(interrupt) => return interrupted(&interrupt),
             };
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST && !reply.is_stamped;
@@ -249,7 +269,7 @@
         let body = match run_cancellable(sink.stream, self.deadline, body).await {
             Ok(Ok(body)) => body,
             Ok(Err(_)) => {
-                return AttemptOutcome::MayHaveRun("the connection broke during the response")
+                return AttemptOutcome::Disconnected("the connection broke during the response")
             }
             Err(interrupt) => return interrupted(&interrupt),
         };
@@ -284,25 +304,32 @@
         &self,
         connection: &mut RunnerConnection,
         bytes: &[u8],
-    ) -> Result<(ResponseHead, RunnerReply, bool), &'static str> {
+    ) -> Result<(ResponseHead, RunnerReply, bool), SendFailure> {
         let is_reused = connection.is_reused;
         let stream = &mut connection.stream;
         let mut sent = 0;
         for _ in 0..=MAX_FOREIGN_RESPONSES {
             let written = stream.write_until_response(&bytes[sent..]).await;
-            sent += written.map_err(|_| "the connection broke while sending the request")?;
+            sent += written.map_err(|_| {
+                SendFailure::Disconnected("the connection broke while sending the request")
+            })?;
             let head = stream.read_response(HeadLimits::default()).await;
             let head = head.map_err(|fault| match fault {
-                H1Fault::Malformed(_) | H1Fault::HeadTooLong => "the response is malformed",
-                _ => "the connection broke before the response",
+                H1Fault::Malformed(_) | H1Fault::HeadTooLong => {
+                    SendFailure::Unusable("the response is malformed")
+                }
+                _ => SendFailure::Disconnected("the connection broke before the response"),
             })?;
             let reply = decode_reply(&head.headers);
             if self.is_response_to_call(&head, &reply, is_reused) {
                 return Ok((head, reply, sent == bytes.len()));
             }
-            self.discard_response(stream, &head).await?;
+            let discarded = self.discard_response(stream, &head).await;
+            discarded.map_err(SendFailure::Unusable)?;
         }
-        Err("received only responses to other requests")
+        Err(SendFailure::Unusable(
+            "received only responses to other requests",
+        ))
     }
 
     /// Returns whether a response belongs to this request.
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -4,11 +4,14 @@
 
 mod standins;
 
+use berylmount_gateway::Gateway;
+use berylmount_telemetry::MetricSet;
 use standins::{
-    all_routes, header, response_to, scripted_runner, table, AfterResponse, StandinRunner,
-    StandinStore, TestGateway,
+    all_routes, header, response_to, scripted_runner, settings, table, wait_until, AfterResponse,
+    StandinRunner, StandinStore, TestGateway,
 };
 use std::{
+    net::TcpListener,
     sync::{
         atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc, Mutex,
@@ -147,3 +150,52 @@
     statuses.dedup();
     assert_eq!(statuses, ["503"]);
 }
+
+/// Starts an instance that reaches `peer` and no store.
+fn start_without_store(peer: &TestGateway) -> TestGateway {
+    // No process listens at this address.
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap();
+    let closed = closed.local_addr().unwrap();
+    let mut settings = settings("late", closed);
+    settings.seed_peers = vec![peer.settings.peer_address().ip()];
+    let mut gateway = Gateway::bind(settings, Arc::new(MetricSet::new().unwrap())).unwrap();
+    gateway.set_first_contact(peer.settings.peer_address());
+    let settings = gateway.settings().clone();
+    thread::spawn(move || gateway.run().unwrap());
+    let store = peer.store.clone();
+    TestGateway { store, settings }
+}
+
+#[test]
+fn a_process_without_the_store_learns_of_a_blamed_part_before_it_serves_prompts() {
+    let record = FleetRecord::default();
+    let gateways = start_fleet(&record);
+    let is_over = AtomicBool::new(false);
+    thread::scope(|scope| {
+        for gateway in &gateways {
+            let (record, is_over) = (&record, &is_over);
+            scope.spawn(move || record.run_caller(gateway, is_over));
+        }
+        wait_until("refusals", || {
+            let refusals = record.refusals.lock().unwrap();
+            let last = refusals.iter().rev().take(6);
+            refusals.len() > 20 && last.clone().all(|(_, status)| status == "503")
+        });
+        is_over.store(true, Ordering::Relaxed);
+    });
+    let late = start_without_store(&gateways[0]);
+    let known = record.crashes.lock().unwrap().len();
+    wait_until("a served prompt", || {
+        let prompt = |parts: &str| {
+            let headers = format!(
+                "Berylmount-Model: m\r\nBerylmount-Token-Usage: 100,10\r\n\
+                 Berylmount-Prompt-Prefix: {parts}\r\n"
+            );
+            late.call("POST /unsafe/x", "late", &headers, "b")
+        };
+        prompt("aaaa:40,dead:30,bbbb:20,1:10");
+        let sound = prompt("aaaa:40,bbbb:20,2:10");
+        sound.is_some_and(|response| response.starts_with("HTTP/1.1 200"))
+    });
+    assert_eq!(record.crashes.lock().unwrap().len(), known);
+}
--- a/crates/gateway/tests/standins/store.rs
+++ b/crates/gateway/tests/standins/store.rs
@@ -120,6 +120,16 @@
         changed.notify_all();
     }
 
+    /// Returns the number of objects of a kind.
+    pub(crate) fn listed(&self, kind: &str) -> usize {
+        let state = self.state.0.lock().unwrap();
+        let live = state
+            .objects
+            .iter()
+            .filter(|(k, _, _, value)| k == kind && value.is_some());
+        live.count()
+    }
+
     /// Returns the value of an object.
     pub(crate) fn value(&self, kind: &str, name: &str) -> Option<Value> {
         let state = self.state.0.lock().unwrap();
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,9 @@
 //! | [`runner_clock`] | the current time on the clock of runners and stores |
 //! | [`runner_health`] | how reliable a runner is |
 //! | [`misdirection`] | which runners lost their addresses to other servers |
+//! | [`blamed_parts`] | what becomes of prompts with parts that crash runners |
+//! | [`part_evidence`] | what an instance observes about prompt parts and crashes |
+//! | [`part_verdicts`] | which prompt parts crash runners |
 //! | [`runner_limits`] | how many requests a runner accepts, over all instances |
 //! | [`store_lags`] | which stores of kept cache answer late |
 //! | [`duty_lease`] | which instance holds the lease of a singleton duty |
@@ -53,6 +56,7 @@
 pub mod ablation;
 pub mod admission;
 pub mod assignment;
+pub mod blamed_parts;
 mod buckets;
 pub mod cache_fetch;
 pub mod cache_retention;
@@ -65,6 +69,8 @@
 pub mod limits;
 pub mod misdirection;
 pub mod pacing;
+pub mod part_evidence;
+pub mod part_verdicts;
 pub mod prefix_cache;
 pub mod prefix_homes;
 pub mod prefix_index;
--- /dev/null
+++ b/crates/policy/src/part_evidence.rs
@@ -0,0 +1,198 @@
+//! What one instance observes about prompt parts and crashes of runners.
+//!
+//! A request whose connection breaks before its first event may have crashed its runner, or
+//! may have been one of many at a runner that crashed for another reason. Which of its parts
+//! is at fault shows only over many requests, most of which other instances have. Each
+//! instance therefore keeps its broken requests, and counts the whole answers by part.
+//!
+//! Invariants:
+//!
+//! - The last part of a prompt belongs to one request or session and is not among `parts`.
+//! - Memory is bounded whatever parts callers send.
+
+use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
+
+/// Time for which broken requests count as evidence, in milliseconds. Whole answers count
+/// for a little longer, so that they never weigh less.
+pub const EVIDENCE_MS: u64 = 30_000;
+/// Time whose whole answers are counted together, in milliseconds.
+const SPAN_MS: u64 = 10_000;
+/// Number of such spans that are kept, with the current one.
+const SPANS: usize = 4;
+/// Maximum number of parts of one request that are kept.
+pub const MAX_PARTS: usize = 16;
+/// Maximum number of broken requests that an instance keeps.
+const MAX_BREAKS: usize = 32;
+/// Maximum number of parts with counted answers in each span.
+const MAX_COUNTED_PARTS: usize = 4096;
+
+/// A request whose connection broke before its first event.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BreakReport {
+    /// Random number that tells reports of the same request from others.
+    pub id: u64,
+    /// Key of the service.
+    pub service: u64,
+    /// Key of the runner and its start.
+    pub runner: u64,
+    /// Time since the connection broke, in milliseconds.
+    pub age_ms: u64,
+    /// Keys of the parts, sorted.
+    pub parts: Vec<u64>,
+}
+
+/// Requests of a service that ended.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OutcomeCount {
+    /// Requests whose connection broke before their first event.
+    pub broken: u32,
+    /// Requests that got a whole answer.
+    pub answered: u32,
+}
+
+/// The evidence of one instance.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EvidenceReport {
+    /// Requests that broke.
+    pub breaks: Vec<BreakReport>,
+    /// Whole answers of the parts that were asked for, sorted by part.
+    pub answers: Vec<(u64, u32)>,
+    /// Outcomes by service, sorted.
+    pub outcomes: Vec<(u64, OutcomeCount)>,
+}
+
+/// Counts of one span, sorted by key.
+#[derive(Clone, Debug, Default)]
+struct SpanCounts {
+    since_ms: u64,
+    answers: Vec<(u64, u32)>,
+    outcomes: Vec<(u64, OutcomeCount)>,
+}
+
+#[derive(Clone, Debug)]
+struct BrokenRequest {
+    report: BreakReport,
+    at_ms: u64,
+}
+
+/// The evidence that one instance has collected.
+#[derive(Clone, Debug, Default)]
+pub struct PartEvidence {
+    breaks: VecDeque<BrokenRequest>,
+    /// The current span and earlier ones.
+    spans: VecDeque<SpanCounts>,
+}
+
+impl PartEvidence {
+    /// Counts a whole answer to a request.
+    pub fn note_answer(&mut self, service: u64, parts: &[u64], now_ms: u64) {
+        let span = self.current_span(now_ms);
+        count(&mut span.outcomes, service, |n| n.answered += 1);
+        for part in parts {
+            count(&mut span.answers, *part, |n| *n += 1);
+        }
+    }
+
+    /// Records a request whose connection broke before its first event; `report.age_ms` is
+    /// ignored.
+    ///
+    /// ```
+    /// use berylmount_policy::part_evidence::{BreakReport, PartEvidence};
+    ///
+    /// let mut evidence = PartEvidence::default();
+    /// evidence.note_answer(1, &[7, 8], 1000);
+    /// let broken = BreakReport { id: 5, service: 1, runner: 3, age_ms: 0, parts: vec![7, 9] };
+    /// evidence.note_break(broken, 1200);
+    /// let report = evidence.report(&[7, 9], 1500);
+    /// assert_eq!((report.breaks[0].age_ms, report.answers), (300, vec![(7, 1), (9, 0)]));
+    /// ```
+    pub fn note_break(&mut self, report: BreakReport, now_ms: u64) {
+        let span = self.current_span(now_ms);
+        count(&mut span.outcomes, report.service, |n| n.broken += 1);
+        if self.breaks.len() >= MAX_BREAKS {
+            self.breaks.pop_front();
+        }
+        let at_ms = now_ms;
+        self.breaks.push_back(BrokenRequest { report, at_ms });
+    }
+
+    /// Whether any request broke recently.
+    pub fn has_breaks(&mut self, now_ms: u64) -> bool {
+        self.expire(now_ms);
+        !self.breaks.is_empty()
+    }
+
+    /// Returns the evidence, with the answers of the parts in `asked`.
+    pub fn report(&mut self, asked: &[u64], now_ms: u64) -> EvidenceReport {
+        self.expire(now_ms);
+        let breaks = self.breaks.iter().map(|broken| BreakReport {
+            age_ms: now_ms.saturating_sub(broken.at_ms),
+            ..broken.report.clone()
+        });
+        let answers = asked.iter().map(|part| {
+            let spans = self.spans.iter();
+            let counts = spans.filter_map(|span| value_of(&span.answers, *part));
+            (*part, counts.sum())
+        });
+        let mut answers: Vec<(u64, u32)> = answers.collect();
+        answers.sort_unstable();
+        let mut outcomes = Vec::new();
+        for (service, of_span) in self.spans.iter().flat_map(|span| &span.outcomes) {
+            count(&mut outcomes, *service, |total: &mut OutcomeCount| {
+                total.broken += of_span.broken;
+                total.answered += of_span.answered;
+            });
+        }
+        EvidenceReport {
+            breaks: breaks.collect(),
+            answers,
+            outcomes,
+        }
+    }
+
+    /// Returns the counts of the current span.
+    fn current_span(&mut self, now_ms: u64) -> &mut SpanCounts {
+        self.expire(now_ms);
+        let is_current = |span: &SpanCounts| {
+            let is_recent = now_ms.saturating_sub(span.since_ms) < SPAN_MS;
+            is_recent && span.answers.len() < MAX_COUNTED_PARTS
+        };
+        if !self.spans.front().is_some_and(is_current) {
+            self.spans.push_front(SpanCounts {
+                since_ms: now_ms,
+                ..SpanCounts::default()
+            });
+            self.spans.truncate(SPANS);
+        }
+        &mut self.spans[0]
+    }
+
+    /// Drops what is too old.
+    fn expire(&mut self, now_ms: u64) {
+        let is_old = |broken: &BrokenRequest| now_ms.saturating_sub(broken.at_ms) >= EVIDENCE_MS;
+        while self.breaks.front().is_some_and(is_old) {
+            self.breaks.pop_front();
+        }
+        let kept_ms = EVIDENCE_MS + SPAN_MS;
+        self.spans
+            .retain(|span| now_ms.saturating_sub(span.since_ms) < kept_ms);
+    }
+}
+
+/// Updates the count of a key in a list that is sorted by key.
+fn count<T: Default>(counts: &mut Vec<(u64, T)>, key: u64, update: impl FnOnce(&mut T)) {
+    let index = match counts.binary_search_by_key(&key, |(known, _)| *known) {
+        Ok(index) => index,
+        Err(index) => {
+            counts.insert(index, (key, T::default()));
+            index
+        }
+    };
+    update(&mut counts[index].1);
+}
+
+fn value_of(counts: &[(u64, u32)], key: u64) -> Option<u32> {
+    let index = counts.binary_search_by_key(&key, |(known, _)| *known);
+    Some(counts[index.ok()?].1)
+}
--- /dev/null
+++ b/crates/policy/src/part_verdicts.rs
@@ -0,0 +1,338 @@
+//! Which prompt parts crash runners, judged by the evidence of all instances.
+//!
+//! A part that crashes each runner is in a request that broke at every runner that crashed
+//! by it, and in hardly any whole answer. Parts that happen to be beside it, or at runners
+//! that crash for other reasons, are in whole answers as well, or in crashes of few runners.
+//!
+//! A few instances, the analysts, collect the evidence of all. They ask for the answers of
+//! each part that broke at two runners, and blame a part if its crashes are too many for
+//! chance, given how often other requests of the service break. If several parts cannot be
+//! told apart, they are blamed together: only prompts with all of them are refused, so that
+//! sound prompts with some of them show which one is at fault.
+//!
+//! Invariants:
+//!
+//! - A broken request counts for a part only with the whole answers of the same process, so
+//!   that restarts of instances take no answers away from the evidence.
+//! - Crashes at the same moment count once, so that the loss of a rack blames nothing.
+//! - A runner that breaks many connections counts once for each of its starts.
+//! - Memory is bounded.
+
+use crate::{
+    blamed_parts::{is_subset, MAX_BLAMED},
+    part_evidence::{BreakReport, EvidenceReport, OutcomeCount, EVIDENCE_MS},
+};
+use std::cmp::Reverse;
+
+/// Time between two crashes from which they count as separate, in milliseconds.
+const MOMENT_MS: u64 = 150;
+/// Crashes of different runners at which the answers of a part are asked for.
+const MIN_SUSPECT_CRASHES: usize = 2;
+/// Crashes of different runners from which a part can be blamed.
+const MIN_CRASHES: usize = 3;
+/// Fraction of the requests with a blamed part that crash their runner, at least.
+const MIN_CRASH_FRACTION: f64 = 1.0 / 3.0;
+/// Evidence from which a part is blamed: the negative logarithm of the probability that
+/// chance explains it. It allows for thousands of parts.
+const MIN_EVIDENCE_NATS: f64 = 12.0;
+/// Lowest assumed fraction of other requests that break.
+const MIN_BREAK_FRACTION: f64 = 0.01;
+/// Time for all instances to report the answers of a part, in milliseconds.
+const ASK_MS: u64 = 400;
+/// Maximum number of processes whose counts an analyst keeps.
+const MAX_PROCESSES: usize = 2048;
+/// Maximum number of broken requests that an analyst keeps.
+const MAX_BREAKS: usize = 512;
+/// Maximum number of parts that are asked for at a time.
+const MAX_SUSPECTS: usize = 128;
+
+/// A set of parts that crashes runners.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PartVerdict {
+    /// Keys of the parts, sorted. If there are several, the evidence does not tell them
+    /// apart.
+    pub parts: Vec<u64>,
+    /// Whether chance cannot explain the crashes. Otherwise, the parts were in several
+    /// crashes and in no whole answer.
+    pub is_certain: bool,
+}
+
+#[derive(Clone, Debug)]
+struct KnownBreak {
+    report: BreakReport,
+    at_ms: u64,
+    /// The process that reported it.
+    process: u64,
+}
+
+/// The counts of one process.
+#[derive(Clone, Debug)]
+struct KnownCounts {
+    process: u64,
+    /// When it reported last.
+    at_ms: u64,
+    answers: Vec<(u64, u32)>,
+    outcomes: Vec<(u64, OutcomeCount)>,
+}
+
+/// A part that other instances were asked about.
+#[derive(Clone, Copy, Debug)]
+struct SuspectPart {
+    part: u64,
+    asked_ms: u64,
+}
+
+/// A part with its evidence.
+#[derive(Clone, Copy, Debug)]
+struct PartRecord {
+    part: u64,
+    /// Crashes of different runners at separate moments.
+    crashes: usize,
+    /// Requests that broke.
+    breaks: usize,
+    /// Whole answers.
+    answers: u32,
+}
+
+/// The broken requests with a part.
+#[derive(Clone, Copy, Debug)]
+struct CrashCount {
+    part: u64,
+    /// Crashes of different runners at separate moments.
+    crashes: usize,
+    breaks: usize,
+}
+
+/// Collects the evidence of all instances.
+#[derive(Clone, Debug, Default)]
+pub struct PartAnalyst {
+    /// Broken requests, sorted by id.
+    breaks: Vec<KnownBreak>,
+    /// Sorted by process.
+    counts: Vec<KnownCounts>,
+    /// Sorted by part.
+    suspects: Vec<SuspectPart>,
+}
+
+impl PartAnalyst {
+    /// Applies the evidence of a process. A restarted instance is another process.
+    pub fn merge(&mut self, process: u64, report: EvidenceReport, now_ms: u64) {
+        for report in report.breaks {
+            let at_ms = now_ms.saturating_sub(report.age_ms);
+            let found = self
+                .breaks
+                .binary_search_by_key(&report.id, |known| known.report.id);
+            if let Err(index) = found {
+                let known = KnownBreak {
+                    report,
+                    at_ms,
+                    process,
+                };
+                self.breaks.insert(index, known);
+            }
+        }
+        let counts = KnownCounts {
+            process,
+            at_ms: now_ms,
+            answers: report.answers,
+            outcomes: report.outcomes,
+        };
+        let found = self
+            .counts
+            .binary_search_by_key(&process, |known| known.process);
+        match found {
+            Ok(index) => self.counts[index] = counts,
+            Err(index) if self.counts.len() < MAX_PROCESSES => self.counts.insert(index, counts),
+            Err(_) => {}
+        }
+        self.expire(now_ms);
+        if self.breaks.len() > MAX_BREAKS {
+            self.breaks
+                .sort_unstable_by_key(|known| Reverse(known.at_ms));
+            self.breaks.truncate(MAX_BREAKS);
+            self.breaks.sort_unstable_by_key(|known| known.report.id);
+        }
+    }
+
+    /// Whether there is evidence to judge.
+    pub fn has_evidence(&mut self, now_ms: u64) -> bool {
+        self.expire(now_ms);
+        !self.breaks.is_empty()
+    }
+
+    /// Returns the parts whose answers all instances should report, sorted.
+    pub fn suspects(&mut self, now_ms: u64) -> Vec<u64> {
+        self.expire(now_ms);
+        let breaks: Vec<&KnownBreak> = self.breaks.iter().collect();
+        let counted = crash_counts(&breaks, |_, _| true).into_iter();
+        let suspected = counted.filter(|count| count.crashes >= MIN_SUSPECT_CRASHES);
+        let mut crashes: Vec<(usize, u64)> =
+            suspected.map(|count| (count.crashes, count.part)).collect();
+        crashes.sort_unstable_by(|a, b| b.cmp(a));
+        crashes.truncate(MAX_SUSPECTS);
+        let mut parts: Vec<u64> = crashes.into_iter().map(|(_, part)| part).collect();
+        parts.sort_unstable();
+        let suspects = parts.iter().map(|part| SuspectPart {
+            part: *part,
+            asked_ms: self.asked_ms(*part).unwrap_or(now_ms),
+        });
+        self.suspects = suspects.collect();
+        parts
+    }
+
+    /// Returns the sets of parts that crash runners.
+    pub fn verdicts(&mut self, now_ms: u64) -> Vec<PartVerdict> {
+        self.expire(now_ms);
+        let mut breaks: Vec<&KnownBreak> = self.breaks.iter().collect();
+        let mut verdicts = Vec::new();
+        while let Some((worst, is_certain)) = self.worst_part(&breaks, now_ms) {
+            let with_part = breaks.iter().filter(|b| has_part(b, worst.part));
+            let first = with_part.clone().next();
+            let mut parts: Vec<u64> = first.map_or_else(Vec::new, |b| b.report.parts.clone());
+            // Parts that are in all these requests, and in no more answers, may be at fault
+            // as well.
+            parts.retain(|part| {
+                with_part.clone().all(|b| has_part(b, *part))
+                    && self.answers_of(*part) <= worst.answers
+            });
+            breaks.retain(|b| !is_subset(&parts, &b.report.parts));
+            verdicts.push(PartVerdict { parts, is_certain });
+            if verdicts.len() >= MAX_BLAMED {
+                break;
+            }
+        }
+        verdicts
+    }
+
+    /// Returns the part that is at fault by the most crashes and the fewest answers, and
+    /// whether chance cannot explain them; `None` if no part is at fault.
+    fn worst_part(&self, breaks: &[&KnownBreak], now_ms: u64) -> Option<(PartRecord, bool)> {
+        let counted = crash_counts(breaks, |process, part| self.has_answers(process, part));
+        let records = counted.into_iter().filter_map(|count| {
+            let asked_ms = self.asked_ms(count.part)?;
+            let record = PartRecord {
+                part: count.part,
+                crashes: count.crashes,
+                breaks: count.breaks,
+                answers: self.answers_of(count.part),
+            };
+            if record.crashes < MIN_CRASHES || now_ms < asked_ms + ASK_MS {
+                return None;
+            }
+            let is_certain = self.is_certain(&record, breaks);
+            (is_certain || record.answers == 0).then_some((record, is_certain))
+        });
+        records.max_by_key(|(record, is_certain)| {
+            (*is_certain, record.crashes, u32::MAX - record.answers)
+        })
+    }
+
+    /// Whether chance cannot explain the crashes under requests with a part.
+    fn is_certain(&self, record: &PartRecord, breaks: &[&KnownBreak]) -> bool {
+        let crashes = record.crashes as f64;
+        let requests = crashes + f64::from(record.answers);
+        if crashes < MIN_CRASH_FRACTION * requests {
+            return false;
+        }
+        let Some(first) = breaks.iter().find(|b| has_part(b, record.part)) else {
+            return false;
+        };
+        let outcomes = self.outcomes_of(first.report.service);
+        let broken = f64::from(outcomes.broken) - record.breaks as f64;
+        let answered = f64::from(outcomes.answered) - f64::from(record.answers);
+        let (broken, answered) = (broken.max(0.0), answered.max(0.0));
+        let expected = (broken / (broken + answered).max(1.0)).max(MIN_BREAK_FRACTION);
+        requests * relative_entropy(crashes / requests, expected) >= MIN_EVIDENCE_NATS
+    }
+
+    /// Returns the whole answers of a part at all instances.
+    fn answers_of(&self, part: u64) -> u32 {
+        let reported = self.counts.iter().filter_map(|counts| {
+            let index = counts.answers.binary_search_by_key(&part, |(key, _)| *key);
+            Some(counts.answers[index.ok()?].1)
+        });
+        reported.sum()
+    }
+
+    /// Whether a process has reported the whole answers of a part.
+    fn has_answers(&self, process: u64, part: u64) -> bool {
+        let found = self
+            .counts
+            .binary_search_by_key(&process, |known| known.process);
+        found.is_ok_and(|index| {
+            let answers = &self.counts[index].answers;
+            answers.binary_search_by_key(&part, |(key, _)| *key).is_ok()
+        })
+    }
+
+    fn outcomes_of(&self, service: u64) -> OutcomeCount {
+        let all = self.counts.iter().flat_map(|counts| &counts.outcomes);
+        let of_service = all.filter(|(key, _)| *key == service);
+        of_service.fold(OutcomeCount::default(), |sum, (_, count)| OutcomeCount {
+            broken: sum.broken + count.broken,
+            answered: sum.answered + count.answered,
+        })
+    }
+
+    fn asked_ms(&self, part: u64) -> Option<u64> {
+        let index = self.suspects.binary_search_by_key(&part, |s| s.part).ok()?;
+        Some(self.suspects[index].asked_ms)
+    }
+
+    fn expire(&mut self, now_ms: u64) {
+        self.breaks
+            .retain(|known| now_ms.saturating_sub(known.at_ms) < EVIDENCE_MS);
+        self.counts
+            .retain(|known| now_ms.saturating_sub(known.at_ms) < EVIDENCE_MS);
+    }
+}
+
+fn has_part(known: &KnownBreak, part: u64) -> bool {
+    known.report.parts.binary_search(&part).is_ok()
+}
+
+/// Counts the broken requests by part. `counts` tells whether those of a process count for a
+/// part.
+fn crash_counts(breaks: &[&KnownBreak], counts: impl Fn(u64, u64) -> bool) -> Vec<CrashCount> {
+    let counts = &counts;
+    let broken = breaks.iter().flat_map(|known| {
+        let parts = known.report.parts.iter();
+        let counted = parts.filter(move |part| counts(known.process, **part));
+        counted.map(|part| (*part, known.at_ms, known.report.runner))
+    });
+    let mut broken: Vec<(u64, u64, u64)> = broken.collect();
+    broken.sort_unstable();
+    let of_part = broken.chunk_by(|a, b| a.0 == b.0);
+    let counts = of_part.map(|broken| CrashCount {
+        part: broken[0].0,
+        crashes: separate_crashes(broken),
+        breaks: broken.len(),
+    });
+    counts.collect()
+}
+
+/// Returns how many runners crashed at separate moments, by the time and the runner of
+/// broken requests in order of time.
+fn separate_crashes(broken: &[(u64, u64, u64)]) -> usize {
+    let mut runners: Vec<u64> = Vec::new();
+    let mut last_ms = None;
+    for (_, at_ms, runner) in broken {
+        let is_separate = last_ms.is_none_or(|last_ms| *at_ms >= last_ms + MOMENT_MS);
+        if let (true, Err(index)) = (is_separate, runners.binary_search(runner)) {
+            runners.insert(index, *runner);
+            last_ms = Some(*at_ms);
+        }
+    }
+    runners.len()
+}
+
+/// The relative entropy of an observed and an expected fraction, in nats; 0 if the observed
+/// one is not higher. Times the number of observations, it bounds the negative logarithm of
+/// the probability that chance explains them (Chernoff).
+fn relative_entropy(observed: f64, expected: f64) -> f64 {
+    if observed <= expected || expected >= 1.0 {
+        return 0.0;
+    }
+    let term = |p: f64, q: f64| if p > 0.0 { p * (p / q).ln() } else { 0.0 };
+    term(observed, expected) + term(1.0 - observed, 1.0 - expected)
+}
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -81,6 +81,10 @@
     /// learned of it: `own` or `reported`.
     #[strum(props(label = "source"))]
     ExclusionsTotal,
+    /// Sets of prompt parts that were blamed for crashes of runners, by how this instance
+    /// learned of them: `own`, `reported`, `store`.
+    #[strum(props(label = "source"))]
+    BlamedPartsTotal,
     /// Log records dropped because the queue was full.
     LogRecordsDroppedTotal,
     /// Bytes of encoded membership messages, by direction: `sent`, `received`.
