--- a/crates/policy/tests/fuzz/main.rs
+++ b/crates/policy/tests/fuzz/main.rs
@@ -3,6 +3,7 @@
 //! `PROPTEST_CASES` sets the number of sequences.
 
 mod budgets;
+mod crash_parts;
 mod limits;
 mod misdirection;
 mod queue;
