Count every crash of a part, and moments only as a condition

Cause: crashes within 0.15 s counted once, so at most 6.6 a second, while every answer counted; beside hundreds of answers the crashes fell below a third of the requests. The table of an analyst held the broken requests of some seconds only, and the answers of 30. Change: the crashes of all runners count; three separate moments are a condition by itself, which still keeps the loss of a rack from blaming a part. The table holds 2,048 broken requests, and notices are built at most every 0.2 s unless parts were blamed.

--- a/crates/gateway/src/crash_parts.rs
+++ b/crates/gateway/src/crash_parts.rs
@@ -323,6 +323,10 @@
     /// Tells all instances the suspects and the blamed parts, if that is due.
     async fn notify(&mut self, state: &GatewayState, socket: &UdpSocket) {
         let (crash_parts, now_ms) = (&state.crash_parts, boot_ms());
+        let is_early = now_ms < self.notified_ms + SUSPECT_MS;
+        if is_early && !crash_parts.is_notice_due.get() {
+            return;
+        }
         let suspects = crash_parts.analyst.borrow_mut().suspects(now_ms);
         let blamed = crash_parts.blamed.borrow_mut().reports(now_ms);
         let age_ms = now_ms.saturating_sub(self.notified_ms);
--- a/crates/policy/src/part_verdicts.rs
+++ b/crates/policy/src/part_verdicts.rs
@@ -14,7 +14,8 @@
 //!
 //! - A broken request counts for a part only with the whole answers of the same process, so
 //!   that restarts of instances take no answers away from the evidence.
-//! - Crashes at the same moment count once, so that the loss of a rack blames nothing.
+//! - A part is blamed only for crashes at several moments, so that the loss of a rack blames
+//!   nothing.
 //! - A runner that breaks many connections counts once for each of its starts.
 //! - Memory is bounded.
 
@@ -28,8 +29,8 @@
 const MOMENT_MS: u64 = 150;
 /// Crashes of different runners at which the answers of a part are asked for.
 const MIN_SUSPECT_CRASHES: usize = 2;
-/// Crashes of different runners from which a part can be blamed.
-const MIN_CRASHES: usize = 3;
+/// Crashes of different runners at separate moments from which a part can be blamed.
+const MIN_MOMENTS: usize = 3;
 /// Fraction of the requests with a blamed part that crash their runner, at least.
 const MIN_CRASH_FRACTION: f64 = 1.0 / 3.0;
 /// Evidence from which a part is blamed: the negative logarithm of the probability that
@@ -42,7 +43,7 @@
 /// Maximum number of processes whose counts an analyst keeps.
 const MAX_PROCESSES: usize = 2048;
 /// Maximum number of broken requests that an analyst keeps.
-const MAX_BREAKS: usize = 512;
+const MAX_BREAKS: usize = 2048;
 /// Maximum number of parts that are asked for at a time.
 const MAX_SUSPECTS: usize = 128;
 
@@ -86,8 +87,10 @@
 #[derive(Clone, Copy, Debug)]
 struct PartRecord {
     part: u64,
-    /// Crashes of different runners at separate moments.
+    /// Crashes of different runners.
     crashes: usize,
+    /// Crashes of different runners at separate moments.
+    moments: usize,
     /// Requests that broke.
     breaks: usize,
     /// Whole answers.
@@ -98,8 +101,10 @@
 #[derive(Clone, Copy, Debug)]
 struct CrashCount {
     part: u64,
-    /// Crashes of different runners at separate moments.
+    /// Crashes of different runners.
     crashes: usize,
+    /// Crashes of different runners at separate moments.
+    moments: usize,
     breaks: usize,
 }
 
@@ -165,7 +170,7 @@
         self.expire(now_ms);
         let breaks: Vec<&KnownBreak> = self.breaks.iter().collect();
         let counted = crash_counts(&breaks, |_, _| true).into_iter();
-        let suspected = counted.filter(|count| count.crashes >= MIN_SUSPECT_CRASHES);
+        let suspected = counted.filter(|count| count.moments >= MIN_SUSPECT_CRASHES);
         let mut crashes: Vec<(usize, u64)> =
             suspected.map(|count| (count.crashes, count.part)).collect();
         crashes.sort_unstable_by(|a, b| b.cmp(a));
@@ -213,10 +218,11 @@
             let record = PartRecord {
                 part: count.part,
                 crashes: count.crashes,
+                moments: count.moments,
                 breaks: count.breaks,
                 answers: self.answers_of(count.part),
             };
-            if record.crashes < MIN_CRASHES || now_ms < asked_ms + ASK_MS {
+            if record.moments < MIN_MOMENTS || now_ms < asked_ms + ASK_MS {
                 return None;
             }
             let is_certain = self.is_certain(&record, breaks);
@@ -303,17 +309,23 @@
     let mut broken: Vec<(u64, u64, u64)> = broken.collect();
     broken.sort_unstable();
     let of_part = broken.chunk_by(|a, b| a.0 == b.0);
-    let counts = of_part.map(|broken| CrashCount {
-        part: broken[0].0,
-        crashes: separate_crashes(broken),
-        breaks: broken.len(),
+    let counts = of_part.map(|broken| {
+        let mut runners: Vec<u64> = broken.iter().map(|(_, _, runner)| *runner).collect();
+        runners.sort_unstable();
+        runners.dedup();
+        CrashCount {
+            part: broken[0].0,
+            crashes: runners.len(),
+            moments: separate_moments(broken),
+            breaks: broken.len(),
+        }
     });
     counts.collect()
 }
 
 /// Returns how many runners crashed at separate moments, by the time and the runner of
 /// broken requests in order of time.
-fn separate_crashes(broken: &[(u64, u64, u64)]) -> usize {
+fn separate_moments(broken: &[(u64, u64, u64)]) -> usize {
     let mut runners: Vec<u64> = Vec::new();
     let mut last_ms = None;
     for (_, at_ms, runner) in broken {
