Clear the parts of a prompt with the first event of its answer

Cause: a part was cleared by whole answers, and a stream takes seconds to end, while a broken connection counts at once. A process that has just started has seen breaks and no end of a stream, so the parts of all prompts looked unanswered, were refused for 10 s and then one a second; the next crash beside them could blame them for five minutes. Change: a request counts as answered with its first event, which a part that crashes runners prevents. An answer also clears its parts at all instances while they are blamed provisionally or on probation.

Test: streams_that_have_begun_clear_the_parts_of_their_prompts gets 503 on the code before and passes.

--- a/crates/gateway/src/crash_parts.rs
+++ b/crates/gateway/src/crash_parts.rs
@@ -71,6 +71,8 @@
     evidence: RefCell<PartEvidence>,
     analyst: RefCell<PartAnalyst>,
     blamed: RefCell<BlamedParts>,
+    /// Sets of parts that an answer has cleared, to be announced.
+    cleared: RefCell<Vec<Vec<u64>>>,
     /// The last list of suspects from an analyst.
     suspects: RefCell<Vec<u64>>,
     /// Whether evidence is sent without waiting for the interval.
@@ -141,7 +143,25 @@
     blamed.note_sent(probed, boot_ms());
 }
 
-/// Records the end of an attempt to run a prompt.
+/// Records that a runner has begun to answer a prompt.
+pub(crate) fn note_answer(state: &GatewayState, service: &str, parts: &[u64]) {
+    let (crash_parts, now_ms) = (&state.crash_parts, boot_ms());
+    let mut evidence = crash_parts.evidence.borrow_mut();
+    evidence.note_answer(name_hash(service), parts, now_ms);
+    let cleared = crash_parts.blamed.borrow_mut().answered(parts, now_ms);
+    if !cleared.is_empty() {
+        crash_parts.cleared.borrow_mut().extend(cleared);
+    }
+}
+
+/// Clears sets of parts of which another instance has seen an answer.
+pub(crate) fn clear_parts(state: &GatewayState, sets: &[Vec<u64>]) {
+    let mut blamed = state.crash_parts.blamed.borrow_mut();
+    blamed.clear(sets, boot_ms());
+}
+
+/// Records the end of an attempt to run a prompt. The answer of a stream was recorded with
+/// its first event.
 pub(crate) fn note_attempt(
     state: &GatewayState,
     service: &str,
@@ -149,14 +169,12 @@
     parts: &[u64],
     outcome: &AttemptOutcome,
 ) {
-    let (service, now_ms) = (name_hash(service), boot_ms());
-    let mut evidence = state.crash_parts.evidence.borrow_mut();
     match outcome {
-        AttemptOutcome::Streamed => evidence.note_answer(service, parts, now_ms),
         AttemptOutcome::Complete(response) if response.status.is_success() => {
-            evidence.note_answer(service, parts, now_ms);
+            note_answer(state, service, parts);
         }
         AttemptOutcome::Disconnected(_) => {
+            let (service, now_ms) = (name_hash(service), boot_ms());
             let report = BreakReport {
                 id: rng().random(),
                 service,
@@ -164,6 +182,7 @@
                 age_ms: 0,
                 parts: parts.to_vec(),
             };
+            let mut evidence = state.crash_parts.evidence.borrow_mut();
             evidence.note_break(report, now_ms);
             state.crash_parts.is_evidence_due.set(true);
             convict(state, parts, now_ms);
@@ -229,6 +248,13 @@
             continue;
         };
         let (crash_parts, now_ms) = (&state.crash_parts, boot_ms());
+        let cleared = crash_parts.cleared.take();
+        if !cleared.is_empty() {
+            let parts: Vec<String> = cleared.iter().map(|parts| blame_name(parts)).collect();
+            log::info!(target: "parts", parts:? ; "an answer cleared prompt parts");
+            let message = PeerMessage::PartsCleared(cleared);
+            send_message(&socket, &peer_addresses(&state), &message).await;
+        }
         let has_breaks = crash_parts.evidence.borrow_mut().has_breaks(now_ms);
         let has_evidence = crash_parts.analyst.borrow_mut().has_evidence(now_ms);
         let is_asked = !crash_parts.suspects.borrow().is_empty();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,7 +3,7 @@
 use crate::{
     call_log::{record_outcome, request_class, AttemptLog, CallOutcome},
     clock::boot_ms,
-    crash_parts::{decide_prompt, is_informed, note_attempt, part_keys, refusal_of},
+    crash_parts::{decide_prompt, is_informed, note_answer, note_attempt, part_keys, refusal_of},
     permits::acquire_permit,
     placement::{place, PlacedRunner, PlacementQuery, PlacementResult},
     responses::{encode_response, LocalReason, LocalResponse},
@@ -230,7 +230,7 @@
             note_limited(state, &placed.runner, attempts.sent > 0);
             let started_ms = boot_ms();
             attempts.begin();
-            let outcome = self.run_attempt(call, &placed, state, sink).await;
+            let outcome = self.run_attempt(call, &placed, state, &parts, sink).await;
             attempts.record(state, &placed, &outcome, started_ms);
             if call.request.prompt.is_some() {
                 note_attempt(state, &self.service, &placed.runner, &parts, &outcome);
@@ -375,6 +375,7 @@
         call: &InboundCall,
         placed: &PlacedRunner,
         state: &Rc<GatewayState>,
+        parts: &[u64],
         sink: &mut CallerSink<'_>,
     ) -> AttemptOutcome {
         let model = call
@@ -410,7 +411,17 @@
             connection_limit: (max_connections / instances).max(1),
             max_bytes: max_response_bytes(state.settings().machine.memory_bytes),
         };
-        attempt.run(sink, || reservation.record_first_event()).await
+        let is_streamed_prompt = is_prompt && self.route.kind == RouteKind::Streaming;
+        let mut has_answered = false;
+        // Called with each event.
+        let on_first_event = || {
+            reservation.record_first_event();
+            if is_streamed_prompt && !has_answered {
+                has_answered = true;
+                note_answer(state, &self.service, parts);
+            }
+        };
+        attempt.run(sink, on_first_event).await
     }
 }
 
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -10,7 +10,7 @@
     cache_stores::{apply_gossip, StoreSnapshot},
     clock::boot_ms,
     copies::CopyVersion,
-    crash_parts::{apply_notice, merge_evidence, note_probe},
+    crash_parts::{apply_notice, clear_parts, merge_evidence, note_probe},
     exclusions::merge_exclusions,
     instances::InstanceEntry,
     peers::{LoadShare, PeerHeartbeat, PeerMessage},
@@ -217,6 +217,7 @@
                 merge_evidence(&state, process, report);
             }
             Ok(PeerMessage::PartProbe(probed)) => note_probe(&state, &probed),
+            Ok(PeerMessage::PartsCleared(sets)) => clear_parts(&state, &sets),
             Ok(PeerMessage::AnalystNotice(notice)) => apply_notice(&state, notice),
             Ok(PeerMessage::PermitRequest(request)) => {
                 let decision = decide_permit(&state, &request);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -218,6 +218,8 @@
     AnalystNotice(AnalystNotice),
     /// Sets of parts on probation that are in a prompt which an instance sends to a runner.
     PartProbe(Vec<Vec<u64>>),
+    /// Sets of parts that an answer has cleared.
+    PartsCleared(Vec<Vec<u64>>),
 }
 
 /// Another instance, as of its last heartbeat.
--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -7,11 +7,12 @@
 use berylmount_gateway::Gateway;
 use berylmount_telemetry::MetricSet;
 use standins::{
-    all_routes, header, response_to, scripted_runner, settings, table, wait_until, AfterResponse,
-    StandinRunner, StandinStore, TestGateway,
+    all_routes, event_stream_to, header, response_to, scripted_runner, settings, table, wait_until,
+    AfterResponse, StandinRunner, StandinStore, TestGateway,
 };
 use std::{
-    net::TcpListener,
+    io::{Read, Write},
+    net::{TcpListener, TcpStream},
     sync::{
         atomic::{AtomicBool, AtomicUsize, Ordering},
         Arc, Mutex,
@@ -199,3 +200,55 @@
     });
     assert_eq!(record.crashes.lock().unwrap().len(), known);
 }
+
+/// Sends a prompt of a stream; returns the connection once the first event has arrived.
+fn begin_stream(gateway: &TestGateway, id: &str) -> TcpStream {
+    let mut socket = TcpStream::connect(gateway.settings.listen.callers).unwrap();
+    let request = format!(
+        "POST /stream/x HTTP/1.1\r\nHost: a.example\r\nBerylmount-Request-Id: {id}\r\n\
+         Berylmount-Deadline-Ms: 20000\r\nAuthorization: Token k1\r\nBerylmount-Model: m\r\n\
+         Berylmount-Token-Usage: 100,10\r\nBerylmount-Prompt-Prefix: aaaa:40,bbbb:20,{id}:1\r\n\
+         Content-Length: 0\r\n\r\n"
+    );
+    socket.write_all(request.as_bytes()).unwrap();
+    let mut response = [0; 4096];
+    let length = socket.read(&mut response).unwrap();
+    let response = String::from_utf8_lossy(&response[..length]);
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    socket
+}
+
+/// Guards against blaming the parts of all prompts while the streams that they began run.
+#[test]
+fn streams_that_have_begun_clear_the_parts_of_their_prompts() {
+    let store = StandinStore::start();
+    store.put("config", "main", Some(table(1, all_routes())));
+    for number in 0..RUNNERS {
+        // Streams begin and do not end; some connections break before the first event.
+        let runner = scripted_runner(|request| {
+            let id = header(request, "berylmount-request-id").unwrap();
+            if id.starts_with("broken") {
+                return (Vec::new(), AfterResponse::Close);
+            }
+            let response = event_stream_to(request, &["id: 1\ndata: a\n\n"], false);
+            (response, AfterResponse::Hang)
+        });
+        let entry = runner.entry("svc", "ready");
+        store.put("servers", &format!("r{number}"), Some(entry));
+    }
+    let gateway = TestGateway::start_with(store, "i1");
+    gateway.wait_ready();
+    gateway.wait_for_status("GET /safe/warm", "200", false);
+    let headers = "Berylmount-Model: m\r\nBerylmount-Token-Usage: 100,10\r\n\
+                   Berylmount-Prompt-Prefix: aaaa:40,bbbb:20,cccc:1\r\n";
+    let mut streams = Vec::new();
+    for number in 0..8 {
+        for stream in 0..3 {
+            streams.push(begin_stream(&gateway, &format!("s{number}{stream}")));
+        }
+        let id = format!("broken{number}");
+        let response = gateway.call("POST /stream/x", &id, headers, "").unwrap();
+        assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+        thread::sleep(Duration::from_millis(300));
+    }
+}
--- a/crates/policy/src/blamed_parts.rs
+++ b/crates/policy/src/blamed_parts.rs
@@ -4,8 +4,8 @@
 //! and little can be told about any part. A part that was in several crashes and in no whole
 //! answer is therefore blamed provisionally: prompts with it are refused for a short time, in
 //! which the other requests recover. Then it is on probation: about one prompt with it a
-//! second is sent over all instances, and the next crash blames it for good. A part whose
-//! crashes chance cannot explain is blamed for good at once.
+//! second is sent over all instances, and the next crash blames it for good. An answer clears
+//! it. A part whose crashes chance cannot explain is blamed for good at once.
 //!
 //! Invariants:
 //!
@@ -24,6 +24,9 @@
 pub const PROBATION_MS: u64 = 90_000;
 /// Maximum number of blamed sets of parts.
 pub const MAX_BLAMED: usize = 64;
+/// Time for which parts that an answer has cleared are not blamed provisionally again, in
+/// milliseconds.
+const CLEARED_MS: u64 = 30_000;
 /// Time between two prompts with parts on probation over all instances, in milliseconds.
 const PROBE_MS: u64 = 1000;
 
@@ -82,6 +85,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct BlamedParts {
     entries: Vec<BlamedEntry>,
+    /// Sets of parts that an answer has cleared, with the time until which that counts.
+    cleared: Vec<(Vec<u64>, u64)>,
 }
 
 impl BlamedParts {
@@ -115,7 +120,9 @@
             let is_covered = known.is_certain && is_subset(&known.parts, &entry.parts);
             is_covered || (is_equal && !report.is_certain)
         };
-        if self.entries.iter().any(is_known) {
+        let is_cleared =
+            !report.is_certain && self.cleared.iter().any(|(parts, _)| *parts == entry.parts);
+        if is_cleared || self.entries.iter().any(is_known) {
             return false;
         }
         if report.is_certain {
@@ -166,6 +173,41 @@
         !convicted.is_empty()
     }
 
+    /// Applies an answer to a prompt with these parts. Returns the provisionally blamed sets
+    /// that it clears, which are to be announced to the other instances.
+    ///
+    /// ```
+    /// use berylmount_policy::blamed_parts::{BlameReport, BlamedParts, PromptDecision};
+    ///
+    /// let mut blamed = BlamedParts::default();
+    /// let report = BlameReport { parts: vec![5], is_certain: false, age_ms: 0 };
+    /// assert!(blamed.adopt(&report, 1000));
+    /// assert_eq!(blamed.answered(&[4, 5], 1500), vec![vec![5]]);
+    /// assert_eq!(blamed.decide(&[5], 1500), PromptDecision::Send(vec![]));
+    /// assert!(!blamed.adopt(&report, 2000));
+    /// ```
+    pub fn answered(&mut self, parts: &[u64], now_ms: u64) -> Vec<Vec<u64>> {
+        let provisional = self.entries.iter().filter(|entry| !entry.is_certain);
+        let cleared = provisional.filter(|entry| is_subset(&entry.parts, parts));
+        let cleared: Vec<Vec<u64>> = cleared.map(|entry| entry.parts.clone()).collect();
+        self.clear(&cleared, now_ms);
+        cleared
+    }
+
+    /// Clears provisionally blamed sets of parts.
+    pub fn clear(&mut self, sets: &[Vec<u64>], now_ms: u64) {
+        self.expire(now_ms);
+        for parts in sets {
+            self.entries
+                .retain(|entry| entry.is_certain || entry.parts != *parts);
+            self.cleared.retain(|(known, _)| known != parts);
+            if self.cleared.len() >= MAX_BLAMED {
+                self.cleared.remove(0);
+            }
+            self.cleared.push((parts.clone(), now_ms + CLEARED_MS));
+        }
+    }
+
     /// Returns what becomes of a prompt with the sorted `parts`. It counts as sent if it is.
     pub fn decide(&mut self, parts: &[u64], now_ms: u64) -> PromptDecision {
         let decision = self.preview(parts, now_ms);
@@ -223,6 +265,7 @@
 
     fn expire(&mut self, now_ms: u64) {
         self.entries.retain(|entry| now_ms < entry.forgotten_at_ms);
+        self.cleared.retain(|(_, until_ms)| now_ms < *until_ms);
     }
 }
 
--- a/crates/policy/src/part_evidence.rs
+++ b/crates/policy/src/part_evidence.rs
@@ -3,7 +3,8 @@
 //! A request whose connection breaks before its first event may have crashed its runner, or
 //! may have been one of many at a runner that crashed for another reason. Which of its parts
 //! is at fault shows only over many requests, most of which other instances have. Each
-//! instance therefore keeps its broken requests, and counts the whole answers by part.
+//! instance therefore keeps its broken requests, and counts by part the requests that were
+//! answered: those whose first event arrived, which a part that crashes runners prevents.
 //!
 //! Invariants:
 //!
@@ -13,10 +14,10 @@
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
-/// Time for which broken requests count as evidence, in milliseconds. Whole answers count
+/// Time for which broken requests count as evidence, in milliseconds. Answers count
 /// for a little longer, so that they never weigh less.
 pub const EVIDENCE_MS: u64 = 30_000;
-/// Time whose whole answers are counted together, in milliseconds.
+/// Time whose answers are counted together, in milliseconds.
 const SPAN_MS: u64 = 10_000;
 /// Number of such spans that are kept, with the current one.
 const SPANS: usize = 4;
@@ -47,7 +48,7 @@
 pub struct OutcomeCount {
     /// Requests whose connection broke before their first event.
     pub broken: u32,
-    /// Requests that got a whole answer.
+    /// Requests that got a answer.
     pub answered: u32,
 }
 
@@ -56,7 +57,7 @@
 pub struct EvidenceReport {
     /// Requests that broke.
     pub breaks: Vec<BreakReport>,
-    /// Whole answers of the parts that were asked for, sorted by part.
+    /// Answers of the parts that were asked for, sorted by part.
     pub answers: Vec<(u64, u32)>,
     /// Outcomes by service, sorted.
     pub outcomes: Vec<(u64, OutcomeCount)>,
@@ -85,7 +86,7 @@
 }
 
 impl PartEvidence {
-    /// Counts a whole answer to a request.
+    /// Counts a answer to a request.
     pub fn note_answer(&mut self, service: u64, parts: &[u64], now_ms: u64) {
         let span = self.current_span(now_ms);
         count(&mut span.outcomes, service, |n| n.answered += 1);
--- a/crates/policy/src/part_verdicts.rs
+++ b/crates/policy/src/part_verdicts.rs
@@ -1,8 +1,8 @@
 //! Which prompt parts crash runners, judged by the evidence of all instances.
 //!
 //! A part that crashes each runner is in a request that broke at every runner that crashed
-//! by it, and in hardly any whole answer. Parts that happen to be beside it, or at runners
-//! that crash for other reasons, are in whole answers as well, or in crashes of few runners.
+//! by it, and in hardly any answer. Parts that happen to be beside it, or at runners
+//! that crash for other reasons, are in answers as well, or in crashes of few runners.
 //!
 //! A few instances, the analysts, collect the evidence of all. They ask for the answers of
 //! each part that broke at two runners, and blame a part if its crashes are too many for
@@ -12,7 +12,7 @@
 //!
 //! Invariants:
 //!
-//! - A broken request counts for a part only with the whole answers of the same process, so
+//! - A broken request counts for a part only with the answers of the same process, so
 //!   that restarts of instances take no answers away from the evidence.
 //! - A part is blamed only for crashes at several moments, so that the loss of a rack blames
 //!   nothing.
@@ -54,7 +54,7 @@
     /// apart.
     pub parts: Vec<u64>,
     /// Whether chance cannot explain the crashes. Otherwise, the parts were in several
-    /// crashes and in no whole answer.
+    /// crashes and in no answer.
     pub is_certain: bool,
 }
 
@@ -93,7 +93,7 @@
     moments: usize,
     /// Requests that broke.
     breaks: usize,
-    /// Whole answers.
+    /// Answers.
     answers: u32,
 }
 
@@ -251,7 +251,7 @@
         requests * relative_entropy(crashes / requests, expected) >= MIN_EVIDENCE_NATS
     }
 
-    /// Returns the whole answers of a part at all instances.
+    /// Returns the answers of a part at all instances.
     fn answers_of(&self, part: u64) -> u32 {
         let reported = self.counts.iter().filter_map(|counts| {
             let index = counts.answers.binary_search_by_key(&part, |(key, _)| *key);
@@ -260,7 +260,7 @@
         reported.sum()
     }
 
-    /// Whether a process has reported the whole answers of a part.
+    /// Whether a process has reported the answers of a part.
     fn has_answers(&self, process: u64, part: u64) -> bool {
         let found = self
             .counts
--- a/crates/policy/tests/crashing_fleet.rs
+++ b/crates/policy/tests/crashing_fleet.rs
@@ -79,6 +79,8 @@
     Evidence(usize, u64, EvidenceReport),
     /// The receiver, and the parts on probation of a prompt that another instance sends.
     Probe(usize, Vec<Vec<u64>>),
+    /// The receiver, and the sets of parts that an answer has cleared.
+    Cleared(usize, Vec<Vec<u64>>),
     /// The receiver, the suspects and the blamed parts.
     Notice(usize, Vec<u64>, Vec<BlameReport>),
     InstanceUp(usize),
@@ -343,22 +345,39 @@
         if self.rng.random_bool(self.runners[runner].break_chance) {
             return self.end_broken(index);
         }
-        self.requests[index].as_mut().unwrap().has_first = true;
+        self.note_answer(index);
         let rest_ms = self.rng.random_range(REST_MS);
         self.schedule(rest_ms, SimEvent::End(index));
     }
 
+    /// Records the first event of a request.
+    fn note_answer(&mut self, index: usize) {
+        let request = self.requests[index].as_mut().unwrap();
+        request.has_first = true;
+        let (from, now_ms) = (request.instance, self.now_ms);
+        let instance = &mut self.instances[from];
+        if instance.life != request.life {
+            return;
+        }
+        instance
+            .evidence
+            .note_answer(SERVICE, &request.parts, now_ms);
+        let cleared = instance.blamed.answered(&request.parts, now_ms);
+        if !cleared.is_empty() {
+            for to in 0..self.instances.len() {
+                if to != from {
+                    self.send(from, to, SimEvent::Cleared(to, cleared.clone()));
+                }
+            }
+        }
+    }
+
     fn handle(&mut self, event: SimEvent) {
         match event {
             SimEvent::First(index) => self.first_event(index),
-            SimEvent::End(index) => {
-                if let Some(request) = self.requests[index].take() {
-                    let instance = &mut self.instances[request.instance];
-                    if instance.life == request.life {
-                        let evidence = &mut instance.evidence;
-                        evidence.note_answer(SERVICE, &request.parts, self.now_ms);
-                    }
-                }
+            SimEvent::End(index) => drop(self.requests[index].take()),
+            SimEvent::Cleared(to, sets) => {
+                self.instances[to].blamed.clear(&sets, self.now_ms);
             }
             SimEvent::RunnerUp(runner) => {
                 self.starts += 1;
