Reproduce requests that crash one runner after the other

A request may crash each runner that begins to run it and come again with the same path, caller and body at any instance.

The tests send such a request of each kind to three gateways among sound requests: a prompt whose parts are shared with sound prompts, an idempotent and a non-idempotent request, a stream, a resumable stream. The harness moves from crashing_parts.rs to the stand-ins unchanged but for the kinds.

--- a/crates/gateway/tests/crashing_parts.rs
+++ b/crates/gateway/tests/crashing_parts.rs
@@ -1,4 +1,4 @@
-//! Prompts with a part that crashes each runner, among sound ones.
+//! Requests that crash each runner, among sound ones.
 
 #![allow(clippy::unwrap_used)]
 
@@ -7,149 +7,56 @@
 use berylmount_gateway::Gateway;
 use berylmount_telemetry::MetricSet;
 use standins::{
-    all_routes, event_stream_to, header, response_to, scripted_runner, settings, table, wait_until,
-    AfterResponse, StandinRunner, StandinStore, TestGateway,
+    all_routes, event_stream_to, header, scripted_runner, settings, table, wait_until,
+    AfterResponse, CrashingCall, FleetRecord, StandinStore, TestGateway,
 };
 use std::{
     io::{Read, Write},
     net::{TcpListener, TcpStream},
     sync::{
-        atomic::{AtomicBool, AtomicUsize, Ordering},
-        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+        Arc,
     },
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
-const INSTANCES: usize = 3;
 const RUNNERS: usize = 8;
-/// Pause of a caller between two requests.
-const CALLER_PAUSE: Duration = Duration::from_millis(30);
-/// One of this many requests has a part that crashes its runner.
-const CRASHING_EVERY: usize = 5;
-/// The platform's rule: crashes and time after which it holds, and requests that it allows.
-const RULE_CRASHES: usize = 5;
-const CONTACT: Duration = Duration::from_secs(3);
-const MAX_LATER: usize = 3;
-/// Time for which requests come after the rule holds.
-const WATCHED: Duration = Duration::from_secs(3);
 
-/// What runners received and callers got.
-#[derive(Clone, Default)]
-struct FleetRecord {
-    /// Times of requests with the part `dead` at runners.
-    crashes: Arc<Mutex<Vec<Instant>>>,
-    sound_sent: Arc<AtomicUsize>,
-    sound_served: Arc<AtomicUsize>,
-    /// Statuses of requests with the part `dead`, with the time.
-    refusals: Arc<Mutex<Vec<(Instant, String)>>>,
+fn check_crashing_request(call: CrashingCall) {
+    let record = FleetRecord::default();
+    record.check_rule(&record.start_fleet(), call);
 }
 
-impl FleetRecord {
-    /// A runner whose connection breaks when it gets a prompt with the part `dead`.
-    fn crashing_runner(&self) -> StandinRunner {
-        let crashes = self.crashes.clone();
-        scripted_runner(move |request| {
-            let prompt = header(request, "berylmount-prompt-prefix").unwrap_or_default();
-            if prompt.contains("dead") {
-                crashes.lock().unwrap().push(Instant::now());
-                return (Vec::new(), AfterResponse::Close);
-            }
-            (response_to(request, "200 OK", "fine"), AfterResponse::Keep)
-        })
-    }
+#[test]
+fn requests_with_a_part_that_crashes_runners_stop_reaching_them() {
+    check_crashing_request(CrashingCall::PromptPart);
+}
 
-    /// Sends requests until `is_over`; all share a first part and another one.
-    fn run_caller(&self, gateway: &TestGateway, is_over: &AtomicBool) {
-        let name = &gateway.settings.name;
-        let mut number = 0;
-        while !is_over.load(Ordering::Relaxed) {
-            thread::sleep(CALLER_PAUSE);
-            number += 1;
-            let is_crashing = number % CRASHING_EVERY == 0;
-            let dead = if is_crashing { "dead:30," } else { "" };
-            let headers = format!(
-                "Berylmount-Model: m\r\nBerylmount-Token-Usage: 100,10\r\n\
-                 Berylmount-Prompt-Prefix: aaaa:40,{dead}bbbb:20,{number:x}:10\r\n"
-            );
-            let id = format!("{name}-{number}");
-            let response = gateway.call("POST /unsafe/x", &id, &headers, "b");
-            let status = response.unwrap()[9..12].to_owned();
-            if is_crashing {
-                let mut refusals = self.refusals.lock().unwrap();
-                refusals.push((Instant::now(), status));
-                continue;
-            }
-            self.sound_sent.fetch_add(1, Ordering::Relaxed);
-            let is_served = status == "200";
-            self.sound_served
-                .fetch_add(usize::from(is_served), Ordering::Relaxed);
-        }
-    }
+/// Guards against one request that crashes one runner after the other.
+#[test]
+fn a_prompt_of_sound_parts_that_crashes_runners_stops_reaching_them() {
+    check_crashing_request(CrashingCall::Prompt);
+}
 
-    /// Waits for the crash from which the rule counts; returns when it holds.
-    fn wait_for_rule(&self) -> Instant {
-        loop {
-            thread::sleep(Duration::from_millis(20));
-            let crashes = self.crashes.lock().unwrap();
-            if let Some(last) = crashes.get(RULE_CRASHES - 1) {
-                return *last + CONTACT;
-            }
-        }
-    }
+#[test]
+fn an_idempotent_request_that_crashes_runners_stops_reaching_them() {
+    check_crashing_request(CrashingCall::Safe);
 }
 
-/// Starts instances and runners with a common store.
-fn start_fleet(record: &FleetRecord) -> Vec<TestGateway> {
-    let store = StandinStore::start();
-    store.put("config", "main", Some(table(1, all_routes())));
-    for number in 0..RUNNERS {
-        let entry = record.crashing_runner().entry("svc", "ready");
-        store.put("servers", &format!("r{number}"), Some(entry));
-    }
-    let start = |number| TestGateway::start_with(store.clone(), &format!("i{number}"));
-    let gateways: Vec<TestGateway> = (0..INSTANCES).map(start).collect();
-    for gateway in &gateways {
-        gateway.wait_ready();
-        gateway.wait_for_status("GET /safe/warm", "200", false);
-    }
-    gateways
+#[test]
+fn a_non_idempotent_request_that_crashes_runners_stops_reaching_them() {
+    check_crashing_request(CrashingCall::Unsafe);
 }
 
 #[test]
-fn requests_with_a_part_that_crashes_runners_stop_reaching_them() {
-    let record = FleetRecord::default();
-    let gateways = start_fleet(&record);
-    let is_over = AtomicBool::new(false);
-    let holds_at = thread::scope(|scope| {
-        for gateway in &gateways {
-            let (record, is_over) = (&record, &is_over);
-            scope.spawn(move || record.run_caller(gateway, is_over));
-        }
-        let holds_at = record.wait_for_rule();
-        let end = holds_at + WATCHED;
-        thread::sleep(end.saturating_duration_since(Instant::now()));
-        is_over.store(true, Ordering::Relaxed);
-        holds_at
-    });
-    let crashes = record.crashes.lock().unwrap();
-    let later = crashes.iter().filter(|at| **at > holds_at).count();
-    assert!(
-        later <= MAX_LATER,
-        "{later} requests after {RULE_CRASHES} crashes"
-    );
-    // Sound requests with the same caller and parts are served throughout.
-    let sent = record.sound_sent.load(Ordering::Relaxed);
-    let served = record.sound_served.load(Ordering::Relaxed);
-    assert!(
-        served * 10 >= sent * 9,
-        "{served} of {sent} sound requests served"
-    );
-    let refusals = record.refusals.lock().unwrap();
-    let late = refusals.iter().filter(|(at, _)| *at > holds_at);
-    let mut statuses: Vec<&str> = late.map(|(_, status)| status.as_str()).collect();
-    statuses.dedup();
-    assert_eq!(statuses, ["503"]);
+fn a_stream_that_crashes_runners_stops_reaching_them() {
+    check_crashing_request(CrashingCall::Stream);
+}
+
+#[test]
+fn a_resumable_stream_that_crashes_runners_stops_reaching_them() {
+    check_crashing_request(CrashingCall::ResumableStream);
 }
 
 /// Starts an instance that reaches `peer` and no store.
@@ -170,12 +77,12 @@
 #[test]
 fn a_process_without_the_store_learns_of_a_blamed_part_before_it_serves_prompts() {
     let record = FleetRecord::default();
-    let gateways = start_fleet(&record);
+    let gateways = record.start_fleet();
     let is_over = AtomicBool::new(false);
     thread::scope(|scope| {
         for gateway in &gateways {
             let (record, is_over) = (&record, &is_over);
-            scope.spawn(move || record.run_caller(gateway, is_over));
+            scope.spawn(move || record.run_caller(gateway, CrashingCall::PromptPart, is_over));
         }
         wait_until("refusals", || {
             let refusals = record.refusals.lock().unwrap();
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -3,11 +3,13 @@
 // Each test binary uses only some of the items.
 #![allow(dead_code, unused_imports, clippy::unwrap_used)]
 
+mod crashing_fleet;
 mod limited_runner;
 mod runner;
 mod store;
 mod test_gateway;
 
+pub(crate) use crashing_fleet::{CrashingCall, FleetRecord};
 pub(crate) use limited_runner::{Arrival, LimitedRunner, LIMIT_CONTACT};
 pub(crate) use runner::{
     event_stream_to, header, healthy_runner, read_message, received_requests, response_to,
