Blame a request as a whole if it crashes its runners

Callers saw: a request without a prompt, or whose prompt parts are all shared with sound prompts, crashed one runner after the other and was sent on each time (BUDGET); the sound requests beside it were cut or refused for lack of runners.

Cause: evidence was kept for requests with a prompt only, and only by their shared parts.

Change: the request as a whole (hash of method, host, path, customer, body) is one more part of every request, in the same evidence, judgement, list of blamed parts and store. A process serves no request of any kind until it knows the blamed parts (prompts before). The log names the key of a refused request.

The simulation plays such requests at 7, 76 and 295 instances with many and with three or ten runners, retried by the instances or not.

--- a/crates/gateway/src/call_log.rs
+++ b/crates/gateway/src/call_log.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     clock::boot_ms,
+    crash_parts::PartKeys,
     forward::{CallerSink, InboundCall},
     placement::PlacedRunner,
     responses::LocalResponse,
@@ -57,12 +58,13 @@
         self.text += &format!("{separator}{runner} at its request limit");
     }
 
-    /// Records that the request is not sent because parts of its prompt crash runners.
-    pub(crate) fn record_blamed(&mut self, prompt: Option<&PromptShape>) {
+    /// Records that the request is not sent because parts of it crash runners.
+    pub(crate) fn record_blamed(&mut self, keys: &PartKeys, prompt: Option<&PromptShape>) {
         let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
         let ids: Vec<&str> = parts.iter().map(|part| part.id.as_str()).collect();
         let separator = if self.text.is_empty() { "" } else { "; " };
-        self.text += &format!("{separator}not sent, parts {}", ids.join(","));
+        let (whole, ids) = (keys.whole, ids.join(","));
+        self.text += &format!("{separator}not sent, request {whole:016x}, parts [{ids}]");
     }
 
     /// Records the end of an attempt.
--- a/crates/gateway/src/crash_parts.rs
+++ b/crates/gateway/src/crash_parts.rs
@@ -1,14 +1,18 @@
-//! Prompt parts that crash runners: evidence, verdicts and their exchange.
+//! Parts of requests that crash runners: evidence, verdicts and their exchange.
+//!
+//! The parts of a request are the shared parts of its prompt, and the request as a whole, which
+//! is the narrowest part that evidence can blame: the same path, customer and body.
 //!
 //! Each instance sends its evidence to a few analysts, which are the same for all instances
 //! with the same view of the fleet. An analyst asks all instances for the answers of suspect
 //! parts and tells them which parts are blamed. Nothing is sent while no request breaks.
 //!
 //! Blamed parts are also written to the object store, so that they outlive a restart of all
-//! processes. A process that starts reads them before it serves prompts.
+//! processes. A process that starts reads them before it serves requests.
 
 use crate::{
     clock::boot_ms,
+    forward::InboundCall,
     peer_link::{peer_addresses, send_message},
     peers::{name_hash, PeerMessage},
     responses::LocalReason,
@@ -16,7 +20,6 @@
     state::GatewayState,
     upstream::AttemptOutcome,
 };
-use berylmount_fleet::PromptShape;
 use berylmount_policy::{
     blamed_parts::{BlameReport, BlamedParts, PromptDecision},
     part_evidence::{BreakReport, EvidenceReport, PartEvidence, MAX_PARTS},
@@ -24,6 +27,7 @@
     shared_duties::DutyMember,
 };
 use berylmount_telemetry::CounterMetric;
+use http::header::HOST;
 use rand::{rng, RngExt};
 use serde::{Deserialize, Serialize};
 use std::{
@@ -33,6 +37,7 @@
     time::Duration,
 };
 use tokio::{net::UdpSocket, time::sleep};
+use xxhash_rust::xxh3::Xxh3;
 
 pub(crate) mod stored;
 
@@ -53,7 +58,7 @@
 const SUSPECT_MS: u64 = 200;
 /// Time between two notices without a change, in milliseconds.
 const NOTICE_MS: u64 = 1000;
-/// Time from which a process serves prompts even if it could not learn which parts are
+/// Time from which a process serves requests even if it could not learn which parts are
 /// blamed, in milliseconds.
 const MAX_START_MS: u64 = 1500;
 
@@ -85,15 +90,53 @@
     is_analyst: Cell<bool>,
 }
 
-/// Returns the keys of the parts of a prompt that other prompts may share, sorted.
-pub(crate) fn part_keys(prompt: Option<&PromptShape>) -> Vec<u64> {
-    let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
-    let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
-    let keys = shared.iter().map(|part| name_hash(&part.id));
-    let mut keys: Vec<u64> = keys.take(MAX_PARTS).collect();
-    keys.sort_unstable();
-    keys.dedup();
-    keys
+/// The keys of the parts of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct PartKeys {
+    /// Key of the request as a whole.
+    pub(crate) whole: u64,
+    /// Keys of all parts, sorted: those of the prompt that other prompts may share, and the
+    /// whole.
+    pub(crate) all: Vec<u64>,
+}
+
+impl PartKeys {
+    /// Computes the keys of a request of `customer`.
+    pub(crate) fn of(call: &InboundCall, customer: Option<&str>) -> Self {
+        let parts = call.request.prompt.as_ref();
+        let parts = parts.map_or(&[][..], |prompt| &prompt.parts);
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        let keys = shared.iter().map(|part| name_hash(&part.id));
+        let whole = whole_key(call, customer);
+        let mut all: Vec<u64> = keys.take(MAX_PARTS).chain([whole]).collect();
+        all.sort_unstable();
+        all.dedup();
+        Self { whole, all }
+    }
+}
+
+/// Returns the key of a request as a whole. Ids and headers differ between the attempts of a
+/// caller.
+fn whole_key(call: &InboundCall, customer: Option<&str>) -> u64 {
+    let head = &call.head;
+    let host = head
+        .headers
+        .get(HOST)
+        .map_or(&[][..], |host| host.as_bytes());
+    let fields = [
+        head.method.as_str().as_bytes(),
+        host,
+        head.target.as_bytes(),
+        customer.unwrap_or_default().as_bytes(),
+        &call.body,
+    ];
+    let mut hash = Xxh3::new();
+    for field in fields {
+        // The length separates a field from the next one.
+        hash.update(&(field.len() as u64).to_le_bytes());
+        hash.update(field);
+    }
+    hash.digest()
 }
 
 /// Whether this process has learned which parts are blamed, or could not.
@@ -101,16 +144,16 @@
     state.crash_parts.is_informed.get() || boot_ms() >= state.started_boot_ms + MAX_START_MS
 }
 
-/// Returns why a prompt with these parts is refused, and when the caller should retry; `None`
+/// Returns why a request with these parts is refused, and when the caller should retry; `None`
 /// if it is not.
 pub(crate) fn refusal_of(state: &GatewayState, parts: &[u64]) -> Option<(LocalReason, Duration)> {
     let blamed = state.crash_parts.blamed.borrow();
     refusal(&blamed.preview(parts, boot_ms()))
 }
 
-/// Decides whether a prompt with these parts is sent now. If so, it is announced to the other
+/// Decides whether a request with these parts is sent now. If so, it is announced to the other
 /// instances where parts are on probation. Otherwise returns the refusal.
-pub(crate) async fn decide_prompt(
+pub(crate) async fn decide_request(
     state: &GatewayState,
     parts: &[u64],
 ) -> Option<(LocalReason, Duration)> {
@@ -137,13 +180,13 @@
     Some((reason, Duration::from_millis(*left_ms)))
 }
 
-/// Records that another instance has sent a prompt with these sets of parts on probation.
+/// Records that another instance has sent a request with these sets of parts on probation.
 pub(crate) fn note_probe(state: &GatewayState, probed: &[Vec<u64>]) {
     let mut blamed = state.crash_parts.blamed.borrow_mut();
     blamed.note_sent(probed, boot_ms());
 }
 
-/// Records that a runner has begun to answer a prompt.
+/// Records that a runner has begun to answer a request.
 pub(crate) fn note_answer(state: &GatewayState, service: &str, parts: &[u64]) {
     let (crash_parts, now_ms) = (&state.crash_parts, boot_ms());
     let mut evidence = crash_parts.evidence.borrow_mut();
@@ -160,18 +203,18 @@
     blamed.clear(sets, boot_ms());
 }
 
-/// Records the end of an attempt to run a prompt. The answer of a stream was recorded with
+/// Records the end of an attempt to run a request. The answer of a stream was recorded with
 /// its first event.
 pub(crate) fn note_attempt(
     state: &GatewayState,
     service: &str,
     runner: &RunnerHandle,
-    parts: &[u64],
+    parts: &PartKeys,
     outcome: &AttemptOutcome,
 ) {
     match outcome {
         AttemptOutcome::Complete(response) if response.status.is_success() => {
-            note_answer(state, service, parts);
+            note_answer(state, service, &parts.all);
         }
         AttemptOutcome::Disconnected(_) => {
             let (service, now_ms) = (name_hash(service), boot_ms());
@@ -180,12 +223,12 @@
                 service,
                 runner: runner.limit_key(),
                 age_ms: 0,
-                parts: parts.to_vec(),
+                parts: parts.all.clone(),
             };
             let mut evidence = state.crash_parts.evidence.borrow_mut();
             evidence.note_break(report, now_ms);
             state.crash_parts.is_evidence_due.set(true);
-            convict(state, parts, now_ms);
+            convict(state, &parts.all, now_ms);
         }
         _ => {}
     }
@@ -197,7 +240,7 @@
     if blamed.convict(parts, broken_ms, boot_ms()) {
         state.crash_parts.is_notice_due.set(true);
         let parts = blame_name(parts);
-        log::warn!(target: "parts", parts; "a prompt with parts on probation crashed its runner");
+        log::warn!(target: "parts", parts; "a request with parts on probation crashed its runner");
     }
 }
 
@@ -236,7 +279,7 @@
     let metric = CounterMetric::BlamedPartsTotal;
     state.metrics.add(metric, source, 1);
     let (parts, is_certain) = (blame_name(&report.parts), report.is_certain);
-    log::warn!(target: "parts", parts, is_certain, source, age_ms = report.age_ms; "prompt parts crash runners; prompts with them are refused");
+    log::warn!(target: "parts", parts, is_certain, source, age_ms = report.age_ms; "parts crash runners; requests with them are refused");
 }
 
 /// Sends evidence and, as an analyst, judges the evidence of all instances.
@@ -251,7 +294,7 @@
         let cleared = crash_parts.cleared.take();
         if !cleared.is_empty() {
             let parts: Vec<String> = cleared.iter().map(|parts| blame_name(parts)).collect();
-            log::info!(target: "parts", parts:? ; "an answer cleared prompt parts");
+            log::info!(target: "parts", parts:? ; "an answer cleared parts");
             let message = PeerMessage::PartsCleared(cleared);
             send_message(&socket, &peer_addresses(&state), &message).await;
         }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,7 +3,7 @@
 use crate::{
     call_log::{record_outcome, request_class, AttemptLog, CallOutcome},
     clock::boot_ms,
-    crash_parts::{decide_prompt, is_informed, note_answer, note_attempt, part_keys, refusal_of},
+    crash_parts::{decide_request, is_informed, note_answer, note_attempt, refusal_of, PartKeys},
     permits::acquire_permit,
     placement::{place, PlacedRunner, PlacementQuery, PlacementResult},
     responses::{encode_response, LocalReason, LocalResponse},
@@ -188,7 +188,8 @@
             return CallOutcome::Local(rejection(LocalReason::Draining));
         }
         state.note_first_attempt(&self.service, boot_ms());
-        let parts = part_keys(call.request.prompt.as_ref());
+        let customer = self.customer.as_ref().map(|c| c.name.as_str());
+        let parts = PartKeys::of(call, customer);
         if let Some(refusal) = self.refuse_parts(state, call, &parts, attempts) {
             return CallOutcome::Local(refusal);
         }
@@ -219,8 +220,8 @@
             if attempts.sent > 0 && !state.take_retry(&self.service, boot_ms()) {
                 break;
             }
-            if let Some((reason, delay)) = decide_prompt(state, &parts).await {
-                attempts.record_blamed(call.request.prompt.as_ref());
+            if let Some((reason, delay)) = decide_request(state, &parts.all).await {
+                attempts.record_blamed(&parts, call.request.prompt.as_ref());
                 if attempts.sent == 0 {
                     return CallOutcome::Local(refused_for(reason, delay));
                 }
@@ -232,9 +233,7 @@
             attempts.begin();
             let outcome = self.run_attempt(call, &placed, state, &parts, sink).await;
             attempts.record(state, &placed, &outcome, started_ms);
-            if call.request.prompt.is_some() {
-                note_attempt(state, &self.service, &placed.runner, &parts, &outcome);
-            }
+            note_attempt(state, &self.service, &placed.runner, &parts, &outcome);
             tried.push(placed.runner.clone());
             errors.note(&placed.runner, &outcome);
             match outcome {
@@ -253,21 +252,20 @@
         fallback.deliver_to(sink).await
     }
 
-    /// Returns the refusal of a prompt whose parts crash runners, or of any prompt as long as
-    /// this process does not know which do.
+    /// Returns the refusal of a request whose parts crash runners, or of any request as long
+    /// as this process does not know which do.
     fn refuse_parts(
         &self,
         state: &GatewayState,
         call: &InboundCall,
-        parts: &[u64],
+        parts: &PartKeys,
         attempts: &mut AttemptLog,
     ) -> Option<LocalResponse> {
-        let prompt = call.request.prompt.as_ref()?;
         if !is_informed(state) {
             return Some(rejection(LocalReason::Starting));
         }
-        let (reason, delay) = refusal_of(state, parts)?;
-        attempts.record_blamed(Some(prompt));
+        let (reason, delay) = refusal_of(state, &parts.all)?;
+        attempts.record_blamed(parts, call.request.prompt.as_ref());
         Some(refused_for(reason, delay))
     }
 
@@ -375,7 +373,7 @@
         call: &InboundCall,
         placed: &PlacedRunner,
         state: &Rc<GatewayState>,
-        parts: &[u64],
+        parts: &PartKeys,
         sink: &mut CallerSink<'_>,
     ) -> AttemptOutcome {
         let model = call
@@ -411,14 +409,14 @@
             connection_limit: (max_connections / instances).max(1),
             max_bytes: max_response_bytes(state.settings().machine.memory_bytes),
         };
-        let is_streamed_prompt = is_prompt && self.route.kind == RouteKind::Streaming;
+        let is_stream = self.route.kind == RouteKind::Streaming;
         let mut has_answered = false;
         // Called with each event.
         let on_first_event = || {
             reservation.record_first_event();
-            if is_streamed_prompt && !has_answered {
+            if is_stream && !has_answered {
                 has_answered = true;
-                note_answer(state, &self.service, parts);
+                note_answer(state, &self.service, &parts.all);
             }
         };
         attempt.run(sink, on_first_event).await
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,7 +27,7 @@
 //! | `event_split` | splits a byte stream at event boundaries |
 //! | `responses` | responses that the gateway generates itself |
 //! | `replica` | replicas of the store's objects |
-//! | `crash_parts` | prompt parts that crash runners |
+//! | `crash_parts` | requests and prompt parts that crash runners |
 //! | `copies` | copies of objects that are sent to other instances |
 //! | `cache_stores` | KV cache stores: catalogues and transfer plans |
 //! | `store_lag` | latency of requests that fetch from KV cache stores |
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -45,13 +45,13 @@
     RunnersAtLimit,
     /// The gateway or the runners lack capacity; the request has not run.
     Overloaded,
-    /// This process has just started and does not know yet which prompts crash runners; the
+    /// This process has just started and does not know yet which requests crash runners; the
     /// request has not run.
     Starting,
-    /// A part of the prompt crashes runners; the request has not run.
+    /// The request or a part of its prompt crashes runners; it has not run.
     CrashingPart,
-    /// A part of the prompt may crash runners, and another prompt with it was just sent; the
-    /// request has not run.
+    /// The request or a part of its prompt may crash runners, and another one with it was just
+    /// sent; the request has not run.
     SuspectPart,
     /// A runner may have run the request but did not respond in time.
     MayHaveRunTimeout,
--- a/crates/policy/src/blamed_parts.rs
+++ b/crates/policy/src/blamed_parts.rs
@@ -1,16 +1,17 @@
-//! Prompt parts that are blamed for crashes of runners, and what becomes of prompts with them.
+//! Parts of requests that are blamed for crashes of runners, and what becomes of requests with
+//! them.
 //!
 //! While runners crash one after the other, most requests break for no fault of their own,
 //! and little can be told about any part. A part that was in several crashes and in no whole
-//! answer is therefore blamed provisionally: prompts with it are refused for a short time, in
-//! which the other requests recover. Then it is on probation: about one prompt with it a
+//! answer is therefore blamed provisionally: requests with it are refused for a short time, in
+//! which the other requests recover. Then it is on probation: about one request with it a
 //! second is sent over all instances, and the next crash blames it for good. An answer clears
 //! it. A part whose crashes chance cannot explain is blamed for good at once.
 //!
 //! Invariants:
 //!
 //! - Every blamed part is forgotten after a fixed time.
-//! - A set of parts is blamed only as a whole: prompts with some of them are sent.
+//! - A set of parts is blamed only as a whole: requests with some of them are sent.
 //! - Memory is bounded.
 
 use serde::{Deserialize, Serialize};
--- a/crates/policy/src/part_evidence.rs
+++ b/crates/policy/src/part_evidence.rs
@@ -1,4 +1,6 @@
-//! What one instance observes about prompt parts and crashes of runners.
+//! What one instance observes about parts of requests and crashes of runners.
+//!
+//! The parts of a request are the shared parts of its prompt, and the request as a whole.
 //!
 //! A request whose connection breaks before its first event may have crashed its runner, or
 //! may have been one of many at a runner that crashed for another reason. Which of its parts
@@ -9,6 +11,7 @@
 //! Invariants:
 //!
 //! - The last part of a prompt belongs to one request or session and is not among `parts`.
+//!   The request as a whole is.
 //! - Memory is bounded whatever parts callers send.
 
 use serde::{Deserialize, Serialize};
@@ -21,7 +24,7 @@
 const SPAN_MS: u64 = 10_000;
 /// Number of such spans that are kept, with the current one.
 const SPANS: usize = 4;
-/// Maximum number of parts of one request that are kept.
+/// Maximum number of prompt parts of one request that are kept.
 pub const MAX_PARTS: usize = 16;
 /// Maximum number of broken requests that an instance keeps.
 const MAX_BREAKS: usize = 32;
@@ -48,7 +51,7 @@
 pub struct OutcomeCount {
     /// Requests whose connection broke before their first event.
     pub broken: u32,
-    /// Requests that got a answer.
+    /// Requests that got an answer.
     pub answered: u32,
 }
 
@@ -86,7 +89,7 @@
 }
 
 impl PartEvidence {
-    /// Counts a answer to a request.
+    /// Counts an answer to a request.
     pub fn note_answer(&mut self, service: u64, parts: &[u64], now_ms: u64) {
         let span = self.current_span(now_ms);
         count(&mut span.outcomes, service, |n| n.answered += 1);
--- a/crates/policy/src/part_verdicts.rs
+++ b/crates/policy/src/part_verdicts.rs
@@ -1,4 +1,4 @@
-//! Which prompt parts crash runners, judged by the evidence of all instances.
+//! Which parts of requests crash runners, judged by the evidence of all instances.
 //!
 //! A part that crashes each runner is in a request that broke at every runner that crashed
 //! by it, and in hardly any answer. Parts that happen to be beside it, or at runners
@@ -7,8 +7,8 @@
 //! A few instances, the analysts, collect the evidence of all. They ask for the answers of
 //! each part that broke at two runners, and blame a part if its crashes are too many for
 //! chance, given how often other requests of the service break. If several parts cannot be
-//! told apart, they are blamed together: only prompts with all of them are refused, so that
-//! sound prompts with some of them show which one is at fault.
+//! told apart, they are blamed together: only requests with all of them are refused, so that
+//! sound requests with some of them show which one is at fault.
 //!
 //! Invariants:
 //!
--- a/crates/policy/tests/crashing_fleet.rs
+++ b/crates/policy/tests/crashing_fleet.rs
@@ -1,5 +1,6 @@
-//! Simulates fleets that serve prompts of which some parts crash runners, beside crashes for
-//! other reasons, restarts and cuts of instances, and judges them by the platform's rules.
+//! Simulates fleets that serve requests of which some crash runners, by a part of their prompt
+//! or as a whole, beside crashes for other reasons, restarts and cuts of instances, and judges
+//! them by the platform's rules.
 
 #![allow(clippy::unwrap_used)]
 
@@ -37,9 +38,29 @@
 const ANALYSTS: usize = 3;
 /// The platform's rules.
 const CONTACT_MS: u64 = 3000;
-const RULE_CRASHES: usize = 5;
 const MAX_LATER: usize = 3;
 
+/// What crashes runners.
+#[derive(Clone, Copy, Eq, PartialEq)]
+enum DeadlyKind {
+    /// A part of prompts that differ otherwise.
+    Part,
+    /// One request, of parts that sound ones share, which is not repeated by an instance.
+    Request,
+    /// The same, but an instance sends a request that broke to another runner.
+    RetriedRequest,
+}
+
+impl DeadlyKind {
+    /// Crashes after which the platform's rule counts.
+    fn rule_crashes(self) -> usize {
+        match self {
+            Self::Part => 5,
+            Self::Request | Self::RetriedRequest => 3,
+        }
+    }
+}
+
 /// A fleet, its load and its disruptions.
 #[derive(Clone, Copy)]
 struct FleetShape {
@@ -47,7 +68,8 @@
     runners: usize,
     /// Requests per second.
     per_s: f64,
-    /// Parts that crash runners.
+    kind: DeadlyKind,
+    /// Number of parts or requests that crash runners.
     deadly: usize,
     /// Fraction of the requests that have one of them.
     deadly_share: f64,
@@ -61,6 +83,8 @@
 const FIRST_PART: u64 = 1;
 const SERVICE: u64 = 2;
 const DEADLY_PART: u64 = 100;
+/// A subject of many requests.
+const POPULAR_SUBJECT: u64 = 1000;
 
 struct SimRequest {
     instance: usize,
@@ -69,6 +93,7 @@
     start: u64,
     parts: Vec<u64>,
     has_first: bool,
+    is_retry: bool,
 }
 
 enum SimEvent {
@@ -231,12 +256,18 @@
         let is_deadly = self.now_ms >= DEADLY_MS && rng.random_bool(self.shape.deadly_share);
         let deadly = is_deadly.then(|| rng.random_range(0..self.shape.deadly));
         if let Some(number) = deadly {
-            // Some of them always come with the same subject.
-            if number == 0 {
-                parts[1] = 1599;
+            match self.shape.kind {
+                // Some of them always come with the same subject.
+                DeadlyKind::Part if number == 0 => parts[1] = 1599,
+                DeadlyKind::Part => {}
+                DeadlyKind::Request | DeadlyKind::RetriedRequest => parts[1] = POPULAR_SUBJECT,
             }
             parts.push(DEADLY_PART + number as u64);
         }
+        if deadly.is_none() || self.shape.kind == DeadlyKind::Part {
+            // The request as a whole.
+            parts.push(rng.random_range(1 << 32..u64::MAX));
+        }
         parts.sort_unstable();
         parts.dedup();
         (parts, deadly)
@@ -245,16 +276,28 @@
     fn call(&mut self) {
         let (parts, deadly) = self.draw_parts();
         let index = self.rng.random_range(0..self.instances.len());
-        let instance = &self.instances[index];
-        if !instance.is_up {
+        if !self.instances[index].is_up {
             return;
         }
-        let is_excused = instance.excused_until_ms > self.now_ms;
         if deadly.is_none() {
             self.count.sound += 1;
         }
+        self.send_to_runner(index, parts, None);
+    }
+
+    /// Returns the number of the deadly part of a request.
+    fn deadly_number(&self, parts: &[u64]) -> Option<usize> {
+        let deadly = DEADLY_PART..DEADLY_PART + self.shape.deadly as u64;
+        let found = parts.iter().find(|part| deadly.contains(part));
+        found.map(|part| (part - DEADLY_PART) as usize)
+    }
+
+    /// Sends a request to a runner other than `tried` unless its parts are blamed.
+    fn send_to_runner(&mut self, index: usize, parts: Vec<u64>, tried: Option<usize>) {
+        let deadly = self.deadly_number(&parts);
+        let is_excused = self.instances[index].excused_until_ms > self.now_ms;
         let up: Vec<usize> = (0..self.runners.len())
-            .filter(|r| self.runners[*r].is_up)
+            .filter(|r| self.runners[*r].is_up && Some(*r) != tried)
             .collect();
         if up.is_empty() {
             return;
@@ -283,6 +326,7 @@
             start: self.runners[runner].start,
             parts,
             has_first: false,
+            is_retry: tried.is_some(),
         };
         self.requests.push(Some(request));
         let first_ms = self.rng.random_range(FIRST_MS);
@@ -323,19 +367,17 @@
         instance.evidence.note_break(report, now_ms);
         instance.is_notice_due |= instance.blamed.convict(&parts, now_ms, now_ms);
         instance.is_due = true;
+        if self.shape.kind == DeadlyKind::RetriedRequest && !request.is_retry {
+            self.send_to_runner(request.instance, parts, Some(request.runner));
+        }
     }
 
     fn first_event(&mut self, index: usize) {
         let Some(request) = &self.requests[index] else {
             return;
         };
-        let (runner, parts) = (request.runner, &request.parts);
-        let deadly = parts.iter().find(|part| {
-            let first = DEADLY_PART..DEADLY_PART + self.shape.deadly as u64;
-            first.contains(part)
-        });
-        let deadly = deadly.map(|part| (part - DEADLY_PART) as usize);
-        if let Some(number) = deadly {
+        let (runner, parts) = (request.runner, request.parts.as_slice());
+        if let Some(number) = self.deadly_number(parts) {
             if self.rng.random_bool(self.shape.crash_chance) {
                 self.crashes[number].push(self.now_ms);
                 self.count.crashes += 1;
@@ -595,10 +637,10 @@
             }
         }
         for (crashes, arrivals) in self.crashes.iter().zip(&self.arrivals) {
-            if let Some(fifth_ms) = crashes.get(RULE_CRASHES - 1) {
+            if let Some(last_ms) = crashes.get(self.shape.kind.rule_crashes() - 1) {
                 let later = arrivals
                     .iter()
-                    .filter(|(at_ms, is_excused)| *at_ms > fifth_ms + CONTACT_MS && !is_excused);
+                    .filter(|(at_ms, is_excused)| *at_ms > last_ms + CONTACT_MS && !is_excused);
                 self.count.later = self.count.later.max(later.count());
             }
         }
@@ -627,11 +669,17 @@
 /// Sizes of fleets: instances, runners, requests per second.
 const SIZES: [(usize, usize, f64); 3] = [(7, 12, 100.0), (76, 64, 300.0), (295, 160, 900.0)];
 
-fn shapes(deadly: usize, crash_chance: f64, is_disrupted: bool) -> [FleetShape; 3] {
+fn shapes(
+    kind: DeadlyKind,
+    deadly: usize,
+    crash_chance: f64,
+    is_disrupted: bool,
+) -> [FleetShape; 3] {
     SIZES.map(|(instances, runners, per_s)| FleetShape {
         instances,
         runners,
         per_s,
+        kind,
         deadly,
         deadly_share: if deadly > 0 { 0.03 } else { 0.0 },
         crash_chance,
@@ -639,22 +687,52 @@
     })
 }
 
+/// Services without prompts have few runners.
+fn small_services(kind: DeadlyKind, deadly: usize, is_disrupted: bool) -> [FleetShape; 3] {
+    let mut shapes = shapes(kind, deadly, 1.0, is_disrupted);
+    for (shape, runners) in shapes.iter_mut().zip([3, 3, 10]) {
+        shape.runners = runners;
+        shape.per_s /= 2.0;
+    }
+    shapes
+}
+
 #[test]
 fn a_part_that_crashes_each_runner_is_blamed_in_time() {
-    shapes(1, 1.0, false).into_iter().for_each(check);
+    let shapes = shapes(DeadlyKind::Part, 1, 1.0, false);
+    shapes.into_iter().for_each(check);
 }
 
 #[test]
 fn two_parts_that_crash_runners_are_blamed_beside_other_disruptions() {
-    shapes(2, 1.0, true).into_iter().for_each(check);
+    let shapes = shapes(DeadlyKind::Part, 2, 1.0, true);
+    shapes.into_iter().for_each(check);
 }
 
 #[test]
 fn a_part_that_crashes_only_some_runners_is_blamed_in_time() {
-    shapes(1, 0.6, false).into_iter().for_each(check);
+    let shapes = shapes(DeadlyKind::Part, 1, 0.6, false);
+    shapes.into_iter().for_each(check);
 }
 
 #[test]
 fn other_crashes_blame_no_part() {
-    shapes(0, 0.0, true).into_iter().for_each(check);
+    let shapes = shapes(DeadlyKind::RetriedRequest, 0, 0.0, true);
+    shapes.into_iter().for_each(check);
+}
+
+#[test]
+fn a_request_that_crashes_each_runner_is_blamed_in_time() {
+    for kind in [DeadlyKind::Request, DeadlyKind::RetriedRequest] {
+        shapes(kind, 2, 1.0, false).into_iter().for_each(check);
+        small_services(kind, 2, false).into_iter().for_each(check);
+    }
+}
+
+#[test]
+fn a_request_that_crashes_each_runner_is_blamed_beside_other_disruptions() {
+    for kind in [DeadlyKind::Request, DeadlyKind::RetriedRequest] {
+        shapes(kind, 2, 1.0, true).into_iter().for_each(check);
+        small_services(kind, 2, true).into_iter().for_each(check);
+    }
 }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -81,7 +81,7 @@
     /// learned of it: `own` or `reported`.
     #[strum(props(label = "source"))]
     ExclusionsTotal,
-    /// Sets of prompt parts that were blamed for crashes of runners, by how this instance
+    /// Sets of parts of requests that were blamed for crashes of runners, by how this instance
     /// learned of them: `own`, `reported`, `store`.
     #[strum(props(label = "source"))]
     BlamedPartsTotal,
