Keep the evidence against suspects through restarts of all processes

Callers saw: after a restart of all instances a request that had crashed two runners crashed three more before it was refused.

Cause: only verdicts were stored. The crashes before a verdict were known to the instances and the analysts alone, and counted from zero after a restart of all of them.

Change: analysts store the evidence against a part that no instance has seen an answer of, from the second crash on, as objects of the kind that verdicts have, and delete it when an answer arrives or after 30 s. A process that starts reads both in the one listing that it made before.

Ruled out: storing every broken request (a lost rack breaks hundreds), and a second kind of object (a second listing at each start).

The process test fails before (no evidence is stored; five crashes instead of three with the reader alone) and passes.

--- a/crates/berylmount/tests/parts_processes.rs
+++ b/crates/berylmount/tests/parts_processes.rs
@@ -6,6 +6,7 @@
 mod standins;
 
 use processes::{callers_address, Instance};
+use serde_json::{json, Value};
 use standins::{
     all_routes, header, response_to, scripted_runner, send_request, table, wait_until,
     AfterResponse, StandinRunner, StandinStore,
@@ -30,6 +31,8 @@
 struct PartFleet {
     store: StandinStore,
     instances: Vec<Instance>,
+    /// Entries of the runners.
+    runners: Vec<Value>,
     /// Requests with the part `dead` that reached a runner.
     crashes: Arc<AtomicUsize>,
     sent: usize,
@@ -42,15 +45,17 @@
         fs::create_dir_all(&folder).unwrap();
         let (store, crashes) = (StandinStore::start(), Arc::default());
         store.put("config", "main", Some(table(1, all_routes())));
-        for number in 0..RUNNERS {
-            let entry = crashing_runner(&crashes).entry("svc", "ready");
-            store.put("servers", &format!("r{number}"), Some(entry));
+        let entry = |_| crashing_runner(&crashes).entry("svc", "ready");
+        let runners: Vec<Value> = (0..RUNNERS).map(entry).collect();
+        for (number, entry) in runners.iter().enumerate() {
+            store.put("servers", &format!("r{number}"), Some(entry.clone()));
         }
         let start = |number| Instance::start(&format!("i{number}"), store.address, &folder);
         let instances = (0..INSTANCES).map(start).collect();
         let mut fleet = Self {
             store,
             instances,
+            runners,
             crashes,
             sent: 0,
             folder,
@@ -75,6 +80,15 @@
         Some(response[9..12].to_owned())
     }
 
+    /// Registers the runners as started again.
+    fn restart_runners(&mut self) {
+        for (number, entry) in self.runners.iter_mut().enumerate() {
+            entry["born"] = json!(2);
+            let name = format!("r{number}");
+            self.store.put("servers", &name, Some(entry.clone()));
+        }
+    }
+
     fn wait_serving(&mut self) {
         for instance in 0..INSTANCES {
             wait_until("a served prompt", || {
@@ -151,3 +165,26 @@
         fleet.check_refused(instance);
     }
 }
+
+/// Guards against crashes that count from zero after a restart.
+#[test]
+fn a_restart_of_all_processes_does_not_forget_the_crashes_of_a_suspect() {
+    let mut fleet = PartFleet::start("parts-suspect");
+    wait_until("stored evidence of two crashes", || {
+        if fleet.crashes.load(Ordering::Relaxed) < 2 {
+            fleet.call(0, true);
+        }
+        thread::sleep(Duration::from_millis(300));
+        (0..INSTANCES).for_each(|instance| drop(fleet.call(instance, false)));
+        fleet.store.listed(BLAMED_KIND) > 0
+    });
+    fleet.restart_runners();
+    fleet.instances.iter_mut().for_each(Instance::restart);
+    fleet.wait_serving();
+    wait_until("a refusal", || {
+        (0..INSTANCES).for_each(|instance| drop(fleet.call(instance, false)));
+        thread::sleep(Duration::from_millis(500));
+        fleet.call(1, true).as_deref() == Some("503")
+    });
+    assert_eq!(fleet.crashes.load(Ordering::Relaxed), 3);
+}
--- a/crates/gateway/src/crash_parts/stored.rs
+++ b/crates/gateway/src/crash_parts/stored.rs
@@ -1,7 +1,7 @@
-//! Blamed prompt parts in the object store.
+//! Blamed parts, and the evidence against suspects, in the object store.
 //!
 //! They outlive a restart of all processes there. Only analysts write, and only when parts
-//! are blamed or forgotten.
+//! are blamed, crash a further runner, or are forgotten.
 
 use super::{adopt, blame_name};
 use crate::{clock::boot_ms, state::GatewayState};
@@ -10,13 +10,20 @@
     store_client::{StoreFault, StoredObject, WriteOutcome},
 };
 use berylmount_model::unix_ms;
-use berylmount_policy::blamed_parts::{BlameReport, BLAME_MS, PROBATION_MS};
+use berylmount_policy::{
+    blamed_parts::{BlameReport, BLAME_MS, PROBATION_MS},
+    part_evidence::EVIDENCE_MS,
+    part_verdicts::{CrashRecord, SuspectRecord},
+};
 use serde::{Deserialize, Serialize};
-use std::{rc::Rc, time::Duration};
+use std::{num::ParseIntError, rc::Rc, time::Duration};
 use tokio::time::sleep;
 
-/// Time between two attempts to read or write blamed parts.
-const STORE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two attempts to read the objects.
+const READ_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two checks whether objects are to be written. Evidence of the last one is lost
+/// if all processes end.
+const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Blamed parts as they are stored.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -29,19 +36,53 @@
     blamed_ms: u64,
 }
 
+/// A runner that crashed, as it is stored.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct StoredCrash {
+    /// Key of the runner and its start, in hexadecimal digits.
+    runner: String,
+    /// When it crashed, in Unix milliseconds.
+    at_ms: u64,
+    /// Time from sending the request until then, in milliseconds.
+    ran_ms: u64,
+}
+
+/// Evidence against a part as it is stored.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct EvidenceRecord {
+    /// Key of the part in hexadecimal digits.
+    suspect: String,
+    /// Key of the service in hexadecimal digits.
+    service: String,
+    crashes: Vec<StoredCrash>,
+}
+
+/// The content of an object.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(untagged)]
+enum PartRecord {
+    Blame(BlameRecord),
+    Evidence(EvidenceRecord),
+}
+
+/// What an object states, with keys as numbers.
+enum DecodedRecord {
+    Blame(BlameReport),
+    Suspect(SuspectRecord),
+}
+
 /// A record in the store, as far as this process knows.
 #[derive(Clone, Debug)]
 struct StoredRecord {
     name: String,
-    record: BlameRecord,
+    record: PartRecord,
     revision: u64,
 }
 
 impl BlameRecord {
     fn of(report: &BlameReport) -> Self {
-        let parts = report.parts.iter().map(|part| format!("{part:x}"));
         Self {
-            parts: parts.collect(),
+            parts: report.parts.iter().map(|part| hex_key(*part)).collect(),
             is_certain: report.is_certain,
             blamed_ms: unix_ms().saturating_sub(report.age_ms),
         }
@@ -50,61 +91,152 @@
     fn age_ms(&self) -> u64 {
         unix_ms().saturating_sub(self.blamed_ms)
     }
+}
+
+impl EvidenceRecord {
+    fn of(record: &SuspectRecord) -> Self {
+        let now_ms = unix_ms();
+        let crashes = record.crashes.iter().map(|crash| StoredCrash {
+            runner: hex_key(crash.runner),
+            at_ms: now_ms.saturating_sub(crash.age_ms),
+            ran_ms: crash.ran_ms,
+        });
+        Self {
+            suspect: hex_key(record.part),
+            service: hex_key(record.service),
+            crashes: crashes.collect(),
+        }
+    }
+}
 
+impl PartRecord {
+    /// Whether the content no longer counts.
     fn is_forgotten(&self) -> bool {
-        let kept_ms = if self.is_certain {
-            BLAME_MS
-        } else {
-            PROBATION_MS
-        };
-        self.age_ms() >= kept_ms
+        match self {
+            Self::Blame(record) if record.is_certain => record.age_ms() >= BLAME_MS,
+            Self::Blame(record) => record.age_ms() >= PROBATION_MS,
+            Self::Evidence(record) => {
+                let last_ms = record.crashes.iter().map(|crash| crash.at_ms).max();
+                let age_ms = unix_ms().saturating_sub(last_ms.unwrap_or_default());
+                age_ms >= EVIDENCE_MS
+            }
+        }
     }
+
+    /// Whether `self` says at least as much as a newer record of the same object.
+    fn covers(&self, newer: &Self) -> bool {
+        match (self, newer) {
+            (Self::Blame(known), Self::Blame(newer)) => known.is_certain || !newer.is_certain,
+            (Self::Evidence(known), Self::Evidence(newer)) => {
+                known.crashes.len() >= newer.crashes.len()
+            }
+            _ => false,
+        }
+    }
+
+    fn decode(&self) -> Result<DecodedRecord, ParseIntError> {
+        match self {
+            Self::Blame(record) => {
+                let parts = record.parts.iter().map(|part| parse_key(part));
+                let mut parts = parts.collect::<Result<Vec<u64>, _>>()?;
+                parts.sort_unstable();
+                Ok(DecodedRecord::Blame(BlameReport {
+                    parts,
+                    is_certain: record.is_certain,
+                    age_ms: record.age_ms(),
+                }))
+            }
+            Self::Evidence(record) => {
+                let now_ms = unix_ms();
+                let crashes = record.crashes.iter().map(|crash| {
+                    Ok(CrashRecord {
+                        runner: parse_key(&crash.runner)?,
+                        age_ms: now_ms.saturating_sub(crash.at_ms),
+                        ran_ms: crash.ran_ms,
+                    })
+                });
+                Ok(DecodedRecord::Suspect(SuspectRecord {
+                    part: parse_key(&record.suspect)?,
+                    service: parse_key(&record.service)?,
+                    crashes: crashes.collect::<Result<Vec<_>, _>>()?,
+                }))
+            }
+        }
+    }
+}
+
+fn hex_key(key: u64) -> String {
+    format!("{key:x}")
+}
+
+fn parse_key(text: &str) -> Result<u64, ParseIntError> {
+    u64::from_str_radix(text, 16)
 }
 
-/// Reads the blamed parts at the start of the process. Afterwards stores those that are
-/// blamed, if this instance is an analyst.
+/// Reads the objects at the start of the process. Afterwards stores the blamed parts and the
+/// evidence against suspects, if this instance is an analyst.
 pub(crate) async fn store_blamed_parts(state: Rc<GatewayState>) {
     let mut stored = loop {
         match load(&state).await {
             Ok(stored) => break stored,
             Err(fault) => {
                 log::warn!(target: "parts", fault:% ; "could not read the blamed parts");
-                sleep(STORE_INTERVAL).await;
+                sleep(READ_INTERVAL).await;
             }
         }
     };
     state.crash_parts.is_informed.set(true);
     let mut era = state.store.era();
     loop {
-        sleep(STORE_INTERVAL).await;
+        sleep(WRITE_INTERVAL).await;
         if state.store.era() != era {
             // The backup may lack some of them.
             era = state.store.era();
             stored.clear();
         }
         if state.crash_parts.is_analyst.get() {
-            let reports = state.crash_parts.blamed.borrow_mut().reports(boot_ms());
-            for report in &reports {
-                write(&state, report, &mut stored).await;
+            for (name, record) in known_records(&state) {
+                write(&state, name, record, &mut stored).await;
             }
             delete_forgotten(&state, &mut stored).await;
         }
     }
 }
 
+/// Returns what this analyst knows, with the names of the objects.
+fn known_records(state: &GatewayState) -> Vec<(String, PartRecord)> {
+    let now_ms = boot_ms();
+    let blamed = state.crash_parts.blamed.borrow_mut().reports(now_ms);
+    let suspects = state
+        .crash_parts
+        .analyst
+        .borrow_mut()
+        .suspect_records(now_ms);
+    let blamed = blamed.iter().map(|report| {
+        let record = PartRecord::Blame(BlameRecord::of(report));
+        (blame_name(&report.parts), record)
+    });
+    let suspects = suspects.iter().map(|suspect| {
+        let record = PartRecord::Evidence(EvidenceRecord::of(suspect));
+        (format!("suspect-{}", blame_name(&[suspect.part])), record)
+    });
+    blamed.chain(suspects).collect()
+}
+
 async fn load(state: &GatewayState) -> Result<Vec<StoredRecord>, StoreFault> {
     let listing = state.store.list(BLAMED_PART_KIND, false).await?;
     let mut stored = Vec::new();
     for object in &listing.objects {
-        let Some((record, parts)) = decode_record(object) else {
+        let Some((record, decoded)) = decode_record(object) else {
             continue;
         };
-        let report = BlameReport {
-            parts,
-            is_certain: record.is_certain,
-            age_ms: record.age_ms(),
-        };
-        adopt(state, &report, "store");
+        match decoded {
+            DecodedRecord::Blame(report) => adopt(state, &report, "store"),
+            DecodedRecord::Suspect(suspect) => {
+                let mut analyst = state.crash_parts.analyst.borrow_mut();
+                analyst.restore(&suspect, boot_ms());
+            }
+        }
         stored.push(StoredRecord {
             name: object.name.clone(),
             record,
@@ -114,17 +246,11 @@
     Ok(stored)
 }
 
-fn decode_record(object: &StoredObject) -> Option<(BlameRecord, Vec<u64>)> {
-    let decoded = decode_object::<BlameRecord>(&object.spec).map_err(|fault| fault.to_string());
+fn decode_record(object: &StoredObject) -> Option<(PartRecord, DecodedRecord)> {
+    let decoded = decode_object::<PartRecord>(&object.spec).map_err(|fault| fault.to_string());
     let decoded = decoded.and_then(|record| {
-        let parts = record
-            .parts
-            .iter()
-            .map(|part| u64::from_str_radix(part, 16));
-        let parts = parts.collect::<Result<Vec<u64>, _>>();
-        let mut parts = parts.map_err(|fault| fault.to_string())?;
-        parts.sort_unstable();
-        Ok((record, parts))
+        let decoded = record.decode().map_err(|fault| fault.to_string())?;
+        Ok((record, decoded))
     });
     match decoded {
         Ok(decoded) => Some(decoded),
@@ -135,14 +261,17 @@
     }
 }
 
-/// Stores blamed parts unless the store has them.
-async fn write(state: &GatewayState, report: &BlameReport, stored: &mut Vec<StoredRecord>) {
-    let (name, record) = (blame_name(&report.parts), BlameRecord::of(report));
+/// Stores a record unless the store has it.
+async fn write(
+    state: &GatewayState,
+    name: String,
+    record: PartRecord,
+    stored: &mut Vec<StoredRecord>,
+) {
     let known = stored.iter().position(|known| known.name == name);
     let known = known.map(|index| stored.remove(index));
     if let Some(known) = &known {
-        let is_stored = known.record.is_certain || !record.is_certain;
-        if is_stored && !known.record.is_forgotten() {
+        if known.record.covers(&record) && !known.record.is_forgotten() {
             return stored.extend([known.clone()]);
         }
     }
@@ -186,8 +315,18 @@
 }
 
 async fn delete_forgotten(state: &GatewayState, stored: &mut Vec<StoredRecord>) {
-    let forgotten = stored.extract_if(.., |known| known.record.is_forgotten());
-    for known in forgotten.collect::<Vec<_>>() {
+    let forgotten: Vec<StoredRecord> = {
+        let analyst = state.crash_parts.analyst.borrow();
+        let is_acquitted = |record: &PartRecord| match record.decode() {
+            Ok(DecodedRecord::Suspect(suspect)) => analyst.is_answered(suspect.part),
+            _ => false,
+        };
+        let forgotten = stored.extract_if(.., |known| {
+            known.record.is_forgotten() || is_acquitted(&known.record)
+        });
+        forgotten.collect()
+    };
+    for known in forgotten {
         let deleted = state
             .store
             .delete(BLAMED_PART_KIND, &known.name, known.revision);
--- a/crates/policy/src/part_verdicts.rs
+++ b/crates/policy/src/part_verdicts.rs
@@ -16,6 +16,8 @@
 //!   that restarts of instances take no answers away from the evidence.
 //! - A part is blamed only for crashes at several moments, so that the loss of a rack blames
 //!   nothing. A crash under a request that was sent after the crash before is another moment.
+//! - Evidence against a part without answers can be handed to later processes, so that a
+//!   restart of all instances does not acquit it.
 //! - A runner that breaks many connections counts once for each of its starts.
 //! - Memory is bounded.
 
@@ -51,6 +53,8 @@
 const MAX_BREAKS: usize = 2048;
 /// Maximum number of parts that are asked for at a time.
 const MAX_SUSPECTS: usize = 128;
+/// Maximum number of parts whose evidence is kept for later processes.
+pub const MAX_RECORDS: usize = 16;
 
 /// A set of parts that crashes runners.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -63,6 +67,28 @@
     pub is_certain: bool,
 }
 
+/// A runner that crashed under a request with a certain part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct CrashRecord {
+    /// Key of the runner and its start.
+    pub runner: u64,
+    /// Time since the crash, in milliseconds.
+    pub age_ms: u64,
+    /// Time from sending the request until the crash, in milliseconds.
+    pub ran_ms: u64,
+}
+
+/// Evidence against a part without answers, for processes that start after all others ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SuspectRecord {
+    /// Key of the part.
+    pub part: u64,
+    /// Key of the service.
+    pub service: u64,
+    /// One crash of each runner.
+    pub crashes: Vec<CrashRecord>,
+}
+
 #[derive(Clone, Debug)]
 struct KnownBreak {
     report: BreakReport,
@@ -174,6 +200,56 @@
         }
     }
 
+    /// Returns the evidence against parts that no instance has seen an answer of, for later
+    /// processes.
+    pub fn suspect_records(&mut self, now_ms: u64) -> Vec<SuspectRecord> {
+        self.expire(now_ms);
+        let breaks: Vec<&KnownBreak> = self.breaks.iter().collect();
+        let counted = crash_counts(&breaks, |process, part| self.has_answers(process, part));
+        let is_kept = |count: &&CrashCount| {
+            let asked_ms = self.asked_ms(count.part);
+            let is_answered = asked_ms.is_none_or(|asked_ms| now_ms < asked_ms + ASK_MS)
+                || self.is_answered(count.part);
+            count.moments >= MIN_SUSPECT_CRASHES && !is_answered
+        };
+        let mut kept: Vec<&CrashCount> = counted.iter().filter(is_kept).collect();
+        kept.sort_unstable_by_key(|count| (Reverse(count.crashes), count.part));
+        kept.truncate(MAX_RECORDS);
+        kept.into_iter()
+            .filter_map(|count| suspect_record(&breaks, count.part, now_ms))
+            .collect()
+    }
+
+    /// Applies evidence of earlier processes.
+    ///
+    /// ```
+    /// use berylmount_policy::part_verdicts::{CrashRecord, PartAnalyst, SuspectRecord};
+    ///
+    /// let crash = |runner, age_ms| CrashRecord { runner, age_ms, ran_ms: 20 };
+    /// let crashes = vec![crash(1, 4000), crash(2, 2000)];
+    /// let mut analyst = PartAnalyst::default();
+    /// analyst.restore(&SuspectRecord { part: 7, service: 1, crashes }, 9000);
+    /// assert_eq!(analyst.suspects(9000), vec![7]);
+    /// ```
+    pub fn restore(&mut self, record: &SuspectRecord, now_ms: u64) {
+        let breaks = record.crashes.iter().map(|crash| BreakReport {
+            id: record.part ^ crash.runner,
+            service: record.service,
+            runner: crash.runner,
+            age_ms: crash.age_ms,
+            ran_ms: crash.ran_ms,
+            parts: vec![record.part],
+        });
+        let report = EvidenceReport {
+            breaks: breaks.collect(),
+            answers: vec![(record.part, 0)],
+            outcomes: Vec::new(),
+        };
+        // Each part has a process of its own, because a process reports all of its answers
+        // at a time.
+        self.merge(record.part, report, now_ms);
+    }
+
     /// Whether there is evidence to judge.
     pub fn has_evidence(&mut self, now_ms: u64) -> bool {
         self.expire(now_ms);
@@ -271,6 +347,11 @@
         requests * relative_entropy(crashes / requests, expected) >= MIN_EVIDENCE_NATS
     }
 
+    /// Whether any instance has seen an answer of a part.
+    pub fn is_answered(&self, part: u64) -> bool {
+        self.answers_of(part) > 0
+    }
+
     /// Returns the answers of a part at all instances.
     fn answers_of(&self, part: u64) -> u32 {
         let reported = self.counts.iter().filter_map(|counts| {
@@ -313,6 +394,24 @@
     }
 }
 
+/// Returns the evidence against a part: the first crash of each runner.
+fn suspect_record(breaks: &[&KnownBreak], part: u64, now_ms: u64) -> Option<SuspectRecord> {
+    let mut with_part: Vec<&&KnownBreak> = breaks.iter().filter(|b| has_part(b, part)).collect();
+    with_part.sort_unstable_by_key(|known| (known.report.runner, known.at_ms));
+    with_part.dedup_by_key(|known| known.report.runner);
+    let service = with_part.first()?.report.service;
+    let crashes = with_part.iter().map(|known| CrashRecord {
+        runner: known.report.runner,
+        age_ms: now_ms.saturating_sub(known.at_ms),
+        ran_ms: known.report.ran_ms,
+    });
+    Some(SuspectRecord {
+        part,
+        service,
+        crashes: crashes.collect(),
+    })
+}
+
 fn has_part(known: &KnownBreak, part: u64) -> bool {
     known.report.parts.binary_search(&part).is_ok()
 }
--- a/crates/policy/tests/crashing_fleet.rs
+++ b/crates/policy/tests/crashing_fleet.rs
@@ -7,7 +7,7 @@
 use berylmount_policy::{
     blamed_parts::{BlameReport, BlamedParts, PromptDecision},
     part_evidence::{is_whole, whole_request_key, BreakReport, EvidenceReport, PartEvidence},
-    part_verdicts::PartAnalyst,
+    part_verdicts::{PartAnalyst, SuspectRecord},
     shared_duties::{first_among, DutyMember},
 };
 use rand::{RngExt, SeedableRng};
@@ -34,7 +34,7 @@
 const JUDGE_MS: u64 = 150;
 const SUSPECT_MS: u64 = 200;
 const BLAME_REPORT_MS: u64 = 1000;
-const STORE_MS: u64 = 500;
+const STORE_MS: u64 = 200;
 const ANALYSTS: usize = 3;
 /// The platform's rules.
 const CONTACT_MS: u64 = 3000;
@@ -79,6 +79,8 @@
     crash_chance: f64,
     /// Whether runners and instances are disrupted for other reasons.
     is_disrupted: bool,
+    /// Time between two restarts of all instances, in milliseconds; 0 for none.
+    restart_ms: u64,
 }
 
 /// Key of the first part, the service and the deadly parts.
@@ -183,6 +185,8 @@
     starts: u64,
     /// The verdicts in the store: parts, whether they are certain, and the time.
     stored: Vec<(Vec<u64>, bool, u64)>,
+    /// The evidence in the store, with its time.
+    stored_suspects: Vec<(SuspectRecord, u64)>,
     /// Times of crashes by each deadly part, and of its requests at runners.
     crashes: Vec<Vec<u64>>,
     arrivals: Vec<Vec<(u64, bool)>>,
@@ -207,6 +211,7 @@
             runners: (0..shape.runners as u64).map(runner).collect(),
             starts: shape.runners as u64,
             stored: Vec::new(),
+            stored_suspects: Vec::new(),
             crashes: vec![Vec::new(); shape.deadly],
             arrivals: vec![Vec::new(); shape.deadly],
             count: FleetCount::default(),
@@ -487,6 +492,13 @@
                     };
                     self.instances[index].blamed.adopt(&report, self.now_ms);
                 }
+                for (record, at_ms) in &self.stored_suspects {
+                    let mut record = record.clone();
+                    for crash in &mut record.crashes {
+                        crash.age_ms += self.now_ms - at_ms;
+                    }
+                    self.instances[index].analyst.restore(&record, self.now_ms);
+                }
             }
         }
     }
@@ -541,6 +553,11 @@
                     self.stored.push(record);
                 }
             }
+            for record in instance.analyst.suspect_records(now_ms) {
+                self.stored_suspects
+                    .retain(|(known, _)| known.part != record.part);
+                self.stored_suspects.push((record, now_ms));
+            }
         }
         self.notify(index);
     }
@@ -570,6 +587,16 @@
         }
     }
 
+    fn restart(&mut self, index: usize) {
+        let instance = &mut self.instances[index];
+        if instance.is_up {
+            instance.is_up = false;
+            instance.life += 1;
+            let delay_ms = self.rng.random_range(200..900);
+            self.schedule(delay_ms, SimEvent::InstanceUp(index));
+        }
+    }
+
     /// Disrupts runners and instances for reasons that no part causes.
     fn disrupt(&mut self) {
         let runners = self.runners.len();
@@ -609,12 +636,7 @@
                 };
                 for _ in 0..count {
                     let index = self.rng.random_range(0..self.instances.len());
-                    if self.instances[index].is_up {
-                        self.instances[index].is_up = false;
-                        self.instances[index].life += 1;
-                        let delay_ms = self.rng.random_range(200..900);
-                        self.schedule(delay_ms, SimEvent::InstanceUp(index));
-                    }
+                    self.restart(index);
                 }
             }
             // An instance is cut off from the others.
@@ -648,6 +670,9 @@
                 self.disrupt();
                 next_disruption_ms += self.rng.random_range(300..2500);
             }
+            if self.shape.restart_ms > 0 && self.now_ms.is_multiple_of(self.shape.restart_ms) {
+                (0..self.instances.len()).for_each(|index| self.restart(index));
+            }
             if self.now_ms.is_multiple_of(TICK_MS) {
                 let analysts = self.analysts();
                 for index in 0..self.instances.len() {
@@ -706,6 +731,7 @@
         deadly_share: if deadly > 0 { 0.03 } else { 0.0 },
         crash_chance,
         is_disrupted,
+        restart_ms: 0,
     })
 }
 
@@ -759,3 +785,14 @@
         small_services(kind, 2, true).into_iter().for_each(check);
     }
 }
+
+/// Guards against evidence that ends with the processes which have it.
+#[test]
+fn a_request_that_crashes_each_runner_is_blamed_through_restarts_of_all_instances() {
+    for kind in [DeadlyKind::Request, DeadlyKind::RetriedRequest] {
+        for mut shape in small_services(kind, 2, false) {
+            shape.restart_ms = 4500;
+            check(shape);
+        }
+    }
+}
