Log the evidence of a verdict, and when it is forgotten

The instance that judges now logs the runners that crashed, the requests that broke and the answers; every instance logs the time until the parts are forgotten. No decision changes.

--- a/crates/gateway/src/crash_parts.rs
+++ b/crates/gateway/src/crash_parts.rs
@@ -291,17 +291,22 @@
     }
 }
 
-/// Blames parts, unless they are blamed already.
-fn adopt(state: &GatewayState, report: &BlameReport, source: &'static str) {
+/// Blames parts, unless they are blamed already. Returns whether they were not.
+fn adopt(state: &GatewayState, report: &BlameReport, source: &'static str) -> bool {
     let crash_parts = &state.crash_parts;
     if !crash_parts.blamed.borrow_mut().adopt(report, boot_ms()) {
-        return;
+        return false;
     }
     crash_parts.is_notice_due.set(true);
     let metric = CounterMetric::BlamedPartsTotal;
     state.metrics.add(metric, source, 1);
     let (parts, is_certain) = (blame_name(&report.parts), report.is_certain);
-    log::warn!(target: "parts", parts, is_certain, source, age_ms = report.age_ms; "parts crash runners; requests with them are refused");
+    let forgotten_in_ms = report.kept_ms().saturating_sub(report.age_ms);
+    log::warn!(
+        target: "parts", parts, is_certain, source, age_ms = report.age_ms, forgotten_in_ms;
+        "parts crash runners; requests with them are refused"
+    );
+    true
 }
 
 /// Sends evidence and, as an analyst, judges the evidence of all instances.
@@ -358,7 +363,15 @@
             is_certain: verdict.is_certain,
             age_ms: 0,
         };
-        adopt(state, &report, "own");
+        if adopt(state, &report, "own") {
+            let instance = &state.settings().name;
+            log::warn!(
+                target: "parts", parts = blame_name(&report.parts), instance,
+                crashed_runners = verdict.crashes, broken_requests = verdict.breaks,
+                answers = verdict.answers;
+                "blamed parts on the evidence of all instances"
+            );
+        }
     }
 }
 
--- a/crates/gateway/src/crash_parts/stored.rs
+++ b/crates/gateway/src/crash_parts/stored.rs
@@ -231,7 +231,9 @@
             continue;
         };
         match decoded {
-            DecodedRecord::Blame(report) => adopt(state, &report, "store"),
+            DecodedRecord::Blame(report) => {
+                adopt(state, &report, "store");
+            }
             DecodedRecord::Suspect(suspect) => {
                 let mut analyst = state.crash_parts.analyst.borrow_mut();
                 analyst.restore(&suspect, boot_ms());
--- a/crates/policy/src/blamed_parts.rs
+++ b/crates/policy/src/blamed_parts.rs
@@ -65,12 +65,23 @@
     next_probe_ms: u64,
 }
 
+impl BlameReport {
+    /// Time after which the parts are forgotten, from when they were blamed, in milliseconds.
+    pub fn kept_ms(&self) -> u64 {
+        match self.is_certain {
+            true => BLAME_MS,
+            false => PROBATION_MS,
+        }
+    }
+}
+
 impl BlamedEntry {
     fn new(report: &BlameReport, now_ms: u64) -> Self {
-        let (refused_ms, kept_ms) = match report.is_certain {
-            true => (BLAME_MS, BLAME_MS),
-            false => (PROVISIONAL_MS, PROBATION_MS),
+        let refused_ms = match report.is_certain {
+            true => BLAME_MS,
+            false => PROVISIONAL_MS,
         };
+        let kept_ms = report.kept_ms();
         let refused_until_ms = now_ms + refused_ms.saturating_sub(report.age_ms);
         Self {
             parts: report.parts.clone(),
--- a/crates/policy/src/part_verdicts.rs
+++ b/crates/policy/src/part_verdicts.rs
@@ -65,6 +65,12 @@
     /// Whether chance cannot explain the crashes. Otherwise, the parts were in several
     /// crashes and in no answer.
     pub is_certain: bool,
+    /// Runners that crashed under requests with them.
+    pub crashes: usize,
+    /// Requests with them that broke.
+    pub breaks: usize,
+    /// Requests with them that got an answer.
+    pub answers: u32,
 }
 
 /// A runner that crashed under a request with a certain part.
@@ -292,7 +298,13 @@
                     && self.answers_of(*part) <= worst.answers
             });
             breaks.retain(|b| !is_subset(&parts, &b.report.parts));
-            verdicts.push(PartVerdict { parts, is_certain });
+            verdicts.push(PartVerdict {
+                parts,
+                is_certain,
+                crashes: worst.crashes,
+                breaks: worst.breaks,
+                answers: worst.answers,
+            });
             if verdicts.len() >= MAX_BLAMED {
                 break;
             }
