Reproduce streams that go on at another software version

Runners of several software versions may serve one service; a stream may go on only at the version that began it. The tests play a stream that breaks within one answer, a take-up at the same and at another instance while two versions serve, a take-up after the version has left, and one where only one version can have begun it.

--- /dev/null
+++ b/crates/gateway/tests/software_versions.rs
@@ -0,0 +1,221 @@
+//! Streams that go on while runners of several software versions serve.
+
+#![allow(clippy::unwrap_used)]
+
+mod standins;
+
+use standins::{
+    all_routes, event_stream_to, header, response_to, scripted_runner, table, wait_until,
+    AfterResponse, StandinRunner, StandinStore, TestGateway,
+};
+use std::{
+    sync::{
+        atomic::{AtomicBool, Ordering},
+        Arc,
+    },
+    thread,
+    time::Duration,
+};
+
+/// A runner of a software version.
+struct VersionedRunner {
+    runner: StandinRunner,
+    /// Whether it rejects requests.
+    is_busy: Arc<AtomicBool>,
+}
+
+impl VersionedRunner {
+    /// Starts a runner whose events name its version. Streams of `/resume/cut` break after
+    /// their first event; a stream that goes on has one more event, and ends.
+    fn start(version: &'static str) -> Self {
+        let is_busy: Arc<AtomicBool> = Arc::default();
+        let rejects = is_busy.clone();
+        let runner = scripted_runner(move |request| {
+            if rejects.load(Ordering::Relaxed) {
+                let status = "503 Busy\r\nberylmount-not-executed: 1";
+                return (response_to(request, status, ""), AfterResponse::Keep);
+            }
+            let last = header(request, "last-event-id");
+            let last: u64 = last.map_or(0, |id| id.parse().unwrap());
+            let event = format!("id: {}\ndata: {version}\n\n", last + 1);
+            let is_cut = last == 0 && request.contains("/cut");
+            let after = match is_cut {
+                true => AfterResponse::Close,
+                false => AfterResponse::Keep,
+            };
+            (event_stream_to(request, &[&event], !is_cut), after)
+        });
+        Self { runner, is_busy }
+    }
+
+    fn register(store: &StandinStore, id: &str, version: &'static str) -> Self {
+        let started = Self::start(version);
+        let mut entry = started.runner.entry("svc", "ready");
+        entry["Version"] = version.into();
+        store.put("servers", id, Some(entry));
+        started
+    }
+
+    fn set_busy(&self, is_busy: bool) {
+        self.is_busy.store(is_busy, Ordering::Relaxed);
+    }
+}
+
+fn start_store() -> StandinStore {
+    let store = StandinStore::start();
+    store.put("config", "main", Some(table(1, all_routes())));
+    store
+}
+
+fn start_gateway(store: &StandinStore, name: &str) -> TestGateway {
+    let gateway = TestGateway::start_with(store.clone(), name);
+    gateway.wait_ready();
+    gateway.wait_for_status("POST /resume/warm", "200", false);
+    gateway
+}
+
+/// Begins a stream of which the caller gets one event; returns its version, which is empty if
+/// the stream was refused.
+fn begin_stream(gateway: &TestGateway, id: &str) -> String {
+    let response = gateway.call("POST /resume/x", id, "", "b").unwrap();
+    version_in(&response)
+}
+
+/// Takes up the stream that attempt `begun` brought the first event of; returns the response.
+fn take_up(gateway: &TestGateway, id: &str, begun: &str) -> String {
+    let headers = format!("Last-Event-Id: 1\r\nResumes: {begun}\r\n");
+    gateway.call("POST /resume/x", id, &headers, "b").unwrap()
+}
+
+fn version_in(response: &str) -> String {
+    let line = response.lines().find(|line| line.starts_with("data: "));
+    line.map_or_else(String::new, |line| line["data: ".len()..].to_owned())
+}
+
+/// Begins three streams at each of two runners; returns their ids and versions.
+fn begin_both(gateway: &TestGateway, runners: &[VersionedRunner; 2]) -> Vec<(String, String)> {
+    let mut begun: Vec<(String, String)> = Vec::new();
+    for number in 0..6 {
+        let index = number % 2;
+        runners[1 - index].set_busy(true);
+        let id = format!("{}-{number}", gateway.settings.name);
+        let expected = format!("v{}", index + 1);
+        wait_until("a stream at the version", || {
+            begin_stream(gateway, &id) == expected
+        });
+        runners[1 - index].set_busy(false);
+        begun.push((id, expected));
+    }
+    begun
+}
+
+/// Takes up streams; those that go on do so at the version that began them, and at least
+/// `min_served` do.
+fn check_take_ups(gateway: &TestGateway, begun: &[(String, String)], min_served: usize) {
+    let mut served = 0;
+    for (id, version) in begun {
+        let response = take_up(gateway, &format!("{id}-again"), id);
+        match response.starts_with("HTTP/1.1 200") {
+            true => {
+                assert_eq!(version_in(&response), *version, "{response}");
+                served += 1;
+            }
+            false => assert!(response.starts_with("HTTP/1.1 503"), "{response}"),
+        }
+    }
+    assert!(served >= min_served, "{served} of {} go on", begun.len());
+}
+
+#[test]
+fn a_broken_stream_continues_only_at_its_software_version() {
+    let store = start_store();
+    let runners = [
+        VersionedRunner::register(&store, "r1", "v1"),
+        VersionedRunner::register(&store, "r2", "v2"),
+        VersionedRunner::register(&store, "r3", "v1"),
+        VersionedRunner::register(&store, "r4", "v2"),
+    ];
+    let gateway = start_gateway(&store, "i1");
+    let mut continued = 0;
+    for number in 0..20 {
+        let response = gateway.call("POST /resume/cut", &format!("n{number}"), "", "b");
+        let response = response.unwrap();
+        let events = response.lines().filter(|line| line.starts_with("data: "));
+        let versions: Vec<&str> = events.collect();
+        assert!(
+            versions.windows(2).all(|pair| pair[0] == pair[1]),
+            "{response}"
+        );
+        continued += usize::from(versions.len() == 2);
+    }
+    assert!(continued >= 15, "{continued} of 20 streams continued");
+    drop(runners);
+}
+
+#[test]
+fn a_stream_is_taken_up_at_its_software_version() {
+    let store = start_store();
+    let runners = [
+        VersionedRunner::register(&store, "r1", "v1"),
+        VersionedRunner::register(&store, "r2", "v2"),
+    ];
+    let gateway = start_gateway(&store, "i1");
+    let begun = begin_both(&gateway, &runners);
+    check_take_ups(&gateway, &begun, begun.len());
+    drop(runners);
+}
+
+#[test]
+fn a_stream_is_taken_up_at_another_instance_at_its_software_version() {
+    let store = start_store();
+    let runners = [
+        VersionedRunner::register(&store, "r1", "v1"),
+        VersionedRunner::register(&store, "r2", "v2"),
+    ];
+    let (first, second) = (start_gateway(&store, "i1"), start_gateway(&store, "i2"));
+    let begun = begin_both(&first, &runners);
+    thread::sleep(Duration::from_millis(800));
+    check_take_ups(&second, &begun, begun.len());
+    drop(runners);
+}
+
+/// Guards against streams that go on at the only version left.
+#[test]
+fn a_stream_whose_software_version_has_left_is_refused() {
+    let store = start_store();
+    let old = VersionedRunner::register(&store, "r1", "v1");
+    let gateway = start_gateway(&store, "i1");
+    assert_eq!(begin_stream(&gateway, "begun"), "v1");
+    let new = VersionedRunner::register(&store, "r2", "v2");
+    store.put("servers", "r1", None);
+    wait_until("a stream at the new version", || {
+        begin_stream(&gateway, "other") == "v2"
+    });
+    let late = TestGateway::start_with(store.clone(), "i2");
+    late.wait_ready();
+    late.wait_for_status("POST /resume/warm", "200", false);
+    for gateway in [&gateway, &late] {
+        let response = take_up(gateway, "again", "begun");
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    }
+    drop((old, new));
+}
+
+/// Guards against refusing streams of unknown origin where only one version can have begun
+/// them.
+#[test]
+fn a_stream_of_the_only_software_version_is_taken_up_anywhere() {
+    let store = start_store();
+    let runners = [
+        VersionedRunner::register(&store, "r1", "v1"),
+        VersionedRunner::register(&store, "r2", "v1"),
+    ];
+    let gateway = start_gateway(&store, "i1");
+    begin_stream(&gateway, "begun");
+    let late = TestGateway::start_with(store.clone(), "i2");
+    late.wait_ready();
+    late.wait_for_status("POST /resume/warm", "200", false);
+    let response = take_up(&late, "again", "begun");
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    drop(runners);
+}
