Store verdicts soon after an outage of the store

Cause: the verdict of 11.4 s was not in the store when all processes ended at 13 s, although the store was back for a second. Its write had begun in the outage, waited 1.5 s for a response and was not repeated before 13.1 s.

Ruled out: the judgement (the verdict came 0.07 s after the third crash) and the start of the processes (they read the list, which was empty).

Change: a write of these objects waits 0.3 s at first, and twice as long after each write without a response, up to 1.5 s as before. What it writes is idempotent.

--- a/crates/gateway/src/crash_parts/stored.rs
+++ b/crates/gateway/src/crash_parts/stored.rs
@@ -16,8 +16,8 @@
     part_verdicts::{CrashRecord, SuspectRecord},
 };
 use serde::{Deserialize, Serialize};
-use std::{num::ParseIntError, rc::Rc, time::Duration};
-use tokio::time::sleep;
+use std::{num::ParseIntError, ops::RangeInclusive, rc::Rc, time::Duration};
+use tokio::time::{sleep, timeout};
 
 /// Time between two attempts to read the objects.
 const READ_INTERVAL: Duration = Duration::from_millis(500);
@@ -25,6 +25,12 @@
 /// if all processes end.
 const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Shortest and longest time limit of a write. It grows after each write without a response, so
+/// that a slow store is written to and a call that was lost in an outage delays the next one
+/// little.
+const WRITE_LIMIT: RangeInclusive<Duration> =
+    Duration::from_millis(300)..=Duration::from_millis(1500);
+
 /// Blamed parts as they are stored.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 struct BlameRecord {
@@ -187,6 +193,7 @@
     };
     state.crash_parts.is_informed.set(true);
     let mut era = state.store.era();
+    let mut limit = *WRITE_LIMIT.start();
     loop {
         sleep(WRITE_INTERVAL).await;
         if state.store.era() != era {
@@ -196,7 +203,7 @@
         }
         if state.crash_parts.is_analyst.get() {
             for (name, record) in known_records(&state) {
-                write(&state, name, record, &mut stored).await;
+                write(&state, name, record, &mut stored, &mut limit).await;
             }
             delete_forgotten(&state, &mut stored).await;
         }
@@ -269,6 +276,7 @@
     name: String,
     record: PartRecord,
     stored: &mut Vec<StoredRecord>,
+    limit: &mut Duration,
 ) {
     let known = stored.iter().position(|known| known.name == name);
     let known = known.map(|index| stored.remove(index));
@@ -283,15 +291,20 @@
             return log::error!(target: "parts", fault:% ; "could not encode blamed parts");
         }
     };
-    let outcome = match &known {
-        None => state.store.create(BLAMED_PART_KIND, &name, &spec).await,
-        Some(known) => {
-            let written = state
-                .store
-                .replace(BLAMED_PART_KIND, &name, known.revision, &spec);
-            written.await
+    let (kind, store) = (BLAMED_PART_KIND, &state.store);
+    let written = async {
+        match &known {
+            None => store.create(kind, &name, &spec).await,
+            Some(known) => store.replace(kind, &name, known.revision, &spec).await,
         }
     };
+    // A write that is executed late says the same as the next one.
+    let Ok(outcome) = timeout(*limit, written).await else {
+        log::warn!(target: "parts", name, limit:?; "a write of blamed parts got no response");
+        *limit = (*limit * 2).min(*WRITE_LIMIT.end());
+        return stored.extend(known);
+    };
+    *limit = *WRITE_LIMIT.start();
     match outcome {
         Ok(WriteOutcome::Stored(revision)) => stored.push(StoredRecord {
             name,
