Let a stream go on only at the software version that began it

Callers saw: a stream whose text was joined from two software versions of the runners, in one answer or over their tries, with nothing to show it.

Cause: Version of a runner's entry was dropped when it was decoded, and Resumes was not read. An instance with no memory of a stream cannot know its version at all.

Change: a continuation within one answer stays at the version of the first event. For a take-up, an instance knows the streams that it began itself; otherwise it reads the history of versions from the store (one object, changed as versions come and leave). A version begins streams only once it is in the history, so a read that follows the take-up names every version that can have begun it. If that is one, the stream goes on there. If they are several, the instances store the streams that they begin (objects of 4 s, at most 0.15 of the store's writes) and a take-up looks there. What is in neither is refused at once with 503, as is a stream whose version has left.

--- a/crates/fleet/src/request.rs
+++ b/crates/fleet/src/request.rs
@@ -35,6 +35,8 @@
     pub key: Option<String>,
     /// Number of the last event of this stream that the caller has received.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of this stream.
+    pub resumes: Option<String>,
     /// Prompt, for requests to a model.
     pub prompt: Option<PromptShape>,
 }
--- a/crates/fleet/src/routes.rs
+++ b/crates/fleet/src/routes.rs
@@ -67,14 +67,15 @@
     /// Selects the service for a request by a weighted hash of the request id.
     ///
     /// The same id always selects the same service, so that a prompt returns to the
-    /// service that has already prefilled it.
+    /// service that has already prefilled it. A stream that is taken up has the service of the
+    /// attempt that began it.
     pub fn service_for(&self, request: &CallerRequest) -> &str {
         let total: u64 = self.services.iter().map(|s| u64::from(s.weight)).sum();
         let first = self.services.first().map_or("", |s| s.service.as_str());
         if self.services.len() < 2 || total == 0 {
             return first;
         }
-        let mut point = xxh3_64(request.id.as_bytes()) % total;
+        let mut point = xxh3_64(request.resumes.as_ref().unwrap_or(&request.id).as_bytes()) % total;
         for share in &self.services {
             let weight = u64::from(share.weight);
             if point < weight {
@@ -220,6 +221,13 @@
         of_host.find(|rule| path.starts_with(&rule.path_prefix))
     }
 
+    /// Returns the routes whose streams may be resumed.
+    pub fn resumable_routes(&self) -> impl Iterator<Item = &RouteRule> {
+        let is_resumable =
+            |route: &&RouteRule| route.kind == RouteKind::Streaming && route.is_resumable;
+        self.routes.iter().filter(is_resumable)
+    }
+
     /// Returns the service called `name`.
     pub fn service(&self, name: &str) -> Option<&TargetService> {
         let found = self
--- a/crates/fleet/src/runners.rs
+++ b/crates/fleet/src/runners.rs
@@ -40,6 +40,8 @@
     pub slots: u32,
     /// Whether the runner accepts new requests.
     pub state: RunnerState,
+    /// Version of the runner's software, which is not that of its weights; empty if unknown.
+    pub software: String,
     /// Loaded weights.
     pub weights: Vec<WeightsVersion>,
     /// Start time in Unix milliseconds; distinguishes two starts under one id.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -11,6 +11,10 @@
     responses::{encode_response, LocalReason, LocalResponse},
     runner_registry::RunnerHandle,
     state::GatewayState,
+    stream_versions::{
+        has_runner_of, note_begun, software_key, version_of_stream, wait_for_admission,
+        SoftwareRule,
+    },
     upstream::{max_idle, max_response_bytes, AttemptOutcome, BufferedResponse, RunnerAttempt},
 };
 use berylmount_adapter::request_headers::ForwardContext;
@@ -71,6 +75,9 @@
     pub(crate) closes: bool,
     /// The id of the last event that was sent.
     pub(crate) last_event: Option<u64>,
+    /// Key of the service and software version of the runner that was tried last, or that the
+    /// events come from.
+    pub(crate) software: u64,
     /// Boot time at which the first event was sent, in milliseconds; 0 before.
     pub(crate) first_event_ms: u64,
     /// Boot time at which the last event was sent, in milliseconds.
@@ -93,6 +100,7 @@
         is_started: false,
         closes,
         last_event: None,
+        software: 0,
         first_event_ms: 0,
         sent_at_ms: 0,
         longest_pause_ms: 0,
@@ -198,12 +206,20 @@
         if call.request.prompt.is_some() {
             state.note_offered(&self.service, boot_ms());
         }
+        let software = match self.software_rule(state, call, sink).await {
+            Ok(software) => software,
+            Err(reason) => return CallOutcome::Local(rejection(reason)),
+        };
         let mut tried: Vec<Rc<RunnerHandle>> = Vec::new();
         let mut errors = RunnerErrors::default();
         let mut unsent_attempts = 0;
         let mut fallback = FallbackOutcome::Local(rejection(LocalReason::NoRunner));
         loop {
-            let capacity = self.wait_for_capacity(state, call, sink, &tried, attempts);
+            let software = match sink.is_started && self.route.is_resumable {
+                true => SoftwareRule::Only(sink.software),
+                false => software,
+            };
+            let capacity = self.wait_for_capacity(state, call, sink, &tried, software, attempts);
             let placed = match capacity.await {
                 CapacityWait::Placed(placed) => placed,
                 CapacityWait::CallerGone => return CallOutcome::CallerGone,
@@ -280,6 +296,34 @@
         Some(refused_for(reason, delay))
     }
 
+    /// Returns at which software versions a request may run, or why it may run at none.
+    async fn software_rule(
+        &self,
+        state: &GatewayState,
+        call: &InboundCall,
+        sink: &mut CallerSink<'_>,
+    ) -> Result<SoftwareRule, LocalReason> {
+        if self.route.kind != RouteKind::Streaming || !self.route.is_resumable {
+            return Ok(SoftwareRule::Any);
+        }
+        if call.request.last_event.is_none() {
+            tokio::select! {
+                () = wait_for_admission(state, &self.service) => {}
+                () = sink.stream.closed() => {}
+            }
+            return Ok(SoftwareRule::Admitted);
+        }
+        let version = tokio::select! {
+            version = version_of_stream(state, &self.service, &call.request) => version,
+            () = sink.stream.closed() => None,
+        };
+        let version = version.ok_or(LocalReason::UnknownStream)?;
+        match has_runner_of(state, &self.service, version) {
+            true => Ok(SoftwareRule::Only(version)),
+            false => Err(LocalReason::VersionGone),
+        }
+    }
+
     /// Updates the metrics of a request that is sent to a runner.
     fn note_placed(&self, state: &GatewayState, call: &InboundCall, placed: &PlacedRunner) {
         let waited_ms = boot_ms().saturating_sub(call.arrived_ms);
@@ -302,12 +346,14 @@
         call: &InboundCall,
         sink: &mut CallerSink<'_>,
         tried: &[Rc<RunnerHandle>],
+        software: SoftwareRule,
         attempts: &mut AttemptLog,
     ) -> CapacityWait {
         let mut denials = 0;
         loop {
             let mut query = self.query(call);
             query.avoids_limited = denials >= MAX_PERMIT_DENIALS;
+            query.software = software;
             match place(state, &query, tried) {
                 PlacementResult::Placed(placed) => {
                     let has_permit = tokio::select! {
@@ -360,6 +406,7 @@
             draw: self.draw,
             max_idle: max_idle(&self.route),
             avoids_limited: false,
+            software: SoftwareRule::Any,
         }
     }
 
@@ -394,6 +441,10 @@
             .map(|prompt| prompt.model.as_str());
         let mut reservation = placed.reserve_load(state, model);
         let record = placed.runner.record();
+        let software = software_key(&record.service, &record.software);
+        if !sink.is_started {
+            sink.software = software;
+        }
         let customer = self.customer.as_ref();
         let priority = engine_priority(customer.and_then(|c| c.priority), self.route.priority);
         let is_prompt = call.request.prompt.is_some();
@@ -427,6 +478,9 @@
             reservation.record_first_event();
             if is_stream && !has_answered {
                 has_answered = true;
+                if self.route.is_resumable {
+                    note_begun(state, &call.request, software);
+                }
                 note_answer(state, &self.service, &parts.all);
             }
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! | `process` | startup, signals, graceful shutdown |
 //! | `state` | state shared by all tasks |
 //! | `clock` | boot-time clock that includes suspended time |
+//! | `stream_versions` | software versions, and which of them began streams |
 //! | `store_watch` | watches the object store |
 //! | `peer_bootstrap` | asks other instances for state until the first route table is in force |
 //! | `runner_registry` | runners, their connections and load |
@@ -74,6 +75,7 @@
 mod state;
 mod store_lag;
 mod store_watch;
+mod stream_versions;
 mod transfers;
 mod upstream;
 mod weights;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -8,6 +8,7 @@
     reservation::{prefill_sample, PrefillSample},
     runner_registry::{RunnerHandle, RunnerRegistry},
     state::GatewayState,
+    stream_versions::SoftwareRule,
     transfers::{cached_prompt, copy_missing, fetch_limit, PromptHomes, TransferPlanner},
 };
 use berylmount_adapter::request_headers::CacheTransfers;
@@ -72,6 +73,8 @@
     pub(crate) max_idle: Duration,
     /// Whether runners with a request limit are left out.
     pub(crate) avoids_limited: bool,
+    /// The software versions that may run the request.
+    pub(crate) software: SoftwareRule,
 }
 
 /// Result of placing a request.
@@ -125,6 +128,10 @@
     };
     let candidates = runners.ready_of(query.service).filter(accepts_requests);
     let candidates = candidates.filter(is_untried);
+    let history = state.stream_versions.history();
+    let has_software =
+        |runner: &&Rc<RunnerHandle>| query.software.allows(&runner.record(), history.as_ref());
+    let candidates = candidates.filter(has_software);
     let min_version = min_weights_version(state, query, now_ms);
     let has_weights = |runner: &&Rc<RunnerHandle>| {
         min_version.is_none_or(|min_version| {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -13,6 +13,7 @@
     state::GatewayState,
     store_lag::update_store_lags,
     store_watch::{expire_runners, pull_from_peers, watch_kind, WatchedKind},
+    stream_versions::{follow_versions, stored::store_streams},
     weights::roll_out_weights,
 };
 use berylmount_adapter::settings_file::{load_settings, SettingsFault};
@@ -190,6 +191,8 @@
     }
     spawn_local(exchange_evidence(state.clone()));
     spawn_local(store_blamed_parts(state.clone()));
+    spawn_local(follow_versions(state.clone()));
+    spawn_local(store_streams(state.clone()));
     spawn_local(expire_runners(state.clone()));
     spawn_local(update_gauges(state.clone()));
     spawn_local(watch_stores(state.clone()));
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -53,6 +53,10 @@
     /// The request or a part of its prompt may crash runners, and another one with it was just
     /// sent; the request has not run.
     SuspectPart,
+    /// The stream was begun at a software version that is not known; it does not go on.
+    UnknownStream,
+    /// No runner has the software version that began the stream; it does not go on.
+    VersionGone,
     /// A runner may have run the request but did not respond in time.
     MayHaveRunTimeout,
     /// A runner may have run the request, but its response was lost or invalid.
@@ -79,7 +83,9 @@
             | Self::Overloaded
             | Self::Starting
             | Self::CrashingPart
-            | Self::SuspectPart => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::SuspectPart
+            | Self::UnknownStream
+            | Self::VersionGone => StatusCode::SERVICE_UNAVAILABLE,
             Self::MayHaveRunTimeout => StatusCode::GATEWAY_TIMEOUT,
             Self::MayHaveRun => StatusCode::BAD_GATEWAY,
         }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -13,6 +13,7 @@
     runner_registry::RunnerRegistry,
     store_lag::OpenWaits,
     store_watch::{StoreAvailability, WatchedKind},
+    stream_versions::StreamVersions,
 };
 use berylmount_adapter::store_client::StoreClient;
 use berylmount_fleet::{DesiredVersion, ProcessSettings, RouteTable};
@@ -111,6 +112,8 @@
     service_stats: RefCell<Vec<(u64, ServiceStats)>>,
     /// Prompt parts that crash runners.
     pub(crate) crash_parts: CrashParts,
+    /// Software versions of runners, and which of them began streams.
+    pub(crate) stream_versions: StreamVersions,
     /// Copies of objects for other instances.
     pub(crate) copies: CopyServer,
     /// Requests that fetch from stores and wait for their first event.
@@ -205,6 +208,7 @@
             fetches: RefCell::default(),
             service_stats: RefCell::default(),
             crash_parts: CrashParts::default(),
+            stream_versions: StreamVersions::default(),
             copies: CopyServer::default(),
             waits: RefCell::default(),
             lags: RefCell::default(),
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 //! | [`part_evidence`] | what an instance observes about prompt parts and crashes |
 //! | [`part_verdicts`] | which prompt parts crash runners |
 //! | [`runner_limits`] | how many requests a runner accepts, over all instances |
+//! | [`software_versions`] | which software version a stream may go on at |
 //! | [`store_lags`] | which stores of kept cache answer late |
 //! | [`duty_lease`] | which instance holds the lease of a singleton duty |
 //! | [`weights_rollout`] | which runners load the requested weights next |
@@ -87,6 +88,7 @@
 mod runner_state;
 pub mod runners;
 pub mod shared_duties;
+pub mod software_versions;
 pub mod store_lags;
 pub mod weights_rollout;
 
