Admit a stream that goes on before those that begin

Callers saw: while runners were full, nearly all of the streams that they took up were refused as overloaded, while many new ones began.

Cause: admission takes a request with less than 0.8 of its route's time for one whose first event can no longer be in time, and keeps a tenth of each runner free of those. A take-up is always such a request, though most of its stream has been served.

Change: a stream that goes on is not late, has the highest rank, and is not drawn by lot. The log names the attempt that a request resumes.

The test fails before (503, overloaded).

--- a/crates/gateway/src/call_log.rs
+++ b/crates/gateway/src/call_log.rs
@@ -181,7 +181,7 @@
         path = call.head.path(), events = sink.events,
         first_event_ms = sink.first_event_ms.saturating_sub(call.arrived_ms),
         longest_pause_ms = sink.longest_pause_ms,
-        tries = attempts.text;
+        tries = attempts.text, resumes = call.request.resumes.as_deref().unwrap_or_default();
         "request ended"
     );
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -351,9 +351,8 @@
     ) -> CapacityWait {
         let mut denials = 0;
         loop {
-            let mut query = self.query(call);
+            let mut query = self.query(call, software);
             query.avoids_limited = denials >= MAX_PERMIT_DENIALS;
-            query.software = software;
             match place(state, &query, tried) {
                 PlacementResult::Placed(placed) => {
                     let has_permit = tokio::select! {
@@ -387,15 +386,17 @@
         }
     }
 
-    fn query<'a>(&'a self, call: &'a InboundCall) -> PlacementQuery<'a> {
+    fn query<'a>(&'a self, call: &'a InboundCall, software: SoftwareRule) -> PlacementQuery<'a> {
         let left = self.deadline.saturating_duration_since(Instant::now());
         let caller_timeout = call.request.caller_timeout.unwrap_or(self.route.timeout);
+        // A stream that goes on has little time left, but most of it has been served.
+        let goes_on = matches!(software, SoftwareRule::Only(_));
         let admission = AdmissionRequest {
-            rank: self.route.priority,
+            rank: if goes_on { 0 } else { self.route.priority },
             target_ms: millis(self.route.target_latency),
             waited_ms: boot_ms().saturating_sub(call.arrived_ms) as f64,
             left_ms: millis(left),
-            is_late: caller_timeout < self.route.timeout.mul_f64(FIRST_ATTEMPT_SHARE),
+            is_late: !goes_on && caller_timeout < self.route.timeout.mul_f64(FIRST_ATTEMPT_SHARE),
         };
         PlacementQuery {
             table: &self.table,
@@ -403,10 +404,10 @@
             call,
             customer: self.customer.as_ref(),
             admission,
-            draw: self.draw,
+            draw: if goes_on { 0.0 } else { self.draw },
             max_idle: max_idle(&self.route),
             avoids_limited: false,
-            software: SoftwareRule::Any,
+            software,
         }
     }
 
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -4,11 +4,14 @@
 
 mod standins;
 
+use serde_json::json;
 use standins::{
-    all_routes, event_stream_to, header, response_to, scripted_runner, table, wait_until,
-    AfterResponse, StandinRunner, StandinStore, TestGateway,
+    all_routes, event_stream_to, header, response_to, scripted_runner, send_request, table,
+    wait_until, AfterResponse, StandinRunner, StandinStore, TestGateway,
 };
 use std::{
+    io::{Read, Write},
+    net::TcpStream,
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc,
@@ -219,3 +222,49 @@
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
     drop(runners);
 }
+
+/// Guards against admission that takes a stream with little time left for one that is late.
+#[test]
+fn a_stream_with_little_time_left_is_taken_up_where_a_new_one_would_begin() {
+    const SLOTS: usize = 8;
+    // Streams of `/resume/hold` go on for long.
+    let runner = scripted_runner(|request| {
+        let last = header(request, "last-event-id");
+        let last: u64 = last.map_or(0, |id| id.parse().unwrap());
+        let event = format!("id: {}\ndata: v1\n\n", last + 1);
+        let holds = request.contains("/hold");
+        let after = match holds {
+            true => AfterResponse::Hang,
+            false => AfterResponse::Keep,
+        };
+        (event_stream_to(request, &[&event], !holds), after)
+    });
+    let store = StandinStore::start();
+    let mut table = table(1, all_routes());
+    table["Services"][0]["Engine"] = json!({
+        "Slots": SLOTS, "KvCapacityTokens": 100_000, "KvTokenBytes": 16, "LinkMbps": 1000,
+    });
+    store.put("config", "main", Some(table));
+    store.put("servers", "r1", Some(runner.entry("svc", "ready")));
+    let gateway = start_gateway(&store, "i1");
+    assert_eq!(begin_stream(&gateway, "begun"), "v1");
+    let mut held = Vec::new();
+    for number in 0..SLOTS - 1 {
+        let mut socket = TcpStream::connect(gateway.settings.listen.callers).unwrap();
+        let request = format!(
+            "POST /resume/hold HTTP/1.1\r\nHost: a.example\r\nBerylmount-Request-Id: h{number}\r\n\
+             Berylmount-Deadline-Ms: 20000\r\nAuthorization: Token k1\r\nContent-Length: 0\r\n\r\n"
+        );
+        socket.write_all(request.as_bytes()).unwrap();
+        let mut response = [0; 1024];
+        let length = socket.read(&mut response).unwrap();
+        assert!(response[..length].starts_with(b"HTTP/1.1 200"));
+        held.push(socket);
+    }
+    // Less than 0.8 of the time limit of the route is left.
+    let request = "POST /resume/x HTTP/1.1\r\nHost: a.example\r\nBerylmount-Request-Id: again\r\n\
+                   Berylmount-Deadline-Ms: 2000\r\nAuthorization: Token k1\r\n\
+                   Last-Event-Id: 1\r\nResumes: begun\r\nContent-Length: 0\r\n\r\n";
+    let response = send_request(gateway.settings.listen.callers, request).unwrap();
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+}
