Avoid runners that refused a connection

Callers saw: for some seconds after runners had crashed, 503 no_runner, though other runners of the service had room.

Cause: the entry of a crashed runner is removed after three missed status reports. Until then it looks idle, and its failure rate costs less than the queue of a busy runner. A request gives up after three attempts that were not sent, all of them at such runners.

Change: a runner to which no connection could be opened is left out for a second, unless no other runner is left.

Ruled out: more attempts (each costs up to 0.3 s, and four of twelve runners were gone), and another weight of the failure rate, which also stands for single failed requests.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -139,7 +139,14 @@
         })
     };
     let candidates = candidates.filter(has_weights);
-    let candidates: Vec<&Rc<RunnerHandle>> = candidates.collect();
+    let mut candidates: Vec<&Rc<RunnerHandle>> = candidates.collect();
+    // The entry of a runner that has crashed is removed late.
+    if candidates
+        .iter()
+        .any(|runner| !runner.is_unreachable(now_ms))
+    {
+        candidates.retain(|runner| !runner.is_unreachable(now_ms));
+    }
     let length = PromptLength::of(demand.prompt_tokens, demand.prefill_per_ms);
     let mix = state.prompt_mix(query.service);
     let keys: Vec<u64> = candidates.iter().map(|runner| runner.key()).collect();
--- a/crates/gateway/src/runner_registry.rs
+++ b/crates/gateway/src/runner_registry.rs
@@ -23,6 +23,8 @@
     time::Duration,
 };
 
+/// Time for which a runner is avoided after a failed connection, in milliseconds.
+const UNREACHABLE_MS: u64 = 1000;
 /// Age at which a reported load is too old to be used, in milliseconds.
 const MAX_LOAD_AGE_MS: u64 = 400;
 /// Idle timeout of a connection whose runner announces none.
@@ -140,6 +142,8 @@
     suspect_since_ms: Cell<u64>,
     /// Until when this instance must send no requests to it; 0 if there is no backoff.
     backoff_until_ms: Cell<u64>,
+    /// Until when it is avoided because no connection could be opened.
+    unreachable_until_ms: Cell<u64>,
 }
 
 impl RunnerHandle {
@@ -149,6 +153,7 @@
             is_draining: Cell::new(record.state == RunnerState::Draining),
             suspect_since_ms: Cell::new(0),
             backoff_until_ms: Cell::new(0),
+            unreachable_until_ms: Cell::new(0),
             key: name_hash(&record.id),
             limit_key: name_hash(&format!("{}@{}", record.id, record.started_ms)),
             record: RefCell::new(Rc::new(record)),
@@ -170,6 +175,17 @@
         self.record.borrow().clone()
     }
 
+    /// Records whether a connection could be opened.
+    pub(crate) fn note_connection(&self, is_open: bool, now_ms: u64) {
+        let until_ms = if is_open { 0 } else { now_ms + UNREACHABLE_MS };
+        self.unreachable_until_ms.set(until_ms);
+    }
+
+    /// Whether no connection could be opened a short time ago.
+    pub(crate) fn is_unreachable(&self, now_ms: u64) -> bool {
+        now_ms < self.unreachable_until_ms.get()
+    }
+
     /// Returns the key that identifies it in messages between instances.
     pub(crate) fn key(&self) -> u64 {
         self.key
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -185,8 +185,12 @@
         let slot = reservation.ok_or("connection limit reached")?;
         let address = self.runner.record().address;
         match H1Stream::connect(address, CONNECT_TIMEOUT).await {
-            Ok(stream) => Ok(RunnerConnection::new(stream, slot)),
+            Ok(stream) => {
+                self.runner.note_connection(true, boot_ms());
+                Ok(RunnerConnection::new(stream, slot))
+            }
             Err(_) => {
+                self.runner.note_connection(false, boot_ms());
                 self.runner.note_end(false, boot_ms());
                 Err("connection failed")
             }
