Let a stream that goes on fill its runners further

Callers saw: after a third of the runners had crashed during a release, nearly all streams that they took up were refused as overloaded, while new ones began at runners of the other version.

Change: such a stream may fill slots and memory to 1.5 of what a runner has (new ones to 1.0) and wait behind prompts for six target latencies (three); the engine gets it with the first priority of its customer, and preempts less urgent requests for it.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -389,14 +389,14 @@
     fn query<'a>(&'a self, call: &'a InboundCall, software: SoftwareRule) -> PlacementQuery<'a> {
         let left = self.deadline.saturating_duration_since(Instant::now());
         let caller_timeout = call.request.caller_timeout.unwrap_or(self.route.timeout);
-        // A stream that goes on has little time left, but most of it has been served.
-        let goes_on = matches!(software, SoftwareRule::Only(_));
+        let is_resumed = matches!(software, SoftwareRule::Only(_));
         let admission = AdmissionRequest {
-            rank: if goes_on { 0 } else { self.route.priority },
+            rank: self.route.priority,
             target_ms: millis(self.route.target_latency),
             waited_ms: boot_ms().saturating_sub(call.arrived_ms) as f64,
             left_ms: millis(left),
-            is_late: !goes_on && caller_timeout < self.route.timeout.mul_f64(FIRST_ATTEMPT_SHARE),
+            is_resumed,
+            is_late: caller_timeout < self.route.timeout.mul_f64(FIRST_ATTEMPT_SHARE),
         };
         PlacementQuery {
             table: &self.table,
@@ -404,7 +404,7 @@
             call,
             customer: self.customer.as_ref(),
             admission,
-            draw: if goes_on { 0.0 } else { self.draw },
+            draw: if is_resumed { 0.0 } else { self.draw },
             max_idle: max_idle(&self.route),
             avoids_limited: false,
             software,
@@ -447,7 +447,9 @@
             sink.software = software;
         }
         let customer = self.customer.as_ref();
-        let priority = engine_priority(customer.and_then(|c| c.priority), self.route.priority);
+        let is_resumed = call.request.last_event.is_some() || sink.is_started;
+        let route_priority = if is_resumed { 0 } else { self.route.priority };
+        let priority = engine_priority(customer.and_then(|c| c.priority), route_priority);
         let is_prompt = call.request.prompt.is_some();
         let context = ForwardContext {
             runner: &record.id,
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -18,6 +18,9 @@
 
 /// Fraction of a runner's slots and memory that the most urgent requests may fill.
 const FULL_FRACTION: f64 = 1.0;
+/// Fraction that a stream which goes on may fill. Few runners can continue it, and engines
+/// preempt less urgent requests for it.
+const RESUMED_FRACTION: f64 = 1.5;
 /// Fraction left free for each rank below the most urgent one.
 const RANK_RESERVE_FRACTION: f64 = 0.08;
 /// Highest rank that is distinguished; higher ranks count as this one.
@@ -30,6 +33,9 @@
 /// Longest wait behind other requests at a runner, in target latencies. Late
 /// answers are still useful, but some callers give up after a few target latencies.
 const MAX_START_TARGETS: f64 = 3.0;
+/// The same for a stream that goes on. Its callers bear a pause of seconds, and may not take it
+/// up again.
+const MAX_RESUMED_START_TARGETS: f64 = 6.0;
 /// Time constant of request rates, in milliseconds. It is longer than messages
 /// between instances take and shorter than load peaks.
 const RATE_WINDOW_MS: f64 = 500.0;
@@ -51,6 +57,8 @@
     pub left_ms: f64,
     /// Whether its first event can no longer be in time.
     pub is_late: bool,
+    /// Whether it is a stream that goes on after a break.
+    pub is_resumed: bool,
 }
 
 /// What to do with a request for which no runner has room.
@@ -64,6 +72,9 @@
 
 /// Returns the fraction of a runner's slots and memory that a request may fill.
 fn usable_fraction(request: &AdmissionRequest) -> f64 {
+    if request.is_resumed {
+        return RESUMED_FRACTION;
+    }
     let rank = f64::from(request.rank.min(MAX_RANK));
     let late = if request.is_late {
         LATE_RESERVE_FRACTION
@@ -82,6 +93,8 @@
 /// let urgent = AdmissionRequest::default();
 /// assert!(has_room(&runner, &urgent));
 /// assert!(!has_room(&runner, &AdmissionRequest { rank: 2, ..urgent }));
+/// let full = RunnerView { running: 10, ..runner };
+/// assert!(has_room(&full, &AdmissionRequest { is_resumed: true, ..urgent }));
 /// ```
 pub fn has_room(runner: &RunnerView, request: &AdmissionRequest) -> bool {
     let fraction = usable_fraction(request);
@@ -158,7 +171,11 @@
         ..*runner
     };
     let wait_ms = estimate(runner, demand).first_ms - estimate(&idle, demand).first_ms;
-    !PolicyMechanism::EarlyRefusal.is_enabled() || wait_ms <= request.target_ms * MAX_START_TARGETS
+    let max_targets = match request.is_resumed {
+        true => MAX_RESUMED_START_TARGETS,
+        false => MAX_START_TARGETS,
+    };
+    !PolicyMechanism::EarlyRefusal.is_enabled() || wait_ms <= request.target_ms * max_targets
 }
 
 /// Returns the number of slots that a runner has left for a request.
--- a/crates/policy/tests/load_peak.rs
+++ b/crates/policy/tests/load_peak.rs
@@ -131,6 +131,7 @@
                 waited_ms: (now_ms - since_ms) as f64,
                 left_ms: 10_000.0,
                 is_late: false,
+                is_resumed: false,
             };
             let views: Vec<RunnerView> = engines.iter().map(Engine::view).collect();
             let open = |i: &usize| !has_admission_control || has_room(&views[*i], &request);
