Start no request during a drain that the process cannot finish

A route whose requests may take longer than the rest was sent to a runner, and the caller got 504 for a work order that may have run. Requests that are in queue or retried late were not looked at again.

Change: after 3 s of 8 s (0.375 of the grace period; callers come until then by older lists of addresses) a request is started only if its own time limit ends before the process does, 0.1 s of margin included; the same is asked before each attempt.

Ruled out: refusing all after 3 s; short requests would be turned away for nothing.

The test fails before (504, the runner was reached) and passes (503, not reached).

--- a/crates/berylmount/tests/gateway_process.rs
+++ b/crates/berylmount/tests/gateway_process.rs
@@ -190,6 +190,34 @@
     assert_eq!(gateway.wait_line("\"stopped\"")["in_flight"], 0);
 }
 
+/// Guards against requests that are sent to a runner late in a planned stop, whose responses
+/// the process would not live to pass on.
+#[test]
+fn a_planned_stop_starts_no_request_that_it_cannot_finish() {
+    let reached = Arc::new(AtomicBool::new(false));
+    let seen = reached.clone();
+    let slow = StandinRunner::start(move |request, _| {
+        if request.contains("/late") {
+            seen.store(true, Ordering::Relaxed);
+            thread::sleep(Duration::from_secs(1));
+        }
+        (response_to(request, "200 OK", "fine"), AfterResponse::Keep)
+    });
+    let mut gateway = GatewayInstance::start("unfit", &slow, |store, log| spawn("i1", store, log));
+    wait_until("a served request", || {
+        let response = gateway.call("GET /safe/x", "warm");
+        response.is_some_and(|response| response.starts_with("HTTP/1.1 200"))
+    });
+    gateway.signal(Signal::TERM);
+    gateway.wait_line("\"leaving\"");
+    // The request may take 2.5 s, and the process ends at 2.6 s of its grace period of 3 s.
+    thread::sleep(Duration::from_millis(1850));
+    let response = gateway.call("POST /unsafe/late", "late").unwrap();
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    assert!(response.ends_with("leaving"), "{response}");
+    assert!(!reached.load(Ordering::Relaxed));
+}
+
 /// Requests that outlast the grace period get an answer with what is known of
 /// them instead of a closed connection.
 #[test]
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -53,9 +53,6 @@
 const FIRST_ATTEMPT_SHARE: f64 = 0.8;
 /// Number of distinct route priorities within one customer priority.
 const ROUTE_PRIORITIES: u8 = 3;
-/// Time after the start of a drain at which streams are rejected, in milliseconds.
-/// A stream that starts later might not end before the process is killed.
-const DRAIN_STREAM_CUTOFF_MS: u64 = 3000;
 
 /// A request that was read completely.
 pub(crate) struct InboundCall {
@@ -192,9 +189,7 @@
         sink: &mut CallerSink<'_>,
         attempts: &mut AttemptLog,
     ) -> CallOutcome {
-        let is_stream = self.route.kind == RouteKind::Streaming;
-        let is_past_cutoff = is_stream && state.drain_elapsed_ms() >= DRAIN_STREAM_CUTOFF_MS;
-        if is_past_cutoff || state.refuses_new_work() {
+        if state.refuses_work(self.time_left()) {
             return CallOutcome::Local(rejection(LocalReason::Draining));
         }
         state.note_first_attempt(&self.service, boot_ms());
@@ -235,6 +230,12 @@
                     return CallOutcome::Local(response);
                 }
             };
+            if state.refuses_work(self.time_left()) {
+                if attempts.sent == 0 {
+                    return CallOutcome::Local(rejection(LocalReason::Draining));
+                }
+                break;
+            }
             if attempts.sent > 0 && !state.take_retry(&self.service, boot_ms()) {
                 break;
             }
@@ -387,7 +388,7 @@
     }
 
     fn query<'a>(&'a self, call: &'a InboundCall, software: SoftwareRule) -> PlacementQuery<'a> {
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.time_left();
         let caller_timeout = call.request.caller_timeout.unwrap_or(self.route.timeout);
         let is_resumed = matches!(software, SoftwareRule::Only(_));
         let admission = AdmissionRequest {
@@ -420,10 +421,14 @@
         }
     }
 
+    /// Returns the time until the request has reached its time limit.
+    fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
     /// Returns whether the attempt limit and the time limit allow another attempt.
     fn may_retry(&self, attempts: &AttemptLog) -> bool {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        attempts.sent < self.route.max_attempts && left >= MIN_ATTEMPT_TIME
+        attempts.sent < self.route.max_attempts && self.time_left() >= MIN_ATTEMPT_TIME
     }
 
     /// Runs one attempt at the selected runner.
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -10,7 +10,7 @@
     peer_link::{exchange_heartbeats, serve_pulls},
     reclaim::reclaim_parts,
     rollout_lease::{new_lease, run_lease},
-    state::GatewayState,
+    state::{GatewayState, GRACE_FRACTION},
     store_lag::update_store_lags,
     store_watch::{expire_runners, pull_from_peers, watch_kind, WatchedKind},
     stream_versions::{follow_versions, stored::store_streams},
@@ -38,9 +38,6 @@
 
 /// Listen backlog, sized for a burst of callers that connect at once.
 const BACKLOG: i32 = 1024;
-/// Fraction of the grace period after which the process exits in any case. The rest
-/// is a margin for late timers.
-const GRACE_SHARE: f64 = 0.88;
 /// Time for the last responses to be written to their callers.
 const FLUSH_TIME: Duration = Duration::from_millis(100);
 /// Minimum time for which a draining process keeps serving. Most callers cache the
@@ -207,7 +204,7 @@
 /// Waits until the minimum drain time has passed and all requests have ended, or the
 /// grace period is over.
 async fn drain_requests(state: &GatewayState) {
-    let grace = state.settings().bounds.grace.mul_f64(GRACE_SHARE);
+    let grace = state.settings().bounds.grace.mul_f64(GRACE_FRACTION);
     loop {
         sleep(Duration::from_millis(50)).await;
         let passed = Duration::from_millis(state.drain_elapsed_ms());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -46,10 +46,14 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Fraction of the grace period after which a draining process starts no request. The
-/// remainder is as long as a request without a stream may take, so that such a request can
-/// still finish.
-const NEW_WORK_FRACTION: f64 = 0.7;
+/// Fraction of the grace period for which a draining process starts any request. Callers still
+/// come while they use an older list of addresses.
+const OPEN_DRAIN_FRACTION: f64 = 0.375;
+/// Fraction of the grace period after which the process ends in any case. The rest is a margin
+/// for late timers.
+pub(crate) const GRACE_FRACTION: f64 = 0.88;
+/// Time before that end by which a request must have reached its own time limit.
+const DRAIN_MARGIN: Duration = Duration::from_millis(100);
 /// Number of versions per model whose request times are stored in the lease record.
 const MAX_RECORDED_VERSIONS: usize = 4;
 /// Maximum clock skew between instances, in milliseconds. It allows a clock step of two
@@ -377,16 +381,16 @@
         }
     }
 
-    /// Whether the drain has progressed so far that no new work is started, because it
-    /// might not finish before the process ends.
-    pub(crate) fn refuses_new_work(&self) -> bool {
-        let last = self
-            .settings
-            .borrow()
-            .bounds
-            .grace
-            .mul_f64(NEW_WORK_FRACTION);
-        self.is_draining() && Duration::from_millis(self.drain_elapsed_ms()) >= last
+    /// Whether a request with a time limit of `left` is not started, because it might not end
+    /// before this process does.
+    pub(crate) fn refuses_work(&self, left: Duration) -> bool {
+        if !self.is_draining() {
+            return false;
+        }
+        let grace = self.settings.borrow().bounds.grace;
+        let elapsed = Duration::from_millis(self.drain_elapsed_ms());
+        let end = grace.mul_f64(GRACE_FRACTION);
+        elapsed >= grace.mul_f64(OPEN_DRAIN_FRACTION) && elapsed + left + DRAIN_MARGIN > end
     }
 
     /// Waits until the grace period of the drain is over.
