Wait for the list of instances before the first table after a restore

Cause: the process asks its peers for a newer table before its first one is in force, but it waits for the list of instances for 1.5 s only. The test's store answers one of the first calls of a process late, as a slow store would; then the process knew no peer, asked none, and served what the backup has.

Ruled out: the list of blamed parts as such; it is one more call at the start, which makes the delay likely. The history of software versions is another one.

Without a restore nothing changes.

--- a/crates/gateway/src/peer_bootstrap.rs
+++ b/crates/gateway/src/peer_bootstrap.rs
@@ -35,6 +35,9 @@
 /// Longest wait for the list of instances, in milliseconds. This is more than twice
 /// the time that instances which start together need to register.
 const LIST_TIMEOUT_MS: u64 = 1500;
+/// Longest wait for that list after a restore of the store, in milliseconds. It covers several
+/// calls without a response; an older table must not be served.
+const RESTORED_LIST_TIMEOUT_MS: u64 = 6000;
 /// Time between two checks of the local state while waiting.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time limit for the first copy. It allows several round trips within a data centre,
@@ -52,6 +55,7 @@
     }
     let kind = WatchedKind::Table;
     let started_ms = boot_ms();
+    wait_for_instance_list(state, RESTORED_LIST_TIMEOUT_MS).await;
     let addresses = choose_peers(state);
     let asked = addresses.len();
     let pulls = addresses
@@ -109,7 +113,7 @@
 /// and the others wait for a time to copy it from them. Returns whether this process
 /// must list the kind from the store even if it is not one of the watchers.
 pub(crate) async fn bootstrap_from_peers(state: &GatewayState, kind: WatchedKind) -> bool {
-    wait_for_instance_list(state).await;
+    wait_for_instance_list(state, LIST_TIMEOUT_MS).await;
     if state.instances.borrow().entries().len() <= LARGE_FLEET_ENTRIES {
         return false;
     }
@@ -130,9 +134,9 @@
     false
 }
 
-/// Waits until the list of instances shows the size of the fleet.
-async fn wait_for_instance_list(state: &GatewayState) {
-    let end_ms = boot_ms() + LIST_TIMEOUT_MS;
+/// Waits until the list of instances shows the size of the fleet, for `max_ms` at most.
+async fn wait_for_instance_list(state: &GatewayState, max_ms: u64) {
+    let end_ms = boot_ms() + max_ms;
     while !state.instances.borrow().is_settled() && boot_ms() < end_ms {
         sleep(POLL_INTERVAL).await;
     }
