--- a/crates/berylmount/tests/gateway_process.rs
+++ b/crates/berylmount/tests/gateway_process.rs
@@ -203,7 +203,7 @@
         }
         (response_to(request, "200 OK", "fine"), AfterResponse::Keep)
     });
-    let mut gateway = GatewayInstance::start("unfit", &slow, |store, log| spawn("i1", store, log));
+    let gateway = GatewayInstance::start("unfit", &slow, |store, log| spawn("i1", store, log));
     wait_until("a served request", || {
         let response = gateway.call("GET /safe/x", "warm");
         response.is_some_and(|response| response.starts_with("HTTP/1.1 200"))
