--- a/crates/policy/tests/crashing_fleet.rs
+++ b/crates/policy/tests/crashing_fleet.rs
@@ -786,6 +786,18 @@
     }
 }
 
+/// By hand: `BERYLMOUNT_PART_INSTANCES=3000` simulates a fleet of that size; without the
+/// variable one of 7.
+#[test]
+fn a_request_that_crashes_each_runner_is_blamed_in_time_at_any_size() {
+    let instances = env::var("BERYLMOUNT_PART_INSTANCES");
+    let instances: usize = instances.map_or(7, |text| text.parse().unwrap());
+    let mut shape = shapes(DeadlyKind::RetriedRequest, 2, 1.0, true)[2];
+    shape.instances = instances;
+    shape.runners = instances.max(12) / 2;
+    check(shape);
+}
+
 /// Guards against evidence that ends with the processes which have it.
 #[test]
 fn a_request_that_crashes_each_runner_is_blamed_through_restarts_of_all_instances() {
