Bound the bytes that instances list for streams that are taken up

Found by reading, not by a run: after a restart of all processes of a large fleet during a release, each instance would list the streams of all for each take-up that it does not know; 295 instances with 1.8 MB a listing (by calculation) exceed the store's link.

Change: listings of one instance are spaced by the size of the last one, so that all together use a fifth of a link of 1 Gbit/s; the first one is at a random moment of the interval. In between the last listing is used, and what is not in it is refused as before.

--- a/crates/gateway/src/crash_parts.rs
+++ b/crates/gateway/src/crash_parts.rs
@@ -223,8 +223,8 @@
     blamed.clear(sets, boot_ms());
 }
 
-/// Records the end of an attempt to run a request, which began at `started_ms`. The answer of a stream was recorded with
-/// its first event.
+/// Records the end of an attempt to run a request, which began at `started_ms`. The answer of
+/// a stream was recorded with its first event.
 pub(crate) fn note_attempt(
     state: &GatewayState,
     service: &str,
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -92,6 +92,8 @@
     begun: RefCell<BegunStreams>,
     /// Streams that instances have stored, as of the last listing.
     listed: RefCell<BegunStreams>,
+    /// When the streams may be listed again, by the boot clock; 0 before the first listing.
+    next_list_ms: Cell<u64>,
     /// Streams that this instance has not stored yet.
     unstored: RefCell<Vec<BegunStream>>,
     history: RefCell<Option<Rc<VersionHistory>>>,
