--- a/review/kit/engine.rs
+++ b/review/kit/engine.rs
@@ -63,6 +63,10 @@
     state: Arc<Mutex<EngineState>>,
     /// All uses of cached memory.
     pub uses: Arc<Mutex<Vec<CacheUse>>>,
+    /// Ids of the requests that were run.
+    pub runs: Arc<Mutex<Vec<String>>>,
+    /// Share of the plain requests that fail with 503 after they were run.
+    failing: Arc<Mutex<f64>>,
     /// Runners by address, to copy memory from.
     fleet: Fleet,
     record: Record,
@@ -89,6 +93,8 @@
             born,
             state: Arc::new(Mutex::new(EngineState { models: models.collect(), ..EngineState::default() })),
             uses: Arc::default(),
+            runs: Arc::default(),
+            failing: Arc::default(),
             fleet: fleet.clone(),
             record: record.clone(),
         };
@@ -168,6 +174,11 @@
         Ok(true)
     }
 
+    /// Fails a share of the plain requests from now on, after they were run.
+    pub fn fail_late(&self, share: f64) {
+        *self.failing.lock().unwrap() = share;
+    }
+
     /// Answers an order for other weights.
     fn take_order(&self, request: &Request) -> (u16, &'static str) {
         if request.header("Berylmount-Expect-Instance").is_some_and(|id| id != self.id) {
@@ -260,12 +271,23 @@
 
     fn answer_plain(&self, request: &Request, socket: &mut TcpStream, id: &str, stamp: &str) -> io::Result<()> {
         thread::sleep(Duration::from_millis(20));
+        let count = {
+            let mut runs = self.runs.lock().unwrap();
+            runs.push(id.to_owned());
+            runs.len()
+        };
+        let share = *self.failing.lock().unwrap();
+        let fails = (count as f64 * share).floor() > ((count - 1) as f64 * share).floor();
         let headers = [
             ("Berylmount-Request-Id", id),
             ("Berylmount-Response-Stamp", stamp),
             ("Berylmount-Instance-Load", "1,0,128"),
         ];
         let body = format!("answer to {id}");
+        if fails {
+            self.record.note(&format!("runner {}: {id} has run and fails with 503", self.id));
+            return respond(socket, 503, &headers, b"failed");
+        }
         match request.method.as_str() {
             // No body follows, but the length is that of the body of a GET.
             "HEAD" => {
--- a/review/kit/main.rs
+++ b/review/kit/main.rs
@@ -9,6 +9,7 @@
 mod gateway;
 mod http;
 mod record;
+mod refused;
 mod store;
 mod two_models;
 mod head;
@@ -47,6 +48,7 @@
         .and_then(|world| match case.as_str() {
             "two_models" => two_models::play(world, has_trouble),
             "early" => early::play(world, has_trouble),
+            "refused" => refused::play(world, has_trouble),
             "head" => head::play(world, has_trouble),
             "isolated" => isolated::play(world, has_trouble),
             _ => Err(Verdict::NotRun(format!("no case {case}"))),
--- a/review/kit/world.rs
+++ b/review/kit/world.rs
@@ -238,7 +238,8 @@
     pub is_isolated: bool,
 }
 
-/// Builds a config with two routes, `/gen/` to the engines and `/plain/` to the plain service.
+/// Builds a config with a route to the engines, `/gen/`, and two to the plain service, `/plain/` (safe) and
+/// `/order/` (unsafe).
 pub fn config(version: u64, models: &[&str], tenants: &[Tenant<'_>]) -> Json {
     let route = |name: &str, path: &str, kind: &str, service: &str, timeout_ms: u64| {
         map! {
@@ -258,6 +259,7 @@
         "Routes": vec![
             route("r-gen", "/gen/", "streaming", ENGINES, 12_000),
             route("r-plain", "/plain/", "safe", PLAIN, 1_500),
+            route("r-order", "/order/", "unsafe", PLAIN, 1_500),
         ],
         "Services": vec![
             map! {
