Return a connection only once its request and response are complete

What callers saw: a request was sent on a connection whose runner still expected the rest of an earlier body (UNASKED). It was never run, and its caller got 504 at the deadline.

Cause: a runner may answer an event stream before it has read the whole request. The path that relays streams returned the connection to the pool without asking whether the request had been written. Ruled out: buffered responses, rejections, discarded responses, the store, orders and reports asked or wrote everything before they read, but each by its own check.

Change: RequestExchange owns a connection from the first byte of a request, and only its finish gives it back, once both directions are complete. The rest of a request is also written after an interim response, which ended the sending before (504).

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -5,10 +5,10 @@
     event_split::{EventBlock, EventSplitter},
     forward::CallerSink,
     responses::encode_head,
-    runner_registry::RunnerConnection,
+    runner_registry::RunnerExchange,
     upstream::{response_headers, AttemptOutcome, RunnerAttempt},
 };
-use berylmount_h1::{BodyReader, ResponseHead};
+use berylmount_h1::ResponseHead;
 use berylmount_telemetry::HistogramMetric;
 use bytes::{BufMut, BytesMut};
 use http::{header::TRANSFER_ENCODING, HeaderMap, HeaderValue, StatusCode};
@@ -26,20 +26,16 @@
 /// retried or reported with an error status.
 pub(crate) async fn relay_events(
     attempt: &RunnerAttempt<'_>,
-    mut stream: RunnerConnection,
+    mut exchange: RunnerExchange,
     head: ResponseHead,
     sink: &mut CallerSink<'_>,
     on_first_event: &mut impl FnMut(),
 ) -> AttemptOutcome {
-    let Ok(framing) = head.framing(&attempt.call.head.method) else {
-        return AttemptOutcome::MayHaveRun("the response framing is ambiguous");
-    };
-    let mut reader = BodyReader::new(framing);
     let mut splitter = EventSplitter::default();
     loop {
         let chunk = tokio::select! {
             biased;
-            chunk = timeout_at(attempt.deadline, reader.next(&mut stream.stream)) => chunk,
+            chunk = timeout_at(attempt.deadline, exchange.exchange.next_data()) => chunk,
             () = sink.stream.closed() => return AttemptOutcome::CallerGone,
         };
         let chunk = match chunk {
@@ -57,7 +53,7 @@
             if !sink.is_started {
                 return AttemptOutcome::MayHaveRun("the stream ended without an event");
             }
-            attempt.return_connection(stream, &head, framing);
+            attempt.return_connection(exchange, &head);
             return match send_end(attempt, sink).await {
                 Ok(()) => AttemptOutcome::Streamed,
                 Err(RelayError::CallerGone) => AttemptOutcome::CallerGone,
--- a/crates/gateway/src/runner_registry.rs
+++ b/crates/gateway/src/runner_registry.rs
@@ -4,15 +4,17 @@
 //!
 //! - Each start of a runner under the same id is a separate entry. No state of an
 //!   earlier start applies to a later one.
-//! - An idle connection is reused only if it is open and has no unread bytes.
+//! - An idle connection is reused only if it is open and has no unread bytes. It becomes
+//!   idle only when its request was sent and its response was read completely.
 //! - A start of a runner that has announced that it drains gets no new requests again,
 //!   even if its entry says ready later. Entries without a start time are excepted.
 
 use crate::peers::{name_hash, LoadShare};
 use berylmount_adapter::{request_headers::RunnerNotice, store_client::EraRevision};
 use berylmount_fleet::{RunnerLoad, RunnerRecord, RunnerState};
-use berylmount_h1::H1Stream;
+use berylmount_h1::{H1Stream, RequestExchange};
 use berylmount_policy::runner_health::RunnerHealth;
+use bytes::Bytes;
 use rand::{rng, RngExt};
 use std::{
     cell::{Cell, RefCell},
@@ -50,11 +52,10 @@
 /// A connection to a runner that is counted while it is open.
 #[derive(Debug)]
 pub(crate) struct RunnerConnection {
-    /// The connection.
-    pub(crate) stream: H1Stream,
+    stream: H1Stream,
     /// Whether it has carried an earlier request.
-    pub(crate) is_reused: bool,
-    _slot: ConnectionSlot,
+    is_reused: bool,
+    slot: ConnectionSlot,
 }
 
 impl RunnerConnection {
@@ -63,11 +64,41 @@
         Self {
             stream,
             is_reused: false,
-            _slot: slot,
+            slot,
+        }
+    }
+
+    /// Starts to send a request on the connection.
+    pub(crate) fn start(self, request: Bytes) -> RunnerExchange {
+        RunnerExchange {
+            exchange: RequestExchange::new(self.stream, request),
+            is_reused: self.is_reused,
+            slot: self.slot,
         }
     }
 }
 
+/// A request in progress on a connection to a runner.
+#[derive(Debug)]
+pub(crate) struct RunnerExchange {
+    pub(crate) exchange: RequestExchange,
+    /// Whether the connection has carried an earlier request.
+    pub(crate) is_reused: bool,
+    slot: ConnectionSlot,
+}
+
+impl RunnerExchange {
+    /// Ends the exchange; returns the connection if it can carry another request.
+    pub(crate) fn finish(self) -> Option<RunnerConnection> {
+        let stream = self.exchange.finish()?;
+        Some(RunnerConnection {
+            stream,
+            is_reused: true,
+            slot: self.slot,
+        })
+    }
+}
+
 /// Reserves one connection that is open or being opened, until it is dropped.
 #[derive(Debug)]
 pub(crate) struct ConnectionSlot(Rc<Cell<u32>>);
@@ -322,10 +353,6 @@
         if self.is_removed.get() {
             return;
         }
-        let connection = RunnerConnection {
-            is_reused: true,
-            ..connection
-        };
         self.idle.borrow_mut().push(IdleConnection {
             connection,
             idle_since_ms: now_ms,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -6,17 +6,14 @@
     forward::{CallerSink, InboundCall},
     permits::note_limit,
     relay::relay_events,
-    runner_registry::{RunnerConnection, RunnerHandle},
+    runner_registry::{RunnerConnection, RunnerExchange, RunnerHandle},
     state::GatewayState,
 };
 use berylmount_adapter::request_headers::{
     decode_notice, decode_reply, set_runner_headers, ForwardContext, RunnerReply,
 };
 use berylmount_fleet::{RouteKind, RouteRule};
-use berylmount_h1::{
-    push_headers, read_body, strip_hop_headers, BodyFraming, BodyReader, H1Fault, H1Stream,
-    HeadLimits, ResponseHead,
-};
+use berylmount_h1::{push_headers, strip_hop_headers, H1Fault, H1Stream, HeadLimits, ResponseHead};
 use bytes::{BufMut, Bytes, BytesMut};
 use http::{
     header::{CONTENT_ENCODING, CONTENT_LENGTH, CONTENT_TYPE, EXPECT},
@@ -221,19 +218,18 @@
 
     async fn exchange(
         &self,
-        mut stream: RunnerConnection,
+        connection: RunnerConnection,
         sink: &mut CallerSink<'_>,
         on_first_event: &mut impl FnMut(),
     ) -> AttemptOutcome {
-        let bytes = self.encode();
+        let mut exchange = connection.start(self.encode());
         let sent_ms = boot_ms();
-        let exchange = self.send(&mut stream, &bytes);
-        let (head, reply, all_sent) =
-            match run_cancellable(sink.stream, self.deadline, exchange).await {
-                Ok(Ok(found)) => found,
-                Ok(Err(failure)) => return failure.into(),
-                Err(interrupt) => return interrupted(&interrupt),
-            };
+        let sending = self.send(&mut exchange);
+        let (head, reply) = match run_cancellable(sink.stream, self.deadline, sending).await {
+            Ok(Ok(found)) => found,
+            Ok(Err(failure)) => return failure.into(),
+            Err(interrupt) => return interrupted(&interrupt),
+        };
         let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST && !reply.is_stamped;
         match is_misdirected {
             true => note_rejection(self.state, self.runner, &reply),
@@ -248,13 +244,10 @@
             self.note_reply(&head, &reply, sent_ms);
         }
         if reply.is_not_executed || is_misdirected {
-            let status = head.status;
-            if all_sent {
-                let rest = self.drain_response(stream, head);
-                // A failure only means that the connection is not reused.
-                let _ = timeout(DISCARD_TIMEOUT, rest).await;
-            }
-            return AttemptOutcome::NotRun(status);
+            let rest = self.drain_response(exchange, &head);
+            // A failure only means that the connection is not reused.
+            let _ = timeout(DISCARD_TIMEOUT, rest).await;
+            return AttemptOutcome::NotRun(head.status);
         }
         if head.headers.contains_key(CONTENT_ENCODING) {
             return AttemptOutcome::MayHaveRun("the response has a content encoding");
@@ -262,14 +255,15 @@
         if head.status.is_success() && !reply.is_stamped {
             return AttemptOutcome::MayHaveRun("the response lacks the runner's stamp");
         }
+        let started = exchange.exchange.start_body(&head, &self.call.head.method);
+        if started.is_err() {
+            return AttemptOutcome::MayHaveRun("the response framing is ambiguous");
+        }
         if self.route.kind == RouteKind::Streaming && is_event_stream(&head) {
-            return relay_events(self, stream, head, sink, on_first_event).await;
+            return relay_events(self, exchange, head, sink, on_first_event).await;
         }
         on_first_event();
-        let Ok(framing) = head.framing(&self.call.head.method) else {
-            return AttemptOutcome::MayHaveRun("the response framing is ambiguous");
-        };
-        let body = read_body(&mut stream.stream, BodyReader::new(framing), self.max_bytes);
+        let body = self.read_body(&mut exchange);
         let body = match run_cancellable(sink.stream, self.deadline, body).await {
             Ok(Ok(body)) => body,
             Ok(Err(_)) => {
@@ -282,12 +276,22 @@
             headers: response_headers(&head),
             body,
         };
-        if all_sent {
-            self.return_connection(stream, &head, framing);
-        }
+        self.return_connection(exchange, &head);
         AttemptOutcome::Complete(response)
     }
 
+    /// Reads the body of a response completely.
+    async fn read_body(&self, exchange: &mut RunnerExchange) -> Result<Bytes, H1Fault> {
+        let mut body = BytesMut::new();
+        while let Some(data) = exchange.exchange.next_data().await? {
+            if body.len() + data.len() > self.max_bytes {
+                return Err(H1Fault::BodyTooLong);
+            }
+            body.put_slice(&data);
+        }
+        Ok(body.freeze())
+    }
+
     /// Applies what the runner states about itself in its response.
     fn note_reply(&self, head: &ResponseHead, reply: &RunnerReply, sent_ms: u64) {
         let notice = decode_notice(head.status, &head.headers);
@@ -301,34 +305,28 @@
         }
     }
 
-    /// Sends the request and reads the head of its response; also returns whether the
-    /// whole request was sent by then. Responses to other requests are discarded, even
-    /// if they arrive while the request is being sent.
+    /// Sends the request and reads the head of its response. Responses to other requests
+    /// are discarded, even if they arrive while the request is being sent.
     async fn send(
         &self,
-        connection: &mut RunnerConnection,
-        bytes: &[u8],
-    ) -> Result<(ResponseHead, RunnerReply, bool), SendFailure> {
-        let is_reused = connection.is_reused;
-        let stream = &mut connection.stream;
-        let mut sent = 0;
+        exchange: &mut RunnerExchange,
+    ) -> Result<(ResponseHead, RunnerReply), SendFailure> {
         for _ in 0..=MAX_FOREIGN_RESPONSES {
-            let written = stream.write_until_response(&bytes[sent..]).await;
-            sent += written.map_err(|_| {
-                SendFailure::Disconnected("the connection broke while sending the request")
-            })?;
-            let head = stream.read_response(HeadLimits::default()).await;
+            let head = exchange.exchange.read_head(HeadLimits::default()).await;
             let head = head.map_err(|fault| match fault {
                 H1Fault::Malformed(_) | H1Fault::HeadTooLong => {
                     SendFailure::Unusable("the response is malformed")
                 }
+                _ if !exchange.exchange.is_sent() => {
+                    SendFailure::Disconnected("the connection broke while sending the request")
+                }
                 _ => SendFailure::Disconnected("the connection broke before the response"),
             })?;
             let reply = decode_reply(&head.headers);
-            if self.is_response_to_call(&head, &reply, is_reused) {
-                return Ok((head, reply, sent == bytes.len()));
+            if self.is_response_to_call(&head, &reply, exchange.is_reused) {
+                return Ok((head, reply));
             }
-            let discarded = self.discard_response(stream, &head).await;
+            let discarded = self.discard_response(exchange, &head).await;
             discarded.map_err(SendFailure::Unusable)?;
         }
         Err(SendFailure::Unusable(
@@ -357,14 +355,13 @@
     /// Reads and discards the body of a response to another request.
     async fn discard_response(
         &self,
-        stream: &mut H1Stream,
+        exchange: &mut RunnerExchange,
         head: &ResponseHead,
     ) -> Result<(), &'static str> {
-        let framing = head.framing(&self.call.head.method);
-        let framing = framing.map_err(|_| "a response to another request is malformed")?;
-        let body = read_body(stream, BodyReader::new(framing), self.max_bytes);
-        body.await
-            .map_err(|_| "the connection broke during a response to another request")?;
+        let started = exchange.exchange.start_body(head, &self.call.head.method);
+        started.map_err(|_| "a response to another request is malformed")?;
+        let skipped = exchange.exchange.skip_body(self.max_bytes).await;
+        skipped.map_err(|_| "the connection broke during a response to another request")?;
         log::warn!(
             target: "upstream",
             request = self.call.request.id, runner = self.context.runner;
@@ -374,31 +371,22 @@
     }
 
     /// Reads the rest of a response and returns its connection to the pool.
-    async fn drain_response(&self, mut stream: RunnerConnection, head: ResponseHead) {
-        let Ok(framing) = head.framing(&self.call.head.method) else {
+    async fn drain_response(&self, mut exchange: RunnerExchange, head: &ResponseHead) {
+        if !exchange.exchange.is_sent() {
             return;
-        };
-        let rest = read_body(&mut stream.stream, BodyReader::new(framing), self.max_bytes);
-        if rest.await.is_ok() {
-            self.return_connection(stream, &head, framing);
+        }
+        let started = exchange.exchange.start_body(head, &self.call.head.method);
+        if started.is_ok() && exchange.exchange.skip_body(self.max_bytes).await.is_ok() {
+            self.return_connection(exchange, head);
         }
     }
 
-    /// Returns the connection of a complete response to the pool if it is reusable.
-    pub(crate) fn return_connection(
-        &self,
-        stream: RunnerConnection,
-        head: &ResponseHead,
-        framing: BodyFraming,
-    ) {
-        if head.wants_close()
-            || framing == BodyFraming::UntilClose
-            || !stream.stream.is_buffer_empty()
-        {
-            return;
+    /// Returns the connection of an exchange to the pool if it can carry another request.
+    pub(crate) fn return_connection(&self, exchange: RunnerExchange, head: &ResponseHead) {
+        if let Some(connection) = exchange.finish() {
+            self.runner
+                .return_connection(connection, idle_limit(head), boot_ms());
         }
-        self.runner
-            .return_connection(stream, idle_limit(head), boot_ms());
     }
 }
 
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -14,6 +14,8 @@
 //! - Every head and body has a size limit in bytes. Bytes after the end of a message
 //!   never become part of its body.
 //! - A body that ends early is an error, never a regular end of the body.
+//! - A client gets a connection back only once a request was written completely and its
+//!   response was read completely.
 
 mod body;
 mod exchange;
@@ -23,7 +25,7 @@
 
 pub use crate::{
     body::{BodyFraming, BodyReader},
-    exchange::{exchange, read_body, read_counted_body, BufferedCall},
+    exchange::{exchange, read_counted_body, BufferedCall, BufferedReply, RequestExchange},
     fault::H1Fault,
     head::{push_headers, strip_hop_headers, RequestHead, ResponseHead},
     stream::{H1Stream, HeadLimits},
--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -21,9 +21,6 @@
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of unanswered probes after which the connection is reset.
 const PROBE_COUNT: u32 = 3;
-/// Maximum number of interim (1xx) responses before the final one. Runners send only a
-/// few.
-const MAX_INTERIM_RESPONSES: usize = 8;
 /// Time limit for the peer to acknowledge written bytes.
 const ACK_TIMEOUT: Duration = Duration::from_millis(2500);
 
@@ -131,21 +128,12 @@
         self.read_head(limits, parse_request).await
     }
 
-    /// Reads a response head; interim responses (1xx) are skipped.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`H1Fault::Closed`] when the connection closes before the first byte,
-    /// [`H1Fault::Malformed`] when there are too many interim responses, and other faults
-    /// when the connection fails or the head is invalid.
-    pub async fn read_response(&mut self, limits: HeadLimits) -> Result<ResponseHead, H1Fault> {
-        for _ in 0..=MAX_INTERIM_RESPONSES {
-            let head = self.read_head(limits, parse_response).await?;
-            if !head.status.is_informational() {
-                return Ok(head);
-            }
-        }
-        Err(H1Fault::Malformed("too many interim responses"))
+    /// Takes a response head from the buffer; `None` if it is still incomplete.
+    pub(crate) fn take_response(
+        &mut self,
+        limits: HeadLimits,
+    ) -> Result<Option<ResponseHead>, H1Fault> {
+        self.take_head(limits, parse_response)
     }
 
     /// Reads until `parse` returns a complete head.
@@ -155,24 +143,41 @@
         parse: fn(&[u8]) -> ParsedHead<H>,
     ) -> Result<H, H1Fault> {
         loop {
-            if !self.buffer.is_empty() {
-                if let Some((length, head)) = parse(&self.buffer)? {
-                    if length > limits.bytes {
-                        return Err(H1Fault::HeadTooLong);
-                    }
-                    let _ = self.buffer.split_to(length);
-                    return Ok(head);
-                }
-                if self.buffer.len() > limits.bytes {
-                    return Err(H1Fault::HeadTooLong);
-                }
+            if let Some(head) = self.take_head(limits, parse)? {
+                return Ok(head);
             }
-            if self.fill().await? == 0 {
-                return Err(match self.buffer.is_empty() {
-                    true => H1Fault::Closed,
-                    false => H1Fault::Truncated,
-                });
+            self.fill_head().await?;
+        }
+    }
+
+    /// Takes a head from the buffer; `None` if it is still incomplete.
+    fn take_head<H>(
+        &mut self,
+        limits: HeadLimits,
+        parse: fn(&[u8]) -> ParsedHead<H>,
+    ) -> Result<Option<H>, H1Fault> {
+        if self.buffer.is_empty() {
+            return Ok(None);
+        }
+        if let Some((length, head)) = parse(&self.buffer)? {
+            if length > limits.bytes {
+                return Err(H1Fault::HeadTooLong);
             }
+            let _ = self.buffer.split_to(length);
+            return Ok(Some(head));
+        }
+        match self.buffer.len() > limits.bytes {
+            true => Err(H1Fault::HeadTooLong),
+            false => Ok(None),
+        }
+    }
+
+    /// Reads more bytes of a head that is not complete.
+    pub(crate) async fn fill_head(&mut self) -> Result<(), H1Fault> {
+        match (self.fill().await?, self.buffer.is_empty()) {
+            (0, true) => Err(H1Fault::Closed),
+            (0, false) => Err(H1Fault::Truncated),
+            _ => Ok(()),
         }
     }
 
