Bound the request times of weights instead of estimating them

What callers saw: answers from weights that had been replaced for longer than VersionApplyMs, by machines that had been up for ten seconds, after all machines had lost power right after the request (VERSION).

Cause: a process took the time at which it learned of new weights for that of the request. Earlier reports corrected it, but after a loss of all processes there are none, and a stored time that was earlier by less than the clock skew was ignored.

Change: RequestTimes keeps a lower bound, the time of the last call to the store whose response lacked the version. Without one, the version counts as requested as long ago as possible. Bounds of other processes, and of the lease less the clock skew, count too. The first candidate takes the lease as soon as it sees a request, so that the time is stored within milliseconds.

Evidence: gateway/tests/request_times.rs, two of three tests failed on (200 instead of 503) and pass now; the third guards against refusing too much.

--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -240,8 +240,8 @@
     if let Some(notice) = &heartbeat.holder_notice {
         state.retire(&notice.retired);
     }
-    for (model, version, age_ms) in &heartbeat.desired_weights {
-        state.apply_request_age(model, *version, *age_ms);
+    for (model, report) in heartbeat.request_reports(boot_ms()) {
+        state.apply_request_report(model, &report);
     }
     if let Some(clock_ms) = heartbeat.runner_clock_ms {
         state.note_runner_clock(clock_ms, boot_ms());
@@ -312,9 +312,9 @@
     let now_ms = boot_ms();
     let desired_weights = state.desired_weights.borrow();
     for desired in desired_weights.iter() {
-        let entries = desired.requested_at.iter().map(|(version, at_ms)| {
-            let age_ms = now_ms.saturating_sub(*at_ms);
-            (desired.goal.model.clone(), *version, age_ms)
+        let entries = desired.times.bounds().map(|(version, at_ms)| {
+            let age_ms = at_ms.map(|at_ms| (now_ms as i64 - at_ms).max(0) as u64);
+            (desired.goal.model.clone(), version, age_ms)
         });
         heartbeat.desired_weights.extend(entries);
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -37,7 +37,7 @@
 /// changes to the others. In smaller fleets, polling costs less than late changes do.
 const LARGE_FLEET_PEERS: usize = 12;
 /// Format of heartbeats. Heartbeats of another format are ignored.
-const HEARTBEAT_FORMAT: u8 = 4;
+const HEARTBEAT_FORMAT: u8 = 5;
 
 /// Returns the key that identifies a runner, store or service in messages between
 /// instances.
@@ -90,6 +90,16 @@
     pub(crate) switching: Vec<u64>,
 }
 
+/// What a process reports about when a version of weights was requested.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct RequestReport {
+    /// Key of the process.
+    pub(crate) process: u64,
+    pub(crate) version: u64,
+    /// The earliest time of the request by the boot clock of this process, in milliseconds.
+    pub(crate) at_ms: Option<i64>,
+}
+
 /// The state that an instance reports to the others.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct PeerHeartbeat {
@@ -108,9 +118,10 @@
     pub(crate) changed_at: [EraRevision; WatchedKind::COUNT],
     /// Version of the route table in force; 0 if there is none.
     pub(crate) table_version: u64,
-    /// Requested weights: model, version, and milliseconds since the version was requested.
+    /// Requested weights: model, version, and milliseconds since the earliest time at which
+    /// the version can have been requested; `None` if that is not known.
     #[serde(rename = "goals")]
-    pub(crate) desired_weights: Vec<(String, u64, u64)>,
+    pub(crate) desired_weights: Vec<(String, u64, Option<u64>)>,
     /// For each watched kind, whether the instance watches it and reaches the store.
     #[serde(rename = "in_contact")]
     pub(crate) is_connected_watcher: [bool; WatchedKind::COUNT],
@@ -158,6 +169,25 @@
         }
     }
 
+    /// Returns the reports about requested weights, each with its model, of a heartbeat that
+    /// arrived at `now_ms`.
+    pub(crate) fn request_reports(
+        &self,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (&str, RequestReport)> {
+        let process = name_hash(&format!("{}@{}", self.name, self.started_ms));
+        self.desired_weights
+            .iter()
+            .map(move |(model, version, age_ms)| {
+                let report = RequestReport {
+                    process,
+                    version: *version,
+                    at_ms: age_ms.map(|age_ms| now_ms as i64 - age_ms as i64),
+                };
+                (model.as_str(), report)
+            })
+    }
+
     /// Whether the heartbeat has the format of this process.
     pub(crate) fn has_known_format(&self) -> bool {
         self.format == HEARTBEAT_FORMAT
@@ -322,6 +352,19 @@
         ready.map(|peer| peer.heartbeat.entry.callers).collect()
     }
 
+    /// Returns what the other instances have reported about requests of a model's weights.
+    pub(crate) fn request_reports<'a>(
+        &'a self,
+        model: &'a str,
+    ) -> impl Iterator<Item = RequestReport> + 'a {
+        let reports = self.peers.iter().flat_map(|peer| {
+            let heartbeat = &peer.heartbeat;
+            heartbeat.request_reports(peer.last_seen_ms)
+        });
+        let of_model = reports.filter(move |(reported, _)| *reported == model);
+        of_model.map(|(_, report)| report)
+    }
+
     /// Returns the addresses for other instances of all known instances.
     pub(crate) fn addresses(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         self.peers.iter().map(|peer| peer.heartbeat.entry.peers)
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -361,7 +361,7 @@
     let desired = state.desired_weights_of(&prompt.model)?;
     let apply_ms = state.settings().bounds.weights_apply.as_millis() as u64;
     // A request that is placed now starts a little later.
-    desired.requested_until((now_ms + START_DELAY_MS).checked_sub(apply_ms)?)
+    desired.times.newest_due(now_ms + START_DELAY_MS, apply_ms)
 }
 
 /// Returns the policy's view of each candidate.
--- a/crates/gateway/src/rollout_lease.rs
+++ b/crates/gateway/src/rollout_lease.rs
@@ -14,7 +14,7 @@
     DutyLease, LeaseAction, LeaseRecord, LeaseRole, LeaseTimes, LeaseWrite,
 };
 use serde_json::Value;
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{cell::RefCell, future::ready, rc::Rc, time::Duration};
 use tokio::time::sleep;
 
 /// Name of the lease. In later eras of the store, the name of the lease object
@@ -46,8 +46,17 @@
 /// Renews the lease while this instance holds it, and acquires it while nobody does.
 pub(crate) async fn run_lease(state: Rc<GatewayState>, lease: SharedLease) {
     let mut was_held = false;
+    let mut is_urgent = false;
     loop {
-        sleep(POLL_INTERVAL).await;
+        // The request time of new weights is lost with all processes until it is stored. One
+        // candidate hurries, since the others would only lose the race.
+        let is_first = state.election_rank(LEASE_NAME, boot_ms()) == 0;
+        tokio::select! {
+            () = sleep(POLL_INTERVAL), if !is_urgent => {}
+            () = ready(()), if is_urgent => {}
+            () = state.weights_requested.notified(), if is_first => {}
+        }
+        is_urgent = false;
         if state.is_draining() {
             release(&state, &lease).await;
             return;
@@ -62,7 +71,10 @@
         };
         match action {
             LeaseAction::Wait => {}
-            LeaseAction::Read => read(&state, &lease).await,
+            LeaseAction::Read => {
+                let is_read = read(&state, &lease).await;
+                is_urgent = is_read && is_first && has_work(&state);
+            }
             LeaseAction::Create(record) => write(&state, &lease, None, &record).await,
             LeaseAction::Replace(revision, record) => {
                 write(&state, &lease, Some(revision), &record).await;
@@ -115,7 +127,8 @@
         .is_empty()
 }
 
-async fn read(state: &GatewayState, lease: &SharedLease) {
+/// Reads the lease; returns whether that succeeded.
+async fn read(state: &GatewayState, lease: &SharedLease) -> bool {
     // Lease objects from earlier eras of the store still record when weights were
     // requested.
     match state.store.list(LEASE_KIND, true).await {
@@ -135,8 +148,12 @@
                 }
             }
             lease.borrow_mut().note_read(found, now_ms);
+            true
+        }
+        Err(fault) => {
+            log::debug!(target: "duty", fault:% ; "could not read the lease");
+            false
         }
-        Err(fault) => log::debug!(target: "duty", fault:% ; "could not read the lease"),
     }
 }
 
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -6,7 +6,7 @@
     copies::CopyServer,
     crash_parts::CrashParts,
     instances::InstanceList,
-    peers::{name_hash, CacheGossip, HolderNotice, LoadShare, PeerTable},
+    peers::{name_hash, CacheGossip, HolderNotice, LoadShare, PeerTable, RequestReport},
     permits::SilentCoordinator,
     reclaim::ActiveFetches,
     replica::KindReplica,
@@ -25,6 +25,7 @@
     engine_pace::{EnginePace, FirstEvent},
     misdirection::MisdirectedRunners,
     prompt_pools::{PromptLength, PromptMix},
+    request_times::RequestTimes,
     retry_share::{RetryBounds, RetryOwner, RetryShare},
     runner_clock::RunnerClock,
     runner_limits::{PermitDecision, RunnerLimits},
@@ -65,28 +66,17 @@
 pub(crate) struct DesiredWeights {
     /// The newest version that was requested.
     pub(crate) goal: DesiredVersion,
-    /// Versions that were requested, as far as this instance knows, with the time of the
-    /// request by the boot clock, in milliseconds.
-    pub(crate) requested_at: Vec<(u64, u64)>,
+    /// When versions were requested at the earliest, by the boot clock.
+    pub(crate) times: RequestTimes,
 }
 
-impl DesiredWeights {
-    /// Returns when a version newer than `version` was first requested, by the boot clock.
-    pub(crate) fn outdated_at(&self, version: u64) -> Option<u64> {
-        let newer = self
-            .requested_at
-            .iter()
-            .filter(|(requested, _)| *requested > version);
-        newer.map(|(_, at_ms)| *at_ms).min()
-    }
-
-    /// Returns the newest version that was requested at or before `at_ms`.
-    pub(crate) fn requested_until(&self, at_ms: u64) -> Option<u64> {
-        let earlier = self
-            .requested_at
-            .iter()
-            .filter(|(_, requested_ms)| *requested_ms <= at_ms);
-        earlier.map(|(version, _)| *version).max()
+/// Records what another process reports about the request of a version, unless the version is
+/// newer than the one that this process has found in the store.
+fn note_report(desired: &mut DesiredWeights, report: &RequestReport, now_ms: u64) {
+    if report.version <= desired.goal.version {
+        let (process, version) = (report.process, report.version);
+        let times = &mut desired.times;
+        times.note_report(process, version, report.at_ms, now_ms);
     }
 }
 
@@ -161,6 +151,10 @@
     pub(crate) peer_socket: OnceCell<Rc<UdpSocket>>,
     /// Requested weights, sorted by model.
     pub(crate) desired_weights: RefCell<Vec<DesiredWeights>>,
+    /// Wakes the task that stores the request times of weights.
+    pub(crate) weights_requested: Notify,
+    /// The request times of weights in the lease record as last read.
+    stored_request_times: RefCell<Vec<RequestedRecord>>,
     /// Stores of kept cache.
     pub(crate) stores: RefCell<StoreRegistry>,
     /// Known instances.
@@ -237,6 +231,8 @@
             silent_coordinators: RefCell::default(),
             peer_socket: OnceCell::new(),
             desired_weights: RefCell::default(),
+            weights_requested: Notify::new(),
+            stored_request_times: RefCell::default(),
             stores: RefCell::default(),
             instances: RefCell::default(),
             retry_shares: RefCell::default(),
@@ -275,78 +271,91 @@
         found.ok().map(|index| desired_weights[index].clone())
     }
 
-    /// Records the weights that are requested for a model. Returns whether they are newer.
-    pub(crate) fn apply_desired_weights(&self, goal: DesiredVersion) -> bool {
+    /// Records the weights that are requested for a model. `absent_ms` is when a call was
+    /// sent to the store whose response did not contain them, by the boot clock. Returns
+    /// whether they are newer.
+    pub(crate) fn apply_desired_weights(
+        &self,
+        goal: DesiredVersion,
+        absent_ms: Option<u64>,
+    ) -> bool {
         let mut desired_weights = self.desired_weights.borrow_mut();
-        let request = (goal.version, boot_ms());
-        match desired_weights.binary_search_by(|known| known.goal.model.cmp(&goal.model)) {
-            Ok(index) if desired_weights[index].goal.version >= goal.version => false,
+        let (version, now_ms) = (goal.version, boot_ms());
+        let found = desired_weights.binary_search_by(|known| known.goal.model.cmp(&goal.model));
+        let desired = match found {
+            Ok(index) if desired_weights[index].goal.version >= version => return false,
             Ok(index) => {
                 desired_weights[index].goal = goal;
-                desired_weights[index].requested_at.push(request);
-                true
+                &mut desired_weights[index]
             }
             Err(index) => {
-                let requested_at = vec![request];
-                desired_weights.insert(index, DesiredWeights { goal, requested_at });
-                true
+                let times = RequestTimes::default();
+                desired_weights.insert(index, DesiredWeights { goal, times });
+                &mut desired_weights[index]
             }
+        };
+        desired.times.learn(version, absent_ms, now_ms);
+        // The others may have reported the version before.
+        let peers = self.peers.borrow();
+        let reports: Vec<RequestReport> = peers.request_reports(&desired.goal.model).collect();
+        for report in reports {
+            note_report(desired, &report, now_ms);
         }
+        true
     }
 
-    /// Applies a report of how long ago weights were requested. The earliest time wins. A
-    /// version newer than the one in `goal` is ignored.
-    pub(crate) fn apply_request_age(&self, model: &str, version: u64, age_ms: u64) {
-        let since_ms = boot_ms().saturating_sub(age_ms);
+    /// Applies what another process reports about when weights were requested.
+    pub(crate) fn apply_request_report(&self, model: &str, report: &RequestReport) {
         let mut desired_weights = self.desired_weights.borrow_mut();
-        let Some(known) = desired_weights
-            .iter_mut()
-            .find(|known| known.goal.model == model)
-        else {
-            return;
-        };
-        match known
-            .requested_at
-            .iter_mut()
-            .find(|(requested, _)| *requested == version)
-        {
-            Some((_, at_ms)) => *at_ms = (*at_ms).min(since_ms),
-            None if version < known.goal.version => known.requested_at.push((version, since_ms)),
-            None => {}
+        let found = desired_weights.binary_search_by(|known| known.goal.model.as_str().cmp(model));
+        if let Ok(index) = found {
+            note_report(&mut desired_weights[index], report, boot_ms());
         }
     }
 
-    /// Returns when the newest versions of weights were requested, in Unix time, for the
-    /// lease record.
+    /// Returns when the newest versions of weights were requested at the earliest, in Unix
+    /// time, for the lease record.
     pub(crate) fn request_times(&self) -> Vec<RequestedRecord> {
         let (now_ms, unix_ms) = (boot_ms(), unix_ms());
         let desired_weights = self.desired_weights.borrow();
+        let stored_times = self.stored_request_times.borrow();
         let records = desired_weights.iter().flat_map(|known| {
-            let newest = known.requested_at.iter().rev().take(MAX_RECORDED_VERSIONS);
-            newest.map(|(version, at_ms)| RequestedRecord {
-                model: known.goal.model.clone(),
-                version: *version,
-                at_unix_ms: unix_ms.saturating_sub(now_ms.saturating_sub(*at_ms)),
+            let newest = known.times.bounds().rev().take(MAX_RECORDED_VERSIONS);
+            newest.map(|(version, at_ms)| {
+                let model = known.goal.model.clone();
+                let is_same =
+                    |stored: &&RequestedRecord| stored.model == model && stored.version == version;
+                let stored_ms = stored_times.iter().find(is_same).and_then(|s| s.at_unix_ms);
+                let own_ms = at_ms.map(|at_ms| {
+                    let age_ms = (now_ms as i64 - at_ms).max(0) as u64;
+                    unix_ms.saturating_sub(age_ms)
+                });
+                RequestedRecord {
+                    model,
+                    version,
+                    at_unix_ms: stored_ms.max(own_ms),
+                }
             })
         });
         records.collect()
     }
 
-    /// Applies the request times of weights from the lease record where they are much
-    /// earlier than this process knows. This process, and perhaps every other one, may have
-    /// started after the request.
+    /// Applies the request times of weights from the lease record. This process, and perhaps
+    /// every other one, may have started after the request.
     pub(crate) fn apply_request_times(&self, records: &[RequestedRecord]) {
         let (now_ms, unix_ms) = (boot_ms(), unix_ms());
+        *self.stored_request_times.borrow_mut() = records.to_vec();
+        let mut desired_weights = self.desired_weights.borrow_mut();
         for record in records {
-            let age_ms = unix_ms.saturating_sub(record.at_unix_ms);
-            let known_ms = self.desired_weights_of(&record.model).and_then(|known| {
-                let mut requested_at = known.requested_at.into_iter();
-                requested_at.find(|(version, _)| *version == record.version)
+            let known = desired_weights.iter_mut().find(|known| {
+                known.goal.model == record.model && record.version <= known.goal.version
             });
-            let known_age_ms = known_ms.map_or(0, |(_, at_ms)| now_ms.saturating_sub(at_ms));
-            if age_ms > known_age_ms + MAX_CLOCK_SKEW_MS {
-                self.apply_request_age(&record.model, record.version, age_ms);
-            }
+            let Some(known) = known else { continue };
+            let at_ms = record.at_unix_ms.map(|at_unix_ms| {
+                let age_ms = unix_ms.saturating_sub(at_unix_ms) + MAX_CLOCK_SKEW_MS;
+                now_ms as i64 - age_ms as i64
+            });
+            known.times.note_stored(record.version, at_ms, now_ms);
         }
     }
 
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -121,6 +121,8 @@
     unavailable_since_ms: Cell<u64>,
     /// When the store last became available again.
     recovered_at_ms: Cell<u64>,
+    /// When the last call was sent whose response the replica contains; 0 before.
+    synced_at_ms: Cell<u64>,
     /// Until when this instance watches as a substitute for the elected watchers.
     substitute_until_ms: Cell<u64>,
 }
@@ -134,6 +136,13 @@
         }
     }
 
+    /// Returns a time at which the store surely held nothing newer than the replica; `None`
+    /// if there is none.
+    fn synced_at_ms(&self) -> Option<u64> {
+        let at_ms = self.synced_at_ms.get();
+        (at_ms > 0).then_some(at_ms)
+    }
+
     /// Whether a missing entry may have expired only because of an outage of the store.
     fn may_have_expired(&self, now_ms: u64) -> bool {
         let recovered_at_ms = self.recovered_at_ms.get();
@@ -224,6 +233,7 @@
     /// Makes one list or watch call and applies its result.
     async fn step(&mut self) -> Result<(), StoreFault> {
         let kind = self.kind.store_kind();
+        let sent_ms = boot_ms();
         if self.needs_listing || !self.replica(|replica| replica.is_synced()) {
             let listing = self.state.store.list(kind, false).await?;
             self.needs_listing = false;
@@ -235,6 +245,7 @@
                 changes.extend(pull_newer_table(&self.state).await);
             }
             apply_changes(&self.state, self.kind, &changes);
+            self.note_synced(sent_ms);
             return Ok(());
         }
         let revision = self.replica(|replica| replica.revision());
@@ -254,6 +265,7 @@
                 self.note_available();
                 let changes = self.replica(|replica| replica.apply_watch(&events, revision));
                 apply_changes(&self.state, self.kind, &changes);
+                self.note_synced(sent_ms);
                 match (self.kind, is_large) {
                     _ if changes.is_empty() => {}
                     (WatchedKind::Runners, true) => sleep(LARGE_BATCH_INTERVAL).await,
@@ -272,6 +284,12 @@
         Ok(())
     }
 
+    /// Records that the replica contains the response to a call that was sent at `sent_ms`.
+    fn note_synced(&self, sent_ms: u64) {
+        let availability = &self.state.store_availability[self.kind as usize];
+        availability.synced_at_ms.set(sent_ms);
+    }
+
     /// Decides at random whether this instance, which is not elected, tries to watch now
     /// because too few watchers reach the store.
     fn tries_as_substitute(&self) -> bool {
@@ -383,7 +401,7 @@
             peers.choose_peer_ahead(now_ms, |heartbeat| heartbeat.table_version > version)
         }
         WatchedKind::Weights => {
-            let is_higher = |(model, version, _): &(String, u64, u64)| {
+            let is_higher = |(model, version, _): &(String, u64, Option<u64>)| {
                 let known = state.desired_weights_of(model);
                 known.is_none_or(|known| known.goal.version < *version)
             };
@@ -486,7 +504,9 @@
     match decode_weights(&object.spec) {
         Ok(goal) => {
             let (model, version) = (goal.model.clone(), goal.version);
-            if state.apply_desired_weights(goal) {
+            let availability = &state.store_availability[WatchedKind::Weights as usize];
+            if state.apply_desired_weights(goal, availability.synced_at_ms()) {
+                state.weights_requested.notify_one();
                 log::info!(target: "follow", model, version, revision; "new version of weights requested");
             }
         }
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -110,11 +110,9 @@
         .filter(|view| view.is_ready)
         .filter_map(|view| view.version)
         .min();
-    let outdated_ms = oldest
-        .and_then(|oldest| desired.outdated_at(oldest))
-        .unwrap_or(now_ms);
+    let left_ms = oldest.and_then(|oldest| desired.times.left_ms(oldest, now_ms, apply_ms));
     let times = RolloutTimes {
-        left_ms: (outdated_ms + apply_ms).saturating_sub(now_ms),
+        left_ms: left_ms.unwrap_or(apply_ms),
         load_ms: apply_ms / LOADS_PER_ROLLOUT,
     };
     for index in next_orders(&views, goal.version, times, now_ms) {
--- /dev/null
+++ b/crates/gateway/tests/request_times.rs
@@ -0,0 +1,127 @@
+//! How long runners with older weights serve after newer ones are requested.
+//!
+//! The time limit counts from the request, which no object in the store tells.
+#![allow(clippy::unwrap_used)]
+
+mod standins;
+
+use serde_json::{json, Value};
+use standins::{
+    all_routes, received_requests, response_to, scripted_runner, table, wait_until, AfterResponse,
+    StandinRunner, StandinStore, TestGateway,
+};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+/// Starts a runner with old weights that refuses orders for newer ones.
+fn old_runner() -> StandinRunner {
+    scripted_runner(|request| {
+        let status = match request.contains("/berylmount/") {
+            true => "503 Busy",
+            false => "200 OK",
+        };
+        (response_to(request, status, ""), AfterResponse::Keep)
+    })
+}
+
+fn start_store(runner: &StandinRunner) -> StandinStore {
+    let store = StandinStore::start();
+    store.put("config", "main", Some(table(1, all_routes())));
+    store.put("servers", "r1", Some(runner.entry("svc", "ready")));
+    store
+}
+
+fn weights(version: u64) -> Option<Value> {
+    Some(json!({"Model": "m", "Version": version}))
+}
+
+/// Sends a prompt for the model; returns the first line of the response.
+fn send_prompt(gateway: &TestGateway, id: &str) -> String {
+    let headers = "Berylmount-Model: m\r\nBerylmount-Token-Usage: 100,10\r\n";
+    let response = gateway.call("GET /safe/x", id, headers, "").unwrap();
+    response.lines().next().unwrap().to_owned()
+}
+
+fn start_gateway(store: &StandinStore, name: &str) -> TestGateway {
+    let gateway = TestGateway::start_with(store.clone(), name);
+    gateway.wait_ready();
+    gateway.wait_for_status("GET /safe/warm", "200", false);
+    gateway
+}
+
+/// Guards against a process that starts after the request of new weights, when nobody is left
+/// who knows its time, and serves old weights for another full time limit.
+#[test]
+fn old_weights_do_not_serve_if_nobody_knows_when_newer_ones_were_requested() {
+    let runner = old_runner();
+    let store = start_store(&runner);
+    store.put("versions", "m", weights(2));
+    let gateway = start_gateway(&store, "i1");
+    let before = received_requests(&runner).len();
+    for number in 0..5 {
+        let status = send_prompt(&gateway, &format!("id{number}"));
+        assert_eq!(status, "HTTP/1.1 503 Service Unavailable");
+    }
+    let requests = received_requests(&runner);
+    let prompts = requests[before..]
+        .iter()
+        .filter(|r| r.starts_with("GET /safe/"));
+    assert_eq!(prompts.count(), 0);
+}
+
+/// Guards against refusing prompts during a rollout whose start is known: from the watch of
+/// the process itself, from another process, or from the lease record.
+#[test]
+fn old_weights_serve_while_the_time_limit_has_surely_not_passed() {
+    let runner = old_runner();
+    let store = start_store(&runner);
+    store.put("versions", "m", weights(1));
+    let first = start_gateway(&store, "i1");
+    store.put("versions", "m", weights(2));
+    let lease = || store.value("berylmount-leases", "weights");
+    wait_until("the time in the lease", || {
+        lease().is_some_and(|record| record["named"][0]["version"] == 2)
+    });
+    assert_eq!(send_prompt(&first, "id1"), "HTTP/1.1 200 OK");
+    let second = start_gateway(&store, "i2");
+    wait_until("a response on old weights", || {
+        send_prompt(&second, "id2") == "HTTP/1.1 200 OK"
+    });
+    // The lease record is all that a process before another store has.
+    let stored = start_store(&runner);
+    stored.put("versions", "m", weights(2));
+    let mut record = lease().unwrap();
+    record["is_released"] = true.into();
+    stored.put("berylmount-leases", "weights", Some(record));
+    let third = start_gateway(&stored, "i3");
+    wait_until("a response on old weights after a loss", || {
+        send_prompt(&third, "id3") == "HTTP/1.1 200 OK"
+    });
+}
+
+/// Guards against a lease record of a clock that is ahead, which would let old weights serve
+/// for longer.
+#[test]
+fn a_stored_request_time_counts_as_earlier_by_the_clock_skew() {
+    let runner = old_runner();
+    let store = start_store(&runner);
+    store.put("versions", "m", weights(2));
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    // With the maximum skew of 2.5 s, the time limit of 15 s has passed, less the time until
+    // a busy runner starts a request.
+    let at_unix_ms = (now - Duration::from_millis(10_800)).as_millis() as u64;
+    let record = json!({
+        "holder": "gone", "started_ms": 1, "term": 3, "renewal": 9, "is_acting": false,
+        "is_released": true,
+        "named": [{"model": "m", "version": 2, "at_unix_ms": at_unix_ms}],
+    });
+    store.put("berylmount-leases", "weights", Some(record));
+    let gateway = start_gateway(&store, "i1");
+    wait_until("the lease", || {
+        let lease = store.value("berylmount-leases", "weights");
+        lease.is_some_and(|lease| lease["holder"] == "i1")
+    });
+    for number in 0..5 {
+        let status = send_prompt(&gateway, &format!("id{number}"));
+        assert_eq!(status, "HTTP/1.1 503 Service Unavailable");
+    }
+}
--- a/crates/policy/src/duty_lease.rs
+++ b/crates/policy/src/duty_lease.rs
@@ -78,8 +78,9 @@
     pub model: String,
     /// Requested version of the weights.
     pub version: u64,
-    /// Wall-clock time in Unix milliseconds. Clocks of instances may differ.
-    pub at_unix_ms: u64,
+    /// The earliest time of the request, by the wall clock in Unix milliseconds; `None` if it
+    /// is not known. Clocks of instances may differ.
+    pub at_unix_ms: Option<u64>,
 }
 
 /// The next action that the owner of a [`DutyLease`] should take.
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,6 +33,7 @@
 //! | [`software_versions`] | which software version a stream may go on at |
 //! | [`store_lags`] | which stores of kept cache answer late |
 //! | [`duty_lease`] | which instance holds the lease of a singleton duty |
+//! | [`request_times`] | since when weights may have been requested |
 //! | [`weights_rollout`] | which runners load the requested weights next |
 //! | [`shared_duties`] | which instances perform a duty that needs only a few |
 //! | [`retry_share`] | how many retries this process may send to a service |
@@ -77,6 +78,7 @@
 pub mod prefix_index;
 pub mod prompt_pools;
 pub mod queue;
+pub mod request_times;
 pub mod retries;
 pub mod retry_share;
 pub mod runner_clock;
--- a/crates/policy/tests/fuzz/main.rs
+++ b/crates/policy/tests/fuzz/main.rs
@@ -8,6 +8,7 @@
 mod misdirection;
 mod queue;
 mod request_limits;
+mod request_times;
 mod runners;
 
 use berylmount_model::WorkClass;
