Separate the shared cache by the set of isolated customers

Cause: runners and stores know a part by its salt and id. The shared salt was the same before and after a customer became isolated, so what it had left there stayed in use. Ruled out: instances that follow the config late.

Change: the shared salt contains a hash of the names of the isolated customers. A part is then used only by customers outside of the set under which it was made, whatever configs follow each other, at whatever instance, without stored state. Names of isolated customers are encoded, so that one called "shared" is separate too, and names of models may contain dots.

--- a/crates/fleet/src/routes.rs
+++ b/crates/fleet/src/routes.rs
@@ -3,7 +3,7 @@
 use crate::CallerRequest;
 use std::{cmp::Reverse, net::SocketAddr, time::Duration};
 use strum::{Display, EnumString};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
 /// Whether the requests of a route may be retried.
 #[derive(Clone, Copy, Debug, Display, EnumString, Eq, PartialEq)]
@@ -178,6 +178,8 @@
     customers: Option<Vec<CustomerRecord>>,
     /// Keys with the index of their customer, sorted by key.
     keys: Vec<(String, usize)>,
+    /// The namespace of the cache that customers share.
+    shared_namespace: String,
     /// Limits on the requests and connections of callers.
     pub limits: CallerLimits,
 }
@@ -201,12 +203,14 @@
             .flat_map(|(index, customer)| customer.keys.iter().map(move |k| (k.clone(), index)))
             .collect();
         keys.sort();
+        let shared_namespace = shared_namespace(customers.as_deref().unwrap_or_default());
         Self {
             version,
             routes,
             services,
             customers,
             keys,
+            shared_namespace,
             limits,
         }
     }
@@ -254,4 +258,58 @@
         let (_, index) = self.keys.get(found.ok()?)?;
         self.customers.as_ref()?.get(*index)
     }
+
+    /// Returns the namespace of the cached prompts of a customer: its own if it is isolated,
+    /// else the one that all others share. Contains letters, digits and `-` only.
+    ///
+    /// The shared namespace depends on which customers are isolated. What a customer left in it
+    /// before it became isolated stays behind at runners and in stores, under a namespace
+    /// that is used again only if the same customers are isolated.
+    ///
+    /// ```
+    /// use berylmount_fleet::{CallerLimits, CustomerRecord, RouteTable};
+    /// use std::time::Duration;
+    ///
+    /// let limits = CallerLimits {
+    ///     head_bytes: 1, body_bytes: 1, head_time: Duration::ZERO, idle_time: Duration::ZERO,
+    /// };
+    /// let customer = |name: &str, is_isolated| CustomerRecord {
+    ///     name: name.to_owned(), keys: Vec::new(), priority: None, is_isolated,
+    /// };
+    /// let table = |customers| RouteTable::new(1, Vec::new(), Vec::new(), Some(customers), limits);
+    /// let (crew, press) = (customer("crew", false), customer("press", true));
+    /// let before = table(vec![crew.clone(), customer("press", false)]);
+    /// let after = table(vec![crew.clone(), press.clone()]);
+    /// assert_eq!(before.cache_namespace(Some(&crew)), "shared");
+    /// assert_ne!(after.cache_namespace(Some(&crew)), "shared");
+    /// assert_eq!(after.cache_namespace(Some(&press)), "only-7072657373");
+    /// ```
+    pub fn cache_namespace(&self, customer: Option<&CustomerRecord>) -> String {
+        match customer.filter(|customer| customer.is_isolated) {
+            Some(customer) => {
+                let digits = customer.name.bytes().map(|byte| format!("{byte:02x}"));
+                digits.fold(String::from("only-"), |namespace, digits| {
+                    namespace + &digits
+                })
+            }
+            None => self.shared_namespace.clone(),
+        }
+    }
+}
+
+/// Returns the namespace that customers share while some of them are isolated.
+fn shared_namespace(customers: &[CustomerRecord]) -> String {
+    let isolated = customers.iter().filter(|customer| customer.is_isolated);
+    let mut names: Vec<&str> = isolated.map(|customer| customer.name.as_str()).collect();
+    if names.is_empty() {
+        return "shared".to_owned();
+    }
+    names.sort_unstable();
+    names.dedup();
+    let mut hash = Xxh3::new();
+    for name in names {
+        hash.update(&(name.len() as u64).to_le_bytes());
+        hash.update(name.as_bytes());
+    }
+    format!("shared-{:016x}", hash.digest())
 }
--- a/crates/gateway/src/cache_stores.rs
+++ b/crates/gateway/src/cache_stores.rs
@@ -20,9 +20,6 @@
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Scope component for customers that share cached prompt parts.
-const SHARED_NAMESPACE: &str = "shared";
-
 /// One KV cache store with its catalogue.
 #[derive(Debug)]
 pub(crate) struct StoreEntry {
@@ -249,10 +246,10 @@
     pub(crate) fn new(
         prompt: &PromptShape,
         version: u64,
+        table: &RouteTable,
         customer: Option<&CustomerRecord>,
     ) -> Self {
-        let isolated = customer.filter(|customer| customer.is_isolated);
-        let namespace = isolated.map_or(SHARED_NAMESPACE, |customer| customer.name.as_str());
+        let namespace = table.cache_namespace(customer);
         let scope = format!("{version}.{}.{namespace}", prompt.model);
         let keyed = |part: &PromptPart| KeyedPart {
             key: part_key(&scope, &part.id),
@@ -328,11 +325,10 @@
 /// Parses the weights version and the model from a scope; `None` if another system
 /// wrote the scope.
 fn scope_weights(scope: &str) -> Option<(u64, &str)> {
-    let mut fields = scope.splitn(3, '.');
-    let version = fields.next()?.parse().ok()?;
-    let model = fields.next()?;
-    fields.next()?;
-    Some((version, model))
+    let (version, rest) = scope.split_once('.')?;
+    // Names of models may contain dots; namespaces do not.
+    let (model, _) = rest.rsplit_once('.')?;
+    Some((version.parse().ok()?, model))
 }
 
 /// Returns the key of a part within a scope.
--- a/crates/gateway/src/transfers.rs
+++ b/crates/gateway/src/transfers.rs
@@ -46,7 +46,8 @@
             return Some(cached.clone());
         }
         let shape = self.query.call.request.prompt.as_ref()?;
-        let scoped = Rc::new(ScopedPrompt::new(shape, version, self.query.customer));
+        let (table, customer) = (self.query.table, self.query.customer);
+        let scoped = Rc::new(ScopedPrompt::new(shape, version, table, customer));
         self.prompts.push((version, scoped.clone()));
         Some(scoped)
     }
