Keep weights, orders and loads of a runner by model

What callers saw: once new weights of one model were loaded, requests for the second model of the same runners got 503, and its own new weights were never ordered (VERSION).

Cause: a version in a response counted for every model of the runner. Ruled out: entries in the store, which are looked up by model. The same confusion was in the last order, in the list of runners that load, and in the number of concurrent loads.

Change: all four are kept by runner and model. A runner gets one order at a time, loads of all models share the limit, and the model with the least time left goes first.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use strum::EnumCount;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Silence after which an instance is considered dead, in heartbeat intervals.
 const SILENCE_INTERVALS: u64 = 6;
@@ -86,10 +86,16 @@
     pub(crate) term: u64,
     /// For each model, the lowest version of weights whose cached parts may be fetched.
     pub(crate) retired: Vec<(String, u64)>,
-    /// Keys of runners that are about to load weights and should get no requests.
+    /// Keys of runners that are about to load weights and of the models that should get no
+    /// requests there, as of [`switch_key`], sorted.
     pub(crate) switching: Vec<u64>,
 }
 
+/// Returns the key of a model on a runner.
+pub(crate) fn switch_key(runner: u64, model: &str) -> u64 {
+    xxh3_64_with_seed(model.as_bytes(), runner)
+}
+
 /// What a process reports about when a version of weights was requested.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct RequestReport {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -4,6 +4,7 @@
     clock::boot_ms,
     exclusions::is_excluded,
     forward::InboundCall,
+    peers::switch_key,
     reclaim::may_fetch,
     reservation::{prefill_sample, PrefillSample},
     runner_registry::{RunnerHandle, RunnerRegistry},
@@ -383,8 +384,13 @@
     let limits = state.runner_limits.borrow();
     let own_notice = state.holder_notice.borrow();
     let notice = own_notice.as_ref().or_else(|| peers.holder_notice(now_ms));
-    let is_switching =
-        |key: u64| notice.is_some_and(|notice| notice.switching.binary_search(&key).is_ok());
+    let is_switching = |key: u64| {
+        let models = notice.zip(prompt);
+        models.is_some_and(|(notice, prompt)| {
+            let key = switch_key(key, &prompt.model);
+            notice.switching.binary_search(&key).is_ok()
+        })
+    };
     let view = |runner: &&Rc<RunnerHandle>| {
         let record = runner.record();
         let weights = weights_version_at(query, runner);
--- a/crates/gateway/src/runner_registry.rs
+++ b/crates/gateway/src/runner_registry.rs
@@ -42,6 +42,8 @@
 /// from an older backup, in milliseconds. Entries of dead runners expire within it,
 /// after three heartbeats of some 1.2 s.
 const SUSPECT_MS: u64 = 5000;
+/// Maximum number of models whose weights are observed at one runner. Callers name the models.
+const MAX_OBSERVED_MODELS: usize = 64;
 /// Jitter factor of the backoff that a runner requests, so that the instances do not
 /// all return to it at once. The backoff is never shorter than requested.
 const BACKOFF_JITTER: Range<f64> = 1.0..1.2;
@@ -161,9 +163,9 @@
     health: RefCell<RunnerHealth>,
     /// Its reported load, and when it was reported.
     load: Cell<(RunnerLoad, u64)>,
-    /// Highest version of the weights reported in its responses. May be newer than the
-    /// version in its entry.
-    observed_weights: Cell<Option<u64>>,
+    /// Highest versions of weights reported in its responses, sorted by model. They may be
+    /// newer than those in its entry.
+    observed_weights: RefCell<Vec<(String, u64)>>,
     /// Revision of its entry.
     entry_revision: Cell<EraRevision>,
     /// Whether the runner has announced that it drains, in its entry or in a response.
@@ -197,7 +199,7 @@
             reserved_tokens: Cell::new(0),
             health: RefCell::default(),
             load: Cell::default(),
-            observed_weights: Cell::new(None),
+            observed_weights: RefCell::default(),
         }
     }
 
@@ -275,17 +277,21 @@
     /// Returns the highest known version of the weights of a model that it has.
     pub(crate) fn weights_of(&self, model: &str) -> Option<u64> {
         let listed = self.record.borrow().version_of(model);
-        listed.max(self.observed_weights.get())
-    }
-
-    /// Records the version of the weights reported in a response.
-    pub(crate) fn note_weights(&self, version: u64) {
-        if self
-            .observed_weights
-            .get()
-            .is_none_or(|known| known < version)
-        {
-            self.observed_weights.set(Some(version));
+        let observed_weights = self.observed_weights.borrow();
+        let found = observed_weights.binary_search_by(|(known, _)| known.as_str().cmp(model));
+        listed.max(found.ok().map(|index| observed_weights[index].1))
+    }
+
+    /// Records the version of a model's weights reported in a response.
+    pub(crate) fn note_weights(&self, model: &str, version: u64) {
+        let mut observed_weights = self.observed_weights.borrow_mut();
+        match observed_weights.binary_search_by(|(known, _)| known.as_str().cmp(model)) {
+            Ok(index) => {
+                let known = &mut observed_weights[index].1;
+                *known = version.max(*known);
+            }
+            Err(_) if observed_weights.len() >= MAX_OBSERVED_MODELS => {}
+            Err(index) => observed_weights.insert(index, (model.to_owned(), version)),
         }
     }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -300,8 +300,8 @@
         if let Some(load) = reply.load {
             self.runner.note_load(load, boot_ms());
         }
-        if let Some(version) = reply.weights {
-            self.runner.note_weights(version);
+        if let (Some(version), Some(prompt)) = (reply.weights, &self.call.request.prompt) {
+            self.runner.note_weights(&prompt.model, version);
         }
     }
 
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock::boot_ms,
-    peers::HolderNotice,
+    peers::{switch_key, HolderNotice},
     permits::note_limit,
     rollout_lease::SharedLease,
     runner_registry::RunnerHandle,
@@ -28,13 +28,14 @@
 /// flight takes about as long.
 const LOADS_PER_ROLLOUT: u64 = 9;
 
-/// The last order that this process sent to each runner, sorted by runner key.
+/// The last order that this process sent to each runner for each model, sorted by the key of
+/// the runner and the model.
 #[derive(Debug, Default)]
 struct SentOrders {
-    orders: Vec<(u64, SentOrder)>,
+    orders: Vec<(u64, String, SentOrder)>,
 }
 
-/// The last order that was sent to a runner; version 0 if there is none.
+/// The last order that was sent to a runner for a model; version 0 if there is none.
 #[derive(Clone, Copy, Debug, Default)]
 struct SentOrder {
     version: u64,
@@ -43,17 +44,41 @@
 }
 
 impl SentOrders {
-    fn get(&self, key: u64) -> SentOrder {
-        let found = self.orders.binary_search_by_key(&key, |(known, _)| *known);
-        found.map_or_else(|_| SentOrder::default(), |index| self.orders[index].1)
+    fn find(&self, key: u64, model: &str) -> Result<usize, usize> {
+        self.orders
+            .binary_search_by(|(known, name, _)| (*known, name.as_str()).cmp(&(key, model)))
     }
 
-    fn set(&mut self, key: u64, order: SentOrder) {
-        match self.orders.binary_search_by_key(&key, |(known, _)| *known) {
-            Ok(index) => self.orders[index].1 = order,
-            Err(index) => self.orders.insert(index, (key, order)),
+    fn get(&self, key: u64, model: &str) -> SentOrder {
+        let found = self.find(key, model);
+        found.map_or_else(|_| SentOrder::default(), |index| self.orders[index].2)
+    }
+
+    fn set(&mut self, key: u64, model: &str, order: SentOrder) {
+        match self.find(key, model) {
+            Ok(index) => self.orders[index].2 = order,
+            Err(index) => self.orders.insert(index, (key, model.to_owned(), order)),
         }
     }
+
+    /// Whether an order for another model than `model` is in progress at a runner. A runner
+    /// carries out one order at a time.
+    fn has_other(&self, runner: &RunnerHandle, model: &str, now_ms: u64) -> bool {
+        let key = runner.key();
+        let start = self.orders.partition_point(|(known, _, _)| *known < key);
+        let of_runner = self.orders[start..].iter();
+        let mut of_runner = of_runner.take_while(|(known, _, _)| *known == key);
+        of_runner.any(|(_, name, order)| {
+            let view = RolloutView {
+                version: runner.weights_of(name),
+                ordered: order.version,
+                ordered_at_ms: order.at_ms,
+                is_ready: true,
+                ..RolloutView::default()
+            };
+            name != model && view.is_switching(order.version, now_ms)
+        })
+    }
 }
 
 /// Sends orders for weights while this instance holds the lease.
@@ -71,58 +96,86 @@
             retired: state.retired.borrow().clone(),
             ..HolderNotice::default()
         };
+        // The model with the least time left goes first, since loads share bandwidth.
         let desired_weights: Vec<DesiredWeights> = state.desired_weights.borrow().clone();
-        for desired in desired_weights {
-            send_due_orders(&state, &lease, &sent_orders, &desired, &mut notice);
+        let mut rollouts: Vec<(u64, DesiredWeights)> = desired_weights
+            .into_iter()
+            .map(|desired| (time_left_ms(&state, &desired), desired))
+            .collect();
+        rollouts.sort_by_key(|(left_ms, _)| *left_ms);
+        for (left_ms, desired) in rollouts {
+            send_due_orders(&state, &lease, &sent_orders, &desired, left_ms, &mut notice);
         }
         notice.switching.sort_unstable();
         *state.holder_notice.borrow_mut() = Some(notice);
     }
 }
 
+/// Returns the time that is surely left until requests may no longer start on the oldest
+/// weights of a model that a runner has, in milliseconds.
+fn time_left_ms(state: &GatewayState, desired: &DesiredWeights) -> u64 {
+    let apply_ms = state.settings().bounds.weights_apply.as_millis() as u64;
+    let now_ms = boot_ms();
+    let runners = state.runners.borrow();
+    let ready = runners.all().iter().filter(|r| takes_orders(r, now_ms));
+    let oldest = ready
+        .filter_map(|r| r.weights_of(&desired.goal.model))
+        .min();
+    let left_ms = oldest.and_then(|oldest| desired.times.left_ms(oldest, now_ms, apply_ms));
+    left_ms.unwrap_or(apply_ms)
+}
+
+/// Whether a runner accepts orders.
+fn takes_orders(runner: &RunnerHandle, now_ms: u64) -> bool {
+    runner.takes_requests() && runner.backoff_left(now_ms).is_none()
+}
+
 /// Sends the orders that are due for one model.
 fn send_due_orders(
     state: &Rc<GatewayState>,
     lease: &SharedLease,
     sent_orders: &Rc<RefCell<SentOrders>>,
     desired: &DesiredWeights,
+    left_ms: u64,
     notice: &mut HolderNotice,
 ) {
     let goal = &desired.goal;
     let now_ms = boot_ms();
     let runners: Vec<Rc<RunnerHandle>> = state.runners.borrow().all().to_vec();
     let others = state.peers.borrow().loads(now_ms);
+    let has_other = |runner: &Rc<RunnerHandle>| {
+        let sent_orders = sent_orders.borrow();
+        sent_orders.has_other(runner, &goal.model, now_ms)
+    };
+    let loading_others = runners.iter().filter(|runner| has_other(runner)).count();
     let view = |runner: &Rc<RunnerHandle>| {
         let key = runner.key();
-        let order = sent_orders.borrow().get(key);
+        let order = sent_orders.borrow().get(key, &goal.model);
         RolloutView {
             version: runner.weights_of(&goal.model),
             ordered: order.version,
             ordered_at_ms: order.at_ms,
             running: runner.running.get() + others.on(key).running,
-            is_ready: runner.takes_requests() && runner.backoff_left(now_ms).is_none(),
+            is_ready: takes_orders(runner, now_ms) && !has_other(runner),
         }
     };
     let views: Vec<RolloutView> = runners.iter().map(view).collect();
     let apply_ms = state.settings().bounds.weights_apply.as_millis() as u64;
-    let oldest = views
-        .iter()
-        .filter(|view| view.is_ready)
-        .filter_map(|view| view.version)
-        .min();
-    let left_ms = oldest.and_then(|oldest| desired.times.left_ms(oldest, now_ms, apply_ms));
     let times = RolloutTimes {
-        left_ms: left_ms.unwrap_or(apply_ms),
+        left_ms,
         load_ms: apply_ms / LOADS_PER_ROLLOUT,
     };
-    for index in next_orders(&views, goal.version, times, now_ms) {
+    for index in next_orders(&views, goal.version, times, loading_others, now_ms) {
         let runner = runners[index].clone();
         let order = SentOrder {
             version: goal.version,
             at_ms: now_ms,
         };
-        sent_orders.borrow_mut().set(runner.key(), order);
-        notice.switching.push(runner.key());
+        let mut sent = sent_orders.borrow_mut();
+        sent.set(runner.key(), &goal.model, order);
+        drop(sent);
+        let key = switch_key(runner.key(), &goal.model);
+        notice.switching.push(key);
         let (state, lease, sent_orders) = (state.clone(), lease.clone(), sent_orders.clone());
         let goal = goal.clone();
         spawn_local(async move { send_order(&state, &lease, &sent_orders, &runner, &goal).await });
@@ -131,7 +184,7 @@
     let switching = switching.filter(|(_, view)| view.is_switching(goal.version, now_ms));
     notice
         .switching
-        .extend(switching.map(|(index, _)| runners[index].key()));
+        .extend(switching.map(|(index, _)| switch_key(runners[index].key(), &goal.model)));
 }
 
 /// Orders one runner to load a version.
@@ -155,7 +208,7 @@
             return;
         }
         Ok(Some(OrderOutcome::AlreadyLoaded)) => {
-            runner.note_weights(version);
+            runner.note_weights(&goal.model, version);
             log::info!(target: "weights", runner = runner_id, version; "runner already has the ordered version");
         }
         Ok(Some(outcome)) => {
@@ -178,7 +231,7 @@
     sleep(Duration::from_millis(300)).await;
     sent_orders
         .borrow_mut()
-        .set(runner.key(), SentOrder::default());
+        .set(runner.key(), &goal.model, SentOrder::default());
 }
 
 /// Reads how many orders the runner has accepted and sends the order. Returns `None` if
--- a/crates/policy/src/weights_rollout.rs
+++ b/crates/policy/src/weights_rollout.rs
@@ -63,7 +63,8 @@
 }
 
 /// Returns the indexes of the runners to order now, sorted by oldest weights and then
-/// by fewest running requests.
+/// by fewest running requests. `loading_others` runners load weights of other models and share
+/// the bandwidth.
 ///
 /// ```
 /// use berylmount_policy::weights_rollout::{next_orders, RolloutTimes, RolloutView};
@@ -71,14 +72,16 @@
 /// let old = RolloutView { version: Some(1), is_ready: true, ..RolloutView::default() };
 /// let runners: Vec<_> = (0..10).map(|n| RolloutView { running: 10 - n, ..old }).collect();
 /// let times = RolloutTimes { left_ms: 15_000, load_ms: 1500 };
-/// assert_eq!(next_orders(&runners, 2, times, 1000), [9, 8]);
+/// assert_eq!(next_orders(&runners, 2, times, 0, 1000), [9, 8]);
+/// assert_eq!(next_orders(&runners, 2, times, 1, 1000), [9]);
 /// let late = RolloutTimes { left_ms: 5000, ..times };
-/// assert_eq!(next_orders(&runners, 2, late, 1000).len(), 4);
+/// assert_eq!(next_orders(&runners, 2, late, 0, 1000).len(), 4);
 /// ```
 pub fn next_orders(
     runners: &[RolloutView],
     goal: u64,
     times: RolloutTimes,
+    loading_others: usize,
     now_ms: u64,
 ) -> Vec<usize> {
     let serving = runners
@@ -99,6 +102,6 @@
     let pressure = times.pressure(due.len(), loading);
     let max_switching = (loading * pressure).floor() as usize;
     due.sort_by_key(|index| (runners[*index].version, runners[*index].running, *index));
-    due.truncate(max_switching.saturating_sub(switching));
+    due.truncate(max_switching.saturating_sub(switching + loading_others));
     due
 }
--- a/crates/policy/tests/duties.rs
+++ b/crates/policy/tests/duties.rs
@@ -322,14 +322,14 @@
         load_ms: 1500,
     };
     let runners = [done, ready, oldest, ready, done];
-    assert_eq!(next_orders(&runners, 3, times, 1000), [2]);
+    assert_eq!(next_orders(&runners, 3, times, 0, 1000), [2]);
     let ordered = RolloutView {
         ordered: 3,
         ordered_at_ms: 900,
         ..oldest
     };
     assert_eq!(
-        next_orders(&[done, ready, ordered, ready, done], 3, times, 1000),
+        next_orders(&[done, ready, ordered, ready, done], 3, times, 0, 1000),
         [0; 0]
     );
 }
