Tell other instances of begun streams in heartbeats

What callers saw: a stream that a caller took up again got 503 during a release, although runners of the version that began it were there (LOST); new streams began.

Cause: an instance stored which version began its streams only once it had learned that several versions serve. One that stands still, has lost power or is cut off from the store at that moment stores nothing, and the others refuse streams of unknown origin. Ruled out for the test: full runners and late admission, since nothing else is in trouble there.

Change: heartbeats contain the streams begun since the last ones, each twice, whether a release is on or not. Any instance can go on with them.

--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -18,6 +18,7 @@
     replica::ReplicaDelta,
     state::GatewayState,
     store_watch::{is_connected_watcher, WatchedKind},
+    stream_versions::note_heard,
 };
 use berylmount_adapter::store_client::{EraRevision, StoredObject};
 use bincode::{config, serde as codec};
@@ -247,7 +248,9 @@
         state.note_runner_clock(clock_ms, boot_ms());
     }
     let mut peers = state.peers.borrow_mut();
-    if peers.note_heartbeat(heartbeat, boot_ms()) {
+    let (was_silent, streams) = peers.note_heartbeat(heartbeat, boot_ms());
+    note_heard(state, &streams);
+    if was_silent {
         let known = peers.addresses().count() + 1;
         state.instances.borrow_mut().note_live(known);
         log::info!(target: "peers", peer; "instance is live");
@@ -336,6 +339,7 @@
     heartbeat.loads.sort_unstable_by_key(|(key, _)| *key);
     heartbeat.confirmed = state.fetches.borrow().confirmed(&state.retired.borrow());
     heartbeat.holder_notice = state.holder_notice.borrow().clone();
+    heartbeat.begun_streams = state.stream_versions.next_report();
     heartbeat
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,6 +13,7 @@
     part_evidence::EvidenceReport,
     runner_limits::{LimitReport, PermitDecision},
     shared_duties::{first_among, rank_among, DutyMember},
+    software_versions::StreamReport,
 };
 use rand::{rng, seq::IndexedRandom};
 use serde::{Deserialize, Serialize};
@@ -149,6 +150,8 @@
     pub(crate) holder_notice: Option<HolderNotice>,
     /// Estimated clock of runners and stores, in milliseconds.
     pub(crate) runner_clock_ms: Option<u64>,
+    /// Streams that the instance has begun since the last heartbeats.
+    pub(crate) begun_streams: StreamReport,
 }
 
 impl PeerHeartbeat {
@@ -172,6 +175,7 @@
             confirmed: Vec::new(),
             holder_notice: None,
             runner_clock_ms: None,
+            begun_streams: StreamReport::default(),
         }
     }
 
@@ -263,6 +267,8 @@
 struct KnownPeer {
     heartbeat: PeerHeartbeat,
     last_seen_ms: u64,
+    /// Number of the next stream of which the instance has not told.
+    next_stream: u64,
 }
 
 /// All other instances with recent heartbeats, sorted by name.
@@ -284,34 +290,37 @@
         (self.interval_ms() * SILENCE_INTERVALS).max(MIN_SILENCE_MS)
     }
 
-    /// Stores a heartbeat. Returns whether its sender was not live before.
-    pub(crate) fn note_heartbeat(&mut self, heartbeat: PeerHeartbeat, now_ms: u64) -> bool {
-        let last_seen_ms = now_ms;
+    /// Stores a heartbeat. Returns whether its sender was not live before, and the streams of
+    /// which it tells for the first time.
+    pub(crate) fn note_heartbeat(
+        &mut self,
+        heartbeat: PeerHeartbeat,
+        now_ms: u64,
+    ) -> (bool, Vec<(u64, u64)>) {
         let silence_ms = self.silence_ms();
-        match self
+        let found = self
             .peers
-            .binary_search_by(|peer| peer.heartbeat.name.cmp(&heartbeat.name))
-        {
-            Ok(index) => {
-                let known = &mut self.peers[index];
-                let was_silent = now_ms.saturating_sub(known.last_seen_ms) > silence_ms;
-                *known = KnownPeer {
-                    heartbeat,
-                    last_seen_ms,
-                };
-                was_silent
-            }
-            Err(index) => {
-                self.peers.insert(
-                    index,
-                    KnownPeer {
-                        heartbeat,
-                        last_seen_ms,
-                    },
-                );
-                true
+            .binary_search_by(|peer| peer.heartbeat.name.cmp(&heartbeat.name));
+        let (mut next_stream, mut was_silent) = (0, true);
+        if let Ok(index) = found {
+            let known = &self.peers[index];
+            was_silent = now_ms.saturating_sub(known.last_seen_ms) > silence_ms;
+            if known.heartbeat.started_ms == heartbeat.started_ms {
+                next_stream = known.next_stream;
             }
         }
+        let (streams, next_stream) = heartbeat.begun_streams.streams_from(next_stream);
+        let streams = streams.to_vec();
+        let peer = KnownPeer {
+            heartbeat,
+            last_seen_ms: now_ms,
+            next_stream,
+        };
+        match found {
+            Ok(index) => self.peers[index] = peer,
+            Err(index) => self.peers.insert(index, peer),
+        }
+        (was_silent, streams)
     }
 
     /// Adds to the load of a runner from an instance, until the next heartbeat of that
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -1,11 +1,12 @@
 //! Software versions of runners, and which of them began streams.
 //!
-//! An instance remembers the version that began each of its streams. For the streams of others
-//! it reads the history of versions, which is one object in the store. If only one version can
-//! have begun the stream, that is the one; otherwise the instances store the streams that they
-//! begin (`stored`). A stream of unknown origin is refused.
+//! An instance remembers the version that began each of its streams, and tells the others in
+//! its heartbeats, so that its streams go on while it is paused, cut off or gone. For streams
+//! that nobody has told of it reads the history of versions, which is one object in the store. If
+//! only one version can have begun the stream, that is the one; otherwise the instances store the
+//! streams that they begin (`stored`). A stream of unknown origin is refused.
 //!
-//! Nothing is read or written while one version serves and callers take up no streams.
+//! Nothing is read or written while one version serves and callers take up no such streams.
 
 use crate::{clock::boot_ms, peers::name_hash, runner_registry::RunnerHandle, state::GatewayState};
 use berylmount_adapter::{
@@ -16,7 +17,9 @@
 use berylmount_model::unix_ms;
 use berylmount_policy::{
     shared_duties::DutyMember,
-    software_versions::{BegunStream, BegunStreams, VersionHistory},
+    software_versions::{
+        BegunStream, BegunStreams, HeardStreams, StreamReport, StreamReporter, VersionHistory,
+    },
 };
 use std::{
     cell::{Cell, RefCell},
@@ -77,9 +80,8 @@
     ) -> bool {
         match self {
             Self::Any => true,
-            Self::Admitted => {
-                history.is_none_or(|history| history.is_admitted(&runner.service, &runner.software))
-            }
+            Self::Admitted => history
+                .is_some_and(|history| history.is_admitted(&runner.service, &runner.software)),
             Self::Only(key) => software_key(&runner.service, &runner.software) == key,
         }
     }
@@ -90,6 +92,10 @@
 pub(crate) struct StreamVersions {
     /// Streams that this instance has begun or taken up.
     begun: RefCell<BegunStreams>,
+    /// Streams that this instance has begun and is to tell the others.
+    untold: RefCell<StreamReporter>,
+    /// Streams of which the others have told.
+    heard: RefCell<HeardStreams>,
     /// Streams that instances have stored, as of the last listing.
     listed: RefCell<BegunStreams>,
     /// When the streams may be listed again, by the boot clock; 0 before the first listing.
@@ -116,6 +122,11 @@
         self.history.borrow().clone()
     }
 
+    /// Returns the streams for the next heartbeat.
+    pub(crate) fn next_report(&self) -> StreamReport {
+        self.untold.borrow_mut().next_report()
+    }
+
     fn is_mixed(&self, now_ms: u64, kept_ms: u64) -> bool {
         let history = self.history();
         history.is_some_and(|history| history.is_mixed(now_ms, kept_ms))
@@ -153,11 +164,30 @@
     let kept_ms = kept_ms(state);
     begun.expire(now_ms.saturating_sub(kept_ms));
     begun.note(stream);
+    versions.untold.borrow_mut().note(&stream);
     if versions.is_mixed(now_ms, kept_ms) {
         versions.unstored.borrow_mut().push(stream);
     }
 }
 
+/// Records streams of which another instance has told.
+pub(crate) fn note_heard(state: &GatewayState, streams: &[(u64, u64)]) {
+    if streams.is_empty() {
+        return;
+    }
+    let now_ms = unix_ms();
+    let min_ms = now_ms.saturating_sub(kept_ms(state));
+    let mut heard = state.stream_versions.heard.borrow_mut();
+    for (id, version) in streams {
+        let stream = BegunStream {
+            id: *id,
+            version: *version,
+            begun_ms: now_ms,
+        };
+        heard.note(stream, min_ms);
+    }
+}
+
 /// Waits until a version of the service may begin streams, if runners are there and none may
 /// yet.
 pub(crate) async fn wait_for_admission(state: &GatewayState, service: &str) {
@@ -201,8 +231,9 @@
     let versions = &state.stream_versions;
     let id = request.resumes.as_ref().map(|id| name_hash(id));
     let own = id.and_then(|id| versions.begun.borrow().version_of(id));
-    if own.is_some() {
-        return own;
+    let heard = id.and_then(|id| versions.heard.borrow().version_of(id));
+    if let Some(version) = own.or(heard) {
+        return Some(version);
     }
     // Every version that can have begun the stream was admitted before this read.
     if !wait_for_read(versions).await {
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -268,3 +268,36 @@
     let response = send_request(gateway.settings.listen.callers, request).unwrap();
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
 }
+
+/// Guards against refusing streams of an instance that is cut off from the store when another
+/// software version comes: it learns nothing of the version and stores no streams.
+#[test]
+fn streams_of_an_instance_that_is_out_of_step_go_on_elsewhere() {
+    let store = start_store();
+    let old = VersionedRunner::register(&store, "r1", "v1");
+    let cut_store = store.mirror();
+    let first = start_gateway(&cut_store, "i1");
+    let second = start_gateway(&store, "i2");
+    cut_store.refuse_kinds(&["berylmount-software", "berylmount-streams"]);
+    let begun: Vec<(String, String)> = (0..20)
+        .map(|number| {
+            let id = format!("begun{number}");
+            let version = begin_stream(&first, &id);
+            (id, version)
+        })
+        .collect();
+    assert!(
+        begun.iter().all(|(_, version)| version == "v1"),
+        "{begun:?}"
+    );
+    // Some heartbeats.
+    thread::sleep(Duration::from_millis(500));
+    let new = VersionedRunner::register(&store, "r2", "v2");
+    old.set_busy(true);
+    wait_until("a stream at the new version", || {
+        begin_stream(&second, "other") == "v2"
+    });
+    old.set_busy(false);
+    check_take_ups(&second, &begun, begun.len());
+    drop(new);
+}
--- a/crates/gateway/tests/standins/store.rs
+++ b/crates/gateway/tests/standins/store.rs
@@ -45,15 +45,27 @@
 pub(crate) struct StandinStore {
     pub(crate) address: SocketAddr,
     state: Arc<(Mutex<StoreState>, Condvar)>,
+    /// Kinds whose calls are refused at this address.
+    refused_kinds: Arc<Mutex<Vec<String>>>,
 }
 
 impl StandinStore {
     pub(crate) fn start() -> Self {
+        Self::serve(Arc::default())
+    }
+
+    /// Starts another address of the same store, which can turn away its callers.
+    pub(crate) fn mirror(&self) -> Self {
+        Self::serve(self.state.clone())
+    }
+
+    fn serve(state: Arc<(Mutex<StoreState>, Condvar)>) -> Self {
         let server = Server::http(any_port()).unwrap();
         let address = server.server_addr().to_ip().unwrap();
         let store = Self {
             address,
-            state: Arc::default(),
+            state,
+            refused_kinds: Arc::default(),
         };
         let serving = store.clone();
         thread::spawn(move || {
@@ -155,7 +167,13 @@
                 .find(|(key, _)| *key == name)
                 .map(|(_, value)| percent_decode(value))
         };
-        let is_refusing = self.state.0.lock().unwrap().is_refusing;
+        let is_refusing = self.state.0.lock().unwrap().is_refusing
+            || self
+                .refused_kinds
+                .lock()
+                .unwrap()
+                .iter()
+                .any(|k| k == parts[0]);
         let (status, value) = match (request.method(), parts.as_slice()) {
             _ if is_refusing => (503, Value::Null),
             (Method::Get, [kind]) => match field("Watch") {
@@ -246,6 +264,12 @@
         changed.notify_all();
     }
 
+    /// Refuses all calls for objects of these kinds at this address.
+    pub(crate) fn refuse_kinds(&self, kinds: &[&str]) {
+        let kinds = kinds.iter().map(|kind| (*kind).to_owned());
+        *self.refused_kinds.lock().unwrap() = kinds.collect();
+    }
+
     /// Discards the history of all changes so far.
     pub(crate) fn forget_history(&self) {
         let mut state = self.state.0.lock().unwrap();
--- a/crates/gateway/tests/standins/test_gateway.rs
+++ b/crates/gateway/tests/standins/test_gateway.rs
@@ -116,8 +116,20 @@
 
     /// Starts a gateway with `settings` without waiting until it is ready.
     pub(crate) fn start_with_settings(store: StandinStore, settings: ProcessSettings) -> Self {
+        Self::start_near(store, settings, None)
+    }
+
+    /// Starts a gateway that contacts the instance at the address `first` first.
+    pub(crate) fn start_near(
+        store: StandinStore,
+        settings: ProcessSettings,
+        first: Option<SocketAddr>,
+    ) -> Self {
         let metrics = Arc::new(MetricSet::new().unwrap());
-        let gateway = Gateway::bind(settings, metrics).unwrap();
+        let mut gateway = Gateway::bind(settings, metrics).unwrap();
+        if let Some(first) = first {
+            gateway.set_first_contact(first);
+        }
         let settings = gateway.settings().clone();
         thread::spawn(move || gateway.run().unwrap());
         Self { store, settings }
--- a/crates/gateway/tests/two_models.rs
+++ b/crates/gateway/tests/two_models.rs
@@ -148,7 +148,7 @@
     let first = orders.lock().unwrap()[0].clone();
     // Long enough for several checks of the runners.
     std::thread::sleep(std::time::Duration::from_millis(600));
-    assert_eq!(*orders.lock().unwrap(), [first.clone()]);
+    assert_eq!(*orders.lock().unwrap(), std::slice::from_ref(&first));
     let index = usize::from(first == "n");
     entry["Models"][index]["Version"] = json!(2);
     store.put("servers", "r1", Some(entry));
--- a/crates/policy/src/software_versions.rs
+++ b/crates/policy/src/software_versions.rs
@@ -17,6 +17,12 @@
 
 /// Maximum number of begun streams that an instance remembers.
 const MAX_STREAMS: usize = 16_384;
+/// Maximum number of streams of other instances that an instance remembers.
+const MAX_HEARD_STREAMS: usize = 65_536;
+/// Number of messages in a row that contain a stream, because messages may be lost.
+const REPORT_COPIES: usize = 2;
+/// Maximum number of streams in one message.
+const MAX_REPORTED_STREAMS: usize = 512;
 
 /// A software version that runners of a service have, or had.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -194,3 +200,111 @@
         self.streams.binary_search_by_key(&id, |stream| stream.id)
     }
 }
+
+/// The streams that an instance tells the others: the number of the first one, and the key of
+/// the attempt and of the version of each.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamReport {
+    /// Number of the first stream; each stream of a process has the next number.
+    pub first: u64,
+    /// The streams.
+    pub streams: Vec<(u64, u64)>,
+}
+
+impl StreamReport {
+    /// Returns the streams whose numbers are `next` or higher, and the number that follows.
+    ///
+    /// ```
+    /// use berylmount_policy::software_versions::StreamReport;
+    ///
+    /// let report = StreamReport { first: 3, streams: vec![(7, 1), (8, 1)] };
+    /// assert_eq!(report.streams_from(4), (&[(8, 1)][..], 5));
+    /// assert_eq!(report.streams_from(9), (&[][..], 9));
+    /// ```
+    pub fn streams_from(&self, next: u64) -> (&[(u64, u64)], u64) {
+        let known = usize::try_from(next.saturating_sub(self.first)).unwrap_or(usize::MAX);
+        let new = self.streams.get(known..).unwrap_or_default();
+        (new, next.max(self.first + self.streams.len() as u64))
+    }
+}
+
+/// The begun streams that an instance still has to tell the others.
+#[derive(Clone, Debug, Default)]
+pub struct StreamReporter {
+    /// Number of the first stream in `streams`.
+    first: u64,
+    streams: VecDeque<(u64, u64)>,
+    /// The numbers at which the last messages ended, oldest first.
+    ends: VecDeque<u64>,
+}
+
+impl StreamReporter {
+    /// Adds a stream to the next messages.
+    pub fn note(&mut self, stream: &BegunStream) {
+        self.streams.push_back((stream.id, stream.version));
+    }
+
+    /// Returns the streams of the next message.
+    ///
+    /// ```
+    /// use berylmount_policy::software_versions::{BegunStream, StreamReporter};
+    ///
+    /// let mut reporter = StreamReporter::default();
+    /// reporter.note(&BegunStream { id: 5, version: 1, begun_ms: 0 });
+    /// assert_eq!(reporter.next_report().streams, [(5, 1)]);
+    /// reporter.note(&BegunStream { id: 6, version: 1, begun_ms: 0 });
+    /// assert_eq!(reporter.next_report().streams, [(5, 1), (6, 1)]);
+    /// assert_eq!(reporter.next_report().streams, [(6, 1)]);
+    /// assert_eq!(reporter.next_report().streams, []);
+    /// ```
+    pub fn next_report(&mut self) -> StreamReport {
+        if self.ends.len() >= REPORT_COPIES {
+            let end = self.ends.pop_front().unwrap_or(self.first);
+            let told = end.saturating_sub(self.first) as usize;
+            self.streams.drain(..told.min(self.streams.len()));
+            self.first = end.max(self.first);
+        }
+        let count = self.streams.len().min(MAX_REPORTED_STREAMS);
+        self.ends.push_back(self.first + count as u64);
+        StreamReport {
+            first: self.first,
+            streams: self.streams.iter().take(count).copied().collect(),
+        }
+    }
+}
+
+/// The streams of which other instances have told, in the order of their arrival.
+///
+/// They are searched one by one, because streams are told often and taken up rarely.
+#[derive(Clone, Debug, Default)]
+pub struct HeardStreams {
+    streams: VecDeque<BegunStream>,
+}
+
+impl HeardStreams {
+    /// Records a stream, and drops those that were heard before `min_ms`.
+    ///
+    /// ```
+    /// use berylmount_policy::software_versions::{BegunStream, HeardStreams};
+    ///
+    /// let mut heard = HeardStreams::default();
+    /// heard.note(BegunStream { id: 5, version: 1, begun_ms: 1000 }, 0);
+    /// assert_eq!(heard.version_of(5), Some(1));
+    /// heard.note(BegunStream { id: 6, version: 1, begun_ms: 3000 }, 2000);
+    /// assert_eq!(heard.version_of(5), None);
+    /// ```
+    pub fn note(&mut self, stream: BegunStream, min_ms: u64) {
+        let is_old = |first: &BegunStream| first.begun_ms < min_ms;
+        while self.streams.front().is_some_and(is_old) || self.streams.len() >= MAX_HEARD_STREAMS {
+            self.streams.pop_front();
+        }
+        self.streams.push_back(stream);
+    }
+
+    /// Returns the key of the version that began a stream.
+    pub fn version_of(&self, id: u64) -> Option<u64> {
+        let mut newest_first = self.streams.iter().rev();
+        let found = newest_first.find(|stream| stream.id == id);
+        found.map(|stream| stream.version)
+    }
+}
