Begin no resumable stream before the history of versions is known

What callers would see: a stream that goes on with events of another software version (ORDER).

Cause: an instance that had read no history of versions took every version for admitted. Others know only the admitted ones, and would go on with its streams at one of these. Ruled out: an instance that stood still, because it uses its older history, and take-ups wait for a read that starts after them.

Change: without a history no stream begins. An instance that cannot read the history copies it from another instance. A history that does not decode is written anew.

--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -18,9 +18,10 @@
     replica::ReplicaDelta,
     state::GatewayState,
     store_watch::{is_connected_watcher, WatchedKind},
-    stream_versions::note_heard,
+    stream_versions::{history_copy, note_heard},
 };
 use berylmount_adapter::store_client::{EraRevision, StoredObject};
+use berylmount_policy::software_versions::VersionHistory;
 use bincode::{config, serde as codec};
 use bytes::Bytes;
 use rand::rng;
@@ -62,6 +63,8 @@
     Changes(WatchedKind, EraRevision),
     /// Contents of the store with this key. Answered by a [`StoreSnapshot`].
     Store(u64),
+    /// The history of software versions. Answered by its revision and the history.
+    Software,
 }
 
 /// Reply to [`PullRequest::Changes`]. Objects are given by name, revision, and spec as
@@ -363,6 +366,10 @@
             let snapshot = state.stores.borrow().snapshot(store);
             return write_message(&mut socket, &encode(&snapshot)?).await;
         }
+        PullRequest::Software => {
+            let history = history_copy(state);
+            return write_message(&mut socket, &encode(&history)?).await;
+        }
     };
     let delta = || state.replicas.borrow()[kind as usize].delta(since);
     let version = CopyVersion {
@@ -429,6 +436,14 @@
     request_reply(address, &PullRequest::Store(store)).await
 }
 
+/// Pulls the history of software versions, with its revision, from the instance at `address`;
+/// `None` if that instance does not know it.
+pub(crate) async fn pull_history(
+    address: SocketAddr,
+) -> Result<Option<(u64, VersionHistory)>, PullFault> {
+    request_reply(address, &PullRequest::Software).await
+}
+
 /// Sends one request over a new connection and reads the reply.
 async fn request_reply<R: DeserializeOwned>(
     address: SocketAddr,
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -8,7 +8,13 @@
 //!
 //! Nothing is read or written while one version serves and callers take up no such streams.
 
-use crate::{clock::boot_ms, peers::name_hash, runner_registry::RunnerHandle, state::GatewayState};
+use crate::{
+    clock::boot_ms,
+    peer_link::{peer_addresses, pull_history},
+    peers::name_hash,
+    runner_registry::RunnerHandle,
+    state::GatewayState,
+};
 use berylmount_adapter::{
     objects::{decode_object, SOFTWARE_KIND},
     store_client::{StoreFault, WriteOutcome},
@@ -21,8 +27,10 @@
         BegunStream, BegunStreams, HeardStreams, StreamReport, StreamReporter, VersionHistory,
     },
 };
+use rand::{rng, seq::SliceRandom};
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -56,6 +64,8 @@
 const READ_LIMIT: Duration = Duration::from_millis(600);
 /// Attempts of one caller that may follow each other, in time limits of the route.
 const ATTEMPT_CHAIN: u32 = 2;
+/// Maximum number of instances that are asked for their history.
+const MAX_PEERS_ASKED: usize = 2;
 /// Maximum clock skew between instances.
 const MAX_CLOCK_SKEW: Duration = Duration::from_secs(5);
 
@@ -64,15 +74,14 @@
 pub(crate) enum SoftwareRule {
     /// At any; the response is not resumed.
     Any,
-    /// At those that may begin streams.
+    /// At those that may begin streams; at none before the history is known.
     Admitted,
     /// At the one with this key, which began the stream.
     Only(u64),
 }
 
 impl SoftwareRule {
-    /// Whether a runner may run the request. While the store cannot be read and no history is
-    /// known, any version may begin streams.
+    /// Whether a runner may run the request.
     pub(crate) fn allows(
         self,
         runner: &RunnerRecord,
@@ -188,6 +197,13 @@
     }
 }
 
+/// Returns the history that this instance knows, for another one that cannot read the store.
+pub(crate) fn history_copy(state: &GatewayState) -> Option<(u64, VersionHistory)> {
+    let versions = &state.stream_versions;
+    let history = versions.history()?;
+    Some((versions.revision.get(), (*history).clone()))
+}
+
 /// Waits until a version of the service may begin streams, if runners are there and none may
 /// yet.
 pub(crate) async fn wait_for_admission(state: &GatewayState, service: &str) {
@@ -207,7 +223,7 @@
             sleep(ADMIT_POLL_INTERVAL).await;
         }
     };
-    // Without the store, the request is placed as far as the rule allows.
+    // Without an admitted version, the request is refused.
     let _ = timeout(ADMIT_LIMIT, admitted).await;
 }
 
@@ -281,6 +297,9 @@
         {
             read_at_ms = boot_ms();
             let outcome = read(&state).await;
+            if outcome.is_err() && state.stream_versions.history().is_none() {
+                copy_history(&state).await;
+            }
             state.stream_versions.has_failed.set(outcome.is_err());
             if let Err(fault) = outcome {
                 log::warn!(target: "software", fault:% ; "could not read the software versions");
@@ -346,8 +365,9 @@
         Some(object) => match decode_object::<VersionHistory>(&object.spec) {
             Ok(history) => (history, object.revision.revision),
             Err(fault) => {
+                // Without any history no stream would ever begin, so it is written anew.
                 log::error!(target: "software", fault:% ; "the software versions do not decode");
-                return Ok(());
+                (VersionHistory::default(), object.revision.revision)
             }
         },
         None => (VersionHistory::default(), 0),
@@ -361,6 +381,24 @@
     Ok(())
 }
 
+/// Copies the history from another instance while this one cannot read the store.
+async fn copy_history(state: &GatewayState) {
+    let mut addresses: Vec<SocketAddr> = peer_addresses(state);
+    addresses.shuffle(&mut rng());
+    for address in addresses.into_iter().take(MAX_PEERS_ASKED) {
+        match pull_history(address).await {
+            Ok(Some((revision, history))) => {
+                log::info!(target: "software", revision, peer:% = address; "copied the software versions");
+                return apply_history(state, history, revision);
+            }
+            Ok(None) => {}
+            Err(fault) => {
+                log::warn!(target: "software", peer:% = address, fault:% ; "could not copy the software versions");
+            }
+        }
+    }
+}
+
 /// Puts a history in force. If several versions can have begun streams from now on, those of
 /// this instance are to be stored.
 fn apply_history(state: &GatewayState, history: VersionHistory, revision: u64) {
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -6,8 +6,8 @@
 
 use serde_json::json;
 use standins::{
-    all_routes, event_stream_to, header, response_to, scripted_runner, send_request, table,
-    wait_until, AfterResponse, StandinRunner, StandinStore, TestGateway,
+    all_routes, event_stream_to, header, response_to, scripted_runner, send_request, settings,
+    table, wait_until, AfterResponse, StandinRunner, StandinStore, TestGateway,
 };
 use std::{
     io::{Read, Write},
@@ -301,3 +301,34 @@
     check_take_ups(&second, &begun, begun.len());
     drop(new);
 }
+
+/// Guards against streams that begin at any version while an instance does not know which are
+/// in service. Other instances would go on with them at the version that they know.
+#[test]
+fn an_instance_without_the_history_begins_streams_at_admitted_versions_only() {
+    let store = start_store();
+    let old = VersionedRunner::register(&store, "r1", "v1");
+    let first = start_gateway(&store, "i1");
+    assert_eq!(begin_stream(&first, "begun"), "v1");
+    // From now on no version is admitted.
+    store.refuse_kinds(&["berylmount-software"]);
+    let cut_store = store.mirror();
+    cut_store.refuse_kinds(&["berylmount-software"]);
+    let new = VersionedRunner::register(&store, "r2", "v2");
+    let settings = settings("i2", cut_store.address);
+    let contact = first.settings.peer_address();
+    let second = TestGateway::start_near(cut_store, settings, Some(contact));
+    second.wait_ready();
+    second.wait_for_status("GET /safe/warm", "200", false);
+    let mut versions = Vec::new();
+    wait_until("a stream at the admitted version", || {
+        versions.push(begin_stream(&second, &format!("early{}", versions.len())));
+        versions.last().is_some_and(|version| version == "v1")
+    });
+    old.set_busy(true);
+    for number in 0..5 {
+        versions.push(begin_stream(&second, &format!("late{number}")));
+    }
+    assert!(!versions.contains(&"v2".to_owned()), "{versions:?}");
+    drop(new);
+}
