Bound the memory of all responses together

What callers would see: a process that runs out of memory before a runner whose responses never end, and takes the requests of all its callers with it.

Cause: each response was bounded, their sum was not. Ruled out: heads, which are bounded to 16 KB each, and memory that outlives its request.

Change: responses share an eighth of the machine's memory, and each may hold an eighth of what is free (dynamic thresholds), so that many large ones fail as they grow and small ones always pass. Such a failure counts against the runner, but no longer as a broken connection.

Evidence: endless_responses_to_many_callers_stay_within_the_memory, 400 callers of a real process with 128 MB.

--- a/crates/gateway/src/event_split.rs
+++ b/crates/gateway/src/event_split.rs
@@ -45,6 +45,11 @@
         Some(EventBlock { bytes, last_id })
     }
 
+    /// Returns the size of the incomplete event in bytes.
+    pub fn pending_len(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns whether no incomplete event is buffered.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,7 +15,7 @@
         has_runner_of, note_begun, software_key, version_of_stream, wait_for_admission,
         SoftwareRule,
     },
-    upstream::{max_idle, max_response_bytes, AttemptOutcome, BufferedResponse, RunnerAttempt},
+    upstream::{max_idle, AttemptOutcome, BufferedResponse, RunnerAttempt},
 };
 use berylmount_adapter::request_headers::ForwardContext;
 use berylmount_fleet::{CallerRequest, CustomerRecord, RouteKind, RouteRule, RouteTable};
@@ -477,7 +477,6 @@
             context,
             deadline: self.deadline,
             connection_limit: (max_connections / instances).max(1),
-            max_bytes: max_response_bytes(state.settings().machine.memory_bytes),
         };
         let is_stream = self.route.kind == RouteKind::Streaming;
         let mut has_answered = false;
@@ -663,10 +662,17 @@
     if sink.is_started {
         return CallOutcome::Aborted("the stream could not be resumed");
     }
-    let mut headers = response.headers;
-    let bytes = encode_response(response.status, &mut headers, &response.body, sink.closes);
+    let BufferedResponse {
+        status,
+        mut headers,
+        body,
+        memory: _memory,
+    } = response;
+    let bytes = encode_response(status, &mut headers, &body, sink.closes);
+    // Only one copy is held while the caller reads.
+    drop(body);
     match sink.stream.write(&bytes).await {
-        Ok(()) => CallOutcome::Answered(response.status),
+        Ok(()) => CallOutcome::Answered(status),
         Err(_) => CallOutcome::CallerGone,
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -69,6 +69,7 @@
 mod relay;
 mod replica;
 mod reservation;
+mod response_memory;
 mod responses;
 mod rollout_lease;
 mod runner_registry;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -32,6 +32,7 @@
     on_first_event: &mut impl FnMut(),
 ) -> AttemptOutcome {
     let mut splitter = EventSplitter::default();
+    let mut memory = attempt.begin_memory();
     loop {
         let chunk = tokio::select! {
             biased;
@@ -60,10 +61,14 @@
                 Err(RelayError::TimedOut) => AttemptOutcome::TimedOut(true),
             };
         };
-        let Some(block) = splitter.push(&chunk) else {
-            if splitter.is_overlong() {
-                return stream_failure(sink, "an event is too long");
-            }
+        let block = splitter.push(&chunk);
+        if splitter.is_overlong() {
+            return stream_failure(sink, "an event is too long");
+        }
+        if !memory.resize(splitter.pending_len()) {
+            return stream_failure(sink, "an event exceeds its share of the memory");
+        }
+        let Some(block) = block else {
             continue;
         };
         // A comment is not an event and does not show that prefill has ended.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -10,6 +10,7 @@
     permits::SilentCoordinator,
     reclaim::ActiveFetches,
     replica::KindReplica,
+    response_memory::SharedPool,
     runner_registry::RunnerRegistry,
     store_lag::OpenWaits,
     store_watch::{StoreAvailability, WatchedKind},
@@ -173,6 +174,8 @@
     pub(crate) in_flight: Cell<usize>,
     /// Bytes of request bodies held in memory.
     pub(crate) held_bytes: Cell<u64>,
+    /// Memory of responses.
+    pub(crate) response_pool: SharedPool,
 }
 
 /// Statistics of the requests of this instance for one service.
@@ -241,6 +244,7 @@
             grace_over: Notify::new(),
             in_flight: Cell::new(0),
             held_bytes: Cell::new(0),
+            response_pool: SharedPool::default(),
         }
     }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -6,6 +6,7 @@
     forward::{CallerSink, InboundCall},
     permits::note_limit,
     relay::relay_events,
+    response_memory::ResponseMemory,
     runner_registry::{RunnerConnection, RunnerExchange, RunnerHandle},
     state::GatewayState,
 };
@@ -25,11 +26,8 @@
 
 /// Time limit for connecting to a runner; some round trips within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-/// Maximum size in bytes of a response that is not an event stream.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
-/// One response may use the machine's memory divided by this, so that several
-/// runners that send without end don't exhaust it.
-const RESPONSE_MEMORY_DIVISOR: u64 = 64;
+/// Maximum size in bytes of a response that is discarded while it is read.
+const MAX_DISCARDED_BYTES: usize = 8 << 20;
 /// Time limit for reading the rest of an unneeded response, so that its connection
 /// can be reused.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
@@ -45,6 +43,8 @@
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// The memory of the body.
+    pub(crate) memory: ResponseMemory,
 }
 
 /// How one attempt ended.
@@ -87,15 +87,6 @@
     pub(crate) deadline: Instant,
     /// Maximum connections of this instance to the runner.
     pub(crate) connection_limit: u32,
-    /// Maximum size of a buffered response in bytes.
-    pub(crate) max_bytes: usize,
-}
-
-/// Returns the maximum size of a buffered response in bytes, on a machine with
-/// `memory_bytes` of memory.
-pub(crate) fn max_response_bytes(memory_bytes: u64) -> usize {
-    usize::try_from(memory_bytes / RESPONSE_MEMORY_DIVISOR)
-        .map_or(MAX_RESPONSE_BYTES, |max| max.min(MAX_RESPONSE_BYTES))
 }
 
 /// Why no response to a request was received.
@@ -263,9 +254,16 @@
             return relay_events(self, exchange, head, sink, on_first_event).await;
         }
         on_first_event();
-        let body = self.read_body(&mut exchange);
+        let mut memory = self.begin_memory();
+        let body = self.read_body(&mut exchange, &mut memory);
         let body = match run_cancellable(sink.stream, self.deadline, body).await {
             Ok(Ok(body)) => body,
+            Ok(Err(H1Fault::MemoryLimit)) => {
+                return AttemptOutcome::MayHaveRun("the response exceeds its share of the memory")
+            }
+            Ok(Err(H1Fault::Malformed(_))) => {
+                return AttemptOutcome::MayHaveRun("the response body is malformed")
+            }
             Ok(Err(_)) => {
                 return AttemptOutcome::Disconnected("the connection broke during the response")
             }
@@ -275,17 +273,28 @@
             status: head.status,
             headers: response_headers(&head),
             body,
+            memory,
         };
         self.return_connection(exchange, &head);
         AttemptOutcome::Complete(response)
     }
 
+    /// Returns the memory for a response.
+    pub(crate) fn begin_memory(&self) -> ResponseMemory {
+        let machine_bytes = self.state.settings().machine.memory_bytes;
+        self.state.response_pool.begin(machine_bytes)
+    }
+
     /// Reads the body of a response completely.
-    async fn read_body(&self, exchange: &mut RunnerExchange) -> Result<Bytes, H1Fault> {
+    async fn read_body(
+        &self,
+        exchange: &mut RunnerExchange,
+        memory: &mut ResponseMemory,
+    ) -> Result<Bytes, H1Fault> {
         let mut body = BytesMut::new();
         while let Some(data) = exchange.exchange.next_data().await? {
-            if body.len() + data.len() > self.max_bytes {
-                return Err(H1Fault::BodyTooLong);
+            if !memory.resize(body.len() + data.len()) {
+                return Err(H1Fault::MemoryLimit);
             }
             body.put_slice(&data);
         }
@@ -360,7 +369,7 @@
     ) -> Result<(), &'static str> {
         let started = exchange.exchange.start_body(head, &self.call.head.method);
         started.map_err(|_| "a response to another request is malformed")?;
-        let skipped = exchange.exchange.skip_body(self.max_bytes).await;
+        let skipped = exchange.exchange.skip_body(MAX_DISCARDED_BYTES).await;
         skipped.map_err(|_| "the connection broke during a response to another request")?;
         log::warn!(
             target: "upstream",
@@ -376,7 +385,13 @@
             return;
         }
         let started = exchange.exchange.start_body(head, &self.call.head.method);
-        if started.is_ok() && exchange.exchange.skip_body(self.max_bytes).await.is_ok() {
+        if started.is_ok()
+            && exchange
+                .exchange
+                .skip_body(MAX_DISCARDED_BYTES)
+                .await
+                .is_ok()
+        {
             self.return_connection(exchange, head);
         }
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -30,6 +30,7 @@
 //! | [`part_evidence`] | what an instance observes about prompt parts and crashes |
 //! | [`part_verdicts`] | which prompt parts crash runners |
 //! | [`runner_limits`] | how many requests a runner accepts, over all instances |
+//! | [`response_memory`] | how much memory a response may use |
 //! | [`software_versions`] | which software version a stream may go on at |
 //! | [`store_lags`] | which stores of kept cache answer late |
 //! | [`duty_lease`] | which instance holds the lease of a singleton duty |
@@ -79,6 +80,7 @@
 pub mod prompt_pools;
 pub mod queue;
 pub mod request_times;
+pub mod response_memory;
 pub mod retries;
 pub mod retry_share;
 pub mod runner_clock;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -101,7 +101,7 @@
     /// Requests waiting for a runner.
     Queued,
     /// Bytes of responses retained until acknowledged; at a gateway, bytes of buffered
-    /// request bodies.
+    /// request bodies and responses.
     HeldBytes,
     /// Version of the table in effect in this process.
     TableVersion,
