Count a watch without changes until the end of its wait

Cause: the bound was the time at which the last watch without changes was sent, up to 1.2 s before the request. The rest of the limit of 8 s looked shorter, and eight of twelve runners loaded weights at once, five before. Ruled out: the earlier lease, which only shifts the first orders.

Change: a response without changes that comes after the whole wait counts as of the end of the wait, since the store answers at once when there is a change.

--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -121,7 +121,8 @@
     unavailable_since_ms: Cell<u64>,
     /// When the store last became available again.
     recovered_at_ms: Cell<u64>,
-    /// When the last call was sent whose response the replica contains; 0 before.
+    /// Until when the replica surely contains everything, by the boot clock; 0 before the
+    /// first response.
     synced_at_ms: Cell<u64>,
     /// Until when this instance watches as a substitute for the elected watchers.
     substitute_until_ms: Cell<u64>,
@@ -265,7 +266,10 @@
                 self.note_available();
                 let changes = self.replica(|replica| replica.apply_watch(&events, revision));
                 apply_changes(&self.state, self.kind, &changes);
-                self.note_synced(sent_ms);
+                // The store sends a response without changes only at the end of the wait.
+                let wait_ms = wait.as_millis() as u64;
+                let has_waited = events.is_empty() && boot_ms() >= sent_ms + wait_ms;
+                self.note_synced(sent_ms + if has_waited { wait_ms } else { 0 });
                 match (self.kind, is_large) {
                     _ if changes.is_empty() => {}
                     (WatchedKind::Runners, true) => sleep(LARGE_BATCH_INTERVAL).await,
@@ -284,10 +288,10 @@
         Ok(())
     }
 
-    /// Records that the replica contains the response to a call that was sent at `sent_ms`.
-    fn note_synced(&self, sent_ms: u64) {
+    /// Records that the replica contains everything up to a time.
+    fn note_synced(&self, at_ms: u64) {
         let availability = &self.state.store_availability[self.kind as usize];
-        availability.synced_at_ms.set(sent_ms);
+        availability.synced_at_ms.set(at_ms);
     }
 
     /// Decides at random whether this instance, which is not elected, tries to watch now
