Rename the connection within a runner's exchange

The field and its type had the same name, so that calls read exchange.exchange. Nothing else changes: the field is now called http.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,7 +36,7 @@
     loop {
         let chunk = tokio::select! {
             biased;
-            chunk = timeout_at(attempt.deadline, exchange.exchange.next_data()) => chunk,
+            chunk = timeout_at(attempt.deadline, exchange.http.next_data()) => chunk,
             () = sink.stream.closed() => return AttemptOutcome::CallerGone,
         };
         let chunk = match chunk {
--- a/crates/gateway/src/runner_registry.rs
+++ b/crates/gateway/src/runner_registry.rs
@@ -73,7 +73,7 @@
     /// Starts to send a request on the connection.
     pub(crate) fn start(self, request: Bytes) -> RunnerExchange {
         RunnerExchange {
-            exchange: RequestExchange::new(self.stream, request),
+            http: RequestExchange::new(self.stream, request),
             is_reused: self.is_reused,
             slot: self.slot,
         }
@@ -83,7 +83,7 @@
 /// A request in progress on a connection to a runner.
 #[derive(Debug)]
 pub(crate) struct RunnerExchange {
-    pub(crate) exchange: RequestExchange,
+    pub(crate) http: RequestExchange,
     /// Whether the connection has carried an earlier request.
     pub(crate) is_reused: bool,
     slot: ConnectionSlot,
@@ -92,7 +92,7 @@
 impl RunnerExchange {
     /// Ends the exchange; returns the connection if it can carry another request.
     pub(crate) fn finish(self) -> Option<RunnerConnection> {
-        let stream = self.exchange.finish()?;
+        let stream = self.http.finish()?;
         Some(RunnerConnection {
             stream,
             is_reused: true,
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -246,7 +246,7 @@
         if head.status.is_success() && !reply.is_stamped {
             return AttemptOutcome::MayHaveRun("the response lacks the runner's stamp");
         }
-        let started = exchange.exchange.start_body(&head, &self.call.head.method);
+        let started = exchange.http.start_body(&head, &self.call.head.method);
         if started.is_err() {
             return AttemptOutcome::MayHaveRun("the response framing is ambiguous");
         }
@@ -292,7 +292,7 @@
         memory: &mut ResponseMemory,
     ) -> Result<Bytes, H1Fault> {
         let mut body = BytesMut::new();
-        while let Some(data) = exchange.exchange.next_data().await? {
+        while let Some(data) = exchange.http.next_data().await? {
             if !memory.resize(body.len() + data.len()) {
                 return Err(H1Fault::MemoryLimit);
             }
@@ -321,12 +321,12 @@
         exchange: &mut RunnerExchange,
     ) -> Result<(ResponseHead, RunnerReply), SendFailure> {
         for _ in 0..=MAX_FOREIGN_RESPONSES {
-            let head = exchange.exchange.read_head(HeadLimits::default()).await;
+            let head = exchange.http.read_head(HeadLimits::default()).await;
             let head = head.map_err(|fault| match fault {
                 H1Fault::Malformed(_) | H1Fault::HeadTooLong => {
                     SendFailure::Unusable("the response is malformed")
                 }
-                _ if !exchange.exchange.is_sent() => {
+                _ if !exchange.http.is_sent() => {
                     SendFailure::Disconnected("the connection broke while sending the request")
                 }
                 _ => SendFailure::Disconnected("the connection broke before the response"),
@@ -367,9 +367,9 @@
         exchange: &mut RunnerExchange,
         head: &ResponseHead,
     ) -> Result<(), &'static str> {
-        let started = exchange.exchange.start_body(head, &self.call.head.method);
+        let started = exchange.http.start_body(head, &self.call.head.method);
         started.map_err(|_| "a response to another request is malformed")?;
-        let skipped = exchange.exchange.skip_body(MAX_DISCARDED_BYTES).await;
+        let skipped = exchange.http.skip_body(MAX_DISCARDED_BYTES).await;
         skipped.map_err(|_| "the connection broke during a response to another request")?;
         log::warn!(
             target: "upstream",
@@ -381,17 +381,11 @@
 
     /// Reads the rest of a response and returns its connection to the pool.
     async fn drain_response(&self, mut exchange: RunnerExchange, head: &ResponseHead) {
-        if !exchange.exchange.is_sent() {
+        if !exchange.http.is_sent() {
             return;
         }
-        let started = exchange.exchange.start_body(head, &self.call.head.method);
-        if started.is_ok()
-            && exchange
-                .exchange
-                .skip_body(MAX_DISCARDED_BYTES)
-                .await
-                .is_ok()
-        {
+        let started = exchange.http.start_body(head, &self.call.head.method);
+        if started.is_ok() && exchange.http.skip_body(MAX_DISCARDED_BYTES).await.is_ok() {
             self.return_connection(exchange, head);
         }
     }
