--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -87,12 +87,12 @@
     pub(crate) term: u64,
     /// For each model, the lowest version of weights whose cached parts may be fetched.
     pub(crate) retired: Vec<(String, u64)>,
-    /// Keys of runners that are about to load weights and of the models that should get no
-    /// requests there, as of [`switch_key`], sorted.
+    /// Runners that are about to load weights, each with the model whose requests they should
+    /// not get, as sorted keys ([`switch_key`]).
     pub(crate) switching: Vec<u64>,
 }
 
-/// Returns the key of a model on a runner.
+/// Returns the key of a runner, given by its own key, together with a model.
 pub(crate) fn switch_key(runner: u64, model: &str) -> u64 {
     xxh3_64_with_seed(model.as_bytes(), runner)
 }
