Reproduce an instance without a path to runners that refuses its callers

Hypotheses: (1) an instance uses its own links only, whatever the other instances reach; (2) it learns too late that no runner is reachable, so that callers wait; (3) the directory goes on to name it.

The test cuts the links of one of two instances in three ways. It fails on: with links that hang, no request of 10 s is served.

--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -5,12 +5,14 @@
 
 mod crashing_fleet;
 mod limited_runner;
+mod link;
 mod runner;
 mod store;
 mod test_gateway;
 
 pub(crate) use crashing_fleet::{CrashingCall, FleetRecord};
 pub(crate) use limited_runner::{Arrival, LimitedRunner, LIMIT_CONTACT};
+pub(crate) use link::{CuttableLink, LinkCut};
 pub(crate) use runner::{
     event_stream_to, header, healthy_runner, read_message, received_requests, response_to,
     response_with_id, scripted_runner, AfterResponse, StandinRunner,
