Skip the checks of paths that nothing casts doubt on

Now a path without failed connections and without silence, and a process without tunnels, do nothing more than look at a few numbers. No test of its own; the tests of partitioned_instance and service_path pass as before.

--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -14,7 +14,12 @@
 use berylmount_policy::service_path::{PathState, ServicePath, SILENCE_MS};
 use berylmount_telemetry::CounterMetric;
 use rand::{rng, seq::IteratorRandom};
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::{sync::Notify, task::spawn_local, time::sleep};
 
 /// Time between two checks of the paths.
@@ -92,6 +97,8 @@
 pub(crate) struct ServicePaths {
     /// Sorted by service.
     paths: RefCell<Vec<(String, Rc<MonitoredPath>)>>,
+    /// Whether a tunnel may be idle.
+    has_tunnels: Cell<bool>,
     /// Instances that are not asked for a tunnel, with the end of that time by the boot clock,
     /// sorted by address.
     paused_relays: RefCell<Vec<(SocketAddr, u64)>>,
@@ -120,6 +127,11 @@
         closed
     }
 
+    /// Records that a tunnel was opened.
+    pub(crate) fn note_tunnel(&self) {
+        self.has_tunnels.set(true);
+    }
+
     /// Records that an instance could not open a tunnel.
     pub(crate) fn pause_relay(&self, relay: SocketAddr) {
         let until_ms = boot_ms() + RELAY_PAUSE_MS;
@@ -187,6 +199,9 @@
 
 /// Sends the probes that are due.
 pub(crate) fn start_probes(state: &Rc<GatewayState>, service: &str, path: &Rc<MonitoredPath>) {
+    if path.path.borrow().is_calm(boot_ms()) {
+        return;
+    }
     let runners = state.runners.borrow();
     let ready: Vec<&Rc<RunnerHandle>> = runners.ready_of(service).collect();
     let due = path.path.borrow_mut().probes_due(ready.len(), boot_ms());
@@ -251,13 +266,20 @@
 /// Closes idle tunnels through instances that are gone or drain, and to services that this
 /// instance reaches itself.
 fn close_idle_tunnels(state: &GatewayState) {
+    let paths = &state.service_paths;
+    if !paths.has_tunnels.get() {
+        return;
+    }
     let now_ms = boot_ms();
-    let closed = state.service_paths.closed();
+    let closed = paths.closed();
+    // While a path is closed, more tunnels may be returned to the pool.
+    paths.has_tunnels.set(!closed.is_empty());
     let peers = state.peers.borrow();
     for runner in state.runners.borrow().all() {
         if !runner.has_idle_tunnel() {
             continue;
         }
+        paths.has_tunnels.set(true);
         let service = name_hash(&runner.record().service);
         let is_used = closed.binary_search(&service).is_ok();
         runner.retain_idle_tunnels(|relay| {
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -71,6 +71,7 @@
         let fault = match timeout(OPEN_TIMEOUT, asked).await {
             Ok(Ok((socket, TunnelReply::Open))) => {
                 count_tunnel(state, "open");
+                state.service_paths.note_tunnel();
                 return Ok((H1Stream::tunnelled(socket), relay));
             }
             Ok(Ok((_, TunnelReply::Refused(refusal)))) => {
--- a/crates/policy/src/service_path.rs
+++ b/crates/policy/src/service_path.rs
@@ -121,6 +121,11 @@
         self.in_flight > 0 && now_ms.saturating_sub(quiet_since_ms) >= SILENCE_MS
     }
 
+    /// Whether nothing casts doubt on the path, so that no probes are due.
+    pub fn is_calm(&self, now_ms: u64) -> bool {
+        self.state == PathState::Open && self.failed.is_empty() && !self.is_silent(now_ms)
+    }
+
     /// Returns the number of probes to send now, each to another one of `runners` runners drawn
     /// at random. Each is reported by [`ServicePath::note_probe`].
     ///
