Relay a complete event before the next one fails for lack of memory

Callers of a stream got 502, or lost an event that had arrived, when the memory for responses was exhausted and one read brought a complete event and more than 16 KB of the next. A stream that may be resumed went on after the event before.

Cause: relay_events checked the memory of the incomplete event before it sent the events that were complete. The check of the maximum length came first as well. Ruled out: the splitter, which returns the complete events of the read.

The memory is still reserved before the write, so that what a slow caller holds up is accounted for; the failure follows after the write.

a_complete_event_is_relayed_though_the_next_one_exceeds_the_memory failed before (502 instead of the event) and passes.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -66,24 +66,24 @@
             };
         };
         let block = splitter.push(&chunk);
+        let has_memory = memory.resize(splitter.pending_len());
+        if let Some(block) = block {
+            // A comment is not an event and does not show that prefill has ended.
+            if block.last_id.is_some() {
+                on_first_event();
+            }
+            match send_events(attempt, sink, &head, &block).await {
+                Ok(()) => {}
+                Err(RelayError::CallerGone) => return AttemptOutcome::CallerGone,
+                Err(RelayError::TimedOut) => return AttemptOutcome::TimedOut(true),
+            }
+        }
         if splitter.is_overlong() {
             return stream_failure(sink, "an event is too long");
         }
-        if !memory.resize(splitter.pending_len()) {
+        if !has_memory {
             return stream_failure(sink, "an event exceeds its share of the memory");
         }
-        let Some(block) = block else {
-            continue;
-        };
-        // A comment is not an event and does not show that prefill has ended.
-        if block.last_id.is_some() {
-            on_first_event();
-        }
-        match send_events(attempt, sink, &head, &block).await {
-            Ok(()) => {}
-            Err(RelayError::CallerGone) => return AttemptOutcome::CallerGone,
-            Err(RelayError::TimedOut) => return AttemptOutcome::TimedOut(true),
-        }
     }
 }
 
--- a/crates/gateway/tests/unbounded_responses.rs
+++ b/crates/gateway/tests/unbounded_responses.rs
@@ -8,7 +8,8 @@
 
 use serde_json::json;
 use standins::{
-    all_routes, header, response_to, table, wait_until, AfterResponse, StandinRunner, TestGateway,
+    all_routes, header, response_to, settings, table, wait_until, AfterResponse, StandinRunner,
+    StandinStore, TestGateway,
 };
 use std::{
     io::{Read, Write},
@@ -115,6 +116,46 @@
     assert!(is_broken, "{response}");
 }
 
+/// A runner that sends a long head, then at once its end, an event and `part` of the next one.
+fn runner_of_long_event(part: usize) -> StandinRunner {
+    StandinRunner::start_with(move |socket, head| {
+        if head.contains("/warm") {
+            let response = response_to(head, "200 OK", "warm");
+            socket.write_all(&response).unwrap();
+            return AfterResponse::Keep;
+        }
+        let id = header(head, "berylmount-request-id").unwrap();
+        let start = EVENTS.replace("ID", &id);
+        // The gateway's buffer grows with the head, so that one read brings all the rest.
+        let filler = format!("x-filler: {}\r\n", "f".repeat(1000)).repeat(13);
+        socket
+            .write_all(&start.as_bytes()[..start.len() - 2])
+            .unwrap();
+        socket.write_all(filler.as_bytes()).unwrap();
+        thread::sleep(Duration::from_millis(100));
+        let events = format!("id: 1\ndata: a\n\nid: 2\ndata: {}", "b".repeat(part));
+        let rest = format!("\r\n{:x}\r\n{events}\r\n", events.len());
+        socket.write_all(rest.as_bytes()).unwrap();
+        AfterResponse::Hang
+    })
+}
+
+#[test]
+fn a_complete_event_is_relayed_though_the_next_one_exceeds_the_memory() {
+    let runner = runner_of_long_event(17 << 10);
+    let store = StandinStore::start();
+    store.put("config", "main", Some(table(1, all_routes())));
+    store.put("servers", "r1", Some(runner.entry("svc", "ready")));
+    let mut small = settings("i1", store.address);
+    // The pool of all responses is smaller than the part of the event.
+    small.machine.memory_bytes = 64 << 10;
+    let gateway = TestGateway::start_with_settings(store, small);
+    gateway.wait_for_status("GET /safe/warm", "200", false);
+    let response = gateway.call("POST /stream/x", "id1", "", "").unwrap();
+    assert!(response.contains("id: 1\ndata: a\n\n"), "{response:.60}");
+    assert!(response.ends_with("<broken off>"), "{response:.60}");
+}
+
 /// A stream that sends only comments makes no progress. It is aborted at the route's
 /// time limit and must not look complete.
 #[test]
