Send no body in responses to HEAD

Cause: encode_response appended the body whatever the method. For a runner's response it stated Content-Length: 0, which is not the length of the response to GET; the header is now left out.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -13,7 +13,7 @@
     read_counted_body, BodyFraming, BodyReader, H1Fault, H1Stream, HeadLimits, RequestHead,
 };
 use bytes::Bytes;
-use http::header::EXPECT;
+use http::{header::EXPECT, Method};
 use std::{cell::Cell, rc::Rc, time::Duration};
 use tokio::{net::TcpListener, task::spawn_local, time::timeout};
 
@@ -117,7 +117,7 @@
         Ok(body) => body,
         Err(Some(reason)) => {
             log::warn!(target: "callers", request = request.id, reason:% ; "failed to read the request body");
-            let response = LocalResponse::new(reason).encode(&request.id, true);
+            let response = LocalResponse::new(reason).encode(&head.method, &request.id, true);
             // The caller may have disconnected; the connection is closed in any case.
             let _ = stream.write(&response).await;
             return false;
@@ -211,7 +211,7 @@
 }
 
 async fn send_rejection(stream: &mut H1Stream, reason: LocalReason) {
-    let response = LocalResponse::new(reason).encode("", true);
+    let response = LocalResponse::new(reason).encode(&Method::GET, "", true);
     // The caller may have disconnected; the connection is closed in any case.
     let _ = stream.write(&response).await;
 }
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -1,6 +1,9 @@
 //! The list of instances, and the endpoint where callers look up instances to use.
 
-use crate::{accept::accept_next, callers::LINGER_TIME, clock::boot_ms, state::GatewayState};
+use crate::{
+    accept::accept_next, callers::LINGER_TIME, clock::boot_ms, responses::encode_response,
+    state::GatewayState,
+};
 use berylmount_adapter::{
     locate::{locate_body, LOCATE_PATH, READY_PATH},
     objects::{decode_object, INSTANCE_KIND},
@@ -319,7 +322,7 @@
             READY_PATH => (StatusCode::OK, Vec::new()),
             _ => (StatusCode::NOT_FOUND, Vec::new()),
         };
-        let response = crate::responses::encode_response(status, &mut headers, &body, closes);
+        let response = encode_response(&head.method, status, &mut headers, &body, closes);
         if stream.write(&response).await.is_err() || closes {
             stream.shutdown(LINGER_TIME).await;
             return;
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -5,7 +5,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use http::{
     header::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER},
-    HeaderMap, HeaderValue, StatusCode,
+    HeaderMap, HeaderValue, Method, StatusCode,
 };
 use std::time::Duration;
 use strum::{Display, IntoStaticStr};
@@ -114,9 +114,9 @@
         }
     }
 
-    /// Encodes the response to the request with `id`; `closes` adds
+    /// Encodes the response to a request with `method` and `id`; `closes` adds
     /// `Connection: close`.
-    pub(crate) fn encode(&self, id: &str, closes: bool) -> Bytes {
+    pub(crate) fn encode(&self, method: &Method, id: &str, closes: bool) -> Bytes {
         let text: &'static str = self.reason.into();
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
@@ -129,20 +129,31 @@
                 headers.insert(RETRY_AFTER, value);
             }
         }
-        encode_response(self.reason.status(), &mut headers, text.as_bytes(), closes)
+        let (status, body) = (self.reason.status(), text.as_bytes());
+        encode_response(method, status, &mut headers, body, closes)
     }
 }
 
-/// Encodes a response with a complete body; `closes` adds `Connection: close`.
+/// Encodes a response with a complete body to a request with `method`; `closes` adds
+/// `Connection: close`.
+///
+/// A response to HEAD ends with its head, which may state the length of the body that it
+/// does not have.
 pub(crate) fn encode_response(
+    method: &Method,
     status: StatusCode,
     headers: &mut HeaderMap,
     body: &[u8],
     closes: bool,
 ) -> Bytes {
-    headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
+    let is_bodiless = *method == Method::HEAD;
+    if !is_bodiless || !body.is_empty() {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
+    }
     let mut output = encode_head(status, headers, closes);
-    output.put_slice(body);
+    if !is_bodiless {
+        output.put_slice(body);
+    }
     output.freeze()
 }
 
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -14,8 +14,8 @@
 pub(crate) use limited_runner::{Arrival, LimitedRunner, LIMIT_CONTACT};
 pub(crate) use link::{CuttableLink, LinkCut};
 pub(crate) use runner::{
-    event_stream_to, header, healthy_runner, read_message, received_requests, response_to,
-    response_with_id, scripted_runner, AfterResponse, StandinRunner,
+    event_stream_to, header, healthy_runner, read_head, read_message, received_requests,
+    response_to, response_with_id, scripted_runner, AfterResponse, StandinRunner,
 };
 use std::{
     net::{Ipv4Addr, SocketAddr},
@@ -24,7 +24,7 @@
 };
 pub(crate) use store::{StandinStore, StoreBackup};
 pub(crate) use test_gateway::{
-    all_routes, read_response, route, send_request, settings, table, TestGateway,
+    all_routes, read_response, route, send_request, settings, table, KeptConnection, TestGateway,
 };
 
 /// Time limit of a wait for a condition.
--- a/crates/gateway/tests/standins/runner.rs
+++ b/crates/gateway/tests/standins/runner.rs
@@ -118,7 +118,7 @@
 }
 
 /// Reads the head of a message; `None` at the end of the connection.
-pub(super) fn read_head(socket: &mut TcpStream) -> Option<String> {
+pub(crate) fn read_head(socket: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     let mut byte = [0u8; 1];
     while !bytes.ends_with(b"\r\n\r\n") {
--- a/crates/gateway/tests/standins/test_gateway.rs
+++ b/crates/gateway/tests/standins/test_gateway.rs
@@ -1,8 +1,6 @@
 //! A gateway under test with its route table and settings, and an HTTP client.
 
-use super::{
-    any_port, header, runner::read_head, wait_until, StandinRunner, StandinStore, WAIT_TIMEOUT,
-};
+use super::{any_port, header, read_head, wait_until, StandinRunner, StandinStore, WAIT_TIMEOUT};
 use berylmount_fleet::{
     ListenAddresses, MachineLimits, OperatorBounds, ProcessSettings, StoreEndpoint,
 };
@@ -171,6 +169,36 @@
     }
 }
 
+/// A caller's connection that is kept open for several requests.
+pub(crate) struct KeptConnection {
+    pub(crate) socket: TcpStream,
+}
+
+impl KeptConnection {
+    pub(crate) fn open(gateway: &TestGateway) -> Self {
+        let socket = TcpStream::connect(gateway.settings.listen.callers).unwrap();
+        socket.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+        Self { socket }
+    }
+
+    /// Sends a request with the customer's key.
+    pub(crate) fn send(&mut self, line: &str, id: &str, body: &str) {
+        let request = format!(
+            "{line} HTTP/1.1\r\nHost: a.example\r\nBerylmount-Request-Id: {id}\r\n\
+             Berylmount-Deadline-Ms: 8000\r\nAuthorization: Token k1\r\n\
+             Content-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        self.socket.write_all(request.as_bytes()).unwrap();
+    }
+
+    /// Sends a request and reads the complete response.
+    pub(crate) fn call(&mut self, line: &str, id: &str, body: &str) -> Option<String> {
+        self.send(line, id, body);
+        read_response(&mut self.socket)
+    }
+}
+
 /// Sends a request and reads the complete response.
 pub(crate) fn send_request(address: SocketAddr, request: &str) -> Option<String> {
     let mut socket = TcpStream::connect(address).ok()?;
