Apply the limits in force when a request arrives

A caller whose connection had been idle while a table raised a limit got 413 (or 431) for a request that the table allows.

Cause: serve_connection read the limits before it waited for the request, so the first request after a change was held to the table before it.

a_raised_body_limit_applies_to_a_connection_that_was_idle failed before (413) and passes. The idle time of the wait itself stays that of its start.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -68,10 +68,12 @@
 /// Serves requests on one connection until it ends.
 async fn serve_connection(state: &Rc<GatewayState>, stream: &mut H1Stream) {
     loop {
-        let limits = state.table().map_or(DEFAULT_LIMITS, |table| table.limits);
-        if !wait_for_bytes(state, stream, limits.idle_time).await {
+        let idle = limits_in_force(state).idle_time;
+        if !wait_for_bytes(state, stream, idle).await {
             return;
         }
+        // A new table may have come into force while the connection was idle.
+        let limits = limits_in_force(state);
         let bytes = limits.head_bytes;
         let head = stream.read_request(HeadLimits { bytes });
         let head = match timeout(limits.head_time, head).await {
@@ -85,6 +87,11 @@
     }
 }
 
+/// Returns the limits of the route table in force.
+fn limits_in_force(state: &GatewayState) -> CallerLimits {
+    state.table().map_or(DEFAULT_LIMITS, |table| table.limits)
+}
+
 /// Waits for the first byte of a request; returns `false` if the connection should
 /// be closed.
 async fn wait_for_bytes(state: &GatewayState, stream: &mut H1Stream, idle: Duration) -> bool {
--- a/crates/gateway/tests/caller_connections.rs
+++ b/crates/gateway/tests/caller_connections.rs
@@ -3,11 +3,28 @@
 
 mod standins;
 
+use serde_json::{json, Value};
 use standins::{
-    header, read_head, received_requests, response_to, scripted_runner, AfterResponse,
-    KeptConnection, TestGateway,
+    all_routes, header, healthy_runner, read_head, received_requests, response_to, route,
+    scripted_runner, table, AfterResponse, KeptConnection, TestGateway,
 };
 
+/// Returns a table with one limit changed and a route that shows that the table is in force.
+fn limited_table(version: u64, limit: &str, value: u64) -> Value {
+    let mut limited = table(version, all_routes());
+    limited["Limits"][limit] = json!(value);
+    let marker = route(&format!("/v{version}/"), "safe", 1, false);
+    limited["Routes"].as_array_mut().unwrap().push(marker);
+    limited
+}
+
+/// Puts a table of [`limited_table`] in force.
+fn apply_table(gateway: &TestGateway, version: u64, limit: &str, value: u64) {
+    let limited = limited_table(version, limit, value);
+    gateway.store.put("config", "main", Some(limited));
+    gateway.wait_for_status(&format!("GET /v{version}/warm"), "200", false);
+}
+
 /// Guards against bodies that the caller takes for the start of the next response.
 #[test]
 fn a_response_to_head_has_no_body() {
@@ -32,3 +49,16 @@
     }
     assert_eq!(received_requests(&runner).len(), 3);
 }
+
+/// Guards against limits of the table that was in force when the connection became idle.
+#[test]
+fn a_raised_body_limit_applies_to_a_connection_that_was_idle() {
+    let runner = healthy_runner();
+    let gateway = TestGateway::start(&[("r1", &runner)]);
+    let mut connection = KeptConnection::open(&gateway);
+    connection.call("GET /safe/x", "id1", "").unwrap();
+    apply_table(&gateway, 2, "MaxBodyBytes", 256 << 10);
+    let body = "b".repeat(128 << 10);
+    let response = connection.call("POST /unsafe/x", "id2", &body).unwrap();
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+}
