Keep a replaced idle limit until callers know the new one

A request on a kept connection got no response when a table had just shortened the idle limit: the connection was closed by the new limit while its caller still reused it by the old one.

Cause: wait_for_bytes took the limit of the newest table from the moment it was in force here. A request that was sent shortly before the limit also crossed the close. Ruled out: connections that were idle before the change; they kept the limit of the start of their wait, and still do.

The fuzz test plays changes that instances and callers learn of at different times; without the retained limits it fails. a_shortened_idle_limit_closes_no_connection_before_callers_know_it failed before (no response) and passes.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -18,7 +18,7 @@
 use tokio::{net::TcpListener, task::spawn_local, time::timeout};
 
 /// Limits in force until a route table is known.
-const DEFAULT_LIMITS: CallerLimits = CallerLimits {
+pub(crate) const DEFAULT_LIMITS: CallerLimits = CallerLimits {
     head_bytes: 16 * 1024,
     body_bytes: 4 << 20,
     head_time: Duration::from_secs(3),
@@ -68,11 +68,9 @@
 /// Serves requests on one connection until it ends.
 async fn serve_connection(state: &Rc<GatewayState>, stream: &mut H1Stream) {
     loop {
-        let idle = limits_in_force(state).idle_time;
-        if !wait_for_bytes(state, stream, idle).await {
+        if !wait_for_bytes(state, stream).await {
             return;
         }
-        // A new table may have come into force while the connection was idle.
         let limits = limits_in_force(state);
         let bytes = limits.head_bytes;
         let head = stream.read_request(HeadLimits { bytes });
@@ -94,15 +92,17 @@
 
 /// Waits for the first byte of a request; returns `false` if the connection should
 /// be closed.
-async fn wait_for_bytes(state: &GatewayState, stream: &mut H1Stream, idle: Duration) -> bool {
-    let mut waited = Duration::ZERO;
+async fn wait_for_bytes(state: &GatewayState, stream: &mut H1Stream) -> bool {
+    let (mut waited, mut limit) = (Duration::ZERO, Duration::ZERO);
     while stream.is_buffer_empty() {
         match timeout(IDLE_CHECK_INTERVAL, stream.fill()).await {
             Ok(Ok(0)) | Ok(Err(_)) => return false,
             Ok(Ok(_)) => return true,
             Err(_) => waited += IDLE_CHECK_INTERVAL,
         }
-        if waited >= idle || state.drain_elapsed_ms() >= DRAIN_IDLE_CLOSE_MS {
+        let close_after_ms = state.idle_limits.borrow().close_after_ms(boot_ms());
+        limit = limit.max(Duration::from_millis(close_after_ms));
+        if waited >= limit || state.drain_elapsed_ms() >= DRAIN_IDLE_CLOSE_MS {
             return false;
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     cache_stores::StoreRegistry,
+    callers::DEFAULT_LIMITS,
     clock::boot_ms,
     copies::CopyServer,
     crash_parts::CrashParts,
@@ -25,6 +26,7 @@
     admission::{ArrivalRate, PeerLoad},
     duty_lease::RequestedRecord,
     engine_pace::{EnginePace, FirstEvent},
+    idle_limits::IdleLimits,
     misdirection::MisdirectedRunners,
     prompt_pools::{PromptLength, PromptMix},
     request_times::RequestTimes,
@@ -57,6 +59,8 @@
 pub(crate) const GRACE_FRACTION: f64 = 0.88;
 /// Time before that end by which a request must have reached its own time limit.
 const DRAIN_MARGIN: Duration = Duration::from_millis(100);
+/// Time by which callers may learn of a new table later than all instances have it in force.
+const CALLER_LAG: Duration = Duration::from_secs(1);
 /// Number of versions per model whose request times are stored in the lease record.
 const MAX_RECORDED_VERSIONS: usize = 4;
 /// Maximum clock skew between instances, in milliseconds. It allows a clock step of two
@@ -181,6 +185,8 @@
     pub(crate) held_bytes: Cell<u64>,
     /// Memory of responses.
     pub(crate) response_pool: SharedPool,
+    /// How long callers' connections may stay idle.
+    pub(crate) idle_limits: RefCell<IdleLimits>,
 }
 
 /// Statistics of the requests of this instance for one service.
@@ -252,6 +258,7 @@
             in_flight: Cell::new(0),
             held_bytes: Cell::new(0),
             response_pool: SharedPool::default(),
+            idle_limits: RefCell::new(IdleLimits::new(DEFAULT_LIMITS.idle_time.as_millis() as u64)),
         }
     }
 
@@ -270,11 +277,22 @@
         let mut current = self.table.borrow_mut();
         let is_newer = current.as_ref().is_none_or(|c| c.version < table.version);
         if is_newer {
+            let idle_ms = table.limits.idle_time.as_millis() as u64;
+            self.replace_idle_limit(idle_ms);
             *current = Some(Rc::new(table));
         }
         is_newer
     }
 
+    /// Replaces the idle limit of callers' connections. Callers may know the one before until
+    /// the new table has come into force everywhere.
+    fn replace_idle_limit(&self, idle_ms: u64) {
+        let retained = self.settings.borrow().bounds.table_apply + CALLER_LAG;
+        let retained_ms = retained.as_millis() as u64;
+        let mut limits = self.idle_limits.borrow_mut();
+        limits.replace(idle_ms, boot_ms(), retained_ms);
+    }
+
     /// Returns the newest weights that are requested for a model.
     pub(crate) fn desired_weights_of(&self, model: &str) -> Option<DesiredWeights> {
         let desired_weights = self.desired_weights.borrow();
--- a/crates/gateway/tests/caller_connections.rs
+++ b/crates/gateway/tests/caller_connections.rs
@@ -6,8 +6,9 @@
 use serde_json::{json, Value};
 use standins::{
     all_routes, header, healthy_runner, read_head, received_requests, response_to, route,
-    scripted_runner, table, AfterResponse, KeptConnection, TestGateway,
+    scripted_runner, settings, table, AfterResponse, KeptConnection, StandinStore, TestGateway,
 };
+use std::{thread, time::Duration};
 
 /// Returns a table with one limit changed and a route that shows that the table is in force.
 fn limited_table(version: u64, limit: &str, value: u64) -> Value {
@@ -62,3 +63,22 @@
     let response = connection.call("POST /unsafe/x", "id2", &body).unwrap();
     assert!(response.starts_with("HTTP/1.1 200"), "{response}");
 }
+
+/// Guards against an idle limit that callers do not know yet.
+#[test]
+fn a_shortened_idle_limit_closes_no_connection_before_callers_know_it() {
+    let runner = healthy_runner();
+    let store = StandinStore::start();
+    store.put("config", "main", Some(table(1, all_routes())));
+    store.put("servers", "r1", Some(runner.entry("svc", "ready")));
+    let mut slow = settings("i1", store.address);
+    slow.bounds.table_apply = Duration::from_secs(60);
+    let gateway = TestGateway::start_with_settings(store, slow);
+    gateway.wait_for_status("GET /safe/warm", "200", false);
+    apply_table(&gateway, 2, "IdleTimeoutMs", 100);
+    let mut connection = KeptConnection::open(&gateway);
+    connection.call("GET /safe/x", "id1", "").unwrap();
+    thread::sleep(Duration::from_millis(2500));
+    let response = connection.call("GET /safe/x", "id2", "");
+    assert!(response.is_some_and(|response| response.starts_with("HTTP/1.1 200")));
+}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`cache_fetch`] | whether to fetch KV cache from a store or to recompute it |
 //! | [`cache_retention`] | which KV cache to keep when a run ends, and where |
 //! | [`prefix_cache`] | which cache parts to fetch from stores or save there |
+//! | [`idle_limits`] | how long a caller's connection may stay idle
 //! | [`engine_pace`] | how fast engines prefill prompts |
 //! | [`retries`] | whether to retry, hedge or give up |
 //! | [`groups`] | which dispatch group an entry sends a request to |
@@ -70,6 +71,7 @@
 pub mod duty_lease;
 pub mod engine_pace;
 pub mod groups;
+pub mod idle_limits;
 pub mod limits;
 pub mod misdirection;
 pub mod pacing;
--- a/crates/policy/tests/fuzz/main.rs
+++ b/crates/policy/tests/fuzz/main.rs
@@ -4,6 +4,7 @@
 
 mod budgets;
 mod crash_parts;
+mod idle_limits;
 mod limits;
 mod misdirection;
 mod queue;
