Leave requests unread that cross the close of an idle connection

A request that crossed the close of an idle connection, or that of a drain, got neither a response nor a refusal.

Reading on only protects a response that the peer has not yet read, and an idle connection has none.

An idle connection is now closed at once, after a last look for input that the runtime has not reported yet, which is served. A request that still crosses the close stays unread and resets the caller's side, which tells the caller that it has not run. The first table replaces the default limits without retaining them.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -58,29 +58,46 @@
         let (state, open) = (state.clone(), open.clone());
         spawn_local(async move {
             let mut stream = H1Stream::new(socket);
-            serve_connection(&state, &mut stream).await;
-            stream.shutdown(LINGER_TIME).await;
+            match serve_connection(&state, &mut stream).await {
+                CloseMode::Linger => stream.shutdown(LINGER_TIME).await,
+                CloseMode::AtOnce => drop(stream),
+            }
             open.set(open.get() - 1);
         });
     }
 }
 
+/// How a connection is closed.
+enum CloseMode {
+    /// Input is read for some time, so that the last response reaches the caller.
+    Linger,
+    /// Nothing more is read. A request that crosses the close stays unread, and the caller's
+    /// side of the connection is reset, which shows that the request has not run.
+    AtOnce,
+}
+
 /// Serves requests on one connection until it ends.
-async fn serve_connection(state: &Rc<GatewayState>, stream: &mut H1Stream) {
+async fn serve_connection(state: &Rc<GatewayState>, stream: &mut H1Stream) -> CloseMode {
     loop {
         if !wait_for_bytes(state, stream).await {
-            return;
+            return CloseMode::AtOnce;
         }
         let limits = limits_in_force(state);
         let bytes = limits.head_bytes;
         let head = stream.read_request(HeadLimits { bytes });
         let head = match timeout(limits.head_time, head).await {
             Ok(Ok(head)) => head,
-            Ok(Err(fault)) => return reject_head(stream, &fault).await,
-            Err(_) => return send_rejection(stream, LocalReason::RequestTimeout).await,
+            Ok(Err(fault)) => {
+                reject_head(stream, &fault).await;
+                return CloseMode::Linger;
+            }
+            Err(_) => {
+                send_rejection(stream, LocalReason::RequestTimeout).await;
+                return CloseMode::Linger;
+            }
         };
         if !serve_request(state, stream, head, limits).await {
-            return;
+            return CloseMode::Linger;
         }
     }
 }
@@ -102,7 +119,8 @@
         }
         let close_after_ms = state.idle_limits.borrow().close_after_ms(boot_ms());
         limit = limit.max(Duration::from_millis(close_after_ms));
-        if waited >= limit || state.drain_elapsed_ms() >= DRAIN_IDLE_CLOSE_MS {
+        let is_due = waited >= limit || state.drain_elapsed_ms() >= DRAIN_IDLE_CLOSE_MS;
+        if is_due && !stream.has_input() {
             return false;
         }
     }
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -278,7 +278,10 @@
         let is_newer = current.as_ref().is_none_or(|c| c.version < table.version);
         if is_newer {
             let idle_ms = table.limits.idle_time.as_millis() as u64;
-            self.replace_idle_limit(idle_ms);
+            match *current {
+                Some(_) => self.replace_idle_limit(idle_ms),
+                None => *self.idle_limits.borrow_mut() = IdleLimits::new(idle_ms),
+            }
             *current = Some(Rc::new(table));
         }
         is_newer
--- a/crates/gateway/tests/caller_connections.rs
+++ b/crates/gateway/tests/caller_connections.rs
@@ -8,7 +8,11 @@
     all_routes, header, healthy_runner, read_head, received_requests, response_to, route,
     scripted_runner, settings, table, AfterResponse, KeptConnection, StandinStore, TestGateway,
 };
-use std::{thread, time::Duration};
+use std::{
+    io::{Read, Write},
+    thread,
+    time::Duration,
+};
 
 /// Returns a table with one limit changed and a route that shows that the table is in force.
 fn limited_table(version: u64, limit: &str, value: u64) -> Value {
@@ -82,3 +86,23 @@
     let response = connection.call("GET /safe/x", "id2", "");
     assert!(response.is_some_and(|response| response.starts_with("HTTP/1.1 200")));
 }
+
+/// Guards against requests that are read and thrown away after the connection was closed.
+#[test]
+fn a_request_that_crosses_the_close_of_an_idle_connection_is_not_read() {
+    let runner = healthy_runner();
+    let store = StandinStore::start();
+    let limited = limited_table(1, "IdleTimeoutMs", 100);
+    store.put("config", "main", Some(limited));
+    store.put("servers", "r1", Some(runner.entry("svc", "ready")));
+    let gateway = TestGateway::start_with(store, "i1");
+    gateway.wait_for_status("GET /safe/warm", "200", false);
+    let mut connection = KeptConnection::open(&gateway);
+    connection.call("GET /safe/x", "id1", "").unwrap();
+    // The end of the stream shows that the gateway has closed the connection.
+    assert_eq!(connection.socket.read(&mut [0u8; 1]).unwrap(), 0);
+    connection.send("POST /unsafe/x", "id2", "b");
+    // A connection that is still read from would accept it.
+    assert!(connection.socket.write_all(b"b").is_err());
+    assert_eq!(received_requests(&runner).len(), 1);
+}
--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -7,7 +7,7 @@
 };
 use bytes::BytesMut;
 use socket2::{SockRef, TcpKeepalive};
-use std::{future, io, net::SocketAddr, time::Duration};
+use std::{future, io, mem::MaybeUninit, net::SocketAddr, time::Duration};
 use tokio::{
     io::{AsyncRead, AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -148,6 +148,14 @@
             && matches!(probe, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Returns whether bytes have arrived that were not read yet, also if the runtime has not
+    /// reported them.
+    pub fn has_input(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit(); 1];
+        let peeked = SockRef::from(&self.socket).peek(&mut byte);
+        !self.buffer.is_empty() || matches!(peeked, Ok(count) if count > 0)
+    }
+
     /// Waits until the peer closes the connection or the connection fails.
     ///
     /// Bytes that arrive in the meantime are buffered, up to a limit. At the limit nothing
