Refuse connections over the limit of descriptors with a response

A caller whose connection came when a process held as many as its descriptors allow saw it closed without a response.

Cause: serve_callers dropped the socket. Now up to 64 such connections at a time have the head of their request read for at most a second and get 503 with Retry-After and Connection: close; their descriptors come from the reserve. Any further ones are closed with their requests unread, as before.

a_connection_over_the_limit_of_descriptors_is_refused failed before (no response) and passes; nothing reaches the runner, and the connections are served again once others have ended.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -3,7 +3,7 @@
 use crate::{
     accept::accept_next,
     clock::boot_ms,
-    forward::{serve_call, InboundCall},
+    forward::{rejection, serve_call, InboundCall},
     responses::{LocalReason, LocalResponse},
     state::GatewayState,
 };
@@ -12,10 +12,15 @@
 use berylmount_h1::{
     read_counted_body, BodyFraming, BodyReader, H1Fault, H1Stream, HeadLimits, RequestHead,
 };
+use berylmount_telemetry::CounterMetric;
 use bytes::Bytes;
 use http::{header::EXPECT, Method};
 use std::{cell::Cell, rc::Rc, time::Duration};
-use tokio::{net::TcpListener, task::spawn_local, time::timeout};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+    time::timeout,
+};
 
 /// Limits in force until a route table is known.
 pub(crate) const DEFAULT_LIMITS: CallerLimits = CallerLimits {
@@ -36,12 +41,18 @@
 /// Time for which input is still read after a connection is shut down. A body in
 /// flight may take some round trips.
 pub(crate) const LINGER_TIME: Duration = Duration::from_millis(500);
+/// Connections over the limit that receive a refusal at the same time. Others are closed with
+/// their requests unread.
+const MAX_REFUSED_CONNECTIONS: u64 = 64;
+/// Time limit for receiving the head of a request on a connection over the limit.
+const REFUSAL_READ_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which an idle connection checks whether the instance is draining.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Accepts callers' connections and serves each in a task of its own.
 pub(crate) async fn serve_callers(state: Rc<GatewayState>, listener: TcpListener) {
     let open: Rc<Cell<u64>> = Rc::default();
+    let refused: Rc<Cell<u64>> = Rc::default();
     loop {
         let socket = accept_next(&listener, "callers").await;
         let max_open = state
@@ -51,7 +62,15 @@
             .saturating_sub(RESERVED_DESCRIPTORS);
         // At least 64 connections are allowed, even with few descriptors.
         if open.get() >= max_open.max(64) {
-            log::warn!(target: "callers", open = open.get(); "connection closed: too many open connections");
+            log::warn!(target: "callers", open = open.get(); "connection refused: too many open connections");
+            if refused.get() < MAX_REFUSED_CONNECTIONS {
+                refused.set(refused.get() + 1);
+                let (state, refused) = (state.clone(), refused.clone());
+                spawn_local(async move {
+                    refuse_connection(&state, socket).await;
+                    refused.set(refused.get() - 1);
+                });
+            }
             continue;
         }
         open.set(open.get() + 1);
@@ -67,6 +86,26 @@
     }
 }
 
+/// Refuses the first request of a connection over the limit, and closes it.
+async fn refuse_connection(state: &GatewayState, socket: TcpStream) {
+    let mut stream = H1Stream::new(socket);
+    let bytes = limits_in_force(state).head_bytes;
+    let head = stream.read_request(HeadLimits { bytes });
+    match timeout(REFUSAL_READ_TIMEOUT, head).await {
+        Ok(Ok(head)) => {
+            let refusal = rejection(LocalReason::Overloaded);
+            let reason = refusal.reason.into();
+            state.metrics.add(CounterMetric::RefusalsTotal, reason, 1);
+            let id = decode_request(&head.headers).id;
+            // The caller may have disconnected; the connection is closed in any case.
+            let _ = stream.write(&refusal.encode(&head.method, &id, true)).await;
+        }
+        Ok(Err(fault)) => reject_head(&mut stream, &fault).await,
+        Err(_) => send_rejection(&mut stream, LocalReason::RequestTimeout).await,
+    }
+    stream.shutdown(LINGER_TIME).await;
+}
+
 /// How a connection is closed.
 enum CloseMode {
     /// Input is read for some time, so that the last response reaches the caller.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -130,7 +130,7 @@
 }
 
 /// Builds a rejection, with a randomised `Retry-After` if the status is 503.
-fn rejection(reason: LocalReason) -> LocalResponse {
+pub(crate) fn rejection(reason: LocalReason) -> LocalResponse {
     let mut response = LocalResponse::new(reason);
     if response.reason.status() == StatusCode::SERVICE_UNAVAILABLE {
         let (min_ms, max_ms) = RETRY_AFTER_MS;
--- a/crates/gateway/tests/caller_connections.rs
+++ b/crates/gateway/tests/caller_connections.rs
@@ -106,3 +106,28 @@
     assert!(connection.socket.write_all(b"b").is_err());
     assert_eq!(received_requests(&runner).len(), 1);
 }
+
+/// Guards against connections that are closed without a response for lack of descriptors.
+#[test]
+fn a_connection_over_the_limit_of_descriptors_is_refused() {
+    const MAX_OPEN: usize = 64;
+    let runner = healthy_runner();
+    let store = StandinStore::start();
+    store.put("config", "main", Some(table(1, all_routes())));
+    store.put("servers", "r1", Some(runner.entry("svc", "ready")));
+    let mut few = settings("i1", store.address);
+    few.machine.descriptors = 100;
+    let gateway = TestGateway::start_with_settings(store, few);
+    gateway.wait_for_status("GET /safe/warm", "200", false);
+    let open = || KeptConnection::open(&gateway);
+    let kept: Vec<KeptConnection> = (0..MAX_OPEN).map(|_| open()).collect();
+    let response = gateway.call("POST /unsafe/x", "id1", "", "b").unwrap();
+    assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    let names = ["connection", "berylmount-request-id"];
+    let found = names.map(|name| header(&response, name).unwrap_or_default());
+    assert_eq!(found, ["close", "id1"]);
+    assert!(header(&response, "retry-after").is_some(), "{response}");
+    assert_eq!(received_requests(&runner).len(), 0);
+    drop(kept);
+    gateway.wait_for_status("GET /safe/warm", "200", false);
+}
