Give callers more time to acknowledge than runners

A caller that stopped reading for some seconds, or whose link was silent for as long, lost a response that was ready, or its stream.

Cause: H1Stream set TCP_USER_TIMEOUT to 2.5 s and probes each second on every connection. On Linux that option also decides when probes give up, whatever their count, and when a peer with a closed window is given up. So 2.5 s without an acknowledgement, or about 3 s of silence while idle, ended the connection.

The limit now depends on the peer's role. Clients get 10 s and probes each 5 s: nobody else can receive their responses, and the time limits of head, body, request and idle time end what a dead one leaves. Servers (runners, the store, other instances) keep 2.5 s and probes each second, because a request that hangs at a dead one may be sent elsewhere. A process that pauses while its kernel acknowledges is not affected by either.

a_caller_that_pauses_for_seconds_receives_its_whole_response failed before (the connection was reset after 2.5 s with a closed window) and passes.

--- a/crates/gateway/src/callers.rs
+++ b/crates/gateway/src/callers.rs
@@ -10,7 +10,8 @@
 use berylmount_adapter::request_headers::decode_request;
 use berylmount_fleet::CallerLimits;
 use berylmount_h1::{
-    read_counted_body, BodyFraming, BodyReader, H1Fault, H1Stream, HeadLimits, RequestHead,
+    read_counted_body, BodyFraming, BodyReader, H1Fault, H1Stream, HeadLimits, PeerRole,
+    RequestHead,
 };
 use berylmount_telemetry::CounterMetric;
 use bytes::Bytes;
@@ -76,7 +77,7 @@
         open.set(open.get() + 1);
         let (state, open) = (state.clone(), open.clone());
         spawn_local(async move {
-            let mut stream = H1Stream::new(socket);
+            let mut stream = H1Stream::new(socket, PeerRole::Client);
             match serve_connection(&state, &mut stream).await {
                 CloseMode::Linger => stream.shutdown(LINGER_TIME).await,
                 CloseMode::AtOnce => drop(stream),
@@ -88,7 +89,7 @@
 
 /// Refuses the first request of a connection over the limit, and closes it.
 async fn refuse_connection(state: &GatewayState, socket: TcpStream) {
-    let mut stream = H1Stream::new(socket);
+    let mut stream = H1Stream::new(socket, PeerRole::Client);
     let bytes = limits_in_force(state).head_bytes;
     let head = stream.read_request(HeadLimits { bytes });
     match timeout(REFUSAL_READ_TIMEOUT, head).await {
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -10,7 +10,7 @@
     store_client::{StoredObject, WriteOutcome},
 };
 use berylmount_fleet::ProcessSettings;
-use berylmount_h1::{H1Stream, HeadLimits};
+use berylmount_h1::{H1Stream, HeadLimits, PeerRole};
 use http::{header::CONTENT_TYPE, HeaderMap, HeaderValue, StatusCode};
 use rand::{rng, seq::SliceRandom};
 use serde::{Deserialize, Serialize};
@@ -296,7 +296,9 @@
     loop {
         let socket = accept_next(&listener, "instances").await;
         let state = state.clone();
-        spawn_local(async move { serve_requests(&state, H1Stream::new(socket)).await });
+        spawn_local(async move {
+            serve_requests(&state, H1Stream::new(socket, PeerRole::Client)).await
+        });
     }
 }
 
--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -24,7 +24,7 @@
 };
 use berylmount_adapter::request_headers::RunnerNotice;
 use berylmount_h1::{
-    detect_dead_peer, end_frame, frame_head, H1Stream, StreamEnd, MAX_FRAME_BYTES,
+    detect_dead_peer, end_frame, frame_head, H1Stream, PeerRole, StreamEnd, MAX_FRAME_BYTES,
 };
 use berylmount_telemetry::CounterMetric;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -101,7 +101,7 @@
     runner: u64,
 ) -> Result<(TcpStream, TunnelReply), PullFault> {
     let mut socket = TcpStream::connect(relay).await?;
-    detect_dead_peer(&socket);
+    detect_dead_peer(&socket, PeerRole::Server);
     write_encoded(&mut socket, &PullRequest::Tunnel(runner)).await?;
     let reply = read_message(&mut socket).await?;
     Ok((socket, reply))
@@ -113,7 +113,7 @@
     mut client: TcpStream,
     runner: u64,
 ) -> Result<(), PullFault> {
-    detect_dead_peer(&client);
+    detect_dead_peer(&client, PeerRole::Client);
     let slot = ConnectionSlot::take(&state.tunnels);
     let opened = match refusal_of(state) {
         Some(refusal) => Err(refusal),
@@ -162,7 +162,7 @@
     let path = state.service_paths.of(&record.service);
     path.note_connection(&runner, opened.is_some());
     let socket = opened.ok_or(TunnelRefusal::RunnerUnreachable)?;
-    detect_dead_peer(&socket);
+    detect_dead_peer(&socket, PeerRole::Server);
     Ok(socket)
 }
 
--- a/crates/gateway/tests/caller_connections.rs
+++ b/crates/gateway/tests/caller_connections.rs
@@ -5,8 +5,9 @@
 
 use serde_json::{json, Value};
 use standins::{
-    all_routes, header, healthy_runner, read_head, received_requests, response_to, route,
-    scripted_runner, settings, table, AfterResponse, KeptConnection, StandinStore, TestGateway,
+    all_routes, header, healthy_runner, read_head, read_response, received_requests, response_to,
+    route, scripted_runner, settings, table, AfterResponse, KeptConnection, StandinStore,
+    TestGateway,
 };
 use std::{
     io::{Read, Write},
@@ -131,3 +132,19 @@
     drop(kept);
     gateway.wait_for_status("GET /safe/warm", "200", false);
 }
+
+/// Guards against responses that are lost because their callers stop reading for a while.
+#[test]
+fn a_caller_that_pauses_for_seconds_receives_its_whole_response() {
+    const BODY_BYTES: usize = 1 << 20;
+    let body = "x".repeat(BODY_BYTES);
+    let runner = scripted_runner(move |request| {
+        (response_to(request, "200 OK", &body), AfterResponse::Keep)
+    });
+    let gateway = TestGateway::start(&[("r1", &runner)]);
+    let mut connection = KeptConnection::open(&gateway);
+    connection.send("GET /safe/x", "id1", "");
+    thread::sleep(Duration::from_millis(4500));
+    let response = read_response(&mut connection.socket);
+    assert!(response.is_some_and(|response| response.len() > BODY_BYTES));
+}
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -31,5 +31,5 @@
     fault::H1Fault,
     frames::{end_frame, frame_head, StreamEnd, MAX_FRAME_BYTES},
     head::{push_headers, strip_hop_headers, RequestHead, ResponseHead},
-    stream::{detect_dead_peer, H1Stream, HeadLimits},
+    stream::{detect_dead_peer, H1Stream, HeadLimits, PeerRole},
 };
--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -18,12 +18,41 @@
 const READ_BYTES: usize = 8 * 1024;
 /// Limit of the bytes buffered while waiting for the peer to close the connection.
 const MAX_WATCH_BYTES: usize = 64 * 1024;
-/// Idle time before the first TCP keep-alive probe, and interval between probes.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// Number of unanswered probes after which the connection is reset.
+
+/// Number of unanswered probes after which the connection is reset where no time limit for
+/// acknowledgements is set.
 const PROBE_COUNT: u32 = 3;
-/// Time limit for the peer to acknowledge written bytes.
-const ACK_TIMEOUT: Duration = Duration::from_millis(2500);
+
+/// The side of a connection that the peer takes, which decides how long it may be silent.
+///
+/// The time limit for acknowledgements also decides when keep-alive probes give up, and when a
+/// peer that reads nothing is given up.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PeerRole {
+    /// The peer sends requests. Nobody else can receive its responses, and the time limits of
+    /// its requests end what a dead one leaves behind.
+    Client,
+    /// The peer responds. A request that hangs at a dead one could be sent elsewhere.
+    Server,
+}
+
+impl PeerRole {
+    /// Returns the idle time before the first TCP keep-alive probe, and between probes.
+    fn probe_interval(self) -> Duration {
+        match self {
+            Self::Client => Duration::from_secs(5),
+            Self::Server => Duration::from_secs(1),
+        }
+    }
+
+    /// Returns the time limit for the peer to acknowledge written bytes and probes.
+    fn ack_timeout(self) -> Duration {
+        match self {
+            Self::Client => Duration::from_secs(10),
+            Self::Server => Duration::from_millis(2500),
+        }
+    }
+}
 
 /// Limits of a message head.
 #[derive(Clone, Copy, Debug)]
@@ -47,20 +76,18 @@
     frames: Option<FrameReader>,
 }
 
-/// Limits for how long the peer of a connection may be silent.
-///
-/// Keep-alive probes and a time limit for acknowledgements reset a connection whose peer no
-/// longer responds.
-pub fn detect_dead_peer(socket: &TcpStream) {
+/// Resets a connection whose peer no longer responds, by keep-alive probes and a time limit for
+/// acknowledgements.
+pub fn detect_dead_peer(socket: &TcpStream, role: PeerRole) {
     let probes = TcpKeepalive::new()
-        .with_time(PROBE_INTERVAL)
-        .with_interval(PROBE_INTERVAL)
+        .with_time(role.probe_interval())
+        .with_interval(role.probe_interval())
         .with_retries(PROBE_COUNT);
     let options = SockRef::from(socket);
     // Errors are ignored: the options only detect a dead peer earlier than the timeouts
     // of the calling code.
     let _ = options.set_tcp_keepalive(&probes);
-    let _ = options.set_tcp_user_timeout(Some(ACK_TIMEOUT));
+    let _ = options.set_tcp_user_timeout(Some(role.ack_timeout()));
     let _ = socket.set_nodelay(true);
 }
 
@@ -91,8 +118,8 @@
 
 impl H1Stream {
     /// Wraps a connected socket, and limits for how long its peer may be silent.
-    pub fn new(socket: TcpStream) -> Self {
-        detect_dead_peer(&socket);
+    pub fn new(socket: TcpStream, role: PeerRole) -> Self {
+        detect_dead_peer(&socket, role);
         Self {
             socket,
             buffer: BytesMut::new(),
@@ -105,7 +132,7 @@
     pub fn tunnelled(socket: TcpStream) -> Self {
         Self {
             frames: Some(FrameReader::default()),
-            ..Self::new(socket)
+            ..Self::new(socket, PeerRole::Server)
         }
     }
 
@@ -116,7 +143,7 @@
     /// Returns the connection error, or `TimedOut`; nothing was sent.
     pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         match timeout(limit, TcpStream::connect(address)).await {
-            Ok(socket) => Ok(Self::new(socket?)),
+            Ok(socket) => Ok(Self::new(socket?, PeerRole::Server)),
             Err(_) => Err(io::ErrorKind::TimedOut.into()),
         }
     }
