Find dead instances behind tunnels as soon as dead runners

The 2.5 s of connections to runners apply to both ends of a tunnel now. No test of its own: the times are those of the kernel.

--- a/crates/gateway/src/tunnels.rs
+++ b/crates/gateway/src/tunnels.rs
@@ -113,7 +113,8 @@
     mut client: TcpStream,
     runner: u64,
 ) -> Result<(), PullFault> {
-    detect_dead_peer(&client, PeerRole::Client);
+    // A runner should not work on for long for an instance that is gone.
+    detect_dead_peer(&client, PeerRole::Server);
     let slot = ConnectionSlot::take(&state.tunnels);
     let opened = match refusal_of(state) {
         Some(refusal) => Err(refusal),
