Prove the version of streams that a lost instance has not told of

Callers saw: during a release of runners, right after machines lost power, a stream that had begun in their last heartbeat interval was refused with 503 unknown_stream at every machine and every try, although runners of its version served.

Cause: who began a stream is told in the next heartbeat (0.1 s). What an instance begins after its last one is known to nobody, and while two versions can have begun streams, the others refuse it. They cannot know that the lost instance used one version only.

Ruled out: full runners and late admission, as no attempt was made at a runner and the refusals took 29 to 103 ms; the store answered.

An instance now begins streams at a version other than the first of its service only after it has stored that it uses it, which is one write per instance and release. A take-up of a stream that is nowhere known asks the other instances, and reads what all have stored. Those that reply have begun none of the streams that they do not name; what the silent ones may have used are the candidates, and the stream goes on if there is exactly one. Entries of older code, a store that does not answer, a backup that was restored within the time for which streams are kept, and records of another era are all read as "any version".

--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -11,10 +11,11 @@
 };
 use berylmount_fleet::ProcessSettings;
 use berylmount_h1::{H1Stream, HeadLimits, PeerRole};
+use berylmount_model::unix_ms;
 use http::{header::CONTENT_TYPE, HeaderMap, HeaderValue, StatusCode};
 use rand::{rng, seq::SliceRandom};
 use serde::{Deserialize, Serialize};
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     net::TcpListener,
     task::spawn_local,
@@ -65,11 +66,25 @@
     }
 }
 
+/// The entry in the store, with what other instances have to know when it no longer answers.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct ListedEntry {
+    #[serde(flatten)]
+    entry: InstanceEntry,
+    /// Since when the instance stores the software versions that it may use, in Unix
+    /// milliseconds; 0 if it always has, `None` if it does not.
+    #[serde(default)]
+    records_since_ms: Option<u64>,
+}
+
 /// The known instances.
 #[derive(Debug, Default)]
 pub(crate) struct InstanceList {
     /// Entries, sorted by name.
     entries: Vec<(String, InstanceEntry)>,
+    /// When the last of them began to store the software versions that it may use, in Unix
+    /// milliseconds; `None` if one does not.
+    all_record_since_ms: Option<u64>,
     /// Maximum number of instances that were known at the same time.
     max_known: usize,
     /// Era of the store from which the entries were read.
@@ -132,6 +147,21 @@
         self.has_predecessor == Some(true)
     }
 
+    /// Whether an instance of this name is listed.
+    pub(crate) fn contains(&self, name: &str) -> bool {
+        let found = self
+            .entries
+            .binary_search_by(|(known, _)| known.as_str().cmp(name));
+        found.is_ok()
+    }
+
+    /// Whether all listed instances have stored since `min_ms` which software versions they may
+    /// use.
+    pub(crate) fn all_record(&self, min_ms: u64) -> bool {
+        self.all_record_since_ms
+            .is_some_and(|since_ms| since_ms <= min_ms)
+    }
+
     /// Returns the entries, sorted by name.
     pub(crate) fn entries(&self) -> &[(String, InstanceEntry)] {
         &self.entries
@@ -206,17 +236,31 @@
     };
     let settings = state.settings();
     let own = (settings.name.clone(), InstanceEntry::of(&settings));
-    let entries: Vec<_> = listing.objects.iter().filter_map(decode_entry).collect();
-    let is_registered = entries.contains(&own);
+    let listed: Vec<_> = listing.objects.iter().filter_map(decode_entry).collect();
+    let is_own = |(name, listed): &(String, ListedEntry)| {
+        *name == own.0 && listed.entry == own.1 && listed.records_since_ms.is_some()
+    };
+    let is_registered = listed.iter().any(is_own);
+    let since_ms = listed.iter().map(|(_, listed)| listed.records_since_ms);
+    // An entry that does not decode may be one of other code.
+    let is_whole = listed.len() == listing.objects.len();
+    let all_record_since_ms = since_ms
+        .min_by_key(|since_ms| since_ms.map(Reverse))
+        .filter(|_| is_whole);
+    let entries = listed
+        .into_iter()
+        .map(|(name, listed)| (name, listed.entry));
+    let entries: Vec<_> = entries.collect();
     let has_own_name = entries.iter().any(|(name, _)| *name == own.0);
     let mut instances = state.instances.borrow_mut();
+    instances.all_record_since_ms = all_record_since_ms.flatten();
     instances.has_predecessor.get_or_insert(has_own_name);
     instances.replace(entries, listing.revision.era, boot_ms());
     is_registered
 }
 
-fn decode_entry(object: &StoredObject) -> Option<(String, InstanceEntry)> {
-    match decode_object::<InstanceEntry>(&object.spec) {
+fn decode_entry(object: &StoredObject) -> Option<(String, ListedEntry)> {
+    match decode_object::<ListedEntry>(&object.spec) {
         Ok(entry) => Some((object.name.clone(), entry)),
         Err(fault) => {
             log::warn!(target: "instances", name = object.name, fault:% ; "ignored an instance entry that does not decode");
@@ -228,7 +272,11 @@
 /// Writes the entry of this instance. Returns whether it is now in the store.
 async fn register(state: &GatewayState) -> bool {
     let settings = state.settings();
-    let Ok(spec) = serde_json::to_value(InstanceEntry::of(&settings)) else {
+    let mut listed = ListedEntry {
+        entry: InstanceEntry::of(&settings),
+        records_since_ms: Some(0),
+    };
+    let Ok(spec) = serde_json::to_value(&listed) else {
         return false;
     };
     match state
@@ -240,7 +288,7 @@
             log::info!(target: "instances", name = settings.name; "registered");
             true
         }
-        Ok(_) => replace_entry(state, &settings.name, &spec).await,
+        Ok(_) => replace_entry(state, &settings.name, &mut listed).await,
         Err(fault) => {
             log::warn!(target: "instances", fault:% ; "could not register this instance");
             false
@@ -249,9 +297,8 @@
 }
 
 /// Replaces the entry that an earlier process of this instance left behind.
-async fn replace_entry(state: &GatewayState, name: &str, spec: &serde_json::Value) -> bool {
+async fn replace_entry(state: &GatewayState, name: &str, listed: &mut ListedEntry) -> bool {
     let known = match state.store.get(INSTANCE_KIND, name, false).await {
-        Ok(Some(known)) if known.spec == *spec => return true,
         Ok(Some(known)) => known,
         Ok(None) => return false,
         Err(fault) => {
@@ -259,9 +306,18 @@
             return false;
         }
     };
+    // An earlier process of older code does not store what it uses.
+    let before = decode_entry(&known).and_then(|(_, before)| before.records_since_ms);
+    listed.records_since_ms = Some(before.unwrap_or_else(unix_ms));
+    let Ok(spec) = serde_json::to_value(listed) else {
+        return false;
+    };
+    if known.spec == spec {
+        return true;
+    }
     let written = state
         .store
-        .replace(INSTANCE_KIND, name, known.revision.revision, spec);
+        .replace(INSTANCE_KIND, name, known.revision.revision, &spec);
     matches!(written.await, Ok(WriteOutcome::Stored(_)))
 }
 
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -18,7 +18,11 @@
     replica::ReplicaDelta,
     state::GatewayState,
     store_watch::{is_connected_watcher, WatchedKind},
-    stream_versions::{history_copy, note_heard},
+    stream_versions::{
+        history_copy,
+        inquiry::{note_reply, reply_to_query},
+        note_heard,
+    },
     tunnels::{note_tunnelled, serve_tunnel},
 };
 use berylmount_adapter::store_client::{EraRevision, StoredObject};
@@ -259,6 +263,12 @@
             Ok(PeerMessage::PermitReply(number, decision)) => {
                 deliver_reply(&state, number, decision);
             }
+            Ok(PeerMessage::StreamQuery(number, streams)) => {
+                if let Some(reply) = reply_to_query(&state, number, &streams) {
+                    send_message(&socket, &[sender], &PeerMessage::StreamReply(reply)).await;
+                }
+            }
+            Ok(PeerMessage::StreamReply(reply)) => note_reply(&state, sender, reply),
             Err(fault) => {
                 log::warn!(target: "peers", fault:% ; "ignored a message that does not decode")
             }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -5,7 +5,10 @@
 //! load of each runner. Lost datagrams are not sent again, because each one repeats the
 //! whole state.
 
-use crate::{crash_parts::AnalystNotice, instances::InstanceEntry, store_watch::WatchedKind};
+use crate::{
+    crash_parts::AnalystNotice, instances::InstanceEntry, store_watch::WatchedKind,
+    stream_versions::inquiry::StreamReply,
+};
 use berylmount_adapter::store_client::EraRevision;
 use berylmount_policy::{
     engine_pace::EnginePace,
@@ -265,6 +268,10 @@
     PartsCleared(Vec<Vec<u64>>),
     /// What a runner has announced in a response through a tunnel of the receiver.
     RunnerNotice(TunnelledNotice),
+    /// A question for the versions of streams: its number, and the streams.
+    StreamQuery(u64, Vec<u64>),
+    /// The reply to such a question.
+    StreamReply(StreamReply),
 }
 
 /// What a runner has announced in a response through a tunnel.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -130,9 +130,9 @@
     };
     let candidates = runners.ready_of(query.service).filter(accepts_requests);
     let candidates = candidates.filter(is_untried);
-    let history = state.stream_versions.history();
+    let versions = &state.stream_versions;
     let has_software =
-        |runner: &&Rc<RunnerHandle>| query.software.allows(&runner.record(), history.as_ref());
+        |runner: &&Rc<RunnerHandle>| query.software.allows(&runner.record(), versions);
     let candidates = candidates.filter(has_software);
     let min_version = min_weights_version(state, query, now_ms);
     let has_weights = |runner: &&Rc<RunnerHandle>| {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -14,7 +14,9 @@
     state::{GatewayState, GRACE_FRACTION},
     store_lag::update_store_lags,
     store_watch::{expire_runners, pull_from_peers, watch_kind, WatchedKind},
-    stream_versions::{follow_versions, stored::store_streams},
+    stream_versions::{
+        follow_versions, inquiry::ask_instances, stored::store_streams, used::store_used,
+    },
     weights::roll_out_weights,
 };
 use berylmount_adapter::settings_file::{load_settings, SettingsFault};
@@ -191,6 +193,8 @@
     spawn_local(store_blamed_parts(state.clone()));
     spawn_local(follow_versions(state.clone()));
     spawn_local(store_streams(state.clone()));
+    spawn_local(store_used(state.clone()));
+    spawn_local(ask_instances(state.clone()));
     spawn_local(expire_runners(state.clone()));
     spawn_local(update_gauges(state.clone()));
     spawn_local(watch_paths(state.clone()));
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -4,7 +4,9 @@
 //! its heartbeats, so that its streams go on while it is paused, cut off or gone. For streams
 //! that nobody has told of it reads the history of versions, which is one object in the store. If
 //! only one version can have begun the stream, that is the one; otherwise the instances store the
-//! streams that they begin (`stored`). A stream of unknown origin is refused.
+//! streams that they begin (`stored`). If nobody knows the stream when asked (`inquiry`), it began
+//! at an instance that does not reply, at a version that this one may have used (`used`). A stream
+//! of unknown origin is refused.
 //!
 //! Nothing is read or written while one version serves and callers take up no such streams.
 
@@ -14,6 +16,7 @@
     peers::name_hash,
     runner_registry::RunnerHandle,
     state::GatewayState,
+    stream_versions::{inquiry::StreamInquiries, used::UsedRecords},
 };
 use berylmount_adapter::{
     objects::{decode_object, SOFTWARE_KIND},
@@ -24,7 +27,8 @@
 use berylmount_policy::{
     shared_duties::DutyMember,
     software_versions::{
-        BegunStream, BegunStreams, HeardStreams, StreamReport, StreamReporter, VersionHistory,
+        AskedProcess, BegunStream, BegunStreams, HeardStreams, StreamReport, StreamReporter,
+        VersionHistory,
     },
 };
 use rand::{rng, seq::SliceRandom};
@@ -40,7 +44,9 @@
 };
 use xxhash_rust::xxh3::Xxh3;
 
+pub(crate) mod inquiry;
 pub(crate) mod stored;
+pub(crate) mod used;
 
 /// Name of the object with the history of versions.
 const HISTORY_NAME: &str = "versions";
@@ -74,7 +80,7 @@
 pub(crate) enum SoftwareRule {
     /// At any; the response is not resumed.
     Any,
-    /// At those that may begin streams; at none before the history is known.
+    /// At those at which this instance may begin streams; at none before the history is known.
     Admitted,
     /// At the one with this key, which began the stream.
     Only(u64),
@@ -82,15 +88,10 @@
 
 impl SoftwareRule {
     /// Whether a runner may run the request.
-    pub(crate) fn allows(
-        self,
-        runner: &RunnerRecord,
-        history: Option<&Rc<VersionHistory>>,
-    ) -> bool {
+    pub(crate) fn allows(self, runner: &RunnerRecord, versions: &StreamVersions) -> bool {
         match self {
             Self::Any => true,
-            Self::Admitted => history
-                .is_some_and(|history| history.is_admitted(&runner.service, &runner.software)),
+            Self::Admitted => versions.may_begin(runner),
             Self::Only(key) => software_key(&runner.service, &runner.software) == key,
         }
     }
@@ -109,6 +110,12 @@
     listed: RefCell<BegunStreams>,
     /// When the streams may be listed again, by the boot clock; 0 before the first listing.
     next_list_ms: Cell<u64>,
+    /// Number of the read that is to list the versions that instances may have used.
+    origin_read: Cell<u64>,
+    /// Versions that instances may have used.
+    pub(crate) used: UsedRecords,
+    /// Questions to the other instances.
+    pub(crate) inquiries: StreamInquiries,
     /// Streams that this instance has not stored yet.
     unstored: RefCell<Vec<BegunStream>>,
     history: RefCell<Option<Rc<VersionHistory>>>,
@@ -136,6 +143,17 @@
         self.untold.borrow_mut().next_report()
     }
 
+    /// Whether this instance may begin streams at the version of a runner.
+    fn may_begin(&self, runner: &RunnerRecord) -> bool {
+        let (service, version) = (&runner.service, &runner.software);
+        let history = self.history.borrow();
+        history.as_ref().is_some_and(|history| {
+            let may_use =
+                history.is_first(service, version) || self.used.contains(service, version);
+            may_use && history.is_admitted(service, version)
+        })
+    }
+
     fn is_mixed(&self, now_ms: u64, kept_ms: u64) -> bool {
         let history = self.history();
         history.is_some_and(|history| history.is_mixed(now_ms, kept_ms))
@@ -207,17 +225,16 @@
 /// Waits until a version of the service may begin streams, if runners are there and none may
 /// yet.
 pub(crate) async fn wait_for_admission(state: &GatewayState, service: &str) {
+    let versions = &state.stream_versions;
     let is_pending = || {
-        let history = state.stream_versions.history();
         let runners = state.runners.borrow();
         let mut ready = runners.ready_of(service).peekable();
         let has_ready = ready.peek().is_some();
-        let is_admitted = |history: &Rc<VersionHistory>, runner: &Rc<RunnerHandle>| {
-            let record = runner.record();
-            history.is_admitted(&record.service, &record.software)
-        };
-        has_ready && !history.is_some_and(|history| ready.any(|r| is_admitted(&history, r)))
+        has_ready && !ready.any(|runner| versions.may_begin(&runner.record()))
     };
+    if is_pending() {
+        versions.used.store_now();
+    }
     let admitted = async {
         while is_pending() && !state.stream_versions.has_failed.get() {
             sleep(ADMIT_POLL_INTERVAL).await;
@@ -252,25 +269,56 @@
         return Some(version);
     }
     // Every version that can have begun the stream was admitted before this read.
-    if !wait_for_read(versions).await {
+    let read = versions.reads_started.get() + 1;
+    versions.origin_read.set(read);
+    if !wait_for_read(versions, read).await {
         return None;
     }
-    let (now_ms, kept_ms) = (unix_ms(), kept_ms(state));
     let history = versions.history()?;
-    let possible: Vec<&str> = history.possible(service, now_ms, kept_ms).collect();
-    match possible[..] {
-        [version] => Some(software_key(service, version)),
-        _ => versions.listed.borrow().version_of(id?),
+    let possible = history.possible(service, unix_ms(), kept_ms(state));
+    if let [version] = possible.collect::<Vec<&str>>()[..] {
+        return Some(software_key(service, version));
+    }
+    let id = id?;
+    let listed = versions.listed.borrow().version_of(id);
+    match listed {
+        Some(version) => Some(version),
+        None => origin_of_untold(state, service, id, read).await,
+    }
+}
+
+/// Returns the key of the version that began a stream of which nobody has told, if an instance
+/// knows it when asked, or if only one version can have. The versions that instances may have
+/// used are those of the read with this number.
+async fn origin_of_untold(state: &GatewayState, service: &str, id: u64, read: u64) -> Option<u64> {
+    let versions = &state.stream_versions;
+    let round = inquiry::ask_for_stream(state, id).await?;
+    if let Some(version) = round.version_of(id) {
+        return Some(version);
+    }
+    if !versions.used.is_listed_since(read) {
+        return None;
     }
+    let own = AskedProcess {
+        process: state.started_ms,
+        age_ms: boot_ms().saturating_sub(state.started_boot_ms),
+    };
+    let mut asked = round.asked();
+    asked.push((state.settings().name.clone(), own));
+    let history = versions.history()?;
+    let version = versions
+        .used
+        .only_origin(state, &history, service, &asked)?;
+    log::info!(target: "software", service, version; "an untold stream can only have begun at this version");
+    Some(software_key(service, &version))
 }
 
-/// Waits for a read that starts after this call. Returns whether there was one.
-async fn wait_for_read(versions: &StreamVersions) -> bool {
-    let wanted = versions.reads_started.get() + 1;
+/// Waits for a read with this number or a later one. Returns whether there was one.
+async fn wait_for_read(versions: &StreamVersions, number: u64) -> bool {
     let read = async {
         loop {
             let done = versions.read_done.notified();
-            if versions.reads_done.get() >= wanted {
+            if versions.reads_done.get() >= number {
                 return;
             }
             versions.read_wanted.notify_one();
@@ -374,7 +422,11 @@
     };
     apply_history(state, history, revision);
     if versions.is_mixed(unix_ms(), kept_ms(state)) {
-        stored::list_streams(state).await?;
+        let has_listed = stored::list_streams(state).await?;
+        let wanted = versions.origin_read.get();
+        if has_listed && number >= wanted && !versions.used.is_listed_since(wanted) {
+            used::list_used(state, number).await?;
+        }
     }
     versions.reads_done.set(number);
     versions.read_done.notify_waiters();
@@ -435,6 +487,10 @@
     for (service, version) in gone_versions(&history, present, missing, now_ms) {
         history.retire(&service, &version, now_unix_ms);
     }
+    if !history.versions().is_empty() {
+        let is_new = versions.revision.get() == 0;
+        history.record_era(state.store.era(), now_unix_ms, is_new);
+    }
     if history == *known || !is_keeper(state) {
         return Ok(());
     }
--- a/crates/gateway/src/stream_versions/stored.rs
+++ b/crates/gateway/src/stream_versions/stored.rs
@@ -33,6 +33,8 @@
 const LISTED_BYTES_PER_MS: u64 = 25_000;
 /// Encoded size of a stream, and minimum size of a listing, in bytes.
 const STREAM_BYTES: u64 = 60;
+/// Encoded size of the versions that an instance may have used, in bytes.
+const USED_BYTES: u64 = 400;
 const MIN_LISTING_BYTES: u64 = 50_000;
 /// Longest wait until streams may be listed again, in milliseconds. If it were longer, the last
 /// listing is used.
@@ -72,8 +74,9 @@
 
 /// Returns the time between two listings of one instance, in milliseconds.
 fn list_interval_ms(state: &GatewayState, streams: usize) -> u64 {
-    let bytes = (streams as u64 * STREAM_BYTES).max(MIN_LISTING_BYTES);
-    state.instance_count() as u64 * bytes / LISTED_BYTES_PER_MS
+    let instances = state.instance_count() as u64;
+    let bytes = streams as u64 * STREAM_BYTES + instances * USED_BYTES;
+    instances * bytes.max(MIN_LISTING_BYTES) / LISTED_BYTES_PER_MS
 }
 
 /// Waits until this instance may list the streams. Returns whether it may.
@@ -93,10 +96,10 @@
 }
 
 /// Lists the streams that all instances have stored, unless that was done a short time ago.
-/// Deletes some objects whose streams can no longer be taken up.
-pub(super) async fn list_streams(state: &GatewayState) -> Result<(), StoreFault> {
+/// Deletes some objects whose streams can no longer be taken up. Returns whether it has listed.
+pub(super) async fn list_streams(state: &GatewayState) -> Result<bool, StoreFault> {
     if !wait_for_turn(state).await {
-        return Ok(());
+        return Ok(false);
     }
     let listing = state.store.list(STREAM_KIND, false).await?;
     let (now_ms, kept_ms) = (unix_ms(), kept_ms(state));
@@ -134,7 +137,7 @@
             .delete(STREAM_KIND, &object.name, revision)
             .await?;
     }
-    Ok(())
+    Ok(true)
 }
 
 /// Stores the streams that are to be stored, from time to time.
--- a/crates/gateway/tests/software_versions.rs
+++ b/crates/gateway/tests/software_versions.rs
@@ -11,7 +11,7 @@
 };
 use std::{
     io::{Read, Write},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc,
@@ -332,3 +332,175 @@
     assert!(!versions.contains(&"v2".to_owned()), "{versions:?}");
     drop(new);
 }
+
+/// Begins streams at the runners that are not busy; returns their ids and versions.
+fn begin_streams(gateway: &TestGateway, count: usize) -> Vec<(String, String)> {
+    let begun = (0..count).map(|number| {
+        let id = format!("{}-begun{number}", gateway.settings.name);
+        let version = begin_stream(gateway, &id);
+        assert_ne!(version, "", "{id} was refused");
+        (id, version)
+    });
+    begun.collect()
+}
+
+/// Returns a copy of the store in which the instance is listed and does not answer.
+fn store_without(store: &StandinStore, gateway: &TestGateway) -> StandinStore {
+    let (kind, name) = ("berylmount-instances", &gateway.settings.name);
+    wait_until("the entry of the instance", || {
+        store.value(kind, name).is_some()
+    });
+    let copy = store.copy();
+    let mut entry = copy.value(kind, name).unwrap();
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap();
+    entry["peers"] = closed.local_addr().unwrap().to_string().into();
+    copy.put(kind, name, Some(entry));
+    copy
+}
+
+/// Adds a runner of a second version, and waits until the instance uses both.
+fn release_second(
+    store: &StandinStore,
+    gateway: &TestGateway,
+    old: &VersionedRunner,
+) -> VersionedRunner {
+    let new = VersionedRunner::register(store, "r2", "v2");
+    old.set_busy(true);
+    wait_until("a stream at the new version", || {
+        begin_stream(gateway, "other") == "v2"
+    });
+    old.set_busy(false);
+    new
+}
+
+/// Guards against refusing the last streams of an instance that is lost right before a release:
+/// only one version can have begun them, although two can have begun others.
+#[test]
+fn untold_streams_of_an_instance_that_is_lost_before_a_release_go_on_elsewhere() {
+    let store = start_store();
+    let old = VersionedRunner::register(&store, "r1", "v1");
+    let first = start_gateway(&store, "i1");
+    let begun = begin_streams(&first, 20);
+    let store = store_without(&store, &first);
+    let second = start_gateway(&store, "i2");
+    let new = release_second(&store, &second, &old);
+    check_take_ups(&second, &begun, begun.len());
+    drop(new);
+}
+
+/// Guards against a stream that goes on at a version which a lost instance may not have used.
+#[test]
+fn untold_streams_of_a_lost_instance_that_used_two_versions_are_refused() {
+    let store = start_store();
+    let runners = [
+        VersionedRunner::register(&store, "r1", "v1"),
+        VersionedRunner::register(&store, "r2", "v2"),
+    ];
+    let cut_store = store.mirror();
+    cut_store.refuse_kinds(&["berylmount-streams"]);
+    let first = start_gateway(&cut_store, "i1");
+    let begun = begin_both(&first, &runners);
+    let store = store_without(&store, &first);
+    let second = start_gateway(&store, "i2");
+    for (id, _) in &begun {
+        let response = take_up(&second, &format!("{id}-again"), id);
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    }
+}
+
+/// Guards against taking what the store did not answer for an instance that used one version.
+#[test]
+fn untold_streams_are_refused_while_it_is_unknown_which_versions_were_used() {
+    let store = start_store();
+    let old = VersionedRunner::register(&store, "r1", "v1");
+    let first = start_gateway(&store, "i1");
+    let begun = begin_streams(&first, 4);
+    let store = store_without(&store, &first);
+    let cut_store = store.mirror();
+    let second = start_gateway(&cut_store, "i2");
+    let new = release_second(&store, &second, &old);
+    cut_store.refuse_kinds(&["berylmount-used-software"]);
+    for (id, _) in &begun {
+        let response = take_up(&second, &format!("{id}-cut"), id);
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    }
+    cut_store.refuse_kinds(&[]);
+    check_take_ups(&second, &begun, begun.len());
+    drop(new);
+}
+
+/// Guards against trusting a restored backup, which lacks what instances stored after it.
+#[test]
+fn untold_streams_are_refused_after_the_store_was_restored() {
+    let store = start_store();
+    let old = VersionedRunner::register(&store, "r1", "v1");
+    let first = start_gateway(&store, "i1");
+    let begun = begin_streams(&first, 4);
+    let store = store_without(&store, &first);
+    let second = start_gateway(&store, "i2");
+    let new = release_second(&store, &second, &old);
+    let backup = store.backup();
+    store.restore(&backup);
+    for (id, _) in &begun {
+        let response = take_up(&second, &format!("{id}-again"), id);
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    }
+    drop(new);
+}
+
+/// Guards against a process of older code, which may use any version without storing that.
+#[test]
+fn untold_streams_are_refused_beside_a_lost_instance_of_older_code() {
+    let store = start_store();
+    let old = VersionedRunner::register(&store, "r1", "v1");
+    let first = start_gateway(&store, "i1");
+    let begun = begin_streams(&first, 4);
+    let store = store_without(&store, &first);
+    let mut entry = store.value("berylmount-instances", "i1").unwrap();
+    let fields = entry.as_object_mut().unwrap();
+    fields.retain(|field, _| ["callers", "peers", "data_centre"].contains(&field.as_str()));
+    store.put("berylmount-instances", "i1", Some(entry));
+    let second = start_gateway(&store, "i2");
+    let new = release_second(&store, &second, &old);
+    for (id, _) in &begun {
+        let response = take_up(&second, &format!("{id}-again"), id);
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    }
+    drop(new);
+}
+
+/// Guards against refusing streams in the time until their instance tells of them.
+#[test]
+fn a_stream_is_taken_up_elsewhere_as_soon_as_it_has_begun() {
+    let store = start_store();
+    let runners = [
+        VersionedRunner::register(&store, "r1", "v1"),
+        VersionedRunner::register(&store, "r2", "v2"),
+    ];
+    let (first, second) = (start_gateway(&store, "i1"), start_gateway(&store, "i2"));
+    begin_both(&first, &runners);
+    for number in 0..20 {
+        let id = format!("soon{number}");
+        let begun = [(id.clone(), begin_stream(&first, &id))];
+        check_take_ups(&second, &begun, 1);
+    }
+}
+
+/// Guards against trusting a history of older code, beside which nothing was stored.
+#[test]
+fn untold_streams_are_refused_beside_a_history_of_older_code() {
+    let store = start_store();
+    let old = VersionedRunner::register(&store, "r1", "v1");
+    let first = start_gateway(&store, "i1");
+    let begun = begin_streams(&first, 4);
+    let store = store_without(&store, &first);
+    let known = json!({ "versions": [{ "service": "svc", "version": "v1", "left_ms": null }] });
+    store.put("berylmount-software", "versions", Some(known));
+    let second = start_gateway(&store, "i2");
+    let new = release_second(&store, &second, &old);
+    for (id, _) in &begun {
+        let response = take_up(&second, &format!("{id}-again"), id);
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    }
+    drop(new);
+}
--- a/crates/gateway/tests/standins/store.rs
+++ b/crates/gateway/tests/standins/store.rs
@@ -59,6 +59,12 @@
         Self::serve(self.state.clone())
     }
 
+    /// Starts a store with the same objects, which changes on its own from now on.
+    pub(crate) fn copy(&self) -> Self {
+        let state = self.state.0.lock().unwrap().clone();
+        Self::serve(Arc::new((Mutex::new(state), Condvar::new())))
+    }
+
     fn serve(state: Arc<(Mutex<StoreState>, Condvar)>) -> Self {
         let server = Server::http(any_port()).unwrap();
         let address = server.server_addr().to_ip().unwrap();
--- a/crates/policy/src/software_versions.rs
+++ b/crates/policy/src/software_versions.rs
@@ -2,13 +2,16 @@
 //!
 //! What two versions write does not fit together, so that a stream may go on only at the version
 //! that began it. An instance that has not begun a stream itself proves its version in one of
-//! two ways: only one version was in service while the stream can have begun, or the instance
-//! that began it has stored which one it was.
+//! three ways: only one version was in service while the stream can have begun, the instance
+//! that began it has told or stored which one it was, or the instances that can have begun it
+//! without telling may have used only one version ([`OriginSearch`]).
 //!
 //! Invariants:
 //!
 //! - A version begins streams only after it was admitted to the history, so that a history that
 //!   is read later names every version that can have begun a stream.
+//! - An instance begins streams only at the first version of a service, and at those that it has
+//!   stored as used.
 //! - A version that cannot be proved is unknown, never any version.
 //! - Memory is bounded.
 
@@ -40,6 +43,31 @@
 pub struct VersionHistory {
     /// Sorted by service and version.
     versions: Vec<KnownVersion>,
+    /// For each service the version that was admitted first, sorted by service. Instances use
+    /// it without storing that.
+    #[serde(default)]
+    first: Vec<ServiceVersion>,
+    /// Since when instances store what they use; `None` after a change by an older process.
+    #[serde(default)]
+    recorded: Option<RecordedSpan>,
+}
+
+/// A service and a software version of it.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ServiceVersion {
+    /// Name of the service.
+    pub service: String,
+    /// The version.
+    pub version: String,
+}
+
+/// The time for which the stored versions of instances are complete.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct RecordedSpan {
+    /// Era of the store.
+    era: u64,
+    /// In Unix milliseconds; 0 if there was no history before.
+    since_ms: u64,
 }
 
 impl VersionHistory {
@@ -79,8 +107,64 @@
         services.any(|service| self.possible(service, now_ms, kept_ms).count() > 1)
     }
 
+    /// Whether a version was the first of its service, which instances use without storing that.
+    pub fn is_first(&self, service: &str, version: &str) -> bool {
+        self.first_of(service) == Some(version)
+    }
+
+    fn first_of(&self, service: &str) -> Option<&str> {
+        let found = self.find_first(service).ok()?;
+        Some(&self.first[found].version)
+    }
+
+    /// Records that what instances store about their versions belongs to an era of the store.
+    /// `is_new` tells that there was no history before.
+    ///
+    /// ```
+    /// use berylmount_policy::software_versions::VersionHistory;
+    ///
+    /// let mut history = VersionHistory::default();
+    /// history.record_era(0, 5000, true);
+    /// assert!(history.is_recorded(0, 6000, 30_000));
+    /// history.record_era(1, 7000, false);
+    /// assert!(!history.is_recorded(1, 8000, 30_000));
+    /// assert!(history.is_recorded(1, 40_000, 30_000));
+    /// ```
+    pub fn record_era(&mut self, era: u64, now_ms: u64, is_new: bool) {
+        if self.recorded.is_some_and(|span| span.era == era) {
+            return;
+        }
+        // The backup of another era lacks what was stored after it.
+        let since_ms = match is_new && era == 0 {
+            true => 0,
+            false => now_ms,
+        };
+        self.recorded = Some(RecordedSpan { era, since_ms });
+    }
+
+    /// Whether instances have stored in this era all versions that they used in the last
+    /// `kept_ms`.
+    pub fn is_recorded(&self, era: u64, now_ms: u64, kept_ms: u64) -> bool {
+        self.recorded.is_some_and(|span| {
+            let is_complete = span.since_ms == 0 || now_ms >= span.since_ms + kept_ms;
+            span.era == era && is_complete
+        })
+    }
+
+    /// Returns the versions in service that are not the first of their service.
+    pub fn later_versions(&self) -> impl Iterator<Item = &KnownVersion> {
+        let in_service = self.versions.iter().filter(|known| known.left_ms.is_none());
+        in_service.filter(|known| !self.is_first(&known.service, &known.version))
+    }
+
     /// Admits a version. Returns whether that changes the history.
     pub fn admit(&mut self, service: &str, version: &str) -> bool {
+        if let Err(index) = self.find_first(service) {
+            if self.versions.iter().all(|known| known.service != service) {
+                let first = ServiceVersion::new(service, version);
+                self.first.insert(index, first);
+            }
+        }
         let known = KnownVersion {
             service: service.to_owned(),
             version: version.to_owned(),
@@ -115,6 +199,11 @@
         &self.versions
     }
 
+    fn find_first(&self, service: &str) -> Result<usize, usize> {
+        self.first
+            .binary_search_by(|first| first.service.as_str().cmp(service))
+    }
+
     fn find(&self, service: &str, version: &str) -> Result<usize, usize> {
         let key = (service, version);
         self.versions
@@ -122,6 +211,213 @@
     }
 }
 
+impl ServiceVersion {
+    fn new(service: &str, version: &str) -> Self {
+        Self {
+            service: service.to_owned(),
+            version: version.to_owned(),
+        }
+    }
+}
+
+/// The versions at which an instance may have begun streams, other than the first of each
+/// service, as it has stored them.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct UsedVersions {
+    /// Start of the process that stored them, in Unix milliseconds.
+    pub process: u64,
+    /// Era of the store in which they were stored.
+    pub era: u64,
+    /// Versions that the process may use, sorted.
+    pub versions: Vec<ServiceVersion>,
+    /// Versions that earlier processes of the instance may have used, sorted.
+    pub earlier: Vec<ServiceVersion>,
+}
+
+impl UsedVersions {
+    /// Whether the instance may begin streams at a version.
+    pub fn contains(&self, service: &str, version: &str) -> bool {
+        let key = (service, version);
+        let found = self
+            .versions
+            .binary_search_by(|used| (used.service.as_str(), used.version.as_str()).cmp(&key));
+        found.is_ok()
+    }
+
+    /// Whether a process has to store more before it may use all versions in service.
+    pub fn lacks(&self, history: &VersionHistory, era: u64) -> bool {
+        let mut later = history.later_versions();
+        let is_stale = !self.versions.is_empty() && self.era != era;
+        is_stale || later.any(|known| !self.contains(&known.service, &known.version))
+    }
+
+    /// Returns a record that names all versions of a history.
+    pub fn all(history: &VersionHistory) -> Self {
+        let known = history.versions.iter();
+        let versions = known.map(|known| ServiceVersion::new(&known.service, &known.version));
+        Self {
+            versions: versions.collect(),
+            ..Self::default()
+        }
+    }
+
+    /// Whether a version that was used is still in the history.
+    pub fn names_version_of(&self, history: &VersionHistory) -> bool {
+        let mut used = self.versions.iter().chain(&self.earlier);
+        used.any(|used| history.find(&used.service, &used.version).is_ok())
+    }
+
+    /// Returns what a process stores so that it may use all versions in service.
+    ///
+    /// ```
+    /// use berylmount_policy::software_versions::{UsedVersions, VersionHistory};
+    ///
+    /// let mut history = VersionHistory::default();
+    /// assert!(history.admit("svc", "v1") && history.admit("svc", "v2"));
+    /// let used = UsedVersions::default();
+    /// assert!(used.lacks(&history, 0));
+    /// let used = used.extended(&history, 1000, 0);
+    /// assert!(used.contains("svc", "v2") && !used.lacks(&history, 0));
+    /// let used = used.extended(&history, 2000, 0);
+    /// assert_eq!(used.versions, used.earlier);
+    /// ```
+    #[must_use]
+    pub fn extended(&self, history: &VersionHistory, process: u64, era: u64) -> Self {
+        let is_same = self.process == process;
+        let is_known = |used: &&ServiceVersion| history.find(&used.service, &used.version).is_ok();
+        let own = self.versions.iter().filter(is_known);
+        let later = history.later_versions();
+        let later = later.map(|known| ServiceVersion::new(&known.service, &known.version));
+        let mut versions: Vec<ServiceVersion> = own.clone().cloned().chain(later).collect();
+        let earlier = self.earlier.iter().filter(is_known);
+        let mut earlier: Vec<ServiceVersion> = match is_same {
+            true => earlier.cloned().collect(),
+            false => earlier.chain(own).cloned().collect(),
+        };
+        for list in [&mut versions, &mut earlier] {
+            list.sort_unstable();
+            list.dedup();
+        }
+        Self {
+            process,
+            era,
+            versions,
+            earlier,
+        }
+    }
+}
+
+/// A running process that knows all streams which it has begun, and did not know a stream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct AskedProcess {
+    /// Its start, in Unix milliseconds.
+    pub process: u64,
+    /// Time since its start, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// The search for the version that began a stream of which no instance has told.
+///
+/// Each instance that can have begun the stream adds the versions that it may have used. If
+/// there is only one, the stream began at it.
+#[derive(Clone, Debug)]
+pub struct OriginSearch<'a> {
+    service: &'a str,
+    era: u64,
+    kept_ms: u64,
+    /// Versions that can have begun a stream at all.
+    possible: Vec<&'a str>,
+    found: Vec<&'a str>,
+    is_unknown: bool,
+}
+
+impl<'a> OriginSearch<'a> {
+    /// Starts a search among the versions of a history that was read after the stream began.
+    ///
+    /// ```
+    /// use berylmount_policy::software_versions::{
+    ///     AskedProcess, OriginSearch, UsedVersions, VersionHistory,
+    /// };
+    ///
+    /// let mut history = VersionHistory::default();
+    /// history.record_era(0, 0, true);
+    /// assert!(history.admit("svc", "v1") && history.admit("svc", "v2"));
+    /// let used = UsedVersions::default().extended(&history, 1000, 0);
+    /// let mut search = OriginSearch::new(&history, "svc", 0, 5000, 30_000);
+    /// // One instance is silent before it has stored that it uses the second version.
+    /// search.add_instance(None, None);
+    /// let asked = AskedProcess { process: 1000, age_ms: 4000 };
+    /// search.add_instance(Some(&used), Some(asked));
+    /// assert_eq!(search.version(), Some("v1"));
+    /// // Another one is silent after it has.
+    /// search.add_instance(Some(&used), None);
+    /// assert_eq!(search.version(), None);
+    /// ```
+    pub fn new(
+        history: &'a VersionHistory,
+        service: &'a str,
+        era: u64,
+        now_ms: u64,
+        kept_ms: u64,
+    ) -> Self {
+        let possible: Vec<&str> = history.possible(service, now_ms, kept_ms).collect();
+        let mut search = Self {
+            service,
+            era,
+            kept_ms,
+            possible,
+            found: Vec::new(),
+            is_unknown: !history.is_recorded(era, now_ms, kept_ms),
+        };
+        if let Some(first) = history.first_of(service) {
+            search.add(first);
+        }
+        search
+    }
+
+    /// Adds an instance with what it has stored, and its process if that did not know the
+    /// stream.
+    pub fn add_instance(&mut self, used: Option<&'a UsedVersions>, asked: Option<AskedProcess>) {
+        let Some(used) = used else {
+            return;
+        };
+        let is_same = match asked {
+            // Streams of earlier processes can no longer be taken up.
+            Some(asked) if asked.age_ms >= self.kept_ms => return,
+            Some(asked) => asked.process == used.process,
+            None => false,
+        };
+        if used.era != self.era {
+            return self.add_unknown();
+        }
+        let own = used.versions.iter().filter(|_| !is_same);
+        for version in own.chain(&used.earlier) {
+            if version.service == self.service {
+                self.add(&version.version);
+            }
+        }
+    }
+
+    /// Adds an instance of which nothing is known.
+    pub fn add_unknown(&mut self) {
+        self.is_unknown = true;
+    }
+
+    /// Returns the version that began the stream, if it is proved.
+    pub fn version(&self) -> Option<&'a str> {
+        match self.found[..] {
+            [version] if !self.is_unknown => Some(version),
+            _ => None,
+        }
+    }
+
+    fn add(&mut self, version: &'a str) {
+        if self.possible.contains(&version) && !self.found.contains(&version) {
+            self.found.push(version);
+        }
+    }
+}
+
 /// A stream that has brought its first event.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct BegunStream {
@@ -140,6 +436,8 @@
     streams: Vec<BegunStream>,
     /// Ids in the order in which they were noted.
     order: VecDeque<u64>,
+    /// When the last stream that was dropped for want of room had begun, in Unix milliseconds.
+    lost_ms: u64,
 }
 
 impl BegunStreams {
@@ -163,7 +461,9 @@
             }
         }
         if self.order.len() > MAX_STREAMS {
-            self.remove_first();
+            if let Some(lost) = self.remove_first() {
+                self.lost_ms = self.lost_ms.max(lost.begun_ms);
+            }
         }
     }
 
@@ -172,6 +472,11 @@
         Some(self.streams[self.find(id).ok()?].version)
     }
 
+    /// Whether a stream that was begun at `min_ms` or later was dropped for want of room.
+    pub fn has_lost_since(&self, min_ms: u64) -> bool {
+        self.lost_ms >= min_ms.max(1)
+    }
+
     /// Returns all streams, sorted by id.
     pub fn streams(&self) -> &[BegunStream] {
         &self.streams
@@ -189,11 +494,10 @@
         }
     }
 
-    fn remove_first(&mut self) {
-        let first = self.order.pop_front();
-        if let Some(Ok(index)) = first.map(|id| self.find(id)) {
-            self.streams.remove(index);
-        }
+    fn remove_first(&mut self) -> Option<BegunStream> {
+        let first = self.order.pop_front()?;
+        let index = self.find(first).ok()?;
+        Some(self.streams.remove(index))
     }
 
     fn find(&self, id: u64) -> Result<usize, usize> {
