Promise nothing on behalf of a runner that did not

What callers saw (REFUSED): a runner ran an order and answered 503 without Berylmount-Not-Executed.

Cause: a complete response was returned unchanged whatever its status. PROTOCOL.md: only a response with Berylmount-Not-Executed states that the request did not run, while callers take 429, 503, 408 and 421 for that statement.

For a request that may run only once such a status is now answered with a 502 of the gateway's own, without the runner's stamp, as for any request that may have run; 502 promises nothing, and a failure with a stamp would need the runner's status (MIXED).

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -16,7 +16,7 @@
         has_runner_of, note_begun, software_key, version_of_stream, wait_for_admission,
         SoftwareRule,
     },
-    upstream::{max_idle, AttemptOutcome, BufferedResponse, RunnerAttempt},
+    upstream::{is_refusal, max_idle, AttemptOutcome, BufferedResponse, RunnerAttempt},
 };
 use berylmount_adapter::request_headers::ForwardContext;
 use berylmount_fleet::{CallerRequest, CustomerRecord, RouteKind, RouteRule, RouteTable};
@@ -612,6 +612,12 @@
                 *self = Self::Aborted(reason);
                 is_retryable
             }
+            AttemptOutcome::Complete(response) if !is_retryable && is_refusal(response.status) => {
+                // The runner did not state that it has not run the request, so its status
+                // must not promise that to the caller.
+                *self = Self::Local(LocalResponse::new(LocalReason::MayHaveRun));
+                false
+            }
             AttemptOutcome::Complete(response) => {
                 let is_failure = response.status.is_server_error();
                 *self = Self::Runner(response);
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -492,7 +492,7 @@
 }
 
 /// Whether a status tells callers that the request has not run.
-fn is_refusal(status: StatusCode) -> bool {
+pub(crate) fn is_refusal(status: StatusCode) -> bool {
     matches!(
         status,
         StatusCode::REQUEST_TIMEOUT
--- a/crates/gateway/tests/repeated_refusals.rs
+++ b/crates/gateway/tests/repeated_refusals.rs
@@ -1,4 +1,5 @@
-//! Runners that send a refusal of an earlier request once more on a kept connection.
+//! Runners that send a refusal of an earlier request once more on a kept connection, or a
+//! status of a refusal after they have run the request.
 
 #![allow(clippy::unwrap_used)]
 
@@ -81,3 +82,35 @@
         .map(|r| header(r, "berylmount-request-id").unwrap());
     assert_eq!(ids.filter(|id| id == "second").count(), 1);
 }
+
+/// Guards against a promise that a request has not run which its runner did not make.
+#[test]
+fn a_refusal_status_without_the_statement_promises_nothing_if_a_request_may_run_once() {
+    for status in ["503 Failed", "429 Busy", "421 Misdirected", "408 Late"] {
+        let runner = || {
+            scripted_runner(move |request| {
+                (response_to(request, status, "own"), AfterResponse::Keep)
+            })
+        };
+        let (first, second) = (runner(), runner());
+        let gateway = TestGateway::start(&[("r1", &first), ("r2", &second)]);
+        for path in ["unsafe", "once", "stream"] {
+            let line = format!("POST /{path}/x");
+            let response = gateway.call(&line, path, "", "b").unwrap();
+            assert!(response.starts_with("HTTP/1.1 502"), "{status}: {response}");
+            assert_eq!(
+                header(&response, "berylmount-response-stamp"),
+                None,
+                "{status}"
+            );
+            let received = [received_requests(&first), received_requests(&second)].concat();
+            let ids = received
+                .iter()
+                .map(|r| header(r, "berylmount-request-id").unwrap());
+            assert_eq!(ids.filter(|id| id == path).count(), 1, "{status}");
+        }
+        // A request that may be repeated gets the status of its runner.
+        let response = gateway.call("GET /safe/x", "safe", "", "").unwrap();
+        assert!(response[9..].starts_with(&status[..3]), "{response}");
+    }
+}
