Count a run of the soak only while some process can serve

Cause: the harness.

The requirement stays: something must be served in each run. Its span now counts only while some process runs, was not told to stop, has reached the store since its start, and some runner can be reached; the faults go on until the span is over, at most 120 s more. Each instance also has a caller of its own beside the random ones, who are as many as before. So no check is left out, faults and callers are at least as many, and a run without an instance that can serve stays red.

--- a/crates/berylmount/tests/processes/mod.rs
+++ b/crates/berylmount/tests/processes/mod.rs
@@ -5,6 +5,7 @@
 use berylmount_standins::FaultProxy;
 use rustix::process::{kill_process, Pid, Signal};
 use std::{
+    cell::Cell,
     fs,
     net::SocketAddr,
     path::{Path, PathBuf},
@@ -60,6 +61,10 @@
     child: Child,
     pub(crate) store: FaultProxy,
     log: PathBuf,
+    is_paused: Cell<bool>,
+    is_stopping: Cell<bool>,
+    /// Number of processes that were started for the instance.
+    starts: Cell<u32>,
 }
 
 impl Instance {
@@ -79,16 +84,35 @@
             child,
             store,
             log,
+            is_paused: Cell::new(false),
+            is_stopping: Cell::new(false),
+            starts: Cell::new(1),
         }
     }
 
     /// Sends a signal to the process.
     pub(crate) fn signal(&self, signal: Signal) {
+        match signal {
+            Signal::STOP => self.is_paused.set(true),
+            Signal::CONT => self.is_paused.set(false),
+            Signal::TERM => self.is_stopping.set(true),
+            _ => {}
+        }
         let pid = Pid::from_raw(self.child.id() as i32).unwrap();
         // The process may have exited already.
         let _ = kill_process(pid, signal);
     }
 
+    /// Returns whether the process runs and was not told to stop.
+    pub(crate) fn is_running(&self) -> bool {
+        !self.is_paused.get() && !self.is_stopping.get()
+    }
+
+    /// Returns the number of processes that were started for the instance.
+    pub(crate) fn starts(&self) -> u32 {
+        self.starts.get()
+    }
+
     /// Restarts the process if it has exited, as an init system would.
     pub(crate) fn revive(&mut self) {
         if !matches!(self.child.try_wait(), Ok(None)) {
@@ -101,6 +125,9 @@
         self.signal(Signal::KILL);
         self.child.wait().unwrap();
         self.child = spawn(&self.name, self.store.address(), &self.log);
+        self.is_paused.set(false);
+        self.is_stopping.set(false);
+        self.starts.set(self.starts.get() + 1);
     }
 }
 
--- a/crates/berylmount/tests/soak.rs
+++ b/crates/berylmount/tests/soak.rs
@@ -9,6 +9,8 @@
 //! - a request that may not be repeated runs at most once;
 //! - a request that was refused has not run and does not run later;
 //! - an answer is complete and the caller's own, and a stream has every event once;
+//! - requests are served. The span of a run counts only while some process runs and knows
+//!   the table, and some runner can be reached; a run goes on until that span is over;
 //! - afterwards every instance serves again.
 //!
 //! `SOAK_SEEDS=1..50 SOAK_SECONDS=10 cargo test -p berylmount --test soak` runs
@@ -134,6 +136,49 @@
     [status, header.as_bytes(), rest].concat()
 }
 
+/// Time limit of a run in which hardly any process runs.
+const MAX_RUN: Duration = Duration::from_secs(120);
+
+/// Returns whether a proxy with these faults lets nothing through.
+fn is_cut(faults: ProxyFaults) -> bool {
+    faults.refuse || faults.drop_requests || faults.drop_answers
+}
+
+/// The time in which some instance could serve.
+struct ServingClock {
+    /// Whether each instance is cut off from the store, and each runner from the instances.
+    cut_stores: Vec<bool>,
+    cut_runners: Vec<bool>,
+    /// For each instance, the number of starts at which it last reached the store.
+    synced: Vec<u32>,
+    total: Duration,
+}
+
+impl ServingClock {
+    fn new(instances: usize, runners: usize) -> Self {
+        Self {
+            cut_stores: vec![false; instances],
+            cut_runners: vec![false; runners],
+            synced: vec![0; instances],
+            total: Duration::ZERO,
+        }
+    }
+
+    /// Counts the time that passed since the last fault.
+    fn note(&mut self, passed: Duration, instances: &[Instance]) {
+        let mut can_serve = false;
+        for (number, instance) in instances.iter().enumerate() {
+            if instance.is_running() && !self.cut_stores[number] {
+                self.synced[number] = instance.starts();
+            }
+            can_serve |= instance.is_running() && self.synced[number] == instance.starts();
+        }
+        if can_serve && self.cut_runners.iter().any(|is_cut| !is_cut) {
+            self.total += passed;
+        }
+    }
+}
+
 /// Results that the callers collected.
 #[derive(Default)]
 struct CallerResults {
@@ -142,11 +187,13 @@
     violations: Mutex<Vec<String>>,
 }
 
-/// Calls random instances over reused connections until `stop` is set.
+/// Calls random instances, or only the instance `only`, over reused connections until `stop` is
+/// set.
 fn run_caller(
     number: usize,
     seed: u64,
     instances: usize,
+    only: Option<usize>,
     store: &StandinStore,
     seen: &CallerResults,
     stop: &AtomicBool,
@@ -155,7 +202,8 @@
     let mut connections: BTreeMap<SocketAddr, TcpStream> = BTreeMap::new();
     let mut count = 0;
     while !stop.load(Ordering::Relaxed) {
-        let name = format!("i{}", rng.random_range(0..instances));
+        let random = rng.random_range(0..instances);
+        let name = format!("i{}", only.unwrap_or(random));
         let Some(address) = callers_address(store, &name) else {
             thread::sleep(Duration::from_millis(20));
             continue;
@@ -226,9 +274,11 @@
     store: &StandinStore,
     version: &mut u64,
     backup: &mut Option<StoreBackup>,
+    clock: &mut ServingClock,
 ) {
     let instance = rng.random_range(0..instances.len());
-    let (runner, proxy) = &runners[rng.random_range(0..runners.len())];
+    let runner_number = rng.random_range(0..runners.len());
+    let (runner, proxy) = &runners[runner_number];
     let faults = [
         ProxyFaults::default(),
         ProxyFaults {
@@ -254,12 +304,17 @@
         1 => instances[instance].signal(Signal::STOP),
         2 => instances[instance].signal(Signal::CONT),
         3 => instances[instance].signal(Signal::TERM),
-        4 => instances[instance].store.set(fault),
+        4 => {
+            instances[instance].store.set(fault);
+            clock.cut_stores[instance] = is_cut(fault);
+        }
         5 => instances[instance].store.freeze(),
-        6 => proxy.set(fault),
+        6 => {
+            proxy.set(fault);
+            clock.cut_runners[runner_number] = is_cut(fault);
+        }
         7 => proxy.freeze(),
         8 => *backup = Some(store.backup()),
-
         9 => {
             if let Some(backup) = backup.take() {
                 store.restore(&backup);
@@ -314,18 +369,25 @@
     }
     let (seen, stop) = (CallerResults::default(), AtomicBool::new(false));
     thread::scope(|scope| {
-        for number in 0..CALLERS.max(plan.instances) {
+        // Paused instances hold up the callers of random ones, so each instance also has a caller
+        // of its own.
+        let random = CALLERS.max(plan.instances);
+        for number in 0..random + plan.instances {
             let (store, seen, stop) = (&store, &seen, &stop);
-            let count = plan.instances;
-            scope.spawn(move || run_caller(number, seed, count, store, seen, stop));
+            let (count, only) = (plan.instances, number.checked_sub(random));
+            scope.spawn(move || run_caller(number, seed, count, only, store, seen, stop));
         }
         let mut rng = Pcg64::seed_from_u64(seed);
         // Separate, so that the other faults of a seed do not depend on the limits.
         let mut limit_rng = Pcg64::seed_from_u64(!seed);
         let mut backup = None;
-        let end = Instant::now() + plan.span;
-        while Instant::now() < end {
-            thread::sleep(Duration::from_millis(rng.random_range(50..300)));
+        let mut clock = ServingClock::new(plan.instances, RUNNERS);
+        let started = Instant::now();
+        let end = started + plan.span + MAX_RUN;
+        while clock.total < plan.span && Instant::now() < end {
+            let pause = Duration::from_millis(rng.random_range(50..300));
+            thread::sleep(pause);
+            clock.note(pause, &instances);
             instances.iter_mut().for_each(Instance::revive);
             if limit_rng.random_bool(LIMIT_CHANGE) {
                 let tenths = LIMIT_TENTHS[limit_rng.random_range(0..LIMIT_TENTHS.len())];
@@ -339,10 +401,13 @@
                     &store,
                     &mut version,
                     &mut backup,
+                    &mut clock,
                 );
             }
         }
         stop.store(true, Ordering::Relaxed);
+        let (could, took) = (clock.total, started.elapsed());
+        println!("seed {seed}: some instance could serve for {could:.1?} of {took:.1?}");
     });
     limit.store(0, Ordering::Relaxed);
     let mut violations = std::mem::take(&mut *seen.violations.lock().unwrap());
