Give up the rollout lease without a path to the runners

Now such a holder releases the lease, is no candidate, and the other instances leave it out when they rank candidates. An order that cannot connect makes the path suspect, so that an instance without callers notices as well.

a_holder_without_a_path_to_the_runners_releases_the_lease failed before (timed out waiting for: the lease to be released) and passes.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -437,11 +437,20 @@
     }
 
     /// Returns how many other live instances rank before `own` for a shared duty that an
-    /// instance gives up when it leaves.
-    pub(crate) fn staying_rank_of(&self, own: DutyMember<'_>, duty: &str, now_ms: u64) -> usize {
-        let staying = self
-            .live(now_ms)
-            .filter(|peer| !peer.heartbeat.is_leaving());
+    /// instance gives up when it leaves or does not reach the runners of some `services`.
+    pub(crate) fn staying_rank_of(
+        &self,
+        own: DutyMember<'_>,
+        duty: &str,
+        services: &[u64],
+        now_ms: u64,
+    ) -> usize {
+        let stays = |peer: &&KnownPeer| {
+            let closed = &peer.heartbeat.closed_paths;
+            let reaches_all = !services.iter().any(|s| closed.binary_search(s).is_ok());
+            reaches_all && !peer.heartbeat.is_leaving()
+        };
+        let staying = self.live(now_ms).filter(stays);
         rank_among(duty, own, &staying.map(duty_member).collect::<Vec<_>>())
     }
 
--- a/crates/gateway/src/reachability.rs
+++ b/crates/gateway/src/reachability.rs
@@ -49,6 +49,11 @@
             .note_connection(runner.key(), is_open, now_ms);
     }
 
+    /// Makes the path suspect, after a rare call failed to connect.
+    pub(crate) fn note_doubt(&self) {
+        self.path.borrow_mut().note_doubt();
+    }
+
     /// Completes when the path is closed while `runner` has sent nothing for some time.
     pub(crate) async fn lost(&self, runner: &RunnerHandle) {
         loop {
--- a/crates/gateway/src/rollout_lease.rs
+++ b/crates/gateway/src/rollout_lease.rs
@@ -69,9 +69,10 @@
         }
         lease.borrow_mut().note_era(state.store.era(), boot_ms());
         let action = {
+            let reaches_runners = reaches_runners(&state);
             let role = LeaseRole {
-                is_candidate: is_candidate(&state),
-                has_work: has_work(&state),
+                is_candidate: reaches_runners && is_candidate(&state),
+                has_work: reaches_runners && has_work(&state),
             };
             lease.borrow_mut().next(boot_ms(), role)
         };
@@ -123,6 +124,16 @@
         && state.staying_rank(LEASE_NAME, boot_ms()) < MAX_CANDIDATES
 }
 
+/// Whether this instance has a path to the runners that load weights. Orders are not sent
+/// through other instances, because a runner takes each instance for a holder of its own.
+fn reaches_runners(state: &GatewayState) -> bool {
+    let closed = state.service_paths.closed();
+    let ordered = state.ordered_services();
+    !ordered
+        .iter()
+        .any(|service| closed.binary_search(service).is_ok())
+}
+
 /// Whether the lease holder has work: runners with outdated weights, or cached parts
 /// that can be retired.
 fn has_work(state: &GatewayState) -> bool {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -450,11 +450,24 @@
     }
 
     /// Returns how many other live instances rank before this one for a shared duty that an
-    /// instance gives up when it leaves.
+    /// instance gives up when it leaves or does not reach the runners that load weights.
     pub(crate) fn staying_rank(&self, duty: &str, now_ms: u64) -> usize {
         let settings = self.settings();
         let own = duty_member(&settings);
-        self.peers.borrow().staying_rank_of(own, duty, now_ms)
+        let services = self.ordered_services();
+        let peers = self.peers.borrow();
+        peers.staying_rank_of(own, duty, &services, now_ms)
+    }
+
+    /// Returns the keys of the services whose runners load weights, sorted.
+    pub(crate) fn ordered_services(&self) -> Vec<u64> {
+        let runners = self.runners.borrow();
+        let records = runners.all().iter().map(|runner| runner.record());
+        let ordered = records.filter(|record| !record.weights.is_empty());
+        let mut services: Vec<u64> = ordered.map(|record| name_hash(&record.service)).collect();
+        services.sort_unstable();
+        services.dedup();
+        services
     }
 
     /// Counts a request for a service of engines.
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -174,6 +174,9 @@
     let mut client = RunnerClient::new(record.address);
     let sent_ms = boot_ms();
     let outcome = order_runner(state, lease, &mut client, &record.id, goal).await;
+    if matches!(outcome, Err(CallFault::NotSent(_))) {
+        state.service_paths.of(&record.service).note_doubt();
+    }
     runner.note_notice(client.notice(), boot_ms());
     note_limit(state, runner, client.notice().limit, sent_ms);
     let (runner_id, version) = (record.id.as_str(), goal.version);
--- a/crates/gateway/tests/lease_handover.rs
+++ b/crates/gateway/tests/lease_handover.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 use standins::{
     all_routes, received_requests, response_to, scripted_runner, settings, table, wait_until,
-    AfterResponse, StandinRunner, StandinStore, TestGateway,
+    AfterResponse, CuttableLink, LinkCut, StandinRunner, StandinStore, TestGateway,
 };
 use std::time::Duration;
 
@@ -59,3 +59,33 @@
     }
     assert_eq!(orders(&runners[1].1), 0);
 }
+
+/// Guards against a rollout that stands still because the lease holder reaches no runner.
+#[test]
+fn a_holder_without_a_path_to_the_runners_releases_the_lease() {
+    let runners = ["r1", "r2", "r3"].map(|id| (id, old_runner()));
+    let links = runners
+        .each_ref()
+        .map(|(_, runner)| CuttableLink::start(runner.address));
+    let store = StandinStore::start();
+    store.put("config", "main", Some(table(1, all_routes())));
+    for ((id, runner), link) in runners.iter().zip(&links) {
+        let mut entry = runner.entry("svc", "ready");
+        entry["Address"] = link.address.to_string().into();
+        store.put("servers", id, Some(entry));
+    }
+    let gateway = TestGateway::start_with(store.clone(), "i1");
+    gateway.wait_ready();
+    links.iter().for_each(|link| link.cut(LinkCut::Hang));
+    store.put("versions", "m", Some(json!({"Model": "m", "Version": 2})));
+    let is_released = || {
+        let record = store.value("berylmount-leases", "weights");
+        record.map(|record| record["is_released"].as_bool().unwrap())
+    };
+    wait_until("the lease to be held", || is_released() == Some(false));
+    wait_until("the lease to be released", || is_released() == Some(true));
+    links.iter().for_each(CuttableLink::heal);
+    wait_until("an order", || {
+        runners.iter().any(|(_, runner)| orders(runner) > 0)
+    });
+}
--- a/crates/policy/src/service_path.rs
+++ b/crates/policy/src/service_path.rs
@@ -45,6 +45,9 @@
     state: PathState,
     /// Runners to which a connection failed since one was opened, with the time, sorted.
     failed: Vec<(u64, u64)>,
+    /// Whether a call failed that is rare, so that it is not left to chance whether a second
+    /// runner fails.
+    is_doubted: bool,
     /// Requests that were sent and have not ended.
     in_flight: u32,
     /// Since when requests are in flight without interruption.
@@ -64,6 +67,7 @@
         Self {
             state: PathState::Open,
             failed: Vec::new(),
+            is_doubted: false,
             in_flight: 0,
             in_flight_since_ms: 0,
             received_ms: 0,
@@ -92,6 +96,11 @@
         }
     }
 
+    /// Makes the path suspect, after a rare call failed to connect.
+    pub fn note_doubt(&mut self) {
+        self.is_doubted = true;
+    }
+
     /// Records that a request was sent to a runner.
     pub fn note_sent(&mut self, now_ms: u64) {
         if self.in_flight == 0 {
@@ -123,7 +132,8 @@
 
     /// Whether nothing casts doubt on the path, so that no probes are due.
     pub fn is_calm(&self, now_ms: u64) -> bool {
-        self.state == PathState::Open && self.failed.is_empty() && !self.is_silent(now_ms)
+        let has_evidence = self.is_doubted || !self.failed.is_empty() || self.is_silent(now_ms);
+        self.state == PathState::Open && !has_evidence
     }
 
     /// Returns the number of probes to send now, each to another one of `runners` runners drawn
@@ -170,7 +180,8 @@
         let has_failures = self.failed.len() >= MIN_FAILED_RUNNERS.min(runners);
         if now_ms < self.next_ms {
             0
-        } else if has_failures {
+        } else if has_failures || self.is_doubted {
+            self.is_doubted = false;
             closing_probes(runners)
         } else {
             closing_probes(runners) * usize::from(self.is_silent(now_ms))
