Write nothing after a response that the end of a drain cuts

A caller that read a long response too slowly for the grace period received the gateway's 504 in the middle of the body, where it counts as the body's bytes.

Cause: the end of the grace period cancels the delivery of a buffered response, and only streams recorded that their response had been started.

a_response_that_is_cut_at_the_end_of_a_planned_stop_is_followed_by_nothing failed before (a byte of a status line in the body) and passes; the body ends short of its Content-Length, so it does not look complete.

--- a/crates/berylmount/tests/gateway_process.rs
+++ b/crates/berylmount/tests/gateway_process.rs
@@ -14,7 +14,7 @@
 };
 use std::{
     fs,
-    io::{BufRead, BufReader, Write},
+    io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpStream},
     path::PathBuf,
     process::{Child, Command, Stdio},
@@ -254,6 +254,48 @@
     assert!(gateway.child.wait().unwrap().success());
 }
 
+/// Guards against a second response in the middle of the body of the first one.
+#[test]
+fn a_response_that_is_cut_at_the_end_of_a_planned_stop_is_followed_by_nothing() {
+    const BODY_BYTES: usize = 30 << 20;
+    let runner = StandinRunner::start(|request, _| {
+        let body = match request.contains("/large") {
+            true => "x".repeat(BODY_BYTES),
+            false => "fine".to_owned(),
+        };
+        (response_to(request, "200 OK", &body), AfterResponse::Keep)
+    });
+    let gateway = GatewayInstance::start("large", &runner, |store, log| {
+        let output = fs::File::create(log).unwrap();
+        let mut command = command("i1", store, log);
+        let path = settings_path(log);
+        let text = fs::read_to_string(&path).unwrap();
+        fs::write(&path, text.replace("MemoryMb = 128", "MemoryMb = 4096")).unwrap();
+        command.stdout(Stdio::from(output)).spawn().unwrap()
+    });
+    let mut socket = TcpStream::connect(gateway.callers).unwrap();
+    let text = request("GET /safe/large", "large", "k1").replace("Ms: 2500", "Ms: 9000");
+    socket.write_all(text.as_bytes()).unwrap();
+    let mut received = vec![0u8; 1024];
+    socket.read_exact(&mut received).unwrap();
+    gateway.signal(Signal::TERM);
+    // The caller reads too slowly for the grace period.
+    let mut piece = vec![0u8; 64 << 10];
+    while let Ok(count) = socket.read(&mut piece) {
+        if count == 0 {
+            break;
+        }
+        received.extend_from_slice(&piece[..count]);
+        if gateway.lines("grace period over").is_empty() {
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+    assert!(received.len() < BODY_BYTES, "{}", received.len());
+    let head = received.windows(4).position(|w| w == b"\r\n\r\n").unwrap() + 4;
+    let rest = received[head..].iter().find(|byte| **byte != b'x');
+    assert_eq!(rest, None);
+}
+
 #[test]
 fn a_process_that_cannot_serve_logs_the_reason() {
     let nowhere = std::env::temp_dir().join("berylmount-no-such-settings.toml");
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -70,7 +70,7 @@
 /// The response side of a caller's connection.
 pub(crate) struct CallerSink<'a> {
     pub(crate) stream: &'a mut H1Stream,
-    /// Whether the head of a streamed response has been sent.
+    /// Whether a runner's response has been started; nothing else may follow its bytes.
     pub(crate) is_started: bool,
     /// Whether the connection is closed after the response.
     pub(crate) closes: bool,
@@ -692,6 +692,7 @@
         body,
         memory: _memory,
     } = response;
+    sink.is_started = true;
     let bytes = encode_response(method, status, &mut headers, &body, sink.closes);
     // Only one copy is held while the caller reads.
     drop(body);
