Announce the close in responses that a draining process sends

A connection whose request was in progress when a planned stop began was kept open without notice and closed some seconds later, while its caller might reuse it.

Cause: whether the connection closes was decided when the request arrived. It is now decided when the head of the response is written.

a_response_during_a_planned_stop_announces_the_close failed before (no Connection: close on a response and on a stream) and passes.

--- a/crates/berylmount/tests/gateway_process.rs
+++ b/crates/berylmount/tests/gateway_process.rs
@@ -9,8 +9,8 @@
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use standins::{
-    all_routes, event_stream_to, read_response, response_to, send_request, table, wait_until,
-    AfterResponse, StandinRunner, StandinStore,
+    all_routes, event_stream_to, header, read_response, response_to, send_request, table,
+    wait_until, AfterResponse, StandinRunner, StandinStore,
 };
 use std::{
     fs,
@@ -296,6 +296,34 @@
     assert_eq!(rest, None);
 }
 
+/// Guards against connections that are closed later in a planned stop without notice.
+#[test]
+fn a_response_during_a_planned_stop_announces_the_close() {
+    let may_end = Arc::new(AtomicBool::new(false));
+    let runner = runner(&may_end);
+    let gateway = GatewayInstance::start("notice", &runner, |store, log| spawn("i1", store, log));
+    let held: Vec<_> = ["POST /unsafe/held", "GET /stream/held"]
+        .into_iter()
+        .map(|line| {
+            let (callers, text) = (gateway.callers, request(line, "held", "k1"));
+            thread::spawn(move || send_request(callers, &text))
+        })
+        .collect();
+    wait_until("requests at the runner", || {
+        let requests = runner.requests.lock().unwrap();
+        let held = requests.iter().filter(|request| request.contains("/held"));
+        held.count() == 2
+    });
+    gateway.signal(Signal::TERM);
+    gateway.wait_line("\"leaving\"");
+    may_end.store(true, Ordering::Relaxed);
+    for held in held {
+        let response = held.join().unwrap().unwrap();
+        let close = header(&response, "connection");
+        assert_eq!(close.as_deref(), Some("close"), "{response}");
+    }
+}
+
 #[test]
 fn a_process_that_cannot_serve_logs_the_reason() {
     let nowhere = std::env::temp_dir().join("berylmount-no-such-settings.toml");
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -95,11 +95,10 @@
     stream: &mut H1Stream,
     call: InboundCall,
 ) -> bool {
-    let closes = call.head.wants_close() || state.is_draining();
     let mut sink = CallerSink {
         stream,
         is_started: false,
-        closes,
+        closes: call.head.wants_close(),
         last_event: None,
         software: 0,
         first_event_ms: 0,
@@ -121,10 +120,11 @@
     record_outcome(state, &call, &sink, &outcome, &attempts);
     match outcome {
         CallOutcome::Local(response) => {
+            let closes = sink.closes || state.is_draining();
             let bytes = response.encode(&call.head.method, &call.request.id, closes);
             sink.stream.write(&bytes).await.is_ok() && !closes
         }
-        CallOutcome::Answered(_) | CallOutcome::Streamed => !closes,
+        CallOutcome::Answered(_) | CallOutcome::Streamed => !sink.closes,
         CallOutcome::CallerGone | CallOutcome::Aborted(_) => false,
     }
 }
@@ -285,6 +285,7 @@
                 break;
             }
         }
+        sink.closes |= state.is_draining();
         fallback.deliver_to(sink, &call.head.method).await
     }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -103,10 +103,11 @@
     head: &ResponseHead,
     block: &EventBlock,
 ) -> Result<(), RelayError> {
-    let mut output = match sink.is_started {
-        true => BytesMut::new(),
-        false => chunked_head(head.status, response_headers(head), sink.closes),
-    };
+    let mut output = BytesMut::new();
+    if !sink.is_started {
+        sink.closes |= attempt.state.is_draining();
+        output = chunked_head(head.status, response_headers(head), sink.closes);
+    }
     output.put_slice(format!("{:x}\r\n", block.bytes.len()).as_bytes());
     output.put_slice(&block.bytes);
     output.put_slice(b"\r\n");
