Send no request that a brittle runner would have to reject

What callers saw: runners that state `Server-Brittle` let no request wait and fall over when they have to reject more than that many a second. With more callers than slots they fell over whenever they were back, and callers got almost nothing.

Cause: nothing in the code knew the statement. The loads that instances report to each other are 0.1 to 0.9 s old, and plain services have no admission control, so several instances fill the same slot at once.

Change: the instance that coordinates the permits of a runner also grants a place for each request while fewer are in flight than the runner has slots, and gets it back at its end. A statement holds for all runners of the service; heartbeats carry one for each brittle service. A rejection closes the runner everywhere for a second, and the request goes to no other brittle runner.

Why it works: the coordinator counts requests, not reports, so the sum is exact at any number of instances. Lost messages, restarts and silence only make it count too many.

--- a/crates/gateway/src/call_log.rs
+++ b/crates/gateway/src/call_log.rs
@@ -37,6 +37,8 @@
     pub(crate) sent: u32,
     /// Whether an attempt is in progress.
     is_attempt_open: bool,
+    /// Whether a brittle runner rejected the request, which is then not sent to another one.
+    pub(crate) avoids_brittle: bool,
 }
 
 impl AttemptLog {
@@ -58,6 +60,13 @@
         self.text += &format!("{separator}{runner} at its request limit");
     }
 
+    /// Records that a brittle runner had no place for the request.
+    pub(crate) fn record_full(&mut self, runner: &RunnerHandle) {
+        let separator = if self.text.is_empty() { "" } else { "; " };
+        let runner = &runner.record().id;
+        self.text += &format!("{separator}{runner} has no place");
+    }
+
     /// Records that the request is not sent because parts of it crash runners.
     pub(crate) fn record_blamed(&mut self, keys: &PartKeys, prompt: Option<&PromptShape>) {
         let parts = prompt.map_or(&[][..], |prompt| &prompt.parts);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -8,6 +8,7 @@
     },
     permits::acquire_permit,
     placement::{place, PlacedRunner, PlacementQuery, PlacementResult},
+    places::{acquire_place, PlaceResult, RunnerPlace},
     reachability::{reach_of, ServiceReach},
     responses::{encode_response, LocalReason, LocalResponse},
     runner_registry::RunnerHandle,
@@ -22,7 +23,9 @@
 use berylmount_fleet::{CallerRequest, CustomerRecord, RouteKind, RouteRule, RouteTable};
 use berylmount_h1::{H1Stream, RequestHead};
 use berylmount_policy::{
-    admission::{overload_decision, refusal_delay_ms, AdmissionRequest, OverloadDecision},
+    admission::{
+        overload_decision, refusal_delay_ms, usable_fraction, AdmissionRequest, OverloadDecision,
+    },
     runner_health::is_request_at_fault,
 };
 use berylmount_telemetry::{CounterMetric, HistogramMetric};
@@ -44,6 +47,9 @@
 const MAX_UNSENT_ATTEMPTS: u32 = 3;
 /// Permits that one request may be denied before it avoids runners with request limits.
 const MAX_PERMIT_DENIALS: u32 = 2;
+/// Places that one request may be denied before it avoids brittle runners. Each is denied
+/// within a round trip, and one of several full runners may have just got room.
+const MAX_PLACE_DENIALS: u32 = 4;
 /// Interval at which free capacity is checked; a few steps of an engine's batch.
 const CAPACITY_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Random factor on the retry delay during overload, so that rejected callers don't
@@ -219,8 +225,8 @@
                 false => software,
             };
             let capacity = self.wait_for_capacity(state, call, sink, &tried, software, attempts);
-            let placed = match capacity.await {
-                CapacityWait::Placed(placed) => placed,
+            let (placed, mut runner_place) = match capacity.await {
+                CapacityWait::Placed(placed, runner_place) => (placed, runner_place),
                 CapacityWait::CallerGone => return CallOutcome::CallerGone,
                 CapacityWait::NoRunner if attempts.sent == 0 && self.is_isolated(state) => {
                     let delay = Duration::from_millis(rng().random_range(ISOLATED_RETRY_MS));
@@ -260,6 +266,10 @@
             attempts.begin();
             let outcome = self.run_attempt(call, &placed, state, &parts, sink).await;
             attempts.record(state, &placed, &outcome, started_ms);
+            if let Some(runner_place) = &mut runner_place {
+                attempts.avoids_brittle |= runner_place.note_outcome(&placed.runner, &outcome);
+            }
+            drop(runner_place);
             note_attempt(
                 state,
                 &self.service,
@@ -348,38 +358,53 @@
         }
     }
 
-    /// Places the request and acquires a permit if the runner has a request limit. Waits
-    /// for a short time if no runner has capacity.
+    /// Places the request and acquires a permit if the runner has a request limit, and a
+    /// place if it is brittle. Waits for a short time if no runner has capacity.
     async fn wait_for_capacity(
         &self,
-        state: &GatewayState,
+        state: &Rc<GatewayState>,
         call: &InboundCall,
         sink: &mut CallerSink<'_>,
         tried: &[Rc<RunnerHandle>],
         software: SoftwareRule,
         attempts: &mut AttemptLog,
     ) -> CapacityWait {
-        let mut denials = 0;
+        let (mut denials, mut place_denials) = (0, 0);
         loop {
             let mut query = self.query(call, software);
             query.avoids_limited = denials >= MAX_PERMIT_DENIALS;
+            query.avoids_brittle = attempts.avoids_brittle || place_denials >= MAX_PLACE_DENIALS;
             match place(state, &query, tried) {
                 PlacementResult::Placed(placed) => {
+                    let fraction = usable_fraction(&query.admission);
+                    let runner_place = tokio::select! {
+                        found = acquire_place(state, &placed, fraction, self.time_left()) => found,
+                        () = sink.stream.closed() => return CapacityWait::CallerGone,
+                    };
+                    let runner_place = match runner_place {
+                        PlaceResult::NotNeeded => None,
+                        PlaceResult::Granted(runner_place) => Some(runner_place),
+                        PlaceResult::Denied => {
+                            place_denials += 1;
+                            attempts.record_full(&placed.runner);
+                            continue;
+                        }
+                    };
                     let has_permit = tokio::select! {
                         has_permit = acquire_permit(state, &placed.runner) => has_permit,
                         () = sink.stream.closed() => return CapacityWait::CallerGone,
                     };
                     if has_permit {
-                        return CapacityWait::Placed(placed);
+                        return CapacityWait::Placed(placed, runner_place);
                     }
                     denials += 1;
                     attempts.record_denial(&placed.runner);
                     continue;
                 }
-                PlacementResult::AtLimit(delay) => {
+                PlacementResult::AtLimit(reason, delay) => {
                     let refusal_ms = refusal_delay_ms(&query.admission);
                     let delay = delay.max(Duration::from_secs_f64(refusal_ms / 1000.0));
-                    return CapacityWait::NoCapacity(LocalReason::RunnersAtLimit, delay);
+                    return CapacityWait::NoCapacity(reason, delay);
                 }
                 PlacementResult::NoRunner => return CapacityWait::NoRunner,
                 PlacementResult::Backoff(delay) => return CapacityWait::Backoff(delay),
@@ -417,6 +442,7 @@
             draw: if is_resumed { 0.0 } else { self.draw },
             max_idle: max_idle(&self.route),
             avoids_limited: false,
+            avoids_brittle: false,
             software,
         }
     }
@@ -664,7 +690,8 @@
 
 /// Result of waiting for a runner with capacity.
 enum CapacityWait {
-    Placed(Box<PlacedRunner>),
+    /// A runner, with a place there if it is brittle.
+    Placed(Box<PlacedRunner>, Option<RunnerPlace>),
     /// No runner has capacity; the reason, and the time after which the caller should
     /// retry.
     NoCapacity(LocalReason, Duration),
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -46,6 +46,8 @@
         metrics.set(GaugeMetric::ClosedPaths, "", closed);
         let tunnels = i64::from(state.tunnels.get());
         metrics.set(GaugeMetric::Tunnels, "", tunnels);
+        let brittle = state.brittle_runners.borrow().brittle_count() as i64;
+        metrics.set(GaugeMetric::BrittleRunners, "", brittle);
         let live = state.peers.borrow().live_count(now_ms);
         metrics.set(GaugeMetric::Members, "live", live as i64);
         let runners = state.runners.borrow();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,8 @@
 //! | `placement` | selects a runner by the placement policy |
 //! | `reachability` | network paths to the runners of each service |
 //! | `tunnels` | connections to runners through other instances |
+//! | `permits` | request limits of runners, and permits for requests to such runners |
+//! | `places` | places for requests at brittle runners |
 //! | `transfers` | cache transfers for a prompt, by candidate runner |
 //! | `reservation` | load that a request reserves at its runner |
 //! | `upstream` | one attempt of a request at a runner |
@@ -68,6 +70,7 @@
 mod peers;
 mod permits;
 mod placement;
+mod places;
 mod process;
 mod reachability;
 mod reclaim;
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -15,6 +15,7 @@
     instances::InstanceEntry,
     peers::{LoadShare, PeerHeartbeat, PeerMessage},
     permits::{decide_permit, deliver_reply, merge_limit},
+    places::{decide_place, end_place, merge_brittle},
     replica::ReplicaDelta,
     state::GatewayState,
     store_watch::{is_connected_watcher, WatchedKind},
@@ -153,6 +154,9 @@
         if state.is_limit_report_due.replace(false) || is_report_due {
             send_limits(&state, &socket).await;
         }
+        if state.is_brittle_report_due.replace(false) || is_report_due {
+            send_brittle(&state, &socket).await;
+        }
         if state.is_exclusion_report_due.replace(false) || is_report_due {
             send_exclusions(&state, &socket).await;
         }
@@ -211,6 +215,18 @@
     }
 }
 
+/// Reports what brittle runners have stated, if there are any.
+async fn send_brittle(state: &GatewayState, socket: &UdpSocket) {
+    let reports = state
+        .brittle_runners
+        .borrow_mut()
+        .reports(boot_ms(), &mut rng());
+    if !reports.is_empty() {
+        let message = PeerMessage::BrittleReports(reports);
+        send_message(socket, &peer_addresses(state), &message).await;
+    }
+}
+
 /// Reports runners whose addresses belong to other servers, if there are any.
 async fn send_exclusions(state: &GatewayState, socket: &UdpSocket) {
     let reports = state.misdirected.borrow().reports(boot_ms());
@@ -247,6 +263,19 @@
                     .iter()
                     .for_each(|report| merge_limit(&state, report));
             }
+            Ok(PeerMessage::BrittleReports(reports)) => {
+                reports
+                    .iter()
+                    .for_each(|report| merge_brittle(&state, report));
+            }
+            Ok(PeerMessage::PlaceRequest(message)) => {
+                let decision = decide_place(&state, &message);
+                let reply = PeerMessage::PermitReply(message.request.number, decision);
+                send_message(&socket, &[sender], &reply).await;
+            }
+            Ok(PeerMessage::PlaceEnded(runner, number, end)) => {
+                end_place(&state, runner, number, end);
+            }
             Ok(PeerMessage::ExclusionReports(reports)) => merge_exclusions(&state, &reports),
             Ok(PeerMessage::PartEvidence(process, report)) => {
                 merge_evidence(&state, process, report);
@@ -285,6 +314,9 @@
     for (model, report) in heartbeat.request_reports(boot_ms()) {
         state.apply_request_report(model, &report);
     }
+    for report in &heartbeat.brittle_services {
+        merge_brittle(state, report);
+    }
     if let Some(clock_ms) = heartbeat.runner_clock_ms {
         state.note_runner_clock(clock_ms, boot_ms());
     }
@@ -382,6 +414,7 @@
     heartbeat.holder_notice = state.holder_notice.borrow().clone();
     heartbeat.begun_streams = state.stream_versions.next_report();
     heartbeat.closed_paths = state.service_paths.closed();
+    heartbeat.brittle_services = state.brittle_runners.borrow().service_reports(now_ms);
     heartbeat
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -15,6 +15,7 @@
     misdirection::ExclusionReport,
     part_evidence::EvidenceReport,
     runner_limits::{LimitReport, PermitDecision},
+    runner_rooms::{BrittleReport, HolderLoad, PlaceEnd, PlaceRequest, RunnerKey},
     shared_duties::{first_among, rank_among, DutyMember},
     software_versions::StreamReport,
 };
@@ -43,6 +44,12 @@
 /// Format of heartbeats. Heartbeats of another format are ignored.
 const HEARTBEAT_FORMAT: u8 = 6;
 
+/// Returns the heartbeat interval of a fleet, in milliseconds.
+pub(crate) fn heartbeat_interval_ms(instances: usize) -> u64 {
+    let (shortest_ms, longest_ms) = INTERVAL_BOUNDS_MS;
+    (INTERVAL_PER_INSTANCE_MS * instances as u64).clamp(shortest_ms, longest_ms)
+}
+
 /// Returns the key that identifies a runner, store or service in messages between
 /// instances.
 pub(crate) fn name_hash(name: &str) -> u64 {
@@ -165,6 +172,8 @@
     pub(crate) begun_streams: StreamReport,
     /// Keys of the services whose runners the instance does not reach, sorted.
     pub(crate) closed_paths: Vec<u64>,
+    /// What the brittle runners of each service have stated.
+    pub(crate) brittle_services: Vec<BrittleReport>,
 }
 
 impl PeerHeartbeat {
@@ -190,6 +199,7 @@
             runner_clock_ms: None,
             begun_streams: StreamReport::default(),
             closed_paths: Vec::new(),
+            brittle_services: Vec::new(),
         }
     }
 
@@ -252,6 +262,18 @@
     pub(crate) is_standby: bool,
 }
 
+/// A request for a place at a brittle runner.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct PlaceMessage {
+    pub(crate) request: PlaceRequest,
+    /// What the sender knows about the runner.
+    pub(crate) report: BrittleReport,
+    /// Key of the runner in reports of loads.
+    pub(crate) load_key: u64,
+    /// Whether the receiver is asked as the standby, because the coordinator did not reply.
+    pub(crate) is_standby: bool,
+}
+
 /// A datagram between instances.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum PeerMessage {
@@ -285,6 +307,12 @@
     StreamQuery(u64, Vec<u64>),
     /// The reply to such a question.
     StreamReply(StreamReply),
+    /// What runners have stated about the rejections that they bear.
+    BrittleReports(Vec<BrittleReport>),
+    /// A request for a place at a brittle runner. The reply is a [`Self::PermitReply`].
+    PlaceRequest(Box<PlaceMessage>),
+    /// A request with a place has ended: its runner, the number of the place, and how.
+    PlaceEnded(RunnerKey, u64, PlaceEnd),
 }
 
 /// What a runner has announced in a response through a tunnel.
@@ -318,8 +346,7 @@
 impl PeerTable {
     /// Returns the heartbeat interval, in milliseconds.
     pub(crate) fn interval_ms(&self) -> u64 {
-        let (shortest_ms, longest_ms) = INTERVAL_BOUNDS_MS;
-        (INTERVAL_PER_INSTANCE_MS * (self.peers.len() as u64 + 1)).clamp(shortest_ms, longest_ms)
+        heartbeat_interval_ms(self.peers.len() + 1)
     }
 
     fn silence_ms(&self) -> u64 {
@@ -560,6 +587,23 @@
         PeerLoads(loads)
     }
 
+    /// Returns the load that each other live instance reports for one runner.
+    pub(crate) fn holder_loads(&self, runner_key: u64, now_ms: u64) -> Vec<HolderLoad> {
+        let holders = self.live(now_ms).map(|peer| {
+            let loads = peer.heartbeat.loads.iter();
+            let mut sum = LoadShare::default();
+            let of_runner = loads.filter(|(key, _)| *key == runner_key);
+            of_runner.for_each(|(_, load)| sum.add(load));
+            HolderLoad {
+                holder: name_hash(&peer.heartbeat.name),
+                running: sum.running,
+                needed_tokens: sum.reserved_tokens,
+                at_ms: peer.last_seen_ms,
+            }
+        });
+        holders.collect()
+    }
+
     /// Returns the requests per second that arrive at the other live instances for a
     /// service, and that end at its runners.
     pub(crate) fn request_rates_of(&self, service: u64, now_ms: u64) -> (f64, f64) {
--- a/crates/gateway/src/permits.rs
+++ b/crates/gateway/src/permits.rs
@@ -24,9 +24,9 @@
 use tokio::{sync::oneshot, time::timeout};
 
 /// Time limit for the reply to a permit request; several round trips within a region.
-const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
+pub(crate) const REPLY_TIMEOUT: Duration = Duration::from_millis(150);
 /// Delay until the next permit request after one without a reply, in milliseconds.
-const NO_REPLY_DELAY_MS: u64 = 200;
+pub(crate) const NO_REPLY_DELAY_MS: u64 = 200;
 /// Consecutive permit requests without a reply after which the standby is asked. A single
 /// lost datagram is no evidence.
 const SILENT_MISSES: u32 = 2;
@@ -34,7 +34,7 @@
 const SILENT_MS: u64 = 1500;
 /// Delay for an instance that asked one that is neither coordinator nor standby, in
 /// milliseconds. The views of the two agree again after a few heartbeats.
-const REDIRECT_DELAY_MS: u64 = 200;
+pub(crate) const REDIRECT_DELAY_MS: u64 = 200;
 
 /// A coordinator that left the last permit requests of this instance without a reply.
 #[derive(Clone, Copy, Debug)]
@@ -48,7 +48,7 @@
 
 /// The part of an instance in issuing the permits for a runner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum PermitRole {
+pub(crate) enum PermitRole {
     /// Issues the permits.
     Coordinator,
     /// Issues a fraction of the permits to instances that cannot reach the coordinator.
@@ -103,7 +103,7 @@
 
 /// Returns the address of the instance that issues permits for a runner, or would if the
 /// one at `excluded` were gone; `None` if this instance does.
-fn coordinator_of(
+pub(crate) fn coordinator_of(
     state: &GatewayState,
     runner: u64,
     excluded: Option<SocketAddr>,
@@ -121,7 +121,7 @@
 }
 
 /// Returns the role of this instance for a runner.
-fn permit_role(state: &GatewayState, runner: u64) -> PermitRole {
+pub(crate) fn permit_role(state: &GatewayState, runner: u64) -> PermitRole {
     let Some(coordinator) = coordinator_of(state, runner, None) else {
         return PermitRole::Coordinator;
     };
@@ -245,7 +245,7 @@
 }
 
 /// Whether the standby is asked instead of the coordinator at `address`.
-fn is_silent(state: &GatewayState, address: SocketAddr) -> bool {
+pub(crate) fn is_silent(state: &GatewayState, address: SocketAddr) -> bool {
     let silent = state.silent_coordinators.borrow();
     silent.iter().any(|known| {
         let is_recent = boot_ms() < known.last_ms + SILENT_MS;
@@ -254,13 +254,13 @@
 }
 
 /// Records that the coordinator at `address` replied.
-fn note_reply(state: &GatewayState, address: SocketAddr) {
+pub(crate) fn note_reply(state: &GatewayState, address: SocketAddr) {
     let mut silent = state.silent_coordinators.borrow_mut();
     silent.retain(|known| known.address != address);
 }
 
 /// Records that the coordinator at `address` did not reply.
-fn note_miss(state: &GatewayState, address: SocketAddr) {
+pub(crate) fn note_miss(state: &GatewayState, address: SocketAddr) {
     let last_ms = boot_ms();
     let mut silent = state.silent_coordinators.borrow_mut();
     let known = silent.iter_mut().find(|known| known.address == address);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -8,6 +8,7 @@
     reachability::{reach_of, ServiceReach},
     reclaim::may_fetch,
     reservation::{prefill_sample, PrefillSample},
+    responses::LocalReason,
     runner_registry::{RunnerHandle, RunnerRegistry},
     state::GatewayState,
     stream_versions::SoftwareRule,
@@ -31,8 +32,8 @@
 const OLD_WEIGHTS_PENALTY_MS: f64 = 400.0;
 /// Time from placement until a busy runner starts the request, in milliseconds.
 const START_DELAY_MS: u64 = 2000;
-/// Cost of a permit for a runner with a request limit, in milliseconds: a round trip to
-/// the instance that issues it.
+/// Cost of a permit or a place at a runner, in milliseconds: a round trip to the instance
+/// that issues it.
 const PERMIT_COST_MS: f64 = 2.0 * REMOTE_LATENCY_MS;
 /// Expected output length as a fraction of the requested maximum.
 const OUTPUT_LENGTH_SHARE: f64 = 0.5;
@@ -50,6 +51,8 @@
     pub(crate) cache: Option<CacheTransfers>,
     /// Keys of the stores and runners that parts are fetched from.
     pub(crate) stores: Vec<u64>,
+    /// KV cache capacity of the runner in tokens; 0 if unbounded.
+    pub(crate) capacity_tokens: u64,
     /// Prompt tokens that the runner must prefill.
     pub(crate) unread_tokens: u64,
     /// Prompt tokens that the runner has cached or fetches.
@@ -75,6 +78,8 @@
     pub(crate) max_idle: Duration,
     /// Whether runners with a request limit are left out.
     pub(crate) avoids_limited: bool,
+    /// Whether brittle runners are left out.
+    pub(crate) avoids_brittle: bool,
     /// The software versions that may run the request.
     pub(crate) software: SoftwareRule,
 }
@@ -87,9 +92,9 @@
     NoCapacity,
     /// Runners exist, but all are in backoff; the first backoff ends after this time.
     Backoff(Duration),
-    /// Runners exist, but those that are not in backoff are at their request limits. The
-    /// first may have a permit after this time.
-    AtLimit(Duration),
+    /// Runners exist, but those that are not in backoff are at their request limits, or
+    /// brittle and full. The first may have a permit or a place after this time.
+    AtLimit(LocalReason, Duration),
     /// No runner can serve the request.
     NoRunner,
 }
@@ -126,6 +131,7 @@
     let accepts_requests = |runner: &&Rc<RunnerHandle>| {
         runner.backoff_left(now_ms).is_none()
             && limit_delay(state, query, runner, now_ms).is_none()
+            && place_delay(state, query, runner, now_ms).is_none()
             && !is_excluded(state, runner, now_ms)
     };
     let candidates = runners.ready_of(query.service).filter(accepts_requests);
@@ -193,6 +199,7 @@
         unread_tokens: u64::from(unread_tokens),
         fetched_tokens: u64::from(views[index].cached_tokens),
         memory_tokens: demand.memory_tokens,
+        capacity_tokens: views[index].memory_tokens,
     }))
 }
 
@@ -212,6 +219,23 @@
         .map(Duration::from_millis)
 }
 
+/// Returns for how long a runner is excluded because it is brittle and full; `None` if it
+/// is not.
+fn place_delay(
+    state: &GatewayState,
+    query: &PlacementQuery<'_>,
+    runner: &RunnerHandle,
+    now_ms: u64,
+) -> Option<Duration> {
+    let brittle_runners = state.brittle_runners.borrow();
+    let key = runner.room_key();
+    let is_avoided = query.avoids_brittle && brittle_runners.needs_place(key, now_ms);
+    let delay_ms = brittle_runners.delay_ms(key, now_ms);
+    delay_ms
+        .or(is_avoided.then_some(0))
+        .map(Duration::from_millis)
+}
+
 /// Returns why no runner of the service is a candidate.
 fn no_candidate(
     state: &GatewayState,
@@ -220,15 +244,20 @@
     now_ms: u64,
 ) -> PlacementResult {
     let (mut first_backoff, mut first_delay) = (None::<Duration>, None::<Duration>);
+    let mut reason = LocalReason::RunnersAtLimit;
     for runner in runners.ready_of(query.service) {
         if let Some(left) = runner.backoff_left(now_ms) {
             first_backoff = Some(first_backoff.map_or(left, |first| first.min(left)));
         } else if let Some(delay) = limit_delay(state, query, runner, now_ms) {
             first_delay = Some(first_delay.map_or(delay, |first| first.min(delay)));
+        } else if let Some(delay) = place_delay(state, query, runner, now_ms) {
+            first_delay = Some(first_delay.map_or(delay, |first| first.min(delay)));
+            reason = LocalReason::RunnersFull;
         }
     }
     let backoff = first_backoff.map_or(PlacementResult::NoRunner, PlacementResult::Backoff);
-    first_delay.map_or(backoff, PlacementResult::AtLimit)
+    let at_limit = |delay| PlacementResult::AtLimit(reason, delay);
+    first_delay.map_or(backoff, at_limit)
 }
 
 /// Returns the demand of the request on a runner.
@@ -386,6 +415,7 @@
     let peers = state.peers.borrow();
     let peer_loads = peers.loads(now_ms);
     let limits = state.runner_limits.borrow();
+    let brittle_runners = state.brittle_runners.borrow();
     let own_notice = state.holder_notice.borrow();
     let notices = [own_notice.as_ref(), peers.holder_notice(now_ms)];
     let notice = notices.into_iter().flatten().max_by_key(|n| n.term);
@@ -406,8 +436,9 @@
         let mut sent = peer_loads.on(runner.key());
         sent.add(&runner.local_load());
         let old_weights_ms = if is_old { OLD_WEIGHTS_PENALTY_MS } else { 0.0 };
-        let is_limited = limits.limit_of(runner.limit_key()).is_some();
-        let permit_ms = if is_limited { PERMIT_COST_MS } else { 0.0 };
+        let needs_permit = limits.limit_of(runner.limit_key()).is_some()
+            || brittle_runners.needs_place(runner.room_key(), now_ms);
+        let permit_ms = if needs_permit { PERMIT_COST_MS } else { 0.0 };
         let rank = homes.rank(runner);
         let cached = cached_prompt(query, engine, runner, homes, planner);
         RunnerView {
--- a/crates/gateway/src/responses.rs
+++ b/crates/gateway/src/responses.rs
@@ -45,6 +45,9 @@
     /// All runners are at the request limits that they named; the request has not run.
     #[strum(serialize = "runner_limits")]
     RunnersAtLimit,
+    /// All runners have stated that they are brittle, and none has room; the request has not
+    /// run.
+    RunnersFull,
     /// The gateway or the runners lack capacity; the request has not run.
     Overloaded,
     /// This process has just started and does not know yet which requests crash runners; the
@@ -83,6 +86,7 @@
             | Self::Refused
             | Self::RunnersInBackoff
             | Self::RunnersAtLimit
+            | Self::RunnersFull
             | Self::Overloaded
             | Self::Starting
             | Self::CrashingPart
--- a/crates/gateway/src/runner_registry.rs
+++ b/crates/gateway/src/runner_registry.rs
@@ -17,7 +17,7 @@
 use berylmount_adapter::{request_headers::RunnerNotice, store_client::EraRevision};
 use berylmount_fleet::{RunnerLoad, RunnerRecord, RunnerState};
 use berylmount_h1::{H1Stream, RequestExchange};
-use berylmount_policy::runner_health::RunnerHealth;
+use berylmount_policy::{runner_health::RunnerHealth, runner_rooms::RunnerKey};
 use bytes::Bytes;
 use rand::{rng, RngExt};
 use std::{
@@ -186,6 +186,8 @@
     key: u64,
     /// Identifies this start of the runner in the table of request limits.
     limit_key: u64,
+    /// Identifies its service there.
+    service_key: u64,
     record: RefCell<Rc<RunnerRecord>>,
     /// When its entry was first missing after an outage; 0 if it is not missing.
     missing_since_ms: Cell<u64>,
@@ -233,6 +235,7 @@
             heard_ms: Cell::new(0),
             unreachable_until_ms: Cell::new(0),
             key: name_hash(&record.id),
+            service_key: name_hash(&record.service),
             limit_key: name_hash(&format!("{}@{}", record.id, record.started_ms)),
             record: RefCell::new(Rc::new(record)),
             missing_since_ms: Cell::new(0),
@@ -274,6 +277,14 @@
         self.limit_key
     }
 
+    /// Returns the key of this start of the runner in the table of brittle runners.
+    pub(crate) fn room_key(&self) -> RunnerKey {
+        RunnerKey {
+            start: self.limit_key,
+            service: self.service_key,
+        }
+    }
+
     /// Returns the load from this instance.
     pub(crate) fn local_load(&self) -> LoadShare {
         LoadShare {
@@ -346,6 +357,25 @@
         (at_ms > 0 && now_ms.saturating_sub(at_ms) < MAX_LOAD_AGE_MS).then_some(load)
     }
 
+    /// Returns how many requests it runs concurrently, by its entry and its latest report.
+    pub(crate) fn slots(&self, now_ms: u64) -> u32 {
+        let listed = self.record.borrow().slots;
+        let reported = self.load(now_ms).map_or(listed, |load| load.slots);
+        match (listed, reported) {
+            (0, known) | (known, 0) => known,
+            (listed, reported) => listed.min(reported),
+        }
+    }
+
+    /// Returns its requests by its latest report, and the age of that in milliseconds;
+    /// `None` if the report is too old.
+    pub(crate) fn reported_requests(&self, now_ms: u64) -> Option<(u32, u64)> {
+        let load = self.load(now_ms)?;
+        let (_, at_ms) = self.load.get();
+        let count = load.running.saturating_add(load.waiting);
+        Some((count, now_ms.saturating_sub(at_ms)))
+    }
+
     /// Records its load as reported in a response.
     pub(crate) fn note_load(&self, load: RunnerLoad, now_ms: u64) {
         self.load.set((load, now_ms));
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -33,6 +33,7 @@
     retry_share::{RetryBounds, RetryOwner, RetryShare},
     runner_clock::RunnerClock,
     runner_limits::{PermitDecision, RunnerLimits},
+    runner_rooms::BrittleRunners,
     shared_duties::{duty_score, DutyMember},
     store_lags::LagTracker,
 };
@@ -147,6 +148,10 @@
     pub(crate) runners: RefCell<RunnerRegistry>,
     /// Request limits that runners have named.
     pub(crate) runner_limits: RefCell<RunnerLimits>,
+    /// Runners that fall over when they reject too many requests.
+    pub(crate) brittle_runners: RefCell<BrittleRunners>,
+    /// Whether a change of them is to be reported to the other instances.
+    pub(crate) is_brittle_report_due: Cell<bool>,
     /// Runners whose addresses belong to other servers.
     pub(crate) misdirected: RefCell<MisdirectedRunners>,
     /// Whether a change of them is to be reported to the other instances.
@@ -240,6 +245,8 @@
             tunnels: Rc::default(),
             runners: RefCell::default(),
             runner_limits: RefCell::default(),
+            brittle_runners: RefCell::default(),
+            is_brittle_report_due: Cell::new(false),
             misdirected: RefCell::default(),
             is_exclusion_report_due: Cell::new(false),
             is_limit_report_due: Cell::new(false),
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -5,6 +5,7 @@
     exclusions::{is_excluded, note_rejection, note_response},
     forward::{CallerSink, InboundCall},
     permits::note_limit,
+    places::note_brittle,
     reachability::{reach_of, start_probes, MonitoredPath, PathUse, ServiceReach},
     relay::relay_events,
     response_memory::ResponseMemory,
@@ -391,6 +392,7 @@
         }
         self.runner.note_notice(notice, boot_ms());
         note_limit(self.state, self.runner, notice.limit, sent_ms);
+        note_brittle(self.state, self.runner, notice.brittle, sent_ms);
         if let Some(load) = reply.load {
             self.runner.note_load(load, boot_ms());
         }
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -8,6 +8,7 @@
     clock::boot_ms,
     peers::{switch_key, HolderNotice},
     permits::note_limit,
+    places::note_brittle,
     rollout_lease::SharedLease,
     runner_registry::RunnerHandle,
     state::{DesiredWeights, GatewayState},
@@ -179,6 +180,7 @@
     }
     runner.note_notice(client.notice(), boot_ms());
     note_limit(state, runner, client.notice().limit, sent_ms);
+    note_brittle(state, runner, client.notice().brittle, sent_ms);
     let (runner_id, version) = (record.id.as_str(), goal.version);
     match outcome {
         Ok(Some(OrderOutcome::Started)) => {
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -3,6 +3,7 @@
 // Each test binary uses only some of the items.
 #![allow(dead_code, unused_imports, clippy::unwrap_used)]
 
+mod brittle_runner;
 mod crashing_fleet;
 mod limited_runner;
 mod link;
@@ -10,6 +11,7 @@
 mod store;
 mod test_gateway;
 
+pub(crate) use brittle_runner::{BrittleCount, BrittleRunner};
 pub(crate) use crashing_fleet::{CrashingCall, FleetRecord};
 pub(crate) use limited_runner::{Arrival, LimitedRunner, LIMIT_CONTACT};
 pub(crate) use link::{CuttableLink, LinkCut};
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -70,8 +70,16 @@
     Refuse(f64),
 }
 
-/// Returns the fraction of a runner's slots and memory that a request may fill.
-fn usable_fraction(request: &AdmissionRequest) -> f64 {
+/// Returns the fraction of a runner's slots and memory that a request may fill. It is above 1
+/// for a stream that goes on.
+///
+/// ```
+/// use berylmount_policy::admission::{usable_fraction, AdmissionRequest};
+///
+/// assert_eq!(usable_fraction(&AdmissionRequest::default()), 1.0);
+/// assert!(usable_fraction(&AdmissionRequest { rank: 1, ..AdmissionRequest::default() }) < 1.0);
+/// ```
+pub fn usable_fraction(request: &AdmissionRequest) -> f64 {
     if request.is_resumed {
         return RESUMED_FRACTION;
     }
--- a/crates/policy/tests/fuzz/main.rs
+++ b/crates/policy/tests/fuzz/main.rs
@@ -10,6 +10,7 @@
 mod queue;
 mod request_limits;
 mod request_times;
+mod runner_rooms;
 mod runners;
 
 use berylmount_model::WorkClass;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -84,6 +84,11 @@
     /// `served` for those of other instances.
     #[strum(props(label = "outcome"))]
     TunnelsTotal,
+    /// Requests for places at brittle runners, by outcome: `granted`, `denied`, `no_reply`.
+    #[strum(props(label = "outcome"))]
+    PlacesTotal,
+    /// Requests that brittle runners rejected although they had a place.
+    BrittleRejectionsTotal,
     /// Runners excluded because another server has their address, by how this instance
     /// learned of it: `own` or `reported`.
     #[strum(props(label = "source"))]
@@ -133,6 +138,8 @@
     ClosedPaths,
     /// Open tunnels of other instances through this one.
     Tunnels,
+    /// Runners that state that they are brittle, as far as this process knows.
+    BrittleRunners,
     /// Known member processes of the system, by state.
     #[strum(props(label = "state"))]
     Members,
