Leave heartbeats and clocks alone where no runner is brittle

Cause: the statements were a field of the heartbeat.

Change: a datagram may hold several messages; the statements follow the heartbeat only where there are some, and processes of earlier code ignore them. The format is 5 as before. A process without entries asks no clock.

A further test starts processes under load in front of brittle runners (processes_that_have_just_started_spare_brittle_runners); it was not run on the code before.

--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -1,7 +1,7 @@
 //! Transport of messages between instances.
 //!
 //! Heartbeats are UDP datagrams and copies of objects use TCP. Both are encoded with
-//! `bincode`. A heartbeat is one datagram to avoid head-of-line blocking after a loss, and
+//! `bincode`. A datagram holds one or more messages. A heartbeat is one datagram to avoid head-of-line blocking after a loss, and
 //! because a connection can stall without an error. Each copy uses a connection of its
 //! own, on which a message follows its length in four bytes.
 
@@ -32,7 +32,7 @@
 use bytes::Bytes;
 use rand::rng;
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
-use std::{future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{future::Future, io, net::SocketAddr, rc::Rc, slice, time::Duration};
 use strum::{Display, IntoEnumIterator};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -180,8 +180,18 @@
         }
         waited = Duration::ZERO;
         state.is_heartbeat_due.set(false);
-        let heartbeat = PeerMessage::Heartbeat(Box::new(build_heartbeat(&state)));
-        send_message(&socket, &addresses, &heartbeat).await;
+        let mut messages = vec![PeerMessage::Heartbeat(Box::new(build_heartbeat(&state)))];
+        if !state.brittle_runners.borrow().is_empty() {
+            // A process that has just started learns of them before it sends requests.
+            let reports = state.brittle_runners.borrow().service_reports(boot_ms());
+            messages.push(PeerMessage::BrittleReports(reports));
+        }
+        let closed = state.service_paths.closed();
+        if !closed.is_empty() {
+            let name = state.settings().name.clone();
+            messages.push(PeerMessage::ClosedPaths(name, closed));
+        }
+        send_messages(&socket, &addresses, &messages).await;
         let now_ms = boot_ms();
         state
             .peers
@@ -217,6 +227,9 @@
 
 /// Reports what brittle runners have stated, if there are any.
 async fn send_brittle(state: &GatewayState, socket: &UdpSocket) {
+    if state.brittle_runners.borrow().is_empty() {
+        return;
+    }
     let reports = state
         .brittle_runners
         .borrow_mut()
@@ -247,61 +260,81 @@
                 continue;
             }
         };
-        match decode::<PeerMessage>(&buffer[..length]) {
-            Ok(PeerMessage::Heartbeat(heartbeat)) if heartbeat.has_known_format() => {
-                note_heartbeat(&state, *heartbeat)
-            }
-            Ok(PeerMessage::Heartbeat(heartbeat)) => {
-                log::warn!(target: "peers", peer = heartbeat.name; "ignored a heartbeat of another format");
-            }
-            Ok(PeerMessage::CacheChanges(peer, gossip)) => apply_gossip(&state, &peer, &gossip),
-            Ok(PeerMessage::Placed(peer, runner, share)) => {
-                state.peers.borrow_mut().note_placed(&peer, runner, share);
-            }
-            Ok(PeerMessage::LimitReports(reports)) => {
-                reports
-                    .iter()
-                    .for_each(|report| merge_limit(&state, report));
-            }
-            Ok(PeerMessage::BrittleReports(reports)) => {
-                reports
-                    .iter()
-                    .for_each(|report| merge_brittle(&state, report));
-            }
-            Ok(PeerMessage::PlaceRequest(message)) => {
-                let decision = decide_place(&state, &message);
-                let reply = PeerMessage::PermitReply(message.request.number, decision);
-                send_message(&socket, &[sender], &reply).await;
-            }
-            Ok(PeerMessage::PlaceEnded(runner, number, end)) => {
-                end_place(&state, runner, number, end);
-            }
-            Ok(PeerMessage::ExclusionReports(reports)) => merge_exclusions(&state, &reports),
-            Ok(PeerMessage::PartEvidence(process, report)) => {
-                merge_evidence(&state, process, report);
-            }
-            Ok(PeerMessage::PartProbe(probed)) => note_probe(&state, &probed),
-            Ok(PeerMessage::PartsCleared(sets)) => clear_parts(&state, &sets),
-            Ok(PeerMessage::AnalystNotice(notice)) => apply_notice(&state, notice),
-            Ok(PeerMessage::PermitRequest(request)) => {
-                let decision = decide_permit(&state, &request);
-                let reply = PeerMessage::PermitReply(request.number, decision);
-                send_message(&socket, &[sender], &reply).await;
-            }
-            Ok(PeerMessage::RunnerNotice(notice)) => note_tunnelled(&state, &notice),
-            Ok(PeerMessage::PermitReply(number, decision)) => {
-                deliver_reply(&state, number, decision);
-            }
-            Ok(PeerMessage::StreamQuery(number, streams)) => {
-                if let Some(reply) = reply_to_query(&state, number, &streams) {
-                    send_message(&socket, &[sender], &PeerMessage::StreamReply(reply)).await;
+        let mut rest = &buffer[..length];
+        while !rest.is_empty() {
+            match decode_first::<PeerMessage>(rest) {
+                Ok((message, length)) => {
+                    receive_message(&state, &socket, sender, message).await;
+                    rest = &rest[length..];
+                }
+                Err(fault) => {
+                    log::warn!(target: "peers", fault:% ; "ignored a message that does not decode");
+                    break;
                 }
             }
-            Ok(PeerMessage::StreamReply(reply)) => note_reply(&state, sender, reply),
-            Err(fault) => {
-                log::warn!(target: "peers", fault:% ; "ignored a message that does not decode")
+        }
+    }
+}
+
+/// Applies a message of the instance at `sender`, and replies if it asks for something.
+async fn receive_message(
+    state: &Rc<GatewayState>,
+    socket: &UdpSocket,
+    sender: SocketAddr,
+    message: PeerMessage,
+) {
+    match message {
+        PeerMessage::Heartbeat(heartbeat) if heartbeat.has_known_format() => {
+            note_heartbeat(state, *heartbeat)
+        }
+        PeerMessage::Heartbeat(heartbeat) => {
+            log::warn!(target: "peers", peer = heartbeat.name; "ignored a heartbeat of another format");
+        }
+        PeerMessage::CacheChanges(peer, gossip) => apply_gossip(state, &peer, &gossip),
+        PeerMessage::Placed(peer, runner, share) => {
+            state.peers.borrow_mut().note_placed(&peer, runner, share);
+        }
+        PeerMessage::LimitReports(reports) => {
+            reports.iter().for_each(|report| merge_limit(state, report));
+        }
+        PeerMessage::BrittleReports(reports) => {
+            reports
+                .iter()
+                .for_each(|report| merge_brittle(state, report));
+        }
+        PeerMessage::PlaceRequest(message) => {
+            let decision = decide_place(state, &message);
+            let reply = PeerMessage::PermitReply(message.request.number, decision);
+            send_message(socket, &[sender], &reply).await;
+        }
+        PeerMessage::PlaceEnded(runner, number, end) => {
+            end_place(state, runner, number, end);
+        }
+        PeerMessage::ExclusionReports(reports) => merge_exclusions(state, &reports),
+        PeerMessage::PartEvidence(process, report) => {
+            merge_evidence(state, process, report);
+        }
+        PeerMessage::PartProbe(probed) => note_probe(state, &probed),
+        PeerMessage::PartsCleared(sets) => clear_parts(state, &sets),
+        PeerMessage::AnalystNotice(notice) => apply_notice(state, notice),
+        PeerMessage::PermitRequest(request) => {
+            let decision = decide_permit(state, &request);
+            let reply = PeerMessage::PermitReply(request.number, decision);
+            send_message(socket, &[sender], &reply).await;
+        }
+        PeerMessage::PermitReply(number, decision) => {
+            deliver_reply(state, number, decision);
+        }
+        PeerMessage::RunnerNotice(notice) => note_tunnelled(state, &notice),
+        PeerMessage::StreamQuery(number, streams) => {
+            if let Some(reply) = reply_to_query(state, number, &streams) {
+                send_message(socket, &[sender], &PeerMessage::StreamReply(reply)).await;
             }
         }
+        PeerMessage::StreamReply(reply) => note_reply(state, sender, reply),
+        PeerMessage::ClosedPaths(peer, closed) => {
+            state.peers.borrow_mut().note_closed_paths(&peer, closed);
+        }
     }
 }
 
@@ -314,9 +347,6 @@
     for (model, report) in heartbeat.request_reports(boot_ms()) {
         state.apply_request_report(model, &report);
     }
-    for report in &heartbeat.brittle_services {
-        merge_brittle(state, report);
-    }
     if let Some(clock_ms) = heartbeat.runner_clock_ms {
         state.note_runner_clock(clock_ms, boot_ms());
     }
@@ -336,8 +366,14 @@
     addresses: &[SocketAddr],
     message: &PeerMessage,
 ) {
-    let bytes = match encode(message) {
-        Ok(bytes) => bytes,
+    send_messages(socket, addresses, slice::from_ref(message)).await;
+}
+
+/// Sends one datagram with some messages to each address.
+async fn send_messages(socket: &UdpSocket, addresses: &[SocketAddr], messages: &[PeerMessage]) {
+    let encoded: Result<Vec<Vec<u8>>, PullFault> = messages.iter().map(encode).collect();
+    let bytes = match encoded {
+        Ok(encoded) => encoded.concat(),
         Err(fault) => return log::error!(target: "peers", fault:% ; "could not encode a message"),
     };
     for address in addresses {
@@ -413,8 +449,6 @@
     heartbeat.confirmed = state.fetches.borrow().confirmed(&state.retired.borrow());
     heartbeat.holder_notice = state.holder_notice.borrow().clone();
     heartbeat.begun_streams = state.stream_versions.next_report();
-    heartbeat.closed_paths = state.service_paths.closed();
-    heartbeat.brittle_services = state.brittle_runners.borrow().service_reports(now_ms);
     heartbeat
 }
 
@@ -579,8 +613,13 @@
 }
 
 fn decode<M: DeserializeOwned>(bytes: &[u8]) -> Result<M, PullFault> {
+    let (message, _) = decode_first(bytes)?;
+    Ok(message)
+}
+
+/// Decodes the first message; returns its length, too.
+fn decode_first<M: DeserializeOwned>(bytes: &[u8]) -> Result<(M, usize), PullFault> {
     let decoded =
         codec::decode_from_slice(bytes, config::standard().with_limit::<MAX_MESSAGE_BYTES>());
-    let (message, _) = decoded.map_err(|error| PullFault::Malformed(error.to_string()))?;
-    Ok(message)
+    decoded.map_err(|error| PullFault::Malformed(error.to_string()))
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -42,7 +42,7 @@
 /// changes to the others. In smaller fleets, polling costs less than late changes do.
 const LARGE_FLEET_PEERS: usize = 12;
 /// Format of heartbeats. Heartbeats of another format are ignored.
-const HEARTBEAT_FORMAT: u8 = 6;
+const HEARTBEAT_FORMAT: u8 = 5;
 
 /// Returns the heartbeat interval of a fleet, in milliseconds.
 pub(crate) fn heartbeat_interval_ms(instances: usize) -> u64 {
@@ -170,10 +170,6 @@
     pub(crate) runner_clock_ms: Option<u64>,
     /// Streams that the instance has begun since the last heartbeats.
     pub(crate) begun_streams: StreamReport,
-    /// Keys of the services whose runners the instance does not reach, sorted.
-    pub(crate) closed_paths: Vec<u64>,
-    /// What the brittle runners of each service have stated.
-    pub(crate) brittle_services: Vec<BrittleReport>,
 }
 
 impl PeerHeartbeat {
@@ -198,8 +194,6 @@
             holder_notice: None,
             runner_clock_ms: None,
             begun_streams: StreamReport::default(),
-            closed_paths: Vec::new(),
-            brittle_services: Vec::new(),
         }
     }
 
@@ -303,6 +297,9 @@
     PartsCleared(Vec<Vec<u64>>),
     /// What a runner has announced in a response through a tunnel of the receiver.
     RunnerNotice(TunnelledNotice),
+    /// Keys of the services whose runners the instance with this name does not reach. Follows
+    /// each of its heartbeats while there are any.
+    ClosedPaths(String, Vec<u64>),
     /// A question for the versions of streams: its number, and the streams.
     StreamQuery(u64, Vec<u64>),
     /// The reply to such a question.
@@ -333,6 +330,8 @@
     last_seen_ms: u64,
     /// Number of the next stream of which the instance has not told.
     next_stream: u64,
+    /// Keys of the services whose runners the instance does not reach, sorted.
+    closed_paths: Vec<u64>,
 }
 
 /// All other instances with recent heartbeats, sorted by name.
@@ -378,6 +377,8 @@
             heartbeat,
             last_seen_ms: now_ms,
             next_stream,
+            // They follow in the same datagram, if there are any.
+            closed_paths: Vec::new(),
         };
         match found {
             Ok(index) => self.peers[index] = peer,
@@ -397,6 +398,17 @@
         }
     }
 
+    /// Records the services whose runners an instance does not reach, until its next heartbeat.
+    pub(crate) fn note_closed_paths(&mut self, name: &str, mut closed: Vec<u64>) {
+        closed.sort_unstable();
+        let found = self
+            .peers
+            .binary_search_by(|peer| peer.heartbeat.name.as_str().cmp(name));
+        if let Ok(index) = found {
+            self.peers[index].closed_paths = closed;
+        }
+    }
+
     /// Forgets instances that have been silent for [`FORGET_MS`].
     ///
     /// `listening_since_ms` is when this process started to listen, by the boot clock.
@@ -432,11 +444,11 @@
 
     /// Returns the live instances that accept requests and reach the runners of a service.
     pub(crate) fn relays(&self, service: u64, now_ms: u64) -> impl Iterator<Item = &InstanceEntry> {
-        let reaches = move |heartbeat: &&PeerHeartbeat| {
-            heartbeat.is_ready && heartbeat.closed_paths.binary_search(&service).is_err()
+        let reaches = move |peer: &&KnownPeer| {
+            peer.heartbeat.is_ready && peer.closed_paths.binary_search(&service).is_err()
         };
-        let heartbeats = self.live(now_ms).map(|peer| &peer.heartbeat);
-        heartbeats.filter(reaches).map(|heartbeat| &heartbeat.entry)
+        let relays = self.live(now_ms).filter(reaches);
+        relays.map(|peer| &peer.heartbeat.entry)
     }
 
     /// Returns what the other instances have reported about requests of a model's weights.
@@ -473,7 +485,7 @@
         now_ms: u64,
     ) -> usize {
         let stays = |peer: &&KnownPeer| {
-            let closed = &peer.heartbeat.closed_paths;
+            let closed = &peer.closed_paths;
             let reaches_all = !services.iter().any(|s| closed.binary_search(s).is_ok());
             reaches_all && !peer.heartbeat.is_leaving()
         };
--- a/crates/gateway/src/places.rs
+++ b/crates/gateway/src/places.rs
@@ -58,6 +58,9 @@
         BrittleNotice::RejectionLimit(per_s) => Some(per_s),
     };
     let mut brittle_runners = state.brittle_runners.borrow_mut();
+    if rejection_limit.is_none() && brittle_runners.is_empty() {
+        return;
+    }
     if !brittle_runners.note(runner.room_key(), rejection_limit, sent_ms, boot_ms()) {
         return;
     }
@@ -278,6 +281,9 @@
     fraction: f64,
     lifetime: Duration,
 ) -> PlaceResult {
+    if state.brittle_runners.borrow().is_empty() {
+        return PlaceResult::NotNeeded;
+    }
     let (runner, now_ms) = (placed.runner.room_key(), boot_ms());
     let report = {
         let mut brittle_runners = state.brittle_runners.borrow_mut();
--- a/crates/gateway/tests/brittle_runners.rs
+++ b/crates/gateway/tests/brittle_runners.rs
@@ -22,6 +22,7 @@
 
 /// Gateways with callers that send requests to each of them without a pause.
 struct PressedFleet {
+    store: StandinStore,
     is_over: Arc<AtomicBool>,
     /// The responses that are not 200, without repetitions of their bodies.
     refusals: Arc<Mutex<Vec<(String, String)>>>,
@@ -44,19 +45,24 @@
             gateway.wait_for_status("GET /safe/warm", "200", false);
         }
         let mut fleet = Self {
+            store,
             is_over: Arc::default(),
             refusals: Arc::default(),
             callers: Vec::new(),
         };
         for gateway in gateways {
-            let gateway = Arc::new(gateway);
-            for _ in 0..callers {
-                fleet.add_caller(gateway.clone());
-            }
+            fleet.add_callers(gateway, callers);
         }
         fleet
     }
 
+    fn add_callers(&mut self, gateway: TestGateway, count: usize) {
+        let gateway = Arc::new(gateway);
+        for _ in 0..count {
+            self.add_caller(gateway.clone());
+        }
+    }
+
     fn add_caller(&mut self, gateway: Arc<TestGateway>) {
         let (is_over, refusals) = (self.is_over.clone(), self.refusals.clone());
         let call = move || {
@@ -134,6 +140,26 @@
     check(2, 7, 4, 2, false);
 }
 
+#[test]
+fn processes_that_have_just_started_spare_brittle_runners() {
+    let runners = [(); 2].map(|()| BrittleRunner::start(SLOTS, true));
+    let mut fleet = PressedFleet::start(&runners, 3, 4);
+    runners.iter().for_each(|r| r.state_brittle(Some(0)));
+    thread::sleep(LIMIT_CONTACT);
+    runners.iter().for_each(BrittleRunner::bind);
+    let served = || -> usize { runners.iter().map(|r| r.count().served).sum() };
+    for number in 0..4 {
+        let gateway = TestGateway::start_with(fleet.store.clone(), &format!("late{number}"));
+        gateway.wait_ready();
+        fleet.add_callers(gateway, 8);
+        let before = served();
+        wait_until("requests to be served", || served() > before + 50);
+    }
+    let falls: usize = runners.iter().map(|r| r.count().falls).sum();
+    assert!(falls <= 2, "{falls} falls");
+    fleet.stop();
+}
+
 #[test]
 fn a_runner_that_is_no_longer_brittle_lets_requests_wait_again() {
     let runners = [BrittleRunner::start(SLOTS, true)];
--- a/crates/policy/src/runner_rooms.rs
+++ b/crates/policy/src/runner_rooms.rs
@@ -352,6 +352,15 @@
             .is_some_and(|entry| now_ms >= entry.brittle_since_ms + NOTICE_MS)
     }
 
+    /// Whether no runner has stated lately that it is brittle.
+    ///
+    /// ```
+    /// assert!(berylmount_policy::runner_rooms::BrittleRunners::default().is_empty());
+    /// ```
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Returns the number of runners that state that they are brittle.
     pub fn brittle_count(&self) -> usize {
         let brittle = self.entries.iter().filter(|entry| entry.is_brittle());
