Take a fleet for small only after its list has been read

Each process that lists is a call to the store in a fleet of any size.

Cause: a process waits up to 1.5 s for the list of instances, and one call to the store may take as long. If the first read is lost, the list is empty, so the fleet counts as small and the process lists all kinds itself.

While no read of the list has succeeded, the wait is now at most 4 s (two calls without a response and a pause). A process that has read it waits as before.

The new test is deterministic and failed before ([1, 1, 1] listings, none expected).

--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -141,6 +141,11 @@
         self.is_settled
     }
 
+    /// Whether the list was read since the process started.
+    pub(crate) fn is_read(&self) -> bool {
+        self.has_predecessor.is_some()
+    }
+
     /// Whether this process replaces an earlier process of this instance, so that callers
     /// are already waiting.
     pub(crate) fn has_predecessor(&self) -> bool {
--- a/crates/gateway/src/peer_bootstrap.rs
+++ b/crates/gateway/src/peer_bootstrap.rs
@@ -35,6 +35,9 @@
 /// Longest wait for the list of instances, in milliseconds. This is more than twice
 /// the time that instances which start together need to register.
 const LIST_TIMEOUT_MS: u64 = 1500;
+/// Longest wait for that list while no read of it has succeeded, in milliseconds. It covers two
+/// calls without a response; nothing is known of the size of the fleet before.
+const UNREAD_LIST_TIMEOUT_MS: u64 = 4000;
 /// Longest wait for that list after a restore of the store, in milliseconds. It covers several
 /// calls without a response; an older table must not be served.
 const RESTORED_LIST_TIMEOUT_MS: u64 = 6000;
@@ -134,10 +137,19 @@
     false
 }
 
-/// Waits until the list of instances shows the size of the fleet, for `max_ms` at most.
+/// Waits until the list of instances shows the size of the fleet, for `max_ms` at most once it
+/// has been read.
 async fn wait_for_instance_list(state: &GatewayState, max_ms: u64) {
-    let end_ms = boot_ms() + max_ms;
-    while !state.instances.borrow().is_settled() && boot_ms() < end_ms {
+    let started_ms = boot_ms();
+    let must_wait = || {
+        let instances = state.instances.borrow();
+        let max_ms = match instances.is_read() {
+            true => max_ms,
+            false => max_ms.max(UNREAD_LIST_TIMEOUT_MS),
+        };
+        !instances.is_settled() && boot_ms() < started_ms + max_ms
+    };
+    while must_wait() {
         sleep(POLL_INTERVAL).await;
     }
 }
--- a/crates/gateway/tests/large_start.rs
+++ b/crates/gateway/tests/large_start.rs
@@ -56,3 +56,21 @@
         watches() - before
     );
 }
+
+/// Guards against a process that takes its fleet for small, and lists all objects, because it could
+/// not read the list of instances.
+#[test]
+fn a_process_that_has_not_read_the_list_of_instances_does_not_list_other_objects() {
+    const INSTANCE_KIND: &str = "berylmount-instances";
+    let runner = healthy_runner();
+    let store = StandinStore::start();
+    store.put("config", "main", Some(table(1, all_routes())));
+    store.put("servers", "r1", Some(runner.entry("svc", "ready")));
+    store.refuse_kinds(&[INSTANCE_KIND]);
+    let gateway = TestGateway::start_with(store.clone(), "i1");
+    // It reads the list and tries to register, every half second.
+    wait_until("refused calls", || store.refusals(INSTANCE_KIND) >= 9);
+    assert_eq!(KINDS.map(|kind| store.listings(kind)), [0; 3]);
+    store.refuse_kinds(&[]);
+    gateway.wait_ready();
+}
--- a/crates/gateway/tests/standins/store.rs
+++ b/crates/gateway/tests/standins/store.rs
@@ -24,6 +24,8 @@
     watches: Vec<String>,
     /// Kinds of the received list calls.
     listings: Vec<String>,
+    /// Kinds of the refused calls.
+    refused: Vec<String>,
     /// Whether all calls are refused with status 503.
     is_refusing: bool,
     /// Maximum number of objects in a page of a listing; 0 for no maximum.
@@ -127,10 +129,12 @@
         let (state, changed) = &*self.state;
         let mut state = state.lock().unwrap();
         let (watches, listings) = (state.watches.clone(), state.listings.clone());
+        let refused = state.refused.clone();
         *state = StoreState {
             era: state.era + 1,
             watches,
             listings,
+            refused,
             gone: state.gone,
             is_refusing: false,
             ..backup.0.clone()
@@ -180,6 +184,10 @@
                 .unwrap()
                 .iter()
                 .any(|k| k == parts[0]);
+        if is_refusing {
+            let mut state = self.state.0.lock().unwrap();
+            state.refused.push(parts[0].to_owned());
+        }
         let (status, value) = match (request.method(), parts.as_slice()) {
             _ if is_refusing => (503, Value::Null),
             (Method::Get, [kind]) => match field("Watch") {
@@ -221,6 +229,12 @@
         listings.iter().filter(|listed| *listed == kind).count()
     }
 
+    /// Returns the number of refused calls for objects of a kind.
+    pub(crate) fn refusals(&self, kind: &str) -> usize {
+        let refused = &self.state.0.lock().unwrap().refused;
+        refused.iter().filter(|known| *known == kind).count()
+    }
+
     fn list(&self, kind: &str, after: &str) -> (u16, Value) {
         let change = {
             let mut state = self.state.0.lock().unwrap();
