Tell some instances at once of streams that begin during a release

Cause: an instance that uses both versions tells of a stream in its next heartbeat, up to 0.1 s after its first event, and stores it up to 0.2 s after. A stream that was begun since can be at either version, which nobody can prove once the instance is lost.

While several versions can have begun streams, each stream is told to three random live instances when it begins. Whoever is asked for it asks the others, so that one of them is enough. Nothing is sent while one version serves.

--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -52,6 +52,11 @@
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 /// That time in heartbeat intervals, which are longer in a large fleet.
 const REPORT_HEARTBEATS: u32 = 4;
+/// Number of instances that are told of a stream at once while several software versions
+/// serve. Some of them may be lost together with this one.
+const TOLD_INSTANCES: usize = 3;
+/// Maximum number of streams in one datagram.
+const MAX_TOLD_STREAMS: usize = 512;
 /// Maximum number of exclusions in one datagram.
 const MAX_EXCLUSION_REPORTS: usize = 128;
 /// Time limit for the start of the reply to a request for a copy, and for each further
@@ -145,6 +150,10 @@
                 send_placements(&state, &socket).await;
                 continue;
             }
+            streams = state.stream_versions.urgent_streams() => {
+                send_begun(&state, &socket, &streams).await;
+                continue;
+            }
         }
         let interval = Duration::from_millis(state.peers.borrow().interval_ms());
         let is_report_due = report_waited >= REPORT_INTERVAL.max(interval * REPORT_HEARTBEATS);
@@ -213,6 +222,15 @@
     }
 }
 
+/// Tells some instances of streams that have just begun.
+async fn send_begun(state: &GatewayState, socket: &UdpSocket, streams: &[(u64, u64)]) {
+    let addresses = state.peers.borrow().choose_live(TOLD_INSTANCES, boot_ms());
+    for streams in streams.chunks(MAX_TOLD_STREAMS) {
+        let message = PeerMessage::BegunStreams(streams.to_vec());
+        send_message(socket, &addresses, &message).await;
+    }
+}
+
 /// Reports request limits of runners, if there are any.
 async fn send_limits(state: &GatewayState, socket: &UdpSocket) {
     let reports = state
@@ -326,6 +344,7 @@
             deliver_reply(state, number, decision);
         }
         PeerMessage::RunnerNotice(notice) => note_tunnelled(state, &notice),
+        PeerMessage::BegunStreams(streams) => note_heard(state, &streams),
         PeerMessage::StreamQuery(number, streams) => {
             if let Some(reply) = reply_to_query(state, number, &streams) {
                 send_message(socket, &[sender], &PeerMessage::StreamReply(reply)).await;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -19,7 +19,10 @@
     shared_duties::{first_among, rank_among, DutyMember},
     software_versions::StreamReport,
 };
-use rand::{rng, seq::IndexedRandom};
+use rand::{
+    rng,
+    seq::{IndexedRandom, IteratorRandom},
+};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, time::Duration};
 use strum::EnumCount;
@@ -300,6 +303,8 @@
     /// Keys of the services whose runners the instance with this name does not reach. Follows
     /// each of its heartbeats while there are any.
     ClosedPaths(String, Vec<u64>),
+    /// Streams that an instance has just begun, each with its version.
+    BegunStreams(Vec<(u64, u64)>),
     /// A question for the versions of streams: its number, and the streams.
     StreamQuery(u64, Vec<u64>),
     /// The reply to such a question.
@@ -469,6 +474,12 @@
         self.peers.iter().map(|peer| peer.heartbeat.entry.peers)
     }
 
+    /// Returns the addresses for other instances of `count` random live instances.
+    pub(crate) fn choose_live(&self, count: usize, now_ms: u64) -> Vec<SocketAddr> {
+        let live = self.live(now_ms).map(|peer| peer.heartbeat.entry.peers);
+        live.sample(&mut rng(), count)
+    }
+
     /// Returns how many other live instances rank before `own` for a shared duty.
     pub(crate) fn rank_of(&self, own: DutyMember<'_>, duty: &str, now_ms: u64) -> usize {
         let others = self.live(now_ms).map(duty_member);
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -4,9 +4,9 @@
 //! its heartbeats, so that its streams go on while it is paused, cut off or gone. For streams
 //! that nobody has told of it reads the history of versions, which is one object in the store. If
 //! only one version can have begun the stream, that is the one; otherwise the instances store the
-//! streams that they begin (`stored`). If nobody knows the stream when asked (`inquiry`), it began
-//! at an instance that does not reply, at a version that this one may have used (`used`). A stream
-//! of unknown origin is refused.
+//! streams that they begin (`stored`), and tell some others of each at once. If nobody knows the
+//! stream when asked (`inquiry`), it began at an instance that does not reply, at a version that
+//! this one may have used (`used`). A stream of unknown origin is refused.
 //!
 //! Nothing is read or written while one version serves and callers take up no such streams.
 
@@ -116,6 +116,10 @@
     pub(crate) used: UsedRecords,
     /// Questions to the other instances.
     pub(crate) inquiries: StreamInquiries,
+    /// Streams that some other instances are to be told of at once.
+    urgent: RefCell<Vec<(u64, u64)>>,
+    /// Wakes the task that tells them.
+    urgent_ready: Notify,
     /// Streams that this instance has not stored yet.
     unstored: RefCell<Vec<BegunStream>>,
     history: RefCell<Option<Rc<VersionHistory>>>,
@@ -143,6 +147,12 @@
         self.untold.borrow_mut().next_report()
     }
 
+    /// Waits until some other instances are to be told of streams at once.
+    pub(crate) async fn urgent_streams(&self) -> Vec<(u64, u64)> {
+        self.urgent_ready.notified().await;
+        self.urgent.take()
+    }
+
     /// Whether this instance may begin streams at the version of a runner.
     fn may_begin(&self, runner: &RunnerRecord) -> bool {
         let (service, version) = (&runner.service, &runner.software);
@@ -194,6 +204,9 @@
     versions.untold.borrow_mut().note(&stream);
     if versions.is_mixed(now_ms, kept_ms) {
         versions.unstored.borrow_mut().push(stream);
+        let mut urgent = versions.urgent.borrow_mut();
+        urgent.push((stream.id, stream.version));
+        versions.urgent_ready.notify_one();
     }
 }
 
