Send no request on whose caller has left before it was read

A process that was paused, or starved right after a start, reads requests from connections that their callers have closed. It sent them on, because a request is written before the end of the caller's stream is looked at, and because a caller's leaving during the wait for an admitted version was taken for its end.

The end of the stream is now looked at (one call of the kernel, also if the runtime has not reported it) before each attempt.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -244,6 +244,10 @@
                     return CallOutcome::Local(response);
                 }
             };
+            // A request may have waited unread for longer than its caller.
+            if sink.stream.is_closed() {
+                return CallOutcome::CallerGone;
+            }
             if state.refuses_work(self.time_left()) {
                 if attempts.sent == 0 {
                     return CallOutcome::Local(rejection(LocalReason::Draining));
--- a/crates/h1/src/stream.rs
+++ b/crates/h1/src/stream.rs
@@ -175,6 +175,17 @@
             && matches!(probe, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Returns whether the peer has closed its side and nothing is left to read, also if the
+    /// runtime has not reported it.
+    pub fn is_closed(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit(); 1];
+        let peeked = SockRef::from(&self.socket).peek(&mut byte);
+        match peeked {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Returns whether bytes have arrived that were not read yet, also if the runtime has not
     /// reported them.
     pub fn has_input(&self) -> bool {
