Never take a stream that was forgotten for one that was not begun

Cause: what an instance forgets by age follows the table in force (35 s became 6 s), although streams run on that began under the longer limit. Who asks for a stream took every process that replied, and itself, for one that knows all it has begun; a reply that named one stream concealed that others were dropped. The rule "only one version can have begun it" used the shortened time as well, and the expiry of streams the time of day, which can be stepped.

A longer time counts until it has itself passed (KeptTime), in each process by the boot clock, and in the history of versions for processes that start later. The streams that a process has begun have one mark, since when all are known, which every way of dropping one raises; replies state it together with the streams, and an instance counts as asked only if it knows as far back as streams can be taken up. The same holds for the instance that asks. Streams expire by the boot clock.

Calls to the store: the times are in the object that is written anyway; a table that changes the longest limit of resumable routes causes one more write.

--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -346,9 +346,8 @@
         PeerMessage::RunnerNotice(notice) => note_tunnelled(state, &notice),
         PeerMessage::BegunStreams(streams) => note_heard(state, &streams),
         PeerMessage::StreamQuery(number, streams) => {
-            if let Some(reply) = reply_to_query(state, number, &streams) {
-                send_message(socket, &[sender], &PeerMessage::StreamReply(reply)).await;
-            }
+            let reply = reply_to_query(state, number, &streams);
+            send_message(socket, &[sender], &PeerMessage::StreamReply(reply)).await;
         }
         PeerMessage::StreamReply(reply) => note_reply(state, sender, reply),
         PeerMessage::ClosedPaths(peer, closed) => {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -289,6 +289,7 @@
                 Some(_) => self.replace_idle_limit(idle_ms),
                 None => *self.idle_limits.borrow_mut() = IdleLimits::new(idle_ms),
             }
+            self.stream_versions.note_table(&table);
             *current = Some(Rc::new(table));
         }
         is_newer
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -16,19 +16,22 @@
     peers::name_hash,
     runner_registry::RunnerHandle,
     state::GatewayState,
-    stream_versions::{inquiry::StreamInquiries, used::UsedRecords},
+    stream_versions::{
+        inquiry::{StreamInquiries, StreamReply},
+        used::UsedRecords,
+    },
 };
 use berylmount_adapter::{
     objects::{decode_object, SOFTWARE_KIND},
     store_client::{StoreFault, WriteOutcome},
 };
-use berylmount_fleet::{CallerRequest, RunnerRecord};
+use berylmount_fleet::{CallerRequest, RouteTable, RunnerRecord};
 use berylmount_model::unix_ms;
 use berylmount_policy::{
+    kept_time::KeptTime,
     shared_duties::DutyMember,
     software_versions::{
-        AskedProcess, BegunStream, BegunStreams, HeardStreams, StreamReport, StreamReporter,
-        VersionHistory,
+        BegunStream, BegunStreams, HeardStreams, StreamReport, StreamReporter, VersionHistory,
     },
 };
 use rand::{rng, seq::SliceRandom};
@@ -100,13 +103,15 @@
 /// What this instance knows about versions and streams.
 #[derive(Debug, Default)]
 pub(crate) struct StreamVersions {
-    /// Streams that this instance has begun or taken up.
+    /// For how long streams may be taken up, by the boot clock.
+    kept: Cell<KeptTime>,
+    /// Streams that this instance has begun or taken up, by the boot clock.
     begun: RefCell<BegunStreams>,
     /// Streams that this instance has begun and is to tell the others.
     untold: RefCell<StreamReporter>,
-    /// Streams of which the others have told.
+    /// Streams of which the others have told, by the boot clock.
     heard: RefCell<HeardStreams>,
-    /// Streams that instances have stored, as of the last listing.
+    /// Streams that instances have stored, as of the last listing, in Unix milliseconds.
     listed: RefCell<BegunStreams>,
     /// When the streams may be listed again, by the boot clock; 0 before the first listing.
     next_list_ms: Cell<u64>,
@@ -120,7 +125,7 @@
     urgent: RefCell<Vec<(u64, u64)>>,
     /// Wakes the task that tells them.
     urgent_ready: Notify,
-    /// Streams that this instance has not stored yet.
+    /// Streams that this instance has not stored yet, in Unix milliseconds.
     unstored: RefCell<Vec<BegunStream>>,
     history: RefCell<Option<Rc<VersionHistory>>>,
     /// Revision of the history; 0 if there is no object.
@@ -164,6 +169,13 @@
         })
     }
 
+    /// Records a table that comes into force.
+    pub(crate) fn note_table(&self, table: &RouteTable) {
+        let mut kept = self.kept.get();
+        kept.replace(kept_ms_of(table), boot_ms());
+        self.kept.set(kept);
+    }
+
     fn is_mixed(&self, now_ms: u64, kept_ms: u64) -> bool {
         let history = self.history();
         history.is_some_and(|history| history.is_mixed(now_ms, kept_ms))
@@ -179,18 +191,29 @@
     hash.digest()
 }
 
-/// Returns for how long a stream may be taken up after its first event, in milliseconds.
-fn kept_ms(state: &GatewayState) -> u64 {
-    let table = state.table();
-    let routes = table.iter().flat_map(|table| table.resumable_routes());
+/// Returns for how long a stream of a table may be taken up after its first event, in
+/// milliseconds.
+fn kept_ms_of(table: &RouteTable) -> u64 {
+    let routes = table.resumable_routes();
     let longest = routes.map(|route| route.timeout).max().unwrap_or_default();
     (longest * ATTEMPT_CHAIN + MAX_CLOCK_SKEW).as_millis() as u64
 }
 
+/// Returns for how long a stream may be taken up after its first event, in milliseconds, under
+/// any table under which one can have begun.
+fn kept_ms(state: &GatewayState) -> u64 {
+    let versions = &state.stream_versions;
+    let own_ms = versions.kept.get().longest_ms(boot_ms());
+    let history = versions.history.borrow();
+    let stored_ms = history.as_ref().map(|history| history.kept_ms(unix_ms()));
+    let skew_ms = MAX_CLOCK_SKEW.as_millis() as u64;
+    own_ms.max(stored_ms.unwrap_or_default()).max(skew_ms)
+}
+
 /// Records that a runner with a version has sent the first event of an attempt.
 pub(crate) fn note_begun(state: &GatewayState, request: &CallerRequest, version: u64) {
     let id = request.resumes.as_ref().unwrap_or(&request.id);
-    let now_ms = unix_ms();
+    let now_ms = boot_ms();
     let stream = BegunStream {
         id: name_hash(id),
         version,
@@ -202,8 +225,10 @@
     begun.expire(now_ms.saturating_sub(kept_ms));
     begun.note(stream);
     versions.untold.borrow_mut().note(&stream);
-    if versions.is_mixed(now_ms, kept_ms) {
-        versions.unstored.borrow_mut().push(stream);
+    let begun_ms = unix_ms();
+    if versions.is_mixed(begun_ms, kept_ms) {
+        let unstored = BegunStream { begun_ms, ..stream };
+        versions.unstored.borrow_mut().push(unstored);
         let mut urgent = versions.urgent.borrow_mut();
         urgent.push((stream.id, stream.version));
         versions.urgent_ready.notify_one();
@@ -215,7 +240,7 @@
     if streams.is_empty() {
         return;
     }
-    let now_ms = unix_ms();
+    let now_ms = boot_ms();
     let min_ms = now_ms.saturating_sub(kept_ms(state));
     let mut heard = state.stream_versions.heard.borrow_mut();
     for (id, version) in streams {
@@ -312,12 +337,9 @@
     if !versions.used.is_listed_since(read) {
         return None;
     }
-    let own = AskedProcess {
-        process: state.started_ms,
-        age_ms: boot_ms().saturating_sub(state.started_boot_ms),
-    };
-    let mut asked = round.asked();
-    asked.push((state.settings().name.clone(), own));
+    let kept_ms = kept_ms(state);
+    let mut asked = round.asked(kept_ms);
+    asked.extend(StreamReply::of(state, 0, Vec::new()).asked(kept_ms));
     let history = versions.history()?;
     let version = versions
         .used
@@ -475,10 +497,12 @@
     if !was_mixed && versions.is_mixed(now_ms, kept_ms) {
         log::info!(target: "software", revision; "several software versions serve; streams are stored");
         let begun = versions.begun.borrow();
-        versions
-            .unstored
-            .borrow_mut()
-            .extend_from_slice(begun.streams());
+        let boot_ms = boot_ms();
+        let stored = begun.streams().iter().map(|stream| BegunStream {
+            begun_ms: now_ms.saturating_sub(boot_ms.saturating_sub(stream.begun_ms)),
+            ..*stream
+        });
+        versions.unstored.borrow_mut().extend(stored);
     }
 }
 
@@ -503,6 +527,9 @@
     if !history.versions().is_empty() {
         let is_new = versions.revision.get() == 0;
         history.record_era(state.store.era(), now_unix_ms, is_new);
+        if let Some(table) = state.table() {
+            history.record_kept(kept_ms_of(&table), now_unix_ms);
+        }
     }
     if history == *known || !is_keeper(state) {
         return Ok(());
--- a/crates/gateway/src/stream_versions/inquiry.rs
+++ b/crates/gateway/src/stream_versions/inquiry.rs
@@ -1,16 +1,15 @@
 //! Questions to the other instances about streams of which they have not told.
 //!
-//! An instance that replies has begun none of the streams that it does not name, so that only
-//! those that do not reply can have. The streams of several callers are asked for at once.
+//! An instance that replies has begun none of the streams that it does not name, as far back as
+//! it says, so that only others can have. The streams of several callers are asked for at once.
 
-use super::{kept_ms, note_heard};
+use super::note_heard;
 use crate::{
     clock::boot_ms,
     peer_link::{peer_addresses, send_message},
     peers::PeerMessage,
     state::GatewayState,
 };
-use berylmount_model::unix_ms;
 use berylmount_policy::software_versions::AskedProcess;
 use serde::{Deserialize, Serialize};
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
@@ -39,10 +38,41 @@
     /// When the process started, in Unix milliseconds, and how long ago.
     started_ms: u64,
     age_ms: u64,
+    /// For how long it has known all streams that the process has begun.
+    known_ms: u64,
     /// The streams that it knows, with their versions.
     streams: Vec<(u64, u64)>,
 }
 
+impl StreamReply {
+    /// Returns the reply of this process, which knows some of the streams.
+    pub(super) fn of(state: &GatewayState, number: u64, streams: Vec<(u64, u64)>) -> Self {
+        let now_ms = boot_ms();
+        let begun = state.stream_versions.begun.borrow();
+        // Streams of earlier processes are not known.
+        let known_since_ms = begun.known_since_ms().max(state.started_boot_ms);
+        Self {
+            number,
+            name: state.settings().name.clone(),
+            started_ms: state.started_ms,
+            age_ms: now_ms.saturating_sub(state.started_boot_ms),
+            known_ms: now_ms.saturating_sub(known_since_ms),
+            streams,
+        }
+    }
+
+    /// Returns the process with the name of its instance, if it knows all streams that it has
+    /// begun and that may be taken up.
+    pub(super) fn asked(&self, kept_ms: u64) -> Option<(String, AskedProcess)> {
+        let process = AskedProcess {
+            process: self.started_ms,
+            age_ms: self.age_ms,
+        };
+        let knows_all = process.knows_all(self.known_ms, kept_ms);
+        knows_all.then(|| (self.name.clone(), process))
+    }
+}
+
 /// One question to all instances.
 #[derive(Debug, Default)]
 pub(super) struct InquiryRound {
@@ -59,15 +89,11 @@
         found.map(|(_, version)| *version)
     }
 
-    /// Returns the processes that replied, by the name of their instance.
-    pub(super) fn asked(&self) -> Vec<(String, AskedProcess)> {
-        let asked = self.replies.iter().map(|(_, reply)| {
-            let process = AskedProcess {
-                process: reply.started_ms,
-                age_ms: reply.age_ms,
-            };
-            (reply.name.clone(), process)
-        });
+    /// Returns the processes that replied and know all streams that they have begun and that
+    /// may be taken up, by the name of their instance.
+    pub(super) fn asked(&self, kept_ms: u64) -> Vec<(String, AskedProcess)> {
+        let replies = self.replies.iter();
+        let asked = replies.filter_map(|(_, reply)| reply.asked(kept_ms));
         asked.collect()
     }
 
@@ -174,31 +200,15 @@
     inquiries.round_ended.notify_waiters();
 }
 
-/// Returns the reply to a question of another instance; `None` if this one knows neither the
-/// streams nor all that it has begun.
-pub(crate) fn reply_to_query(
-    state: &GatewayState,
-    number: u64,
-    streams: &[u64],
-) -> Option<StreamReply> {
+/// Returns the reply to a question of another instance.
+pub(crate) fn reply_to_query(state: &GatewayState, number: u64, streams: &[u64]) -> StreamReply {
     let versions = &state.stream_versions;
     let (begun, heard) = (versions.begun.borrow(), versions.heard.borrow());
     let known = streams.iter().filter_map(|id| {
         let version = begun.version_of(*id).or_else(|| heard.version_of(*id));
         version.map(|version| (*id, version))
     });
-    let known: Vec<(u64, u64)> = known.collect();
-    let min_ms = unix_ms().saturating_sub(kept_ms(state));
-    if known.is_empty() && begun.has_lost_since(min_ms) {
-        return None;
-    }
-    Some(StreamReply {
-        number,
-        name: state.settings().name.clone(),
-        started_ms: state.started_ms,
-        age_ms: boot_ms().saturating_sub(state.started_boot_ms),
-        streams: known,
-    })
+    StreamReply::of(state, number, known.collect())
 }
 
 /// Records the reply of another instance.
--- a/crates/gateway/src/stream_versions/stored.rs
+++ b/crates/gateway/src/stream_versions/stored.rs
@@ -55,6 +55,7 @@
     name: String,
     /// Revision of the object; 0 before it is created.
     revision: u64,
+    /// By the boot clock.
     since_ms: u64,
     record: StreamRecord,
 }
@@ -148,7 +149,7 @@
     loop {
         sleep(write_interval(&state)).await;
         let unstored = state.stream_versions.unstored.take();
-        let now_ms = unix_ms();
+        let now_ms = boot_ms();
         if !unstored.is_empty() {
             let is_full = span.record.streams.len() >= MAX_SPAN_STREAMS;
             if span.name.is_empty() || is_full || now_ms >= span.since_ms + SPAN_MS {
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`cache_retention`] | which KV cache to keep when a run ends, and where |
 //! | [`prefix_cache`] | which cache parts to fetch from stores or save there |
 //! | [`idle_limits`] | how long a caller's connection may stay idle
+//! | [`kept_time`] | for how long a stream may be taken up |
 //! | [`engine_pace`] | how fast engines prefill prompts |
 //! | [`retries`] | whether to retry, hedge or give up |
 //! | [`groups`] | which dispatch group an entry sends a request to |
@@ -74,6 +75,7 @@
 pub mod engine_pace;
 pub mod groups;
 pub mod idle_limits;
+pub mod kept_time;
 pub mod limits;
 pub mod misdirection;
 pub mod pacing;
--- a/crates/policy/src/software_versions.rs
+++ b/crates/policy/src/software_versions.rs
@@ -12,9 +12,11 @@
 //!   is read later names every version that can have begun a stream.
 //! - An instance begins streams only at the first version of a service, and at those that it has
 //!   stored as used.
+//! - A stream that was forgotten is never taken for one that was not begun.
 //! - A version that cannot be proved is unknown, never any version.
 //! - Memory is bounded.
 
+use crate::kept_time::KeptTime;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
 
@@ -50,6 +52,9 @@
     /// Since when instances store what they use; `None` after a change by an older process.
     #[serde(default)]
     recorded: Option<RecordedSpan>,
+    /// For how long streams may be taken up, for instances that do not know earlier tables.
+    #[serde(default)]
+    kept: KeptTime,
 }
 
 /// A service and a software version of it.
@@ -151,6 +156,26 @@
         })
     }
 
+    /// Records for how long streams may be taken up under a table.
+    ///
+    /// ```
+    /// use berylmount_policy::software_versions::VersionHistory;
+    ///
+    /// let mut history = VersionHistory::default();
+    /// history.record_kept(30_000, 0);
+    /// history.record_kept(5000, 1000);
+    /// assert_eq!(history.kept_ms(2000), 30_000);
+    /// assert_eq!(history.kept_ms(31_000), 5000);
+    /// ```
+    pub fn record_kept(&mut self, kept_ms: u64, now_ms: u64) {
+        self.kept.adopt(kept_ms, now_ms);
+    }
+
+    /// Returns for how long streams may be taken up, under this table and those before.
+    pub fn kept_ms(&self, now_ms: u64) -> u64 {
+        self.kept.longest_ms(now_ms)
+    }
+
     /// Returns the versions in service that are not the first of their service.
     pub fn later_versions(&self) -> impl Iterator<Item = &KnownVersion> {
         let in_service = self.versions.iter().filter(|known| known.left_ms.is_none());
@@ -307,7 +332,8 @@
     }
 }
 
-/// A running process that knows all streams which it has begun, and did not know a stream.
+/// A running process that knows all streams which it has begun and that may be taken up, and
+/// did not know a stream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct AskedProcess {
     /// Its start, in Unix milliseconds.
@@ -316,6 +342,23 @@
     pub age_ms: u64,
 }
 
+impl AskedProcess {
+    /// Whether the process knows all streams that it has begun and that may be taken up for
+    /// `kept_ms`, if it knows those of the last `known_ms`.
+    ///
+    /// ```
+    /// use berylmount_policy::software_versions::AskedProcess;
+    ///
+    /// let asked = AskedProcess { process: 1000, age_ms: 60_000 };
+    /// assert!(asked.knows_all(40_000, 30_000) && !asked.knows_all(20_000, 30_000));
+    /// let asked = AskedProcess { process: 1000, age_ms: 20_000 };
+    /// assert!(asked.knows_all(20_000, 30_000));
+    /// ```
+    pub fn knows_all(&self, known_ms: u64, kept_ms: u64) -> bool {
+        known_ms >= kept_ms.min(self.age_ms)
+    }
+}
+
 /// The search for the version that began a stream of which no instance has told.
 ///
 /// Each instance that can have begun the stream adds the versions that it may have used. If
@@ -425,7 +468,7 @@
     pub id: u64,
     /// Key of the service and the software version.
     pub version: u64,
-    /// When it was last known to run, in Unix milliseconds.
+    /// When it was last known to run, in milliseconds of a clock of the caller.
     pub begun_ms: u64,
 }
 
@@ -436,8 +479,8 @@
     streams: Vec<BegunStream>,
     /// Ids in the order in which they were noted.
     order: VecDeque<u64>,
-    /// When the last stream that was dropped for want of room had begun, in Unix milliseconds.
-    lost_ms: u64,
+    /// All streams that began then or later are known.
+    known_since_ms: u64,
 }
 
 impl BegunStreams {
@@ -461,9 +504,7 @@
             }
         }
         if self.order.len() > MAX_STREAMS {
-            if let Some(lost) = self.remove_first() {
-                self.lost_ms = self.lost_ms.max(lost.begun_ms);
-            }
+            self.remove_first();
         }
     }
 
@@ -472,9 +513,19 @@
         Some(self.streams[self.find(id).ok()?].version)
     }
 
-    /// Whether a stream that was begun at `min_ms` or later was dropped for want of room.
-    pub fn has_lost_since(&self, min_ms: u64) -> bool {
-        self.lost_ms >= min_ms.max(1)
+    /// Returns since when all streams that began are known; 0 if none was dropped.
+    ///
+    /// ```
+    /// use berylmount_policy::software_versions::{BegunStream, BegunStreams};
+    ///
+    /// let mut begun = BegunStreams::default();
+    /// begun.note(BegunStream { id: 5, version: 1, begun_ms: 1000 });
+    /// assert_eq!(begun.known_since_ms(), 0);
+    /// begun.expire(2000);
+    /// assert_eq!(begun.known_since_ms(), 1001);
+    /// ```
+    pub fn known_since_ms(&self) -> u64 {
+        self.known_since_ms
     }
 
     /// Returns all streams, sorted by id.
@@ -494,10 +545,12 @@
         }
     }
 
-    fn remove_first(&mut self) -> Option<BegunStream> {
-        let first = self.order.pop_front()?;
-        let index = self.find(first).ok()?;
-        Some(self.streams.remove(index))
+    fn remove_first(&mut self) {
+        let first = self.order.pop_front();
+        if let Some(Ok(index)) = first.map(|id| self.find(id)) {
+            let dropped = self.streams.remove(index);
+            self.known_since_ms = self.known_since_ms.max(dropped.begun_ms + 1);
+        }
     }
 
     fn find(&self, id: u64) -> Result<usize, usize> {
