List what instances have used although further streams are taken up meanwhile

Cause: a read listed the used versions only if nobody had asked since it began. Every caller who arrived during a read thus put the listing off, and those who waited for it were refused.

A read now lists if anyone asked before it began; who asks later waits for the next one.

The table in the test now allows 5,000; what the test checks is the same.

--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -115,7 +115,7 @@
     listed: RefCell<BegunStreams>,
     /// When the streams may be listed again, by the boot clock; 0 before the first listing.
     next_list_ms: Cell<u64>,
-    /// Number of the read that is to list the versions that instances may have used.
+    /// Number of the last read that is to list the versions that instances may have used.
     origin_read: Cell<u64>,
     /// Versions that instances may have used.
     pub(crate) used: UsedRecords,
@@ -443,6 +443,8 @@
     let versions = &state.stream_versions;
     let number = versions.reads_started.get() + 1;
     versions.reads_started.set(number);
+    // Those that ask from here on wait for the next read.
+    let wants_used = !versions.used.is_listed_since(versions.origin_read.get());
     let found = state.store.get(SOFTWARE_KIND, HISTORY_NAME, false).await?;
     let (history, revision) = match found {
         Some(object) => match decode_object::<VersionHistory>(&object.spec) {
@@ -458,8 +460,7 @@
     apply_history(state, history, revision);
     if versions.is_mixed(unix_ms(), kept_ms(state)) {
         let has_listed = stored::list_streams(state).await?;
-        let wanted = versions.origin_read.get();
-        if has_listed && number >= wanted && !versions.used.is_listed_since(wanted) {
+        if has_listed && wants_used {
             used::list_used(state, number).await?;
         }
     }
--- a/crates/gateway/tests/untold_streams.rs
+++ b/crates/gateway/tests/untold_streams.rs
@@ -11,6 +11,7 @@
     AfterResponse, StandinRunner, StandinStore, TestGateway,
 };
 use std::{
+    net::UdpSocket,
     sync::{
         atomic::{AtomicBool, Ordering},
         Arc,
@@ -19,6 +20,7 @@
     time::Duration,
 };
 
+const INSTANCES: &str = "berylmount-instances";
 const STREAMS: &str = "berylmount-streams";
 
 /// A runner of a software version.
@@ -69,6 +71,8 @@
 /// Returns a table whose routes have a time limit.
 fn limited_table(version: u64, timeout_ms: u64) -> Value {
     let mut limited = table(version, all_routes());
+    // Instances of a large fleet share them; several streams are taken up at once.
+    limited["Services"][0]["MaxConnections"] = 5000.into();
     let routes = limited["Routes"].as_array_mut().unwrap();
     for route in routes {
         route["TimeoutMs"] = timeout_ms.into();
@@ -106,6 +110,24 @@
     gateway.call("POST /resume/x", id, &headers, "b").unwrap()
 }
 
+/// Returns a copy of the store in which an instance is listed and does not answer, beside
+/// `others` more.
+fn store_without(store: &StandinStore, name: &str, others: usize) -> StandinStore {
+    wait_until("the entry of the instance", || {
+        store.value(INSTANCES, name).is_some()
+    });
+    let copy = store.copy();
+    // A socket that nobody reads is as silent as a machine without power.
+    let silent = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let mut entry = copy.value(INSTANCES, name).unwrap();
+    entry["peers"] = silent.local_addr().unwrap().to_string().into();
+    for number in 0..others {
+        copy.put(INSTANCES, &format!("lost{number}"), Some(entry.clone()));
+    }
+    copy.put(INSTANCES, name, Some(entry));
+    copy
+}
+
 /// Adds a runner of a second version, and waits until the instance uses both.
 fn release_second(
     store: &StandinStore,
@@ -166,6 +188,59 @@
     drop(new);
 }
 
+/// Takes up streams one after another, each by a caller of its own, `gap` apart; returns how
+/// many go on, all at the first version.
+fn take_up_apart(gateway: &TestGateway, begun: &[String], gap: Duration) -> usize {
+    let served = thread::scope(|scope| {
+        let callers: Vec<_> = begun
+            .iter()
+            .map(|id| {
+                thread::sleep(gap);
+                scope.spawn(move || take_up(gateway, &format!("{id}-again"), id))
+            })
+            .collect();
+        let responses = callers.into_iter().map(|caller| caller.join().unwrap());
+        responses
+            .filter(|response| response.starts_with("HTTP/1.1 200"))
+            .map(|response| {
+                assert_eq!(version_in(&response), "v1", "{response}");
+            })
+            .count()
+    });
+    served
+}
+
+/// Begins streams at an instance that is lost before a second version is released; returns the
+/// store, the instance that is left, the runners, and the streams.
+fn lose_instance(
+    count: usize,
+    others: usize,
+) -> (StandinStore, TestGateway, [VersionedRunner; 2], Vec<String>) {
+    let store = start_store(3000);
+    let old = VersionedRunner::register(&store, "r1", "v1");
+    let first = start_gateway(&store, "i1");
+    let begun: Vec<String> = (0..count).map(|number| format!("begun{number}")).collect();
+    for id in &begun {
+        assert_eq!(begin_stream(&first, id), "v1");
+    }
+    let store = store_without(&store, "i1", others);
+    let second = start_gateway(&store, "i2");
+    let new = release_second(&store, &second, &old);
+    (store, second, [old, new], begun)
+}
+
+/// Guards against take-ups that keep each other from reading what instances have used.
+#[test]
+fn untold_streams_go_on_while_others_are_taken_up() {
+    let (_store, second, _runners, begun) = lose_instance(20, 75);
+    let served = take_up_apart(&second, &begun, Duration::from_millis(100));
+    assert!(
+        served * 10 >= begun.len() * 9,
+        "{served} of {} go on",
+        begun.len()
+    );
+}
+
 /// Begins the stream `begun` at the second version, and so many others that the instance drops
 /// it for want of room; the store refuses it these kinds. Returns the store, the instance, and
 /// the runners.
