Give the listing of used versions a turn of its own

Cause: what instances have used was listed only together with the stored streams, whose turn comes the later the more are stored (3.7 s there); a take-up is refused if it would wait for over 0.3 s.

The two listings have turns of their own (ListTurn) and run side by side. The used versions are listed only if a take-up has asked; before, the first read with several versions listed them too.

--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -18,6 +18,7 @@
     state::GatewayState,
     stream_versions::{
         inquiry::{StreamInquiries, StreamReply},
+        list_turn::ListTurn,
         used::UsedRecords,
     },
 };
@@ -42,12 +43,14 @@
     time::Duration,
 };
 use tokio::{
+    join,
     sync::Notify,
     time::{sleep, timeout},
 };
 use xxhash_rust::xxh3::Xxh3;
 
 pub(crate) mod inquiry;
+mod list_turn;
 pub(crate) mod stored;
 pub(crate) mod used;
 
@@ -113,8 +116,8 @@
     heard: RefCell<HeardStreams>,
     /// Streams that instances have stored, as of the last listing, in Unix milliseconds.
     listed: RefCell<BegunStreams>,
-    /// When the streams may be listed again, by the boot clock; 0 before the first listing.
-    next_list_ms: Cell<u64>,
+    /// When they may be listed again.
+    stream_turn: ListTurn,
     /// Number of the last read that is to list the versions that instances may have used.
     origin_read: Cell<u64>,
     /// Versions that instances may have used.
@@ -459,10 +462,14 @@
     };
     apply_history(state, history, revision);
     if versions.is_mixed(unix_ms(), kept_ms(state)) {
-        let has_listed = stored::list_streams(state).await?;
-        if has_listed && wants_used {
-            used::list_used(state, number).await?;
-        }
+        let list_used = async {
+            match wants_used {
+                true => used::list_used(state, number).await,
+                false => Ok(()),
+            }
+        };
+        let (streams, used) = join!(stored::list_streams(state), list_used);
+        streams.and(used)?;
     }
     versions.reads_done.set(number);
     versions.read_done.notify_waiters();
--- a/crates/gateway/src/stream_versions/stored.rs
+++ b/crates/gateway/src/stream_versions/stored.rs
@@ -12,7 +12,6 @@
 };
 use berylmount_model::unix_ms;
 use berylmount_policy::software_versions::{BegunStream, BegunStreams};
-use rand::{rng, RngExt};
 use serde::{Deserialize, Serialize};
 use std::{
     mem::{replace, take},
@@ -29,16 +28,8 @@
 const SPAN_MS: u64 = 4000;
 /// Maximum number of streams in one object.
 const MAX_SPAN_STREAMS: usize = 1024;
-/// Bytes that all instances together list in a millisecond, about a fifth of the store's link.
-const LISTED_BYTES_PER_MS: u64 = 25_000;
-/// Encoded size of a stream, and minimum size of a listing, in bytes.
+/// Encoded size of a stream, in bytes.
 const STREAM_BYTES: u64 = 60;
-/// Encoded size of the versions that an instance may have used, in bytes.
-const USED_BYTES: u64 = 400;
-const MIN_LISTING_BYTES: u64 = 50_000;
-/// Longest wait until streams may be listed again, in milliseconds. If it were longer, the last
-/// listing is used.
-const MAX_LIST_WAIT_MS: u64 = 300;
 /// Maximum number of old objects that a listing deletes.
 const MAX_DELETED: usize = 4;
 
@@ -73,34 +64,12 @@
     })
 }
 
-/// Returns the time between two listings of one instance, in milliseconds.
-fn list_interval_ms(state: &GatewayState, streams: usize) -> u64 {
-    let instances = state.instance_count() as u64;
-    let bytes = streams as u64 * STREAM_BYTES + instances * USED_BYTES;
-    instances * bytes.max(MIN_LISTING_BYTES) / LISTED_BYTES_PER_MS
-}
-
-/// Waits until this instance may list the streams. Returns whether it may.
-async fn wait_for_turn(state: &GatewayState) -> bool {
-    let next_ms = &state.stream_versions.next_list_ms;
-    if next_ms.get() == 0 {
-        // The processes of a fleet that starts do not list at once.
-        let interval_ms = list_interval_ms(state, 0);
-        next_ms.set(boot_ms() + rng().random_range(0..=interval_ms));
-    }
-    let wait_ms = next_ms.get().saturating_sub(boot_ms());
-    if wait_ms > MAX_LIST_WAIT_MS {
-        return false;
-    }
-    sleep(Duration::from_millis(wait_ms)).await;
-    true
-}
-
 /// Lists the streams that all instances have stored, unless that was done a short time ago.
-/// Deletes some objects whose streams can no longer be taken up. Returns whether it has listed.
-pub(super) async fn list_streams(state: &GatewayState) -> Result<bool, StoreFault> {
-    if !wait_for_turn(state).await {
-        return Ok(false);
+/// Deletes some objects whose streams can no longer be taken up.
+pub(super) async fn list_streams(state: &GatewayState) -> Result<(), StoreFault> {
+    let turn = &state.stream_versions.stream_turn;
+    if !turn.wait(state).await {
+        return Ok(());
     }
     let listing = state.store.list(STREAM_KIND, false).await?;
     let (now_ms, kept_ms) = (unix_ms(), kept_ms(state));
@@ -122,11 +91,7 @@
         }
         streams.extend(decoded);
     }
-    let interval_ms = list_interval_ms(state, streams.len());
-    state
-        .stream_versions
-        .next_list_ms
-        .set(boot_ms() + interval_ms);
+    turn.note_listed(state, streams.len() as u64 * STREAM_BYTES);
     streams.sort_unstable_by_key(|stream| stream.begun_ms);
     let mut listed = BegunStreams::default();
     streams.into_iter().for_each(|stream| listed.note(stream));
@@ -138,7 +103,7 @@
             .delete(STREAM_KIND, &object.name, revision)
             .await?;
     }
-    Ok(true)
+    Ok(())
 }
 
 /// Stores the streams that are to be stored, from time to time.
--- a/crates/gateway/src/stream_versions/used.rs
+++ b/crates/gateway/src/stream_versions/used.rs
@@ -4,7 +4,7 @@
 //! uses it, which is one write per instance and release. So the streams of which a lost instance
 //! has not told can have begun only at the versions that it had stored, and the first one.
 
-use super::{kept_ms, COMPARE_INTERVAL};
+use super::{kept_ms, list_turn::ListTurn, COMPARE_INTERVAL};
 use crate::{clock::boot_ms, state::GatewayState};
 use berylmount_adapter::{
     objects::{decode_object, USED_SOFTWARE_KIND},
@@ -24,6 +24,8 @@
 
 /// Fraction of the store's writes that all instances together use after a release.
 const WRITE_FRACTION: f64 = 0.15;
+/// Encoded size of what an instance stores, in bytes.
+const USED_BYTES: u64 = 400;
 /// Time between two attempts to write.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 /// Maximum number of objects of removed instances that a listing deletes.
@@ -38,6 +40,8 @@
     revision: Cell<Option<u64>>,
     /// Wakes the task that stores it, if no stream can begin before.
     wanted: Notify,
+    /// When the versions of all instances may be listed again.
+    turn: ListTurn,
     /// The last listing.
     listing: RefCell<Option<UsedListing>>,
 }
@@ -63,10 +67,11 @@
         self.wanted.notify_one();
     }
 
-    /// Whether the listing was made in a read with this number or a later one.
+    /// Whether the listing was made in a read with this number or a later one, or is not needed
+    /// because the number is 0.
     pub(super) fn is_listed_since(&self, read: u64) -> bool {
         let listing = self.listing.borrow();
-        listing.as_ref().is_some_and(|listing| listing.read >= read)
+        read == 0 || listing.as_ref().is_some_and(|listing| listing.read >= read)
     }
 
     /// Returns the only version at which a stream can have begun that none of the processes
@@ -199,7 +204,12 @@
 /// Lists what all instances have stored, in the read with this number. Deletes some objects of
 /// removed instances whose versions have left.
 pub(super) async fn list_used(state: &GatewayState, read: u64) -> Result<(), StoreFault> {
+    let turn = &state.stream_versions.used.turn;
+    if !turn.wait(state).await {
+        return Ok(());
+    }
     let listing = state.store.list(USED_SOFTWARE_KIND, false).await?;
+    turn.note_listed(state, listing.objects.len() as u64 * USED_BYTES);
     let decoded = listing.objects.iter();
     let decoded = decoded.map(|object| (object.name.clone(), decode_record(object)));
     let records: Vec<(String, Option<UsedVersions>)> = decoded.collect();
--- a/crates/gateway/tests/untold_streams.rs
+++ b/crates/gateway/tests/untold_streams.rs
@@ -5,7 +5,7 @@
 
 mod standins;
 
-use serde_json::Value;
+use serde_json::{json, Value};
 use standins::{
     all_routes, event_stream_to, header, response_to, scripted_runner, table, wait_until,
     AfterResponse, StandinRunner, StandinStore, TestGateway,
@@ -17,7 +17,7 @@
         Arc,
     },
     thread,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 const INSTANCES: &str = "berylmount-instances";
@@ -241,6 +241,30 @@
     );
 }
 
+/// Guards against listings of a large fleet that are too far apart for those who take up.
+#[test]
+fn untold_streams_go_on_in_a_large_fleet_with_many_stored_streams() {
+    const OTHERS: usize = 75;
+    const STORED: usize = 20_000;
+    let (store, second, _runners, begun) = lose_instance(8, OTHERS);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
+    let stored: Vec<String> = (0..STORED)
+        .map(|id| format!("{id:x}.1.{:x}", now.as_millis()))
+        .collect();
+    for (number, streams) in stored.chunks(1000).enumerate() {
+        let record = json!({ "streams": streams });
+        store.put(STREAMS, &format!("lost-{number}"), Some(record));
+    }
+    // A read while several versions serve, which lists the streams.
+    thread::sleep(Duration::from_secs(6));
+    let served = take_up_apart(&second, &begun, Duration::from_millis(400));
+    assert!(
+        served * 2 >= begun.len(),
+        "{served} of {} go on",
+        begun.len()
+    );
+}
+
 /// Begins the stream `begun` at the second version, and so many others that the instance drops
 /// it for want of room; the store refuses it these kinds. Returns the store, the instance, and
 /// the runners.
