Let an instance without the store begin streams after a release

Cause: without its own record, which it can't read, an instance uses only the first version, and that never changed.

Once a single version of a service is in service, it becomes the first one, in the write that records that the one before has left. The one before stays a candidate for untold streams for twice the time for which streams are kept: an instance may still use it by a history that it read before. An instance that has never read the history copies it again, each second, until it may begin streams at a version of every runner.

The review proposed to wait until the other version can have begun no stream. That would have been 14 s in its test, which waits for 10, and 68 s with limits of 30 s. The price of not waiting: untold streams of a version that leaves for 3 s and comes back within that time are not proved.

--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -76,6 +76,8 @@
 const READ_LIMIT: Duration = Duration::from_millis(600);
 /// Attempts of one caller that may follow each other, in time limits of the route.
 const ATTEMPT_CHAIN: u32 = 2;
+/// Time between two copies of the history of another instance, in milliseconds.
+const COPY_INTERVAL_MS: u64 = 1000;
 /// Maximum number of instances that are asked for their history.
 const MAX_PEERS_ASKED: usize = 2;
 /// Maximum clock skew between instances.
@@ -163,7 +165,10 @@
 
     /// Whether this instance may begin streams at the version of a runner.
     fn may_begin(&self, runner: &RunnerRecord) -> bool {
-        let (service, version) = (&runner.service, &runner.software);
+        self.may_begin_at(&runner.service, &runner.software)
+    }
+
+    fn may_begin_at(&self, service: &str, version: &str) -> bool {
         let history = self.history.borrow();
         history.as_ref().is_some_and(|history| {
             let may_use =
@@ -369,7 +374,7 @@
 /// Reads the history when it is needed, and changes it as runners come and go, if this
 /// instance has the duty.
 pub(crate) async fn follow_versions(state: Rc<GatewayState>) {
-    let mut read_at_ms = 0;
+    let (mut read_at_ms, mut copy_at_ms) = (0, 0);
     let mut missing: Vec<MissingVersion> = Vec::new();
     loop {
         let is_wanted = tokio::select! {
@@ -383,8 +388,10 @@
         {
             read_at_ms = boot_ms();
             let outcome = read(&state).await;
-            if outcome.is_err() && state.stream_versions.history().is_none() {
+            if outcome.is_err() && is_copy_wanted(&state, &present) && boot_ms() >= copy_at_ms {
                 copy_history(&state).await;
+                let is_known = state.stream_versions.history().is_some();
+                copy_at_ms = boot_ms() + if is_known { COPY_INTERVAL_MS } else { 0 };
             }
             state.stream_versions.has_failed.set(outcome.is_err());
             if let Err(fault) = outcome {
@@ -436,6 +443,7 @@
     let is_admitted = |(service, version): &(String, String)| history.is_admitted(service, version);
     match present.iter().all(is_admitted) {
         false => ADMIT_READ_MS,
+        true if history.lacks_first() => MIXED_READ_MS,
         true if history.is_mixed(unix_ms(), kept_ms(state)) => MIXED_READ_MS,
         true => u64::MAX / 2,
     }
@@ -476,12 +484,24 @@
     Ok(())
 }
 
+/// Whether this instance has to copy the history from another one: it has never read it, and may
+/// not begin streams at some version that runners have.
+fn is_copy_wanted(state: &GatewayState, present: &[(String, String)]) -> bool {
+    let versions = &state.stream_versions;
+    let mut present = present.iter();
+    let has_all = present.all(|(service, version)| versions.may_begin_at(service, version));
+    versions.reads_done.get() == 0 && (versions.history().is_none() || !has_all)
+}
+
 /// Copies the history from another instance while this one cannot read the store.
 async fn copy_history(state: &GatewayState) {
+    let has_history = state.stream_versions.history().is_some();
     let mut addresses: Vec<SocketAddr> = peer_addresses(state);
     addresses.shuffle(&mut rng());
     for address in addresses.into_iter().take(MAX_PEERS_ASKED) {
         match pull_history(address).await {
+            Ok(Some((revision, _)))
+                if has_history && revision <= state.stream_versions.revision.get() => {}
             Ok(Some((revision, history))) => {
                 log::info!(target: "software", revision, peer:% = address; "copied the software versions");
                 return apply_history(state, history, revision);
@@ -538,6 +558,9 @@
         if let Some(table) = state.table() {
             history.record_kept(kept_ms_of(&table), now_unix_ms);
         }
+        if history.lacks_first() {
+            history.renew_first(now_unix_ms, kept_ms(state));
+        }
     }
     if history == *known || !is_keeper(state) {
         return Ok(());
--- a/crates/gateway/tests/untold_streams.rs
+++ b/crates/gateway/tests/untold_streams.rs
@@ -7,7 +7,7 @@
 
 use serde_json::{json, Value};
 use standins::{
-    all_routes, event_stream_to, header, response_to, scripted_runner, table, wait_until,
+    all_routes, event_stream_to, header, response_to, scripted_runner, settings, table, wait_until,
     AfterResponse, StandinRunner, StandinStore, TestGateway,
 };
 use std::{
@@ -188,6 +188,34 @@
     drop(new);
 }
 
+/// Guards against instances that begin no streams for want of a write to the store.
+#[test]
+fn an_instance_that_starts_without_the_store_begins_streams_after_a_release() {
+    let store = start_store(3000);
+    let old = VersionedRunner::register(&store, "r1", "v1");
+    let first = start_gateway(&store, "i1");
+    let new = release_second(&store, &first, &old);
+    store.put("servers", "r1", None);
+    wait_until("streams at the new version only", || {
+        (0..5).all(|_| begin_stream(&first, "other") == "v2")
+    });
+    let cut_store = store.mirror();
+    cut_store.refuse_kinds(&[
+        "berylmount-software",
+        "berylmount-used-software",
+        "berylmount-streams",
+    ]);
+    let contact = first.settings.peer_address();
+    let settings = settings("i2", cut_store.address);
+    let second = TestGateway::start_near(cut_store, settings, Some(contact));
+    second.wait_ready();
+    second.wait_for_status("GET /safe/warm", "200", false);
+    wait_until("a stream at the admitted version", || {
+        begin_stream(&second, "late") == "v2"
+    });
+    drop((old, new));
+}
+
 /// Takes up streams one after another, each by a caller of its own, `gap` apart; returns how
 /// many go on, all at the first version.
 fn take_up_apart(gateway: &TestGateway, begun: &[String], gap: Duration) -> usize {
--- a/crates/policy/src/software_versions.rs
+++ b/crates/policy/src/software_versions.rs
@@ -18,7 +18,7 @@
 
 use crate::kept_time::KeptTime;
 use serde::{Deserialize, Serialize};
-use std::collections::VecDeque;
+use std::{collections::VecDeque, mem::replace};
 
 /// Maximum number of begun streams that an instance remembers.
 const MAX_STREAMS: usize = 16_384;
@@ -45,8 +45,8 @@
 pub struct VersionHistory {
     /// Sorted by service and version.
     versions: Vec<KnownVersion>,
-    /// For each service the version that was admitted first, sorted by service. Instances use
-    /// it without storing that.
+    /// For each service the version that was admitted first, or was the only one later, sorted
+    /// by service. Instances use it without storing that.
     #[serde(default)]
     first: Vec<ServiceVersion>,
     /// Since when instances store what they use; `None` after a change by an older process.
@@ -55,6 +55,9 @@
     /// For how long streams may be taken up, for instances that do not know earlier tables.
     #[serde(default)]
     kept: KeptTime,
+    /// Versions that were the first ones before.
+    #[serde(default)]
+    former: Vec<FormerVersion>,
 }
 
 /// A service and a software version of it.
@@ -66,6 +69,14 @@
     pub version: String,
 }
 
+/// A version that was the first one of its service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+struct FormerVersion {
+    version: ServiceVersion,
+    /// In Unix milliseconds.
+    until_ms: u64,
+}
+
 /// The time for which the stored versions of instances are complete.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 struct RecordedSpan {
@@ -112,7 +123,7 @@
         services.any(|service| self.possible(service, now_ms, kept_ms).count() > 1)
     }
 
-    /// Whether a version was the first of its service, which instances use without storing that.
+    /// Whether a version is the first of its service, which instances use without storing that.
     pub fn is_first(&self, service: &str, version: &str) -> bool {
         self.first_of(service) == Some(version)
     }
@@ -122,6 +133,52 @@
         Some(&self.first[found].version)
     }
 
+    /// Makes the version that is the only one of its service in service the first one, so that
+    /// instances that cannot write to the store use it. Drops former ones that can have begun
+    /// no stream in the last `kept_ms`.
+    ///
+    /// ```
+    /// use berylmount_policy::software_versions::VersionHistory;
+    ///
+    /// let mut history = VersionHistory::default();
+    /// assert!(history.admit("svc", "v1") && history.admit("svc", "v2"));
+    /// history.renew_first(1000, 30_000);
+    /// assert!(history.is_first("svc", "v1"));
+    /// assert!(history.retire("svc", "v1", 2000) && history.lacks_first());
+    /// history.renew_first(2000, 30_000);
+    /// assert!(history.is_first("svc", "v2"));
+    /// ```
+    pub fn renew_first(&mut self, now_ms: u64, kept_ms: u64) {
+        let is_kept = |former: &FormerVersion| counts_as_former(former, now_ms, kept_ms);
+        self.former.retain(is_kept);
+        for only in self.only_versions() {
+            match self.find_first(&only.service) {
+                Ok(index) => {
+                    let version = replace(&mut self.first[index], only);
+                    let until_ms = now_ms;
+                    self.former.push(FormerVersion { version, until_ms });
+                }
+                Err(index) => self.first.insert(index, only),
+            }
+        }
+    }
+
+    /// Whether a version is the only one of its service in service, and not the first one.
+    pub fn lacks_first(&self) -> bool {
+        !self.only_versions().is_empty()
+    }
+
+    fn only_versions(&self) -> Vec<ServiceVersion> {
+        let is_only = |known: &&KnownVersion| {
+            let of_service = self.versions.iter().filter(|v| v.service == known.service);
+            of_service.filter(|v| v.left_ms.is_none()).count() == 1
+        };
+        let later = self.later_versions().filter(is_only);
+        later
+            .map(|known| ServiceVersion::new(&known.service, &known.version))
+            .collect()
+    }
+
     /// Records that what instances store about their versions belongs to an era of the store.
     /// `is_new` tells that there was no history before.
     ///
@@ -245,6 +302,12 @@
     }
 }
 
+/// Whether an instance can have begun streams in the last `kept_ms` at a version as the first
+/// one, by a history of the last `kept_ms` before.
+fn counts_as_former(former: &FormerVersion, now_ms: u64, kept_ms: u64) -> bool {
+    now_ms < former.until_ms + 2 * kept_ms
+}
+
 /// The versions at which an instance may have begun streams, other than the first of each
 /// service, as it has stored them.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -415,6 +478,11 @@
         if let Some(first) = history.first_of(service) {
             search.add(first);
         }
+        for former in &history.former {
+            if former.version.service == service && counts_as_former(former, now_ms, kept_ms) {
+                search.add(&former.version.version);
+            }
+        }
         search
     }
 
--- a/crates/policy/tests/stream_origins.rs
+++ b/crates/policy/tests/stream_origins.rs
@@ -20,6 +20,7 @@
     Admit(Index),
     Retire(Index),
     Forget,
+    RenewFirst,
     /// Instances act.
     Read(Index),
     StoreUsed(Index),
@@ -36,12 +37,14 @@
 
 fn any_event() -> impl Strategy<Value = FleetEvent> {
     use FleetEvent::{
-        Admit, Backup, Begin, Forget, Pass, Read, Restart, Restore, Retire, StoreUsed, TakeUp,
+        Admit, Backup, Begin, Forget, Pass, Read, RenewFirst, Restart, Restore, Retire, StoreUsed,
+        TakeUp,
     };
     prop_oneof![
         2 => any::<Index>().prop_map(Admit),
         1 => any::<Index>().prop_map(Retire),
         1 => Just(Forget),
+        1 => Just(RenewFirst),
         4 => any::<Index>().prop_map(Read),
         4 => any::<Index>().prop_map(StoreUsed),
         8 => (any::<Index>(), any::<Index>()).prop_map(|(i, v)| Begin(i, v)),
@@ -126,6 +129,7 @@
             }
             FleetEvent::Retire(version) => self.retire(VERSIONS[version.index(VERSIONS.len())]),
             FleetEvent::Forget => self.store.history.forget(now_ms, KEPT_MS + STALE_MS),
+            FleetEvent::RenewFirst => self.store.history.renew_first(now_ms, KEPT_MS + STALE_MS),
             FleetEvent::Read(instance) => {
                 let process = &mut self.processes[instance.index(INSTANCES)];
                 process.view = Some(self.store.history.clone());
