Keep what an instance that has just started has stored about its versions

That history was read before the listing, so that an instance which admits a version, stores that it uses it and is not listed yet could lose its record; its untold streams would then be taken for streams of another version.

Only records that an earlier listing had in the same revision are deleted; the history that was read since then names their versions if they are in service.

Test: records_of_versions_that_are_admitted_during_a_read_are_kept, failed before (the record was gone after the first take-up), passes now.

--- a/crates/gateway/src/stream_versions/used.rs
+++ b/crates/gateway/src/stream_versions/used.rs
@@ -52,8 +52,31 @@
     /// Number of the read in which it was listed.
     read: u64,
     era: u64,
-    /// By the name of the instance; `None` if it does not decode.
-    records: Vec<(String, Option<UsedVersions>)>,
+    records: Vec<ListedRecord>,
+}
+
+/// What an instance has stored.
+#[derive(Debug)]
+struct ListedRecord {
+    /// Name of the instance.
+    name: String,
+    revision: u64,
+    /// `None` if it does not decode.
+    used: Option<UsedVersions>,
+}
+
+impl UsedListing {
+    /// Whether an object is here and belongs to a removed instance all of whose versions have
+    /// left. A record that was listed before the history was read lacks no version of it.
+    fn is_over(&self, state: &GatewayState, object: &StoredObject) -> bool {
+        let known = self.records.iter().find(|known| known.name == object.name);
+        let known = known.filter(|known| known.revision == object.revision.revision);
+        let used = known.and_then(|known| known.used.as_ref());
+        let Some((used, history)) = used.zip(state.stream_versions.history()) else {
+            return false;
+        };
+        !state.instances.borrow().contains(&object.name) && !used.names_version_of(&history)
+    }
 }
 
 impl UsedRecords {
@@ -91,9 +114,9 @@
             let found = asked.iter().find(|(asked, _)| asked == name);
             found.map(|(_, process)| *process)
         };
-        for (name, record) in &listing.records {
-            match record {
-                Some(used) => search.add_instance(Some(used), process_of(name)),
+        for record in &listing.records {
+            match &record.used {
+                Some(used) => search.add_instance(Some(used), process_of(&record.name)),
                 None => search.add_unknown(),
             }
         }
@@ -202,7 +225,8 @@
 }
 
 /// Lists what all instances have stored, in the read with this number. Deletes some objects of
-/// removed instances whose versions have left.
+/// removed instances whose versions have left by the history that was read since the listing
+/// before.
 pub(super) async fn list_used(state: &GatewayState, read: u64) -> Result<(), StoreFault> {
     let turn = &state.stream_versions.used.turn;
     if !turn.wait(state).await {
@@ -210,28 +234,23 @@
     }
     let listing = state.store.list(USED_SOFTWARE_KIND, false).await?;
     turn.note_listed(state, listing.objects.len() as u64 * USED_BYTES);
-    let decoded = listing.objects.iter();
-    let decoded = decoded.map(|object| (object.name.clone(), decode_record(object)));
-    let records: Vec<(String, Option<UsedVersions>)> = decoded.collect();
-    let is_over = |(name, record): &(String, Option<UsedVersions>)| {
-        let is_listed = state.instances.borrow().contains(name);
-        let history = state.stream_versions.history();
-        let names_known =
-            |record: &UsedVersions| history.is_none_or(|history| record.names_version_of(&history));
-        !is_listed && !record.as_ref().is_none_or(names_known)
-    };
-    let over: Vec<&StoredObject> = listing
-        .objects
-        .iter()
-        .zip(&records)
-        .filter(|(_, record)| is_over(record))
-        .map(|(object, _)| object)
-        .collect();
-    *state.stream_versions.used.listing.borrow_mut() = Some(UsedListing {
+    let records = listing.objects.iter().map(|object| ListedRecord {
+        name: object.name.clone(),
+        revision: object.revision.revision,
+        used: decode_record(object),
+    });
+    let next = UsedListing {
         read,
         era: listing.revision.era,
-        records,
-    });
+        records: records.collect(),
+    };
+    let before = state.stream_versions.used.listing.replace(Some(next));
+    let before = before.filter(|before| before.era == listing.revision.era);
+    let is_over = |object: &&StoredObject| {
+        let before = before.as_ref();
+        before.is_some_and(|before| before.is_over(state, object))
+    };
+    let over: Vec<&StoredObject> = listing.objects.iter().filter(is_over).collect();
     for object in over.into_iter().take(MAX_DELETED) {
         let revision = object.revision.revision;
         let deleted = state
--- a/crates/gateway/tests/untold_streams.rs
+++ b/crates/gateway/tests/untold_streams.rs
@@ -22,6 +22,7 @@
 
 const INSTANCES: &str = "berylmount-instances";
 const STREAMS: &str = "berylmount-streams";
+const USED: &str = "berylmount-used-software";
 
 /// A runner of a software version.
 struct VersionedRunner {
@@ -293,6 +294,36 @@
     );
 }
 
+/// Guards against deleting what an instance that has just started has stored, because the
+/// history was read before it admitted the version.
+#[test]
+fn records_of_versions_that_are_admitted_during_a_read_are_kept() {
+    let store = start_store(3000);
+    let old = VersionedRunner::register(&store, "r1", "v1");
+    let gateway = start_gateway(&store, "i1");
+    let new = release_second(&store, &gateway, &old);
+    let used = json!([{ "service": "svc", "version": "v3" }]);
+    let record = json!({ "process": 1, "era": 0, "versions": used, "earlier": [] });
+    store.put(USED, "fresh", Some(record));
+    let listings = store.listings(USED);
+    take_up(&gateway, "again0", "unknown");
+    assert!(store.listings(USED) > listings);
+    assert!(store.value(USED, "fresh").is_some());
+    let third = VersionedRunner::register(&store, "r3", "v3");
+    for runner in [&old, &new] {
+        runner.set_busy(true);
+    }
+    wait_until("a stream at the third version", || {
+        begin_stream(&gateway, "other") == "v3"
+    });
+    for number in 1..4 {
+        let response = take_up(&gateway, &format!("again{number}"), "unknown");
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    }
+    assert!(store.value(USED, "fresh").is_some());
+    drop(third);
+}
+
 /// Begins the stream `begun` at the second version, and so many others that the instance drops
 /// it for want of room; the store refuses it these kinds. Returns the store, the instance, and
 /// the runners.
