Log what a rollout waits for and who changes the time of a request

Change: 'lease acquired' states how the lease was free and for how long orders wait, 'rollout progress' the time left and the runners that are due, excluded, switching or not ready, and a line says when another process's report moves the earliest time of a request by 0.2 s or more. No decision changes.

--- a/crates/gateway/src/rollout_lease.rs
+++ b/crates/gateway/src/rollout_lease.rs
@@ -12,7 +12,7 @@
     store_client::{StoreFault, StoredObject, WriteOutcome},
 };
 use berylmount_policy::duty_lease::{
-    DutyLease, LeaseAction, LeaseRecord, LeaseRole, LeaseTimes, LeaseWrite,
+    DutyLease, LeaseAction, LeaseRecord, LeaseRole, LeaseTimes, LeaseWrite, OrderWaits,
 };
 use serde_json::Value;
 use std::{cell::RefCell, future::ready, rc::Rc, time::Duration};
@@ -93,17 +93,33 @@
         }
         let is_held = lease.borrow().is_held(boot_ms());
         if is_held != was_held {
-            let change = if is_held {
-                "lease acquired"
-            } else {
-                "lease lost"
-            };
-            log::info!(target: "duty", lease = LEASE_NAME, change; "lease changed");
+            log_change(&lease.borrow(), boot_ms());
             was_held = is_held;
         }
     }
 }
 
+/// Logs that the lease was acquired, and for how long orders must wait, or that it was lost.
+fn log_change(lease: &DutyLease, now_ms: u64) {
+    match lease.order_waits(now_ms) {
+        Some(waits) => {
+            let OrderWaits {
+                term,
+                source,
+                unlisted_ms,
+                listed_ms,
+                listed,
+            } = waits;
+            log::info!(
+                target: "duty",
+                lease = LEASE_NAME, term, source:%, unlisted_ms, listed_ms, listed;
+                "lease acquired"
+            );
+        }
+        None => log::info!(target: "duty", lease = LEASE_NAME; "lease lost"),
+    }
+}
+
 /// Whether this instance, which is draining, keeps the lease because no other instance can
 /// take it yet.
 fn keeps_lease(state: &GatewayState, lease: &SharedLease) -> bool {
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -73,6 +73,9 @@
 /// seconds with some margin.
 const MAX_CLOCK_SKEW_MS: u64 = 2500;
 
+/// Smallest change of the earliest time of a request that is logged, in milliseconds.
+const LOGGED_CHANGE_MS: i64 = 200;
+
 /// The version of weights that the operator requested for a model.
 #[derive(Clone, Debug)]
 pub(crate) struct DesiredWeights {
@@ -88,7 +91,18 @@
     if report.version <= desired.goal.version {
         let (process, version) = (report.process, report.version);
         let times = &mut desired.times;
+        let before_ms = times.bound_ms(version);
         times.note_report(process, version, report.at_ms, now_ms);
+        let bound_ms = times.bound_ms(version);
+        let change_ms = bound_ms
+            .zip(before_ms)
+            .map(|(at_ms, before_ms)| at_ms - before_ms);
+        let is_small = change_ms.is_some_and(|change_ms| change_ms.abs() < LOGGED_CHANGE_MS);
+        if bound_ms != before_ms && !is_small {
+            let model = desired.goal.model.as_str();
+            let age_ms = bound_ms.map(|at_ms| now_ms as i64 - at_ms);
+            log::info!(target: "weights", model, version, process, age_ms:?, change_ms:?; "changed the earliest time of the request");
+        }
     }
 }
 
--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -19,7 +19,7 @@
 use berylmount_fleet::DesiredVersion;
 use berylmount_policy::{
     sent_orders::{SentOrder, SentOrders},
-    weights_rollout::{next_orders, RolloutTimes, RolloutView},
+    weights_rollout::{next_orders, RolloutProgress, RolloutTimes, RolloutView},
 };
 use std::{rc::Rc, time::Duration};
 use tokio::{task::spawn_local, time::sleep};
@@ -36,6 +36,56 @@
 /// next holder repeats it.
 const NOTICE_MS: u64 = 2000;
 
+/// Minimum time between two log lines about the progress of a rollout, in milliseconds.
+const PROGRESS_INTERVAL_MS: u64 = 500;
+
+/// What was last logged about the progress of the rollouts of each model.
+#[derive(Default)]
+struct ProgressLog {
+    /// Sorted by model; with the time of the log line.
+    logged: Vec<(String, u64, RolloutProgress)>,
+}
+
+impl ProgressLog {
+    /// Logs the progress of a rollout if it has changed.
+    fn note(
+        &mut self,
+        goal: &DesiredVersion,
+        progress: RolloutProgress,
+        left_ms: u64,
+        now_ms: u64,
+    ) {
+        let (model, version) = (goal.model.as_str(), goal.version);
+        let found = self
+            .logged
+            .binary_search_by(|(known, ..)| known.as_str().cmp(model));
+        match found {
+            Ok(index) => {
+                let (_, at_ms, logged) = &mut self.logged[index];
+                if progress == *logged || now_ms < *at_ms + PROGRESS_INTERVAL_MS {
+                    return;
+                }
+                (*at_ms, *logged) = (now_ms, progress);
+            }
+            Err(_) if progress == RolloutProgress::default() => return,
+            Err(index) => self
+                .logged
+                .insert(index, (model.to_owned(), now_ms, progress)),
+        }
+        let RolloutProgress {
+            due,
+            excluded,
+            switching,
+            unready,
+        } = progress;
+        log::info!(
+            target: "weights",
+            model, version, left_ms, due, excluded, switching, unready;
+            "rollout progress"
+        );
+    }
+}
+
 /// Whether an order for another model than `model` is in progress at a runner. A runner
 /// carries out one order at a time.
 fn has_other_order(orders: &SentOrders, runner: &RunnerHandle, model: &str, now_ms: u64) -> bool {
@@ -56,6 +106,7 @@
 /// Sends orders for weights while this instance holds the lease.
 pub(crate) async fn roll_out_weights(state: Rc<GatewayState>, lease: SharedLease) {
     let mut acted_at_ms = 0;
+    let mut progress_log = ProgressLog::default();
     loop {
         sleep(POLL_INTERVAL).await;
         let now_ms = boot_ms();
@@ -80,7 +131,14 @@
             .collect();
         rollouts.sort_by_key(|(left_ms, _)| *left_ms);
         for (left_ms, desired) in rollouts {
-            send_due_orders(&state, &lease, &desired, left_ms, &mut notice);
+            send_due_orders(
+                &state,
+                &lease,
+                &desired,
+                left_ms,
+                &mut notice,
+                &mut progress_log,
+            );
         }
         notice.switching.sort_unstable();
         *state.holder_notice.borrow_mut() = Some(notice);
@@ -113,6 +171,7 @@
     desired: &DesiredWeights,
     left_ms: u64,
     notice: &mut HolderNotice,
+    progress_log: &mut ProgressLog,
 ) {
     let goal = &desired.goal;
     let now_ms = boot_ms();
@@ -142,6 +201,8 @@
         left_ms,
         load_ms: apply_ms / LOADS_PER_ROLLOUT,
     };
+    let progress = RolloutProgress::of(&views, goal.version, now_ms);
+    progress_log.note(goal, progress, left_ms, now_ms);
     for index in next_orders(&views, goal.version, times, loading_others, now_ms) {
         let runner = runners[index].clone();
         let order = SentOrder {
--- a/crates/policy/src/duty_lease.rs
+++ b/crates/policy/src/duty_lease.rs
@@ -130,6 +130,35 @@
     pub has_work: bool,
 }
 
+/// How the lease was free for the present holder.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
+#[strum(serialize_all = "snake_case")]
+pub enum LeaseSource {
+    /// Nobody held it before in this era.
+    Created,
+    /// The earlier holder released it with the list of its orders.
+    HandedOver,
+    /// The earlier holder released it without that list.
+    Released,
+    /// The earlier holder did not renew it.
+    Lapsed,
+}
+
+/// For how long the holder of a lease must still wait before it sends orders.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OrderWaits {
+    /// Term of the holder.
+    pub term: u64,
+    /// How the lease was free.
+    pub source: LeaseSource,
+    /// Time until it may send orders to runners that weren't listed, in milliseconds.
+    pub unlisted_ms: u64,
+    /// Time until it may send orders to all runners, in milliseconds.
+    pub listed_ms: u64,
+    /// Number of runners that the earlier holder listed.
+    pub listed: usize,
+}
+
 /// Outcome of a write to the lease object.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum LeaseWrite {
@@ -177,6 +206,7 @@
 struct HeldTerm {
     revision: u64,
     term: u64,
+    source: LeaseSource,
     renewal: u64,
     valid_until_ms: u64,
     /// Earliest time at which this instance may act in this term.
@@ -305,6 +335,31 @@
         }
     }
 
+    /// For how long this instance must still wait before it sends orders; `None` if it doesn't
+    /// hold the lease.
+    ///
+    /// ```
+    /// use berylmount_policy::duty_lease::{DutyLease, LeaseRole, LeaseTimes, LeaseWrite};
+    ///
+    /// let times = LeaseTimes { valid_ms: 1500, exclusion_ms: 3000 };
+    /// let mut lease = DutyLease::new("a", 7, times);
+    /// lease.note_read(None, 1010);
+    /// lease.next(1010, LeaseRole { is_candidate: true, has_work: true });
+    /// lease.note_write(LeaseWrite::Stored(5), 1010, 1020);
+    /// let waits = lease.order_waits(1020).unwrap();
+    /// assert_eq!((waits.source.to_string().as_str(), waits.unlisted_ms), ("created", 0));
+    /// ```
+    pub fn order_waits(&self, now_ms: u64) -> Option<OrderWaits> {
+        let held = self.held.filter(|_| self.is_held(now_ms))?;
+        Some(OrderWaits {
+            term: held.term,
+            source: held.source,
+            unlisted_ms: held.orders_from_ms.saturating_sub(now_ms),
+            listed_ms: held.acts_from_ms.saturating_sub(now_ms),
+            listed: self.listed.len(),
+        })
+    }
+
     fn term_from(&self, now_ms: u64, from_ms: impl Fn(&HeldTerm) -> u64) -> Option<u64> {
         let held = self
             .held
@@ -454,6 +509,16 @@
         }
     }
 
+    /// How the lease that this instance takes is free.
+    fn source(&self) -> LeaseSource {
+        match &self.seen {
+            None => LeaseSource::Created,
+            Some((_, record)) if record.is_handed_over() => LeaseSource::HandedOver,
+            Some((_, record)) if record.is_released => LeaseSource::Released,
+            Some(_) => LeaseSource::Lapsed,
+        }
+    }
+
     fn takes_handed_over(&self) -> bool {
         let seen = self.seen.as_ref();
         seen.is_some_and(|(_, record)| record.is_handed_over())
@@ -555,6 +620,7 @@
         HeldTerm {
             revision,
             term: self.next_term(),
+            source: self.source(),
             renewal: 1,
             valid_until_ms: 0,
             acts_from_ms: self.first_act_ms(sent_ms),
--- a/crates/policy/src/request_times.rs
+++ b/crates/policy/src/request_times.rs
@@ -129,6 +129,21 @@
         times.map(|time| (time.version, time.earliest_ms()))
     }
 
+    /// Returns the earliest time at which a version can have been requested; `None` if there is
+    /// no bound.
+    ///
+    /// ```
+    /// use berylmount_policy::request_times::RequestTimes;
+    ///
+    /// let mut times = RequestTimes::default();
+    /// times.learn(2, Some(18_000), 20_000);
+    /// assert_eq!((times.bound_ms(2), times.bound_ms(3)), (Some(18_000), None));
+    /// ```
+    pub fn bound_ms(&self, version: u64) -> Option<i64> {
+        let mut bounds = self.bounds();
+        bounds.find(|(known, _)| *known == version)?.1
+    }
+
     /// Whether `apply_ms` may have passed since a version was requested.
     pub fn is_due(&self, version: u64, now_ms: u64, apply_ms: u64) -> bool {
         let mut bounds = self.bounds();
--- a/crates/policy/src/weights_rollout.rs
+++ b/crates/policy/src/weights_rollout.rs
@@ -64,6 +64,49 @@
     }
 }
 
+/// How far the rollout of one version is.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RolloutProgress {
+    /// Number of runners with older weights that accept orders and have none in progress.
+    pub due: usize,
+    /// Number of those that an order of an earlier lease holder still excludes.
+    pub excluded: usize,
+    /// Number of runners with an order in progress.
+    pub switching: usize,
+    /// Number of runners with older weights that don't accept orders now.
+    pub unready: usize,
+}
+
+impl RolloutProgress {
+    /// Counts the runners of a rollout to version `goal`.
+    ///
+    /// ```
+    /// use berylmount_policy::weights_rollout::{RolloutProgress, RolloutView};
+    ///
+    /// let old = RolloutView { version: Some(1), is_ready: true, ..RolloutView::default() };
+    /// let ordered = RolloutView { ordered: 2, ordered_at_ms: 900, ..old };
+    /// let progress = RolloutProgress::of(&[old, ordered], 2, 1000);
+    /// assert_eq!((progress.due, progress.switching), (1, 1));
+    /// ```
+    pub fn of(runners: &[RolloutView], goal: u64, now_ms: u64) -> Self {
+        let mut progress = Self::default();
+        let older = runners
+            .iter()
+            .filter(|runner| runner.version.is_some_and(|version| version < goal));
+        for runner in older {
+            match (runner.is_ready, runner.is_switching(goal, now_ms)) {
+                (false, _) => progress.unready += 1,
+                (true, true) => progress.switching += 1,
+                (true, false) => {
+                    progress.due += 1;
+                    progress.excluded += usize::from(runner.is_excluded);
+                }
+            }
+        }
+        progress
+    }
+}
+
 /// Returns the indexes of the runners to order now, sorted by oldest weights and then
 /// by fewest running requests. `loading_others` runners load weights of other models and share
 /// the bandwidth.
