--- a/crates/berylmount/tests/lease_processes.rs
+++ b/crates/berylmount/tests/lease_processes.rs
@@ -41,6 +41,13 @@
         Self { child, log }
     }
 
+    /// Sends the signal for a planned stop, and waits until the process drains.
+    fn stop(&self) {
+        let pid = Pid::from_raw(self.child.id() as i32).unwrap();
+        kill_process(pid, Signal::TERM).unwrap();
+        self.wait_line("\"leaving\"");
+    }
+
     fn wait_line(&self, part: &str) {
         wait_until(part, || {
             fs::read_to_string(&self.log).unwrap().contains(part)
@@ -69,27 +76,34 @@
     })
 }
 
+/// Starts a store that requests new weights of a runner.
+fn start_store(runner: &StandinRunner) -> StandinStore {
+    let store = StandinStore::start();
+    store.put("config", "main", Some(table(1, all_routes())));
+    store.put("servers", "r1", Some(runner.entry("svc", "ready")));
+    store.put("versions", "m", Some(json!({"Model": "m", "Version": 2})));
+    store
+}
+
+/// Returns how often a runner was asked whether it is busy with an order.
+fn count_reports(runner: &StandinRunner) -> usize {
+    let requests = received_requests(runner);
+    let reports = requests
+        .iter()
+        .filter(|r| r.starts_with("GET /berylmount/report"));
+    reports.count()
+}
+
 /// Guards against a rollout that stands still because the lease holder drains and no other
 /// instance is there.
 #[test]
 fn a_draining_lease_holder_goes_on_until_another_instance_is_ready() {
     let runner = busy_runner();
-    let store = StandinStore::start();
-    store.put("config", "main", Some(table(1, all_routes())));
-    store.put("servers", "r1", Some(runner.entry("svc", "ready")));
-    store.put("versions", "m", Some(json!({"Model": "m", "Version": 2})));
+    let store = start_store(&runner);
     let first = LoggedProcess::start("i1", store.address);
-    let reports = || {
-        let requests = received_requests(&runner);
-        let reports = requests
-            .iter()
-            .filter(|r| r.starts_with("GET /berylmount/report"));
-        reports.count()
-    };
+    let reports = || count_reports(&runner);
     wait_until("the rollout", || reports() > 0);
-    let pid = Pid::from_raw(first.child.id() as i32).unwrap();
-    kill_process(pid, Signal::TERM).unwrap();
-    first.wait_line("\"leaving\"");
+    first.stop();
     let before = reports();
     wait_until("the rollout goes on", || reports() > before + 3);
     let _second = LoggedProcess::start("i2", store.address);
@@ -99,3 +113,17 @@
         lease.is_some_and(|lease| lease["holder"] == "i2")
     });
 }
+
+/// Guards against a successor that waits at runners to which no order was sent.
+#[test]
+fn a_lease_that_is_handed_over_lists_no_runner_without_an_order() {
+    let runner = busy_runner();
+    let store = start_store(&runner);
+    let first = LoggedProcess::start("i3", store.address);
+    wait_until("the rollout", || count_reports(&runner) > 0);
+    let lease = || store.value("berylmount-leases", "weights").unwrap();
+    first.stop();
+    let _second = LoggedProcess::start("i4", store.address);
+    wait_until("the release", || lease()["is_released"] == true);
+    assert_eq!(lease()["orders"], json!([]));
+}
--- a/crates/policy/tests/duties.rs
+++ b/crates/policy/tests/duties.rs
@@ -334,6 +334,30 @@
     );
 }
 
+/// Guards against a rollout that asks runners with an order in progress again and again, in the
+/// place of runners that are free.
+#[test]
+fn a_runner_that_loads_the_version_before_is_not_ordered() {
+    let free = RolloutView {
+        version: Some(2),
+        is_ready: true,
+        ..RolloutView::default()
+    };
+    let loading = RolloutView {
+        version: Some(1),
+        ordered: 2,
+        ordered_at_ms: 900,
+        ..free
+    };
+    let times = RolloutTimes {
+        left_ms: 15_000,
+        load_ms: 1500,
+    };
+    let mut runners = vec![loading; 2];
+    runners.extend([free; 13]);
+    assert_eq!(next_orders(&runners, 3, times, 0, 1000), [2]);
+}
+
 /// Among 63 instances of different strengths, no shared duty is assigned to a weak one,
 /// and the duties are spread over the strong ones.
 #[test]
--- a/crates/policy/tests/handover.rs
+++ b/crates/policy/tests/handover.rs
@@ -211,11 +211,56 @@
     }
 }
 
+/// When weights are requested, and the time limit of their rollout.
+const NAMED_MS: u64 = 10_000;
+const APPLY_MS: u64 = 15_000;
+
+fn turn_runners(count: usize) -> Vec<TurnRunner> {
+    let turn_runner = |number: usize| TurnRunner {
+        name: format!("r{number}"),
+        ..TurnRunner::default()
+    };
+    (0..count).map(turn_runner).collect()
+}
+
+/// Sends the orders that are due from the holder with this index.
+fn order_due(lease: &mut DutyLease, holder: usize, runners: &mut [TurnRunner], now_ms: u64) {
+    let view = |runner: &TurnRunner| {
+        let order = lease.orders().get(&runner.name, "m");
+        RolloutView {
+            version: Some(if runner.is_new() { 2 } else { 1 }),
+            ordered: order.version,
+            ordered_at_ms: order.at_ms,
+            is_ready: true,
+            is_excluded: lease.order_term(&runner.name, now_ms).is_none(),
+            ..RolloutView::default()
+        }
+    };
+    let views: Vec<RolloutView> = runners.iter().map(view).collect();
+    let times = RolloutTimes {
+        left_ms: (NAMED_MS + APPLY_MS).saturating_sub(now_ms),
+        load_ms: APPLY_MS / 9,
+    };
+    for due in next_orders(&views, 2, times, 0, now_ms) {
+        let runner = &mut runners[due];
+        if let Some((at_ms, earlier)) = runner.last {
+            assert!(earlier == holder || now_ms >= at_ms + TIMES.exclusion_ms);
+        }
+        runner.last = Some((now_ms, holder));
+        if runner.free_ms == 0 {
+            runner.free_ms = now_ms + FINISH_MS;
+        }
+        let order = SentOrder {
+            version: 2,
+            at_ms: now_ms,
+        };
+        lease.orders_mut().set(&runner.name, "m", order);
+    }
+}
+
 /// Names weights at `NAMED_MS` and restarts `count` instances `gap_ms` apart; returns how many
 /// of `runners` have the older version when 1.5 times the time limit has passed.
 fn restart_in_turn(count: usize, gap_ms: u64, runners: usize) -> usize {
-    const NAMED_MS: u64 = 10_000;
-    const APPLY_MS: u64 = 15_000;
     let names: Vec<String> = (0..count).map(|n| format!("instance-{n}")).collect();
     let member = |index: usize| DutyMember {
         name: &names[index],
@@ -227,11 +272,7 @@
         has_left: false,
     };
     let mut instances: Vec<TurnInstance> = (0..count).map(turn_instance).collect();
-    let turn_runner = |number: usize| TurnRunner {
-        name: format!("r{number}"),
-        ..TurnRunner::default()
-    };
-    let mut runners: Vec<TurnRunner> = (0..runners).map(turn_runner).collect();
+    let mut runners = turn_runners(runners);
     let mut store = StoredLease::default();
     for now_ms in (NAMED_MS..NAMED_MS + APPLY_MS * 3 / 2).step_by(100) {
         load(&mut runners, 100.0, now_ms);
@@ -268,37 +309,7 @@
             if instance.lease.ordering_term(now_ms).is_none() {
                 continue;
             }
-            let view = |runner: &TurnRunner| {
-                let order = instance.lease.orders().get(&runner.name, "m");
-                RolloutView {
-                    version: Some(if runner.is_new() { 2 } else { 1 }),
-                    ordered: order.version,
-                    ordered_at_ms: order.at_ms,
-                    is_ready: true,
-                    is_excluded: instance.lease.order_term(&runner.name, now_ms).is_none(),
-                    ..RolloutView::default()
-                }
-            };
-            let views: Vec<RolloutView> = runners.iter().map(view).collect();
-            let times = RolloutTimes {
-                left_ms: (NAMED_MS + APPLY_MS).saturating_sub(now_ms),
-                load_ms: APPLY_MS / 9,
-            };
-            for due in next_orders(&views, 2, times, 0, now_ms) {
-                let runner = &mut runners[due];
-                if let Some((at_ms, holder)) = runner.last {
-                    assert!(holder == index || now_ms >= at_ms + TIMES.exclusion_ms);
-                }
-                runner.last = Some((now_ms, index));
-                if runner.free_ms == 0 {
-                    runner.free_ms = now_ms + FINISH_MS;
-                }
-                let order = SentOrder {
-                    version: 2,
-                    at_ms: now_ms,
-                };
-                instance.lease.orders_mut().set(&runner.name, "m", order);
-            }
+            order_due(&mut instance.lease, index, &mut runners, now_ms);
         }
     }
     runners.iter().filter(|runner| !runner.is_new()).count()
@@ -315,3 +326,64 @@
         }
     }
 }
+
+/// How an instance that holds the lease is lost.
+#[derive(Clone, Copy, Debug)]
+enum HolderLoss {
+    /// It is killed, and its next process starts some seconds later.
+    Killed,
+    /// It stands still for some seconds.
+    Frozen,
+}
+
+/// Time for which an instance that is lost is away.
+const AWAY_MS: u64 = 5000;
+
+/// Names weights and takes the holder of the lease away `every_ms`; returns how many of `runners`
+/// have the older version when 1.5 times the time limit has passed.
+fn lose_holders(loss: HolderLoss, every_ms: u64, runners: usize) -> usize {
+    let names = ["a", "b", "c"];
+    let mut leases = names.map(|name| DutyLease::new(name, 1, TIMES));
+    let mut away_until_ms = [0; 3];
+    let mut runners = turn_runners(runners);
+    let mut store = StoredLease::default();
+    let mut next_loss_ms = NAMED_MS + every_ms;
+    for now_ms in (NAMED_MS..NAMED_MS + APPLY_MS * 3 / 2).step_by(100) {
+        load(&mut runners, 100.0, now_ms);
+        let has_work = runners.iter().any(|runner| !runner.is_new());
+        let holder = leases.iter().position(|lease| lease.is_held(now_ms));
+        if let Some(holder) = holder.filter(|_| now_ms >= next_loss_ms) {
+            next_loss_ms = now_ms + every_ms;
+            away_until_ms[holder] = now_ms + AWAY_MS;
+            if matches!(loss, HolderLoss::Killed) {
+                leases[holder] = DutyLease::new(names[holder], now_ms, TIMES);
+            }
+        }
+        for (index, lease) in leases.iter_mut().enumerate() {
+            if away_until_ms[index] > now_ms {
+                continue;
+            }
+            let role = LeaseRole {
+                is_candidate: true,
+                has_work,
+            };
+            store.step(lease, role, false, now_ms);
+            if lease.ordering_term(now_ms).is_some() {
+                order_due(lease, index, &mut runners, now_ms);
+            }
+        }
+    }
+    runners.iter().filter(|runner| !runner.is_new()).count()
+}
+
+/// Guards against a rollout that stands still because each holder of the lease is lost before
+/// the exclusion time after the one before it has passed.
+#[test]
+fn a_rollout_ends_in_time_while_one_holder_after_the_other_is_lost() {
+    for loss in [HolderLoss::Killed, HolderLoss::Frozen] {
+        for (every_ms, runners) in [(4000, 12), (3000, 18), (3000, 120)] {
+            let old = lose_holders(loss, every_ms, runners);
+            assert_eq!(old, 0, "{loss:?} each {every_ms} ms, {runners} runners");
+        }
+    }
+}
