Don't order runners that still load another version

Callers saw requests begin on older weights after the time limit when versions followed each other closely. Cause: a runner counted as switching only if it was ordered the newest version. Change: an order in progress counts whatever its version.

--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -99,7 +99,7 @@
             is_ready: true,
             ..RolloutView::default()
         };
-        name != model && view.is_switching(order.version, now_ms)
+        name != model && view.is_switching(now_ms)
     })
 }
 
@@ -219,7 +219,7 @@
         spawn_local(async move { send_order(&state, &lease, &runner, &goal).await });
     }
     let switching = views.iter().enumerate();
-    let switching = switching.filter(|(_, view)| view.is_switching(goal.version, now_ms));
+    let switching = switching.filter(|(_, view)| view.is_switching(now_ms));
     notice
         .switching
         .extend(switching.map(|(index, _)| switch_key(runners[index].key(), &goal.model)));
--- a/crates/policy/src/weights_rollout.rs
+++ b/crates/policy/src/weights_rollout.rs
@@ -37,11 +37,12 @@
 }
 
 impl RolloutView {
-    /// Whether an order to load version `goal` is in progress.
-    pub fn is_switching(&self, goal: u64, now_ms: u64) -> bool {
-        let is_older = self.version.is_some_and(|version| version < goal);
+    /// Whether an order to load a version is in progress. The runner accepts no other order
+    /// meanwhile.
+    pub fn is_switching(&self, now_ms: u64) -> bool {
+        let is_older = self.version.is_some_and(|version| version < self.ordered);
         let is_fresh = now_ms.saturating_sub(self.ordered_at_ms) < ORDER_TIMEOUT_MS;
-        self.is_ready && is_older && self.ordered >= goal && is_fresh
+        self.is_ready && is_older && is_fresh
     }
 }
 
@@ -94,7 +95,7 @@
             .iter()
             .filter(|runner| runner.version.is_some_and(|version| version < goal));
         for runner in older {
-            match (runner.is_ready, runner.is_switching(goal, now_ms)) {
+            match (runner.is_ready, runner.is_switching(now_ms)) {
                 (false, _) => progress.unready += 1,
                 (true, true) => progress.switching += 1,
                 (true, false) => {
@@ -133,13 +134,10 @@
         .iter()
         .filter(|runner| runner.is_ready && runner.version.is_some());
     let loading = (serving.count() as f64 * LOADING_FRACTION).floor().max(1.0);
-    let switching = runners
-        .iter()
-        .filter(|r| r.is_switching(goal, now_ms))
-        .count();
+    let switching = runners.iter().filter(|r| r.is_switching(now_ms)).count();
     let is_due = |runner: &RolloutView| {
         let is_older = runner.version.is_some_and(|version| version < goal);
-        let is_free = !runner.is_excluded && !runner.is_switching(goal, now_ms);
+        let is_free = !runner.is_excluded && !runner.is_switching(now_ms);
         runner.is_ready && is_older && is_free
     };
     let mut due: Vec<usize> = (0..runners.len())
