Count the queue of a runner in the time until it starts a request

Cause: a request counts as started 2 s after its placement. Change: a queue adds as much as it takes to run it, 2 s for each batch, up to two. Result: a_runner_with_old_weights_and_a_queue_gets_no_requests_near_the_time_limit failed on the code before (the prompts were served for more than 2 s) and passes; the four tests of the file pass.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -13,7 +13,7 @@
     reservation::{prefill_sample, PrefillSample},
     responses::LocalReason,
     runner_registry::{RunnerHandle, RunnerRegistry},
-    state::GatewayState,
+    state::{DesiredWeights, GatewayState},
     stream_versions::SoftwareRule,
     transfers::{cached_prompt, copy_missing, fetch_limit, PromptHomes, TransferPlanner},
 };
@@ -36,8 +36,11 @@
 const REMOTE_LATENCY_MS: f64 = 4.0;
 /// Penalty for a runner whose weights are older than the desired version, in milliseconds.
 const OLD_WEIGHTS_PENALTY_MS: f64 = 400.0;
-/// Time from placement until a busy runner starts the request, in milliseconds.
+/// Time from placement until a busy runner without a queue starts the request, in milliseconds. A
+/// queue that is as long as the batch of the runner takes about as long once more.
 const START_DELAY_MS: u64 = 2000;
+/// Length of a runner's queue above which it counts no further, in batches.
+const MAX_QUEUED_BATCHES: f64 = 2.0;
 /// Cost of a permit or a place at a runner, in milliseconds: a round trip to the instance
 /// that issues it.
 const PERMIT_COST_MS: f64 = 2.0 * REMOTE_LATENCY_MS;
@@ -158,9 +161,9 @@
     };
     let is_untried = |runner: &&Rc<RunnerHandle>| !tried.iter().any(|t| Rc::ptr_eq(t, runner));
     let runners = state.runners.borrow();
-    let min_version = min_weights_version(state, query, now_ms);
+    let requested = requested_weights(state, query);
     let may_serve = |runner: &&Rc<RunnerHandle>| {
-        let exclusion = exclusion_of(state, query, runner, min_version, now_ms);
+        let exclusion = exclusion_of(state, query, runner, requested.as_ref(), now_ms);
         if let Some(exclusion) = exclusion {
             query.note_exclusion(runner, exclusion);
         }
@@ -260,10 +263,15 @@
     state: &GatewayState,
     query: &PlacementQuery<'_>,
     runner: &RunnerHandle,
-    min_version: Option<u64>,
+    requested: Option<&DesiredWeights>,
     now_ms: u64,
 ) -> Option<RunnerExclusion> {
     let has_weights = || {
+        let min_version = requested.and_then(|requested| {
+            let apply_ms = state.settings().bounds.weights_apply.as_millis() as u64;
+            let starts_ms = now_ms + start_delay_ms(runner, now_ms);
+            requested.times.newest_due(starts_ms, apply_ms)
+        });
         min_version.is_none_or(|min_version| {
             weights_version_at(query, runner).is_none_or(|version| version >= min_version)
         })
@@ -536,19 +544,19 @@
     runner.weights_of(&prompt.model)
 }
 
-/// Returns the minimum weights version for the request, which is the newest version
-/// whose time limit for the rollout has passed when the request starts; `None` if
-/// there is none.
-fn min_weights_version(
-    state: &GatewayState,
-    query: &PlacementQuery<'_>,
-    now_ms: u64,
-) -> Option<u64> {
+/// Returns the weights that are requested for the model of the request. Only runners with the newest
+/// version whose time limit has passed when the request starts may serve it.
+fn requested_weights(state: &GatewayState, query: &PlacementQuery<'_>) -> Option<DesiredWeights> {
     let prompt = query.call.request.prompt.as_ref()?;
-    let desired = state.desired_weights_of(&prompt.model)?;
-    let apply_ms = state.settings().bounds.weights_apply.as_millis() as u64;
-    // A request that is placed now starts a little later.
-    desired.times.newest_due(now_ms + START_DELAY_MS, apply_ms)
+    state.desired_weights_of(&prompt.model)
+}
+
+/// Returns the longest time until a request that is placed at a runner now starts, in milliseconds.
+fn start_delay_ms(runner: &RunnerHandle, now_ms: u64) -> u64 {
+    let queue = runner.load(now_ms).map_or(0.0, |load| {
+        f64::from(load.waiting) / f64::from(load.running.max(1))
+    });
+    (START_DELAY_MS as f64 * (1.0 + queue.min(MAX_QUEUED_BATCHES))) as u64
 }
 
 /// Returns the policy's view of each candidate.
--- a/crates/gateway/tests/request_times.rs
+++ b/crates/gateway/tests/request_times.rs
@@ -7,10 +7,10 @@
 
 use serde_json::{json, Value};
 use standins::{
-    all_routes, received_requests, response_to, scripted_runner, table, wait_until, AfterResponse,
-    StandinRunner, StandinStore, TestGateway,
+    all_routes, received_requests, response_to, scripted_runner, settings, table, wait_until,
+    AfterResponse, StandinRunner, StandinStore, TestGateway,
 };
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// Starts a runner with old weights that refuses orders for newer ones.
 fn old_runner() -> StandinRunner {
@@ -125,3 +125,38 @@
         assert_eq!(status, "HTTP/1.1 503 Service Unavailable");
     }
 }
+
+/// Guards against a request that waits in the queue of a runner with old weights until the time limit
+/// has passed.
+#[test]
+fn a_runner_with_old_weights_and_a_queue_gets_no_requests_near_the_time_limit() {
+    // Running and waiting requests, and slots.
+    for (load, expected) in [
+        ("2,0,8", "HTTP/1.1 200 OK"),
+        ("2,4,8", "HTTP/1.1 503 Service Unavailable"),
+    ] {
+        let runner = StandinRunner::start(move |request, _| {
+            let status = match request.contains("/berylmount/") {
+                true => "503 Busy",
+                false => "200 OK",
+            };
+            let response = String::from_utf8(response_to(request, status, "")).unwrap();
+            let loaded = format!("berylmount-instance-load: {load}\r\ncontent-length");
+            let response = response.replace("content-length", &loaded);
+            (response.into_bytes(), AfterResponse::Keep)
+        });
+        let store = start_store(&runner);
+        store.put("versions", "m", weights(1));
+        let mut settings = settings("i1", store.address);
+        settings.bounds.weights_apply = Duration::from_millis(5500);
+        let gateway = TestGateway::start_with_settings(store.clone(), settings);
+        gateway.wait_ready();
+        gateway.wait_for_status("GET /safe/warm", "200", false);
+        store.put("versions", "m", weights(2));
+        let requested = Instant::now();
+        wait_until("the expected response", || {
+            send_prompt(&gateway, "id") == expected
+        });
+        assert!(requested.elapsed() < Duration::from_secs(2), "{load}");
+    }
+}
