Hurry only the runners whose own time is running out

Callers were refused while runners that could still serve loaded newer weights in a hurry. Cause: the pace of a rollout followed the oldest weights of any runner. Change: a runner is ordered early only for itself or for runners that must finish after it; with one version on its way nothing changes.

--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -19,7 +19,7 @@
 use berylmount_fleet::DesiredVersion;
 use berylmount_policy::{
     sent_orders::{SentOrder, SentOrders},
-    weights_rollout::{next_orders, RolloutProgress, RolloutTimes, RolloutView},
+    weights_rollout::{next_orders, RolloutPace, RolloutProgress, RolloutView},
 };
 use std::{rc::Rc, time::Duration};
 use tokio::{task::spawn_local, time::sleep};
@@ -188,6 +188,12 @@
         has_other_order(lease.orders(), runner, &goal.model, now_ms)
     };
     let loading_others = runners.iter().filter(|runner| has_other(runner)).count();
+    let apply_ms = state.settings().bounds.weights_apply.as_millis() as u64;
+    let left_ms_of = |runner: &Rc<RunnerHandle>| {
+        let version = runner.weights_of(&goal.model);
+        let left_ms = version.and_then(|version| desired.times.left_ms(version, now_ms, apply_ms));
+        left_ms.unwrap_or(apply_ms)
+    };
     let view = |runner: &Rc<RunnerHandle>| {
         let record = runner.record();
         let lease = lease.borrow();
@@ -199,17 +205,17 @@
             running: runner.running.get() + others.on(runner.key()).running,
             is_ready: takes_orders(runner, now_ms) && !has_other(runner),
             is_excluded: lease.excludes_orders(&record.id, now_ms),
+            left_ms: left_ms_of(runner),
         }
     };
     let views: Vec<RolloutView> = runners.iter().map(view).collect();
-    let apply_ms = state.settings().bounds.weights_apply.as_millis() as u64;
-    let times = RolloutTimes {
-        left_ms,
+    let pace = RolloutPace {
         load_ms: apply_ms / LOADS_PER_ROLLOUT,
+        loading_others,
     };
     let progress = RolloutProgress::of(&views, goal.version, now_ms);
     progress_log.note(goal, progress, left_ms, now_ms);
-    for index in next_orders(&views, goal.version, times, loading_others, now_ms) {
+    for index in next_orders(&views, goal.version, pace, now_ms) {
         let runner = runners[index].clone();
         let order = SentOrder {
             version: goal.version,
--- a/crates/policy/src/weights_rollout.rs
+++ b/crates/policy/src/weights_rollout.rs
@@ -34,6 +34,8 @@
     pub is_ready: bool,
     /// Whether an order of an earlier lease holder still excludes orders to it.
     pub is_excluded: bool,
+    /// Time until requests may no longer start on its weights, in milliseconds.
+    pub left_ms: u64,
 }
 
 impl RolloutView {
@@ -46,22 +48,22 @@
     }
 }
 
-/// The time available for a rollout, and the time of one load.
+/// The runners of a service as far as they load weights.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct RolloutTimes {
-    /// Time until requests may no longer start on older weights, in milliseconds.
-    pub left_ms: u64,
+pub struct RolloutPace {
     /// Duration of one load when concurrent loads don't slow each other down, in
     /// milliseconds.
     pub load_ms: u64,
+    /// Number of runners that load weights of other models and share the bandwidth.
+    pub loading_others: usize,
 }
 
-impl RolloutTimes {
+impl RolloutPace {
     /// The factor by which the number of runners that switch concurrently must exceed
-    /// `loading` so that `due` runners finish in time.
-    fn pressure(&self, due: usize, loading: f64) -> f64 {
+    /// `loading` so that `due` runners finish within `left_ms`.
+    fn pressure(&self, due: usize, loading: f64, left_ms: u64) -> f64 {
         let needed_ms = due as f64 / loading * self.load_ms as f64 + DRAIN_MS;
-        (needed_ms / self.left_ms.max(1) as f64).clamp(1.0, MAX_PRESSURE)
+        (needed_ms / left_ms.max(1) as f64).clamp(1.0, MAX_PRESSURE)
     }
 }
 
@@ -109,25 +111,30 @@
 }
 
 /// Returns the indexes of the runners to order now, sorted by oldest weights and then
-/// by fewest running requests. `loading_others` runners load weights of other models and share
-/// the bandwidth.
+/// by fewest running requests. Only runners that must finish as soon as others, or sooner, are
+/// ordered to make these others finish in time.
 ///
 /// ```
-/// use berylmount_policy::weights_rollout::{next_orders, RolloutTimes, RolloutView};
+/// use berylmount_policy::weights_rollout::{next_orders, RolloutPace, RolloutView};
 ///
-/// let old = RolloutView { version: Some(1), is_ready: true, ..RolloutView::default() };
+/// let old = RolloutView {
+///     version: Some(1),
+///     is_ready: true,
+///     left_ms: 15_000,
+///     ..RolloutView::default()
+/// };
 /// let runners: Vec<_> = (0..10).map(|n| RolloutView { running: 10 - n, ..old }).collect();
-/// let times = RolloutTimes { left_ms: 15_000, load_ms: 1500 };
-/// assert_eq!(next_orders(&runners, 2, times, 0, 1000), [9, 8]);
-/// assert_eq!(next_orders(&runners, 2, times, 1, 1000), [9]);
-/// let late = RolloutTimes { left_ms: 5000, ..times };
-/// assert_eq!(next_orders(&runners, 2, late, 0, 1000).len(), 4);
+/// let pace = RolloutPace { load_ms: 1500, loading_others: 0 };
+/// assert_eq!(next_orders(&runners, 2, pace, 1000), [9, 8]);
+/// let shared = RolloutPace { loading_others: 1, ..pace };
+/// assert_eq!(next_orders(&runners, 2, shared, 1000), [9]);
+/// let late: Vec<_> = runners.iter().map(|r| RolloutView { left_ms: 5000, ..*r }).collect();
+/// assert_eq!(next_orders(&late, 2, pace, 1000).len(), 4);
 /// ```
 pub fn next_orders(
     runners: &[RolloutView],
     goal: u64,
-    times: RolloutTimes,
-    loading_others: usize,
+    pace: RolloutPace,
     now_ms: u64,
 ) -> Vec<usize> {
     let serving = runners
@@ -143,9 +150,19 @@
     let mut due: Vec<usize> = (0..runners.len())
         .filter(|i| is_due(&runners[*i]))
         .collect();
-    let pressure = times.pressure(due.len(), loading);
-    let max_switching = (loading * pressure).floor() as usize;
     due.sort_by_key(|index| (runners[*index].version, runners[*index].running, *index));
-    due.truncate(max_switching.saturating_sub(switching + loading_others));
+    // The limit for a runner is the highest one that it or a later runner needs.
+    let mut limits: Vec<usize> = Vec::with_capacity(due.len());
+    let mut pressure: f64 = 1.0;
+    for (position, index) in due.iter().enumerate().rev() {
+        let needed = pace.pressure(position + 1, loading, runners[*index].left_ms);
+        pressure = pressure.max(needed);
+        limits.push((loading * pressure).floor() as usize);
+    }
+    limits.reverse();
+    let busy = switching + pace.loading_others;
+    let ordered = limits.iter().enumerate();
+    let ordered = ordered.take_while(|(position, limit)| busy + position < **limit);
+    due.truncate(ordered.count());
     due
 }
--- a/crates/policy/tests/duties.rs
+++ b/crates/policy/tests/duties.rs
@@ -9,7 +9,7 @@
     duty_lease::{DutyLease, LeaseAction, LeaseRecord, LeaseRole, LeaseTimes, LeaseWrite},
     retry_share::{RetryBounds, RetryOwner, RetryShare},
     shared_duties::{rank_among, DutyMember},
-    weights_rollout::{next_orders, RolloutTimes, RolloutView},
+    weights_rollout::{next_orders, RolloutPace, RolloutView},
 };
 use proptest::prelude::*;
 
@@ -306,6 +306,7 @@
     let ready = RolloutView {
         version: Some(2),
         is_ready: true,
+        left_ms: 15_000,
         ..RolloutView::default()
     };
     let oldest = RolloutView {
@@ -317,19 +318,19 @@
         version: Some(3),
         ..ready
     };
-    let times = RolloutTimes {
-        left_ms: 15_000,
+    let pace = RolloutPace {
         load_ms: 1500,
+        loading_others: 0,
     };
     let runners = [done, ready, oldest, ready, done];
-    assert_eq!(next_orders(&runners, 3, times, 0, 1000), [2]);
+    assert_eq!(next_orders(&runners, 3, pace, 1000), [2]);
     let ordered = RolloutView {
         ordered: 3,
         ordered_at_ms: 900,
         ..oldest
     };
     assert_eq!(
-        next_orders(&[done, ready, ordered, ready, done], 3, times, 0, 1000),
+        next_orders(&[done, ready, ordered, ready, done], 3, pace, 1000),
         [0; 0]
     );
 }
@@ -341,6 +342,7 @@
     let free = RolloutView {
         version: Some(2),
         is_ready: true,
+        left_ms: 15_000,
         ..RolloutView::default()
     };
     let loading = RolloutView {
@@ -349,13 +351,37 @@
         ordered_at_ms: 900,
         ..free
     };
-    let times = RolloutTimes {
-        left_ms: 15_000,
+    let pace = RolloutPace {
         load_ms: 1500,
+        loading_others: 0,
     };
     let mut runners = vec![loading; 2];
     runners.extend([free; 13]);
-    assert_eq!(next_orders(&runners, 3, times, 0, 1000), [2]);
+    assert_eq!(next_orders(&runners, 3, pace, 1000), [2]);
+}
+
+/// Guards against a rollout that takes many runners out of service that may still serve, because the
+/// time of a few others is over.
+#[test]
+fn runners_whose_time_is_over_do_not_hurry_those_that_may_serve() {
+    let serving = RolloutView {
+        version: Some(2),
+        is_ready: true,
+        left_ms: 15_000,
+        ..RolloutView::default()
+    };
+    let retired = RolloutView {
+        version: Some(1),
+        left_ms: 0,
+        ..serving
+    };
+    let pace = RolloutPace {
+        load_ms: 1500,
+        loading_others: 0,
+    };
+    let mut runners = vec![retired; 4];
+    runners.extend([serving; 11]);
+    assert_eq!(next_orders(&runners, 3, pace, 1000), [0, 1, 2, 3]);
 }
 
 /// Among 63 instances of different strengths, no shared duty is assigned to a weak one,
--- a/crates/policy/tests/handover.rs
+++ b/crates/policy/tests/handover.rs
@@ -8,7 +8,7 @@
     duty_lease::{DutyLease, LeaseAction, LeaseRecord, LeaseRole, LeaseTimes, LeaseWrite},
     sent_orders::SentOrder,
     shared_duties::{rank_among, DutyMember},
-    weights_rollout::{next_orders, RolloutTimes, RolloutView},
+    weights_rollout::{next_orders, RolloutPace, RolloutView},
 };
 use proptest::prelude::*;
 use std::mem::take;
@@ -347,15 +347,16 @@
             ordered_at_ms: order.at_ms,
             is_ready: true,
             is_excluded: lease.excludes_orders(&runner.name, now_ms),
+            left_ms: (NAMED_MS + APPLY_MS).saturating_sub(now_ms),
             ..RolloutView::default()
         }
     };
     let views: Vec<RolloutView> = runners.iter().map(view).collect();
-    let times = RolloutTimes {
-        left_ms: (NAMED_MS + APPLY_MS).saturating_sub(now_ms),
+    let pace = RolloutPace {
         load_ms: APPLY_MS / 9,
+        loading_others: 0,
     };
-    for due in next_orders(&views, 2, times, 0, now_ms) {
+    for due in next_orders(&views, 2, pace, now_ms) {
         let order = SentOrder {
             version: 2,
             at_ms: now_ms,
