Wait in a test until each instance serves

Cause: one_rejection_by_another_server_excludes_the_runner_at_all_instances asks each of three instances for 50 prompts and wants 200 for all. Change: the test waits for a first 200 from each instance before it counts. The 50 responses must still be 200, and the requests of the wait too may reach none of the other servers.

--- a/crates/gateway/tests/misdirection.rs
+++ b/crates/gateway/tests/misdirection.rs
@@ -73,6 +73,8 @@
     assert!(arrivals() <= 6, "{} arrivals", arrivals());
     let known = arrivals();
     for gateway in &fleet {
+        // An instance is ready a moment before it serves.
+        wait_until("the first response", || statuses(gateway, 1) == ["200"]);
         assert_eq!(statuses(gateway, 50), ["200"]);
     }
     assert_eq!(arrivals(), known);
