Reproduce a request time that a delayed heartbeat makes too late

Cause: callers saw requests begin on older weights after the time limit. The heartbeats that tests forge move into a file of the stand-ins, and those of other_builds.rs use it.

--- a/crates/gateway/tests/other_builds.rs
+++ b/crates/gateway/tests/other_builds.rs
@@ -7,7 +7,8 @@
 use berylmount_gateway::wire_cases::{WireInput, WireKind};
 use serde_json::{json, Value};
 use standins::{
-    all_routes, send_request, settings, table, wait_until, StandinStore, TestGateway, WAIT_TIMEOUT,
+    all_routes, encode_heartbeat, encode_messages, send_request, settings, table, wait_until,
+    StandinStore, TestGateway, WAIT_TIMEOUT,
 };
 use std::{
     fs,
@@ -43,17 +44,8 @@
 
     /// Encodes a heartbeat whose address for callers has `port`.
     fn heartbeat(&self, name: &str, port: u16) -> Vec<u8> {
-        let revision = json!({"era": 0, "revision": 0});
-        encode(&json!([{"Heartbeat": {
-            "format": 5, "name": name, "started_ms": 1, "strength": 250, "is_ready": true,
-            "entry": {"callers": format!("127.0.0.1:{port}"),
-                      "peers": self.socket.local_addr().unwrap().to_string(),
-                      "data_centre": "north"},
-            "changed_at": [revision, revision, revision], "table_version": 0, "goals": [],
-            "in_contact": [false, false, false], "loads": [], "paces": [], "engine_paces": [],
-            "lags": [], "confirmed": [], "duty": null, "runner_clock_ms": null,
-            "begun_streams": {"first": 0, "streams": []},
-        }}]))
+        let address = self.socket.local_addr().unwrap();
+        encode_heartbeat(name, address, port, &json!([]))
     }
 
     /// Waits until the gateway names the callers' address with `port`.
@@ -76,7 +68,7 @@
         let mut buffer = vec![0; 65_536];
         loop {
             let length = self.socket.recv(&mut buffer).unwrap();
-            let frame = encode(&frame(number, &[]));
+            let frame = encode_messages(&frame(number, &[]));
             // The length of the payload follows the number.
             if buffer[..length].starts_with(&frame[..frame.len() - 1]) {
                 return;
@@ -97,13 +89,6 @@
         .collect()
 }
 
-/// Encodes messages.
-fn encode(messages: &Value) -> Vec<u8> {
-    let text = messages.to_string();
-    let value = WireKind::Datagram.read(WireInput::Json(&text)).unwrap();
-    value.bytes
-}
-
 fn frame(kind: u16, payload: &[u8]) -> Value {
     json!([{"Extended": {"kind": kind, "payload": payload}}])
 }
@@ -125,9 +110,9 @@
 fn unknown_and_broken_messages_hide_no_others() {
     let other = OtherBuild::start();
     let mut datagram = other.heartbeat("i2", 4002);
-    datagram.extend(encode(&frame(UNKNOWN_KIND, &[1, 2, 3])));
+    datagram.extend(encode_messages(&frame(UNKNOWN_KIND, &[1, 2, 3])));
     // A name of six bytes that ends after three.
-    datagram.extend(encode(&frame(KNOWN_KINDS, &[6, b'i', b'2', b'x'])));
+    datagram.extend(encode_messages(&frame(KNOWN_KINDS, &[6, b'i', b'2', b'x'])));
     datagram.extend(other.heartbeat("i3", 4003));
     datagram.extend([0xff; 10]);
     other.socket.send(&datagram).unwrap();
@@ -145,7 +130,7 @@
     let mut datagram = other.heartbeat("i2", 4002);
     // The name, and kinds of which the gateway knows some; fields that it does not know follow.
     let payload = [2, b'i', b'2', 2, KNOWN_KINDS as u8, 200, 9, 9];
-    datagram.extend(encode(&frame(KNOWN_KINDS, &payload)));
+    datagram.extend(encode_messages(&frame(KNOWN_KINDS, &payload)));
     other.socket.send(&datagram).unwrap();
     other.wait_for_extension(KNOWN_KINDS);
 }
@@ -167,7 +152,7 @@
     });
     let mut statement = other.heartbeat("i2", 4002);
     let payload = [2, b'i', b'2', 2, EVACUATIONS as u8, KNOWN_KINDS as u8];
-    statement.extend(encode(&frame(KNOWN_KINDS, &payload)));
+    statement.extend(encode_messages(&frame(KNOWN_KINDS, &payload)));
     let mut buffer = vec![0; 65_536];
     wait_until("evacuations without the demand", || {
         other.socket.send(&statement).unwrap();
--- a/crates/gateway/tests/request_times.rs
+++ b/crates/gateway/tests/request_times.rs
@@ -7,10 +7,18 @@
 
 use serde_json::{json, Value};
 use standins::{
-    all_routes, received_requests, response_to, scripted_runner, table, wait_until, AfterResponse,
-    StandinRunner, StandinStore, TestGateway,
+    all_routes, encode_heartbeat, received_requests, response_to, scripted_runner, table,
+    wait_until, AfterResponse, StandinRunner, StandinStore, TestGateway,
 };
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::{
+    net::UdpSocket,
+    thread,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+/// Time after which a process no longer believes what a heartbeat alone tells of the time of a
+/// request, with some margin.
+const HINT_TIME: Duration = Duration::from_millis(1500);
 
 /// Starts a runner with old weights that refuses orders for newer ones.
 fn old_runner() -> StandinRunner {
@@ -125,3 +133,29 @@
         assert_eq!(status, "HTTP/1.1 503 Service Unavailable");
     }
 }
+
+/// Guards against a heartbeat that waited for long on its way, whose age of a request is too low
+/// by that time, and which lets old weights serve for another full time limit.
+#[test]
+fn a_delayed_heartbeat_does_not_let_old_weights_serve() {
+    let runner = old_runner();
+    let store = start_store(&runner);
+    store.put("versions", "m", weights(2));
+    let gateway = start_gateway(&store, "i1");
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    let heartbeat = encode_heartbeat("i2", address, 4002, &json!([["m", 2, 100]]));
+    let peers = gateway.settings.peer_address();
+    socket.send_to(&heartbeat, peers).unwrap();
+    thread::sleep(HINT_TIME);
+    let before = received_requests(&runner).len();
+    for number in 0..5 {
+        let status = send_prompt(&gateway, &format!("id{number}"));
+        assert_eq!(status, "HTTP/1.1 503 Service Unavailable");
+    }
+    let requests = received_requests(&runner);
+    let prompts = requests[before..]
+        .iter()
+        .filter(|r| r.starts_with("GET /safe/"));
+    assert_eq!(prompts.count(), 0);
+}
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -5,6 +5,7 @@
 
 mod brittle_runner;
 mod crashing_fleet;
+mod datagrams;
 mod limited_runner;
 mod link;
 mod runner;
@@ -13,6 +14,7 @@
 
 pub(crate) use brittle_runner::{BrittleCount, BrittleRunner};
 pub(crate) use crashing_fleet::{CrashingCall, FleetRecord};
+pub(crate) use datagrams::{encode_heartbeat, encode_messages};
 pub(crate) use limited_runner::{Arrival, LimitedRunner, LIMIT_CONTACT};
 pub(crate) use link::{CuttableLink, LinkCut};
 pub(crate) use runner::{
