Ask for request times in place of trusting heartbeats

Cause: heartbeats carry the age of a request. One that waits on its way looks younger than it is, e.g. in the socket of a process that stands still, and each process passed on the maximum of its own bound and all reported ones, so a bound that was too late was repeated among them for ever. Ruled out: the earliest report of each process (as before; a new process gives a new key, and echoes give new values), sending times in heartbeats (the clocks of two machines differ by up to 2.5 s), the margin of 2 s (a process may stand still for longer). Change: a heartbeat only hints. The process that gave a better hint is asked (extensions 17 and 18), and the age in its reply counts from the time at which the query was sent, so that bound is never too late and can be passed on. Ages are rounded up. A hint counts for 1 s after a process learned of the version, and only bounds are reported, replied and stored. An instance of an earlier build isn't asked. A version that a process missed counts as learned with the next newer one. The placement passes the present to newest_due, and takes its 2 s from the time limit.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 //! | `relay` | relays an event stream to the caller |
 //! | `event_split` | splits a byte stream at event boundaries |
 //! | `responses` | responses that the gateway generates itself |
+//! | `request_queries` | queries for the request times of weights |
 //! | `replica` | replicas of the store's objects |
 //! | `crash_parts` | requests and prompt parts that crash runners |
 //! | `copies` | copies of objects that are sent to other instances |
@@ -91,6 +92,7 @@
 mod reclaim;
 mod relay;
 mod replica;
+mod request_queries;
 mod reservation;
 mod response_memory;
 mod responses;
--- a/crates/gateway/src/peer_extensions.rs
+++ b/crates/gateway/src/peer_extensions.rs
@@ -19,7 +19,8 @@
     cold_runners::{deliver_reply, reply_to_request},
     peer_link::{decode, encode, send_message, send_messages, PullFault},
     peer_skips::{note_skipped, SkipReason},
-    peers::{ColdPermitReply, ColdPermitRequest, EvacuationReport, PeerMessage},
+    peers::{ColdPermitReply, ColdPermitRequest, EvacuationReport, PeerMessage, RequestTimesReply},
+    request_queries::{note_times_reply, reply_to_times_query},
     state::GatewayState,
     waiting::DemandReport,
 };
@@ -47,6 +48,10 @@
     KnownKinds = 5,
     /// [`PeerExtension::ColdReply`].
     ColdReply = 16,
+    /// [`PeerExtension::RequestTimesQuery`].
+    RequestTimesQuery = 17,
+    /// [`PeerExtension::RequestTimesReply`].
+    RequestTimesReply = 18,
 }
 
 /// A message of one of these kinds, as it is sent.
@@ -56,8 +61,8 @@
     payload: Vec<u8>,
 }
 
-/// A message of one of these kinds.
-#[derive(Clone, Debug, PartialEq)]
+/// A message of one of these kinds. Only wire cases serialize it as a whole.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum PeerExtension {
     /// What the sender knows of evacuations. Follows the heartbeats of watchers, and of others
     /// after a change.
@@ -70,6 +75,10 @@
     KnownKinds(String, Vec<u16>),
     /// What arrives at an instance, by class. Follows each of its heartbeats.
     Demand(DemandReport),
+    /// A query with this number for the request times of weights.
+    RequestTimesQuery(u64),
+    /// The reply to such a query.
+    RequestTimesReply(RequestTimesReply),
 }
 
 impl PeerExtension {
@@ -86,6 +95,8 @@
             Self::ColdReply(_) => ExtensionKind::ColdReply,
             Self::KnownKinds(..) => ExtensionKind::KnownKinds,
             Self::Demand(_) => ExtensionKind::Demand,
+            Self::RequestTimesQuery(_) => ExtensionKind::RequestTimesQuery,
+            Self::RequestTimesReply(_) => ExtensionKind::RequestTimesReply,
         }
     }
 
@@ -97,6 +108,8 @@
             Self::ColdReply(reply) => encode(reply)?,
             Self::KnownKinds(name, kinds) => encode(&(name, kinds))?,
             Self::Demand(report) => encode(report)?,
+            Self::RequestTimesQuery(number) => encode(number)?,
+            Self::RequestTimesReply(reply) => encode(reply)?,
         };
         Ok(ExtensionFrame {
             kind: self.kind() as u16,
@@ -118,6 +131,8 @@
                 Self::KnownKinds(name, kinds)
             }
             ExtensionKind::Demand => Self::Demand(decode(&frame.payload)?),
+            ExtensionKind::RequestTimesQuery => Self::RequestTimesQuery(decode(&frame.payload)?),
+            ExtensionKind::RequestTimesReply => Self::RequestTimesReply(decode(&frame.payload)?),
         }))
     }
 }
@@ -202,6 +217,13 @@
             send_frame(socket, &[sender], &reply).await;
         }
         Ok(Some(PeerExtension::ColdReply(reply))) => deliver_reply(state, reply),
+        Ok(Some(PeerExtension::RequestTimesQuery(number))) => {
+            let reply = PeerExtension::RequestTimesReply(reply_to_times_query(state, number));
+            send_frame(socket, &[sender], &reply).await;
+        }
+        Ok(Some(PeerExtension::RequestTimesReply(reply))) => {
+            note_times_reply(state, sender, &reply)
+        }
         Ok(Some(PeerExtension::KnownKinds(name, kinds))) => {
             let unanswered = state.peers.borrow_mut().note_known_kinds(&name, kinds);
             if let Some(address) = unanswered {
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -23,6 +23,7 @@
     permits::{decide_permit, deliver_reply, merge_limit},
     places::{decide_place, end_place, merge_brittle},
     replica::ReplicaDelta,
+    request_queries::{ask_for_times, send_times_query},
     state::GatewayState,
     store_watch::{is_connected_watcher, WatchedKind},
     stream_versions::{
@@ -165,6 +166,10 @@
                 send_begun(&state, &socket, &streams).await;
                 continue;
             }
+            address = state.request_queries.next_target() => {
+                send_times_query(&state, &socket, address).await;
+                continue;
+            }
         }
         let interval = Duration::from_millis(state.peers.borrow().interval_ms());
         let is_report_due = report_waited >= REPORT_INTERVAL.max(interval * REPORT_HEARTBEATS);
@@ -387,8 +392,10 @@
     if let Some(notice) = &heartbeat.holder_notice {
         state.retire(&notice.retired);
     }
-    for (model, report) in heartbeat.request_reports(boot_ms()) {
-        state.apply_request_report(model, &report);
+    let address = heartbeat.entry.peers;
+    let mut is_worth_asking = false;
+    for (model, hint) in heartbeat.request_hints(boot_ms()) {
+        is_worth_asking |= state.apply_request_hint(model, &hint);
     }
     if let Some(clock_ms) = heartbeat.runner_clock_ms {
         state.note_runner_clock(clock_ms, boot_ms());
@@ -402,6 +409,10 @@
         state.instances.borrow_mut().note_live(known);
         log::info!(target: "peers", peer; "instance is live");
     }
+    drop(peers);
+    if is_worth_asking {
+        ask_for_times(state, address);
+    }
 }
 
 /// Sends one datagram to each address.
@@ -470,14 +481,7 @@
     }
     heartbeat.table_version = state.table().map_or(0, |table| table.version);
     let now_ms = boot_ms();
-    let desired_weights = state.desired_weights.borrow();
-    for desired in desired_weights.iter() {
-        let entries = desired.times.bounds().map(|(version, at_ms)| {
-            let age_ms = at_ms.map(|at_ms| (now_ms as i64 - at_ms).max(0) as u64);
-            (desired.goal.model.clone(), version, age_ms)
-        });
-        heartbeat.desired_weights.extend(entries);
-    }
+    heartbeat.desired_weights = state.request_ages(now_ms);
     let watched = heartbeat.is_connected_watcher.iter_mut();
     for (is_connected, kind) in watched.zip(WatchedKind::ALL) {
         *is_connected = is_connected_watcher(state, kind);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -137,14 +137,13 @@
     xxh3_64_with_seed(model.as_bytes(), runner)
 }
 
-/// What a process reports about when a version of weights was requested.
+/// What a heartbeat tells about when a version of weights was requested. A heartbeat that was
+/// delayed shows too late a time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub(crate) struct RequestReport {
-    /// Key of the process.
-    pub(crate) process: u64,
+pub(crate) struct RequestHint {
     pub(crate) version: u64,
     /// The earliest time of the request by the boot clock of this process, in milliseconds.
-    pub(crate) at_ms: Option<i64>,
+    pub(crate) at_ms: i64,
 }
 
 /// The first fields of [`PeerHeartbeat`], which are the same in all formats from
@@ -258,23 +257,17 @@
             .is_some_and(|is_connected| *is_connected)
     }
 
-    /// Returns the reports about requested weights, each with its model, of a heartbeat that
+    /// Returns the hints about requested weights, each with its model, of a heartbeat that
     /// arrived at `now_ms`.
-    pub(crate) fn request_reports(
-        &self,
-        now_ms: u64,
-    ) -> impl Iterator<Item = (&str, RequestReport)> {
-        let process = name_hash(&format!("{}@{}", self.name, self.started_ms));
-        self.desired_weights
-            .iter()
-            .map(move |(model, version, age_ms)| {
-                let report = RequestReport {
-                    process,
-                    version: *version,
-                    at_ms: age_ms.map(|age_ms| now_ms as i64 - age_ms as i64),
-                };
-                (model.as_str(), report)
-            })
+    pub(crate) fn request_hints(&self, now_ms: u64) -> impl Iterator<Item = (&str, RequestHint)> {
+        let ages = self.desired_weights.iter();
+        ages.filter_map(move |(model, version, age_ms)| {
+            let hint = RequestHint {
+                version: *version,
+                at_ms: now_ms as i64 - (*age_ms)? as i64,
+            };
+            Some((model.as_str(), hint))
+        })
     }
 
     /// Whether the instance is being stopped. Before its start is complete, it has no table.
@@ -357,6 +350,16 @@
     pub(crate) decision: ColdDecision,
 }
 
+/// The reply to a query for the request times of weights.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct RequestTimesReply {
+    /// Number of the query.
+    pub(crate) number: u64,
+    /// Requested weights: model, version, and an age in milliseconds that the request surely does
+    /// not exceed; `None` if there is none.
+    pub(crate) ages: Vec<(String, u64, Option<u64>)>,
+}
+
 /// A datagram between instances.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) enum PeerMessage {
@@ -642,17 +645,17 @@
         relays.map(|peer| &peer.heartbeat.entry)
     }
 
-    /// Returns what the other instances have reported about requests of a model's weights.
-    pub(crate) fn request_reports<'a>(
+    /// Returns what the last heartbeats of the other instances tell about requests of a model's
+    /// weights, each with the address of the instance for other instances.
+    pub(crate) fn request_hints<'a>(
         &'a self,
         model: &'a str,
-    ) -> impl Iterator<Item = RequestReport> + 'a {
-        let reports = self.peers.iter().flat_map(|peer| {
-            let heartbeat = &peer.heartbeat;
-            heartbeat.request_reports(peer.last_seen_ms)
-        });
-        let of_model = reports.filter(move |(reported, _)| *reported == model);
-        of_model.map(|(_, report)| report)
+    ) -> impl Iterator<Item = (SocketAddr, RequestHint)> + 'a {
+        self.peers.iter().flat_map(move |peer| {
+            let hints = peer.heartbeat.request_hints(peer.last_seen_ms);
+            let of_model = hints.filter(move |(hinted, _)| *hinted == model);
+            of_model.map(|(_, hint)| (peer.heartbeat.entry.peers, hint))
+        })
     }
 
     /// Returns the addresses for other instances of all known instances.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -548,7 +548,8 @@
     let desired = state.desired_weights_of(&prompt.model)?;
     let apply_ms = state.settings().bounds.weights_apply.as_millis() as u64;
     // A request that is placed now starts a little later.
-    desired.times.newest_due(now_ms + START_DELAY_MS, apply_ms)
+    let placed_ms = apply_ms.saturating_sub(START_DELAY_MS);
+    desired.times.newest_due(now_ms, placed_ms)
 }
 
 /// Returns the policy's view of each candidate.
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -11,11 +11,14 @@
     evacuations::EvacuatedCentres,
     instances::InstanceList,
     peer_skips::SkippedMessages,
-    peers::{name_hash, CacheGossip, HolderNotice, LoadShare, PeerTable, RequestReport},
+    peers::{
+        name_hash, CacheGossip, HolderNotice, LoadShare, PeerTable, RequestHint, RequestTimesReply,
+    },
     permits::SilentCoordinator,
     reachability::ServicePaths,
     reclaim::ActiveFetches,
     replica::KindReplica,
+    request_queries::{ask_for_times, knows_times_queries, RequestQueries},
     response_memory::SharedPool,
     runner_registry::RunnerRegistry,
     store_lag::OpenWaits,
@@ -85,24 +88,12 @@
     pub(crate) times: RequestTimes,
 }
 
-/// Records what another process reports about the request of a version, unless the version is
-/// newer than the one that this process has found in the store.
-fn note_report(desired: &mut DesiredWeights, report: &RequestReport, now_ms: u64) {
-    if report.version <= desired.goal.version {
-        let (process, version) = (report.process, report.version);
-        let times = &mut desired.times;
-        let before_ms = times.bound_ms(version);
-        times.note_report(process, version, report.at_ms, now_ms);
-        let bound_ms = times.bound_ms(version);
-        let change_ms = bound_ms
-            .zip(before_ms)
-            .map(|(at_ms, before_ms)| at_ms - before_ms);
-        let is_small = change_ms.is_some_and(|change_ms| change_ms.abs() < LOGGED_CHANGE_MS);
-        if bound_ms != before_ms && !is_small {
-            let model = desired.goal.model.as_str();
-            let age_ms = bound_ms.map(|at_ms| now_ms as i64 - at_ms);
-            log::info!(target: "weights", model, version, process, age_ms:?, change_ms:?; "changed the earliest time of the request");
-        }
+impl DesiredWeights {
+    /// Records a hint, unless its version is newer than the one that this process has found in
+    /// the store. Returns whether it is worth asking the process that gave it.
+    fn note_hint(&mut self, hint: &RequestHint, now_ms: u64) -> bool {
+        let (version, at_ms) = (hint.version, hint.at_ms);
+        version <= self.goal.version && self.times.note_hint(version, at_ms, now_ms)
     }
 }
 
@@ -193,6 +184,8 @@
     pub(crate) peer_socket: OnceCell<Rc<UdpSocket>>,
     /// Requested weights, sorted by model.
     pub(crate) desired_weights: RefCell<Vec<DesiredWeights>>,
+    /// Queries for their request times.
+    pub(crate) request_queries: RequestQueries,
     /// Wakes the task that stores the request times of weights.
     pub(crate) weights_requested: Notify,
     /// Notified when an order is planned, which the lease must record before it is sent.
@@ -288,6 +281,7 @@
             silent_coordinators: RefCell::default(),
             peer_socket: OnceCell::new(),
             desired_weights: RefCell::default(),
+            request_queries: RequestQueries::default(),
             weights_requested: Notify::new(),
             order_planned: Notify::new(),
             stored_request_times: RefCell::default(),
@@ -369,21 +363,69 @@
             }
         };
         desired.times.learn(version, absent_ms, now_ms);
-        // The others may have reported the version before.
+        // The others may have told of the version before.
+        let model = desired.goal.model.clone();
         let peers = self.peers.borrow();
-        let reports: Vec<RequestReport> = peers.request_reports(&desired.goal.model).collect();
-        for report in reports {
-            note_report(desired, &report, now_ms);
+        let mut worthwhile: Vec<(i64, SocketAddr)> = Vec::new();
+        for (address, hint) in peers.request_hints(&model) {
+            if desired.note_hint(&hint, now_ms) && hint.version == version {
+                worthwhile.push((hint.at_ms, address));
+            }
+        }
+        worthwhile.retain(|(_, address)| knows_times_queries(self, *address));
+        if let Some((_, address)) = worthwhile.into_iter().max() {
+            ask_for_times(self, address);
         }
         true
     }
 
-    /// Applies what another process reports about when weights were requested.
-    pub(crate) fn apply_request_report(&self, model: &str, report: &RequestReport) {
+    /// Applies what a heartbeat tells about when weights were requested. Returns whether it is
+    /// worth asking its sender.
+    pub(crate) fn apply_request_hint(&self, model: &str, hint: &RequestHint) -> bool {
         let mut desired_weights = self.desired_weights.borrow_mut();
         let found = desired_weights.binary_search_by(|known| known.goal.model.as_str().cmp(model));
-        if let Ok(index) = found {
-            note_report(&mut desired_weights[index], report, boot_ms());
+        found.is_ok_and(|index| desired_weights[index].note_hint(hint, boot_ms()))
+    }
+
+    /// Returns the requested weights: model, version, and an age in milliseconds that the request
+    /// surely does not exceed; `None` if there is none.
+    pub(crate) fn request_ages(&self, now_ms: u64) -> Vec<(String, u64, Option<u64>)> {
+        let desired_weights = self.desired_weights.borrow();
+        let ages = desired_weights.iter().flat_map(|known| {
+            let ages = known.times.ages(now_ms);
+            ages.map(|(version, age_ms)| (known.goal.model.clone(), version, age_ms))
+        });
+        ages.collect()
+    }
+
+    /// Applies the reply of the instance at `sender` to a query that this one sent at `sent_ms`,
+    /// without versions that are newer than those that this process has found in the store.
+    pub(crate) fn apply_times_reply(
+        &self,
+        sender: SocketAddr,
+        reply: &RequestTimesReply,
+        sent_ms: u64,
+    ) {
+        let now_ms = boot_ms();
+        let mut desired_weights = self.desired_weights.borrow_mut();
+        for (model, version, age_ms) in &reply.ages {
+            let found = desired_weights.binary_search_by(|known| known.goal.model.cmp(model));
+            let Ok(index) = found else { continue };
+            let (version, known) = (*version, &mut desired_weights[index]);
+            if version > known.goal.version {
+                continue;
+            }
+            let before_ms = known.times.bound_ms(version);
+            known.times.note_reply(version, *age_ms, sent_ms, now_ms);
+            let bound_ms = known.times.bound_ms(version);
+            let change_ms = bound_ms
+                .zip(before_ms)
+                .map(|(at_ms, before_ms)| at_ms - before_ms);
+            let is_small = change_ms.is_some_and(|change_ms| change_ms.abs() < LOGGED_CHANGE_MS);
+            if bound_ms != before_ms && !is_small {
+                let age_ms = bound_ms.map(|at_ms| now_ms as i64 - at_ms);
+                log::info!(target: "weights", model, version, sender:%, age_ms:?, change_ms:?; "changed the earliest time of the request");
+            }
         }
     }
 
--- a/crates/gateway/src/wire_cases.rs
+++ b/crates/gateway/src/wire_cases.rs
@@ -7,6 +7,7 @@
     cache_stores::StoreSnapshot,
     crash_parts::stored::PartRecord,
     instances::ListedEntry,
+    peer_extensions::PeerExtension,
     peer_link::{decode, decode_first, encode, PullFault, PullReply, PullRequest, TunnelReply},
     peers::PeerMessage,
     stream_versions::stored::StreamRecord,
@@ -26,6 +27,8 @@
 pub enum WireKind {
     /// Messages of a datagram.
     Datagram,
+    /// A message of a datagram whose kind was added after the first format.
+    Extension,
     /// A request over a connection.
     CopyRequest,
     /// The reply with changes of a watched kind.
@@ -101,6 +104,7 @@
     pub fn read(self, input: WireInput<'_>) -> Result<WireValue, WireFault> {
         match self {
             Self::Datagram => read_datagram(input),
+            Self::Extension => read_extension(input),
             Self::CopyRequest => read_message::<PullRequest>(input),
             Self::ChangesReply => read_message::<PullReply>(input),
             Self::StoreReply => read_message::<Option<StoreSnapshot>>(input),
@@ -136,6 +140,21 @@
     })
 }
 
+fn read_extension(input: WireInput<'_>) -> Result<WireValue, WireFault> {
+    let unknown = || WireFault::Message("no known kind of extension".to_owned());
+    let extension: PeerExtension = match input {
+        WireInput::Json(text) => serde_json::from_str(text)?,
+        WireInput::Encoded(bytes) => match decode(bytes)? {
+            PeerMessage::Extended(frame) => PeerExtension::decode(&frame)?.ok_or_else(unknown)?,
+            _ => return Err(unknown()),
+        },
+    };
+    Ok(WireValue {
+        bytes: encode(&PeerMessage::Extended(extension.encode()?))?,
+        text: format!("{extension:#?}\n"),
+    })
+}
+
 fn read_message<M>(input: WireInput<'_>) -> Result<WireValue, WireFault>
 where
     M: Debug + DeserializeOwned + Serialize,
--- a/crates/gateway/tests/request_times.rs
+++ b/crates/gateway/tests/request_times.rs
@@ -5,15 +5,16 @@
 
 mod standins;
 
+use berylmount_gateway::wire_cases::{WireInput, WireKind};
 use serde_json::{json, Value};
 use standins::{
-    all_routes, encode_heartbeat, received_requests, response_to, scripted_runner, table,
-    wait_until, AfterResponse, StandinRunner, StandinStore, TestGateway,
+    all_routes, encode_heartbeat, received_requests, response_to, scripted_runner, settings, table,
+    wait_until, AfterResponse, StandinRunner, StandinStore, TestGateway, WAIT_TIMEOUT,
 };
 use std::{
     net::UdpSocket,
     thread,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 /// Time after which a process no longer believes what a heartbeat alone tells of the time of a
@@ -42,10 +43,14 @@
     Some(json!({"Model": "m", "Version": version}))
 }
 
-/// Sends a prompt for the model; returns the first line of the response.
+/// Sends a prompt for the model `m`; returns the first line of the response.
 fn send_prompt(gateway: &TestGateway, id: &str) -> String {
-    let headers = "Berylmount-Model: m\r\nBerylmount-Token-Usage: 100,10\r\n";
-    let response = gateway.call("GET /safe/x", id, headers, "").unwrap();
+    send_prompt_for(gateway, "m", id)
+}
+
+fn send_prompt_for(gateway: &TestGateway, model: &str, id: &str) -> String {
+    let headers = format!("Berylmount-Model: {model}\r\nBerylmount-Token-Usage: 100,10\r\n");
+    let response = gateway.call("GET /safe/x", id, &headers, "").unwrap();
     response.lines().next().unwrap().to_owned()
 }
 
@@ -159,3 +164,93 @@
         .filter(|r| r.starts_with("GET /safe/"));
     assert_eq!(prompts.count(), 0);
 }
+
+/// Waits for a query for request times; returns its number.
+fn receive_query(socket: &UdpSocket) -> u64 {
+    let mut buffer = vec![0; 65_536];
+    let mut number = None;
+    wait_until("a query for request times", || {
+        let length = socket.recv(&mut buffer).unwrap();
+        // Heartbeats are no extensions.
+        if let Ok(value) = WireKind::Extension.read(WireInput::Encoded(&buffer[..length])) {
+            let query = value.text.strip_prefix("RequestTimesQuery(\n");
+            number = query.map(|rest| rest.trim().split(',').next().unwrap().to_owned());
+        }
+        number.is_some()
+    });
+    number.unwrap().parse().unwrap()
+}
+
+/// Guards against refusing prompts until the next heartbeat, in a large fleet for a second, after
+/// a process has learned of a version of which others have told before, and against believing
+/// them for longer without a reply.
+#[test]
+fn a_process_asks_for_the_request_time_when_it_learns_of_a_version() {
+    let runner = old_runner();
+    let store = start_store(&runner);
+    store.put("versions", "m", weights(2));
+    store.refuse_kinds(&["versions"]);
+    let gateway = start_gateway(&store, "i1");
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    let address = socket.local_addr().unwrap();
+    let heartbeat = encode_heartbeat("i2", address, 4002, &json!([["m", 2, 100]]));
+    let peers = gateway.settings.peer_address();
+    socket.send_to(&heartbeat, peers).unwrap();
+    // The gateway sends its own heartbeats to instances that it has heard.
+    socket.recv(&mut [0; 65_536]).unwrap();
+    let started = Instant::now();
+    store.refuse_kinds(&[]);
+    receive_query(&socket);
+    let status = send_prompt(&gateway, "soon");
+    // The process has learned of the version after `started`.
+    if started.elapsed() < Duration::from_secs(1) {
+        assert_eq!(status, "HTTP/1.1 200 OK");
+    }
+    thread::sleep(HINT_TIME);
+    let status = send_prompt(&gateway, "later");
+    assert_eq!(status, "HTTP/1.1 503 Service Unavailable");
+}
+
+/// Guards against a reply that is taken for younger than it is, and against refusing prompts for
+/// which a reply has shown that old weights may serve.
+#[test]
+fn a_request_time_in_a_reply_counts_from_the_query() {
+    let runner = old_runner();
+    let store = start_store(&runner);
+    let mut entry = runner.entry("svc", "ready");
+    entry["Models"] = json!([{"Name": "m", "Version": 1}, {"Name": "n", "Version": 1}]);
+    store.put("servers", "r1", Some(entry));
+    store.put("versions", "m", weights(2));
+    store.put("versions", "n", Some(json!({"Model": "n", "Version": 2})));
+    let mut settings = settings("i1", store.address);
+    settings.bounds.weights_apply = Duration::from_secs(14);
+    let gateway = TestGateway::start_with_settings(store, settings);
+    gateway.wait_ready();
+    gateway.wait_for_status("GET /safe/warm", "200", false);
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.set_read_timeout(Some(WAIT_TIMEOUT)).unwrap();
+    let address = socket.local_addr().unwrap();
+    let goals = json!([["m", 2, 100], ["n", 2, 100]]);
+    let heartbeat = encode_heartbeat("i2", address, 4002, &goals);
+    let peers = gateway.settings.peer_address();
+    socket.send_to(&heartbeat, peers).unwrap();
+    let number = receive_query(&socket);
+    thread::sleep(Duration::from_secs(4));
+    for model in ["m", "n"] {
+        let status = send_prompt_for(&gateway, model, "early");
+        assert_eq!(status, "HTTP/1.1 503 Service Unavailable");
+    }
+    // Of the 14 s, 4 s have passed since the query, and a request may start 2 s later.
+    let reply = json!({"number": number, "ages": [["m", 2, 9000], ["n", 2, 0]]});
+    let reply = json!({"RequestTimesReply": reply}).to_string();
+    let reply = WireKind::Extension.read(WireInput::Json(&reply)).unwrap();
+    socket.send_to(&reply.bytes, peers).unwrap();
+    wait_until("a response on old weights", || {
+        send_prompt_for(&gateway, "n", "recent") == "HTTP/1.1 200 OK"
+    });
+    assert_eq!(
+        send_prompt_for(&gateway, "m", "long-ago"),
+        "HTTP/1.1 503 Service Unavailable"
+    );
+}
--- a/crates/policy/src/request_times.rs
+++ b/crates/policy/src/request_times.rs
@@ -5,10 +5,16 @@
 //! was requested later than that. A process that starts after the request has no such
 //! bound, and neither has anybody after a loss of all processes, unless one is stored.
 //!
+//! Other processes may know a later bound. What a message tells unasked is only a hint: it may
+//! have waited anywhere on its way, so the age of a request in it may be too low. The reply to a
+//! query was made after the query was sent. Its age, counted back from the time of the query, gives
+//! a bound that is too early by no more than the delay, and never too late, so it can be passed on.
+//!
 //! Invariants:
 //!
-//! - A bound is never later than the request, apart from the delay of the messages that
-//!   carried it.
+//! - A bound is never later than the request, apart from differences in the rates of clocks.
+//! - A hint counts for [`HINT_VALIDITY_MS`] after this process learned of the version, and is
+//!   never passed on.
 //! - Without a bound, a version counts as requested as long ago as possible.
 //! - A bound is never later than the moment at which this process learned of the version.
 //!
@@ -17,8 +23,12 @@
 
 /// Maximum number of versions of a model that are remembered.
 const MAX_VERSIONS: usize = 16;
-/// Maximum number of processes whose bounds of a version are remembered.
-const MAX_REPORTERS: usize = 8;
+/// Time for which a hint counts after a process learned of a version, in milliseconds. It is enough
+/// for some queries, of which some may be lost.
+pub const HINT_VALIDITY_MS: u64 = 1000;
+/// Smallest difference between a hint and the known bound for which it is worth asking, in
+/// milliseconds. It exceeds the usual delay of messages.
+pub const HINT_TOLERANCE_MS: u64 = 200;
 
 /// What is known about when one version was requested.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -26,17 +36,28 @@
     version: u64,
     /// When this process learned of the version.
     learned_ms: i64,
-    /// The latest bound that this process has from the store; `None` without one.
-    own_ms: Option<i64>,
-    /// The bounds that other processes have reported, sorted by the key of the process.
-    reported: Vec<(u64, i64)>,
+    /// The latest bound from the store, the lease or a reply; `None` without one.
+    bound_ms: Option<i64>,
+    /// The latest hint; `None` without one.
+    hint_ms: Option<i64>,
 }
 
 impl RequestTime {
     /// Returns the latest bound.
     fn earliest_ms(&self) -> Option<i64> {
-        let reported = self.reported.iter().map(|(_, at_ms)| *at_ms);
-        let latest_ms = reported.chain(self.own_ms).max()?;
+        let bound_ms = self.bound_ms?;
+        Some(bound_ms.min(self.learned_ms))
+    }
+
+    /// Whether hints count.
+    fn accepts_hints(&self, now_ms: u64) -> bool {
+        (now_ms as i64) < self.learned_ms + HINT_VALIDITY_MS as i64
+    }
+
+    /// Returns the latest bound or, for a short time, the latest hint.
+    fn assumed_ms(&self, now_ms: u64) -> Option<i64> {
+        let hint_ms = self.hint_ms.filter(|_| self.accepts_hints(now_ms));
+        let latest_ms = self.bound_ms.max(hint_ms)?;
         Some(latest_ms.min(self.learned_ms))
     }
 }
@@ -49,10 +70,10 @@
 /// let mut times = RequestTimes::default();
 /// times.learn(2, None, 20_000);
 /// assert!(times.is_due(2, 20_000, 15_000));
-/// // Another process saw the store without it at 18,000.
-/// times.note_report(7, 2, Some(18_000), 20_000);
-/// assert!(!times.is_due(2, 32_000, 15_000));
-/// assert!(times.is_due(2, 33_000, 15_000));
+/// // Another process replies to a query of 20,010 that the request is at most 2 s old.
+/// times.note_reply(2, Some(2000), 20_010, 20_030);
+/// assert!(!times.is_due(2, 33_000, 15_000));
+/// assert!(times.is_due(2, 33_010, 15_000));
 /// ```
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct RequestTimes {
@@ -67,15 +88,18 @@
             Ok(index) => index,
             Err(0) if self.times.len() >= MAX_VERSIONS => return None,
             Err(mut index) => {
+                // Who has learned of a newer version knows that this one was requested before.
+                let newer = self.times.get(index);
+                let learned_ms = newer.map_or(now_ms as i64, |newer| newer.learned_ms);
                 if self.times.len() >= MAX_VERSIONS {
                     self.times.remove(0);
                     index -= 1;
                 }
                 let time = RequestTime {
                     version,
-                    learned_ms: now_ms as i64,
-                    own_ms: None,
-                    reported: Vec::new(),
+                    learned_ms,
+                    bound_ms: None,
+                    hint_ms: None,
                 };
                 self.times.insert(index, time);
                 index
@@ -96,30 +120,40 @@
     /// clocks; `None` if a version is stored without one.
     pub fn note_stored(&mut self, version: u64, at_ms: Option<i64>, now_ms: u64) {
         if let Some(time) = self.entry(version, now_ms) {
-            time.own_ms = time.own_ms.max(at_ms);
+            time.bound_ms = time.bound_ms.max(at_ms);
         }
     }
 
-    /// Records the bound that another process has reported; `None` if it has none. A
-    /// message that is delayed shows too late a bound, so the earliest report of a process
-    /// counts.
-    pub fn note_report(&mut self, process: u64, version: u64, at_ms: Option<i64>, now_ms: u64) {
-        let (Some(time), Some(at_ms)) = (self.entry(version, now_ms), at_ms) else {
-            return;
+    /// Records an entry of [`Self::ages`] in the reply of another process to a query that was
+    /// sent at `sent_ms`.
+    pub fn note_reply(&mut self, version: u64, age_ms: Option<u64>, sent_ms: u64, now_ms: u64) {
+        let at_ms = age_ms.map(|age_ms| sent_ms as i64 - age_ms as i64);
+        self.note_stored(version, at_ms, now_ms);
+    }
+
+    /// Records a hint. Returns whether it is worth asking the process that gave it.
+    ///
+    /// ```
+    /// use berylmount_policy::request_times::RequestTimes;
+    ///
+    /// let mut times = RequestTimes::default();
+    /// times.learn(2, None, 20_000);
+    /// assert!(times.note_hint(2, 19_000, 20_000));
+    /// assert!(!times.is_due(2, 20_999, 15_000));
+    /// assert!(times.is_due(2, 21_000, 15_000));
+    /// times.note_reply(2, Some(1000), 20_000, 20_010);
+    /// assert!(!times.note_hint(2, 19_010, 21_000));
+    /// ```
+    pub fn note_hint(&mut self, version: u64, at_ms: i64, now_ms: u64) -> bool {
+        let Some(time) = self.entry(version, now_ms) else {
+            return false;
         };
-        match time
-            .reported
-            .binary_search_by_key(&process, |(key, _)| *key)
-        {
-            Ok(index) => {
-                let known_ms = &mut time.reported[index].1;
-                *known_ms = at_ms.min(*known_ms);
-            }
-            Err(index) if time.reported.len() < MAX_REPORTERS => {
-                time.reported.insert(index, (process, at_ms));
-            }
-            Err(_) => {}
+        if time.accepts_hints(now_ms) {
+            time.hint_ms = time.hint_ms.max(Some(at_ms));
         }
+        let hint_ms = at_ms.min(time.learned_ms);
+        let known_ms = time.earliest_ms();
+        known_ms.is_none_or(|known_ms| hint_ms > known_ms + HINT_TOLERANCE_MS as i64)
     }
 
     /// Returns the versions, oldest first, with the earliest time at which each can have
@@ -129,6 +163,24 @@
         times.map(|time| (time.version, time.earliest_ms()))
     }
 
+    /// Returns the versions, oldest first, with an age in milliseconds that their requests
+    /// surely do not exceed; `None` if there is no bound.
+    ///
+    /// ```
+    /// use berylmount_policy::request_times::RequestTimes;
+    ///
+    /// let mut times = RequestTimes::default();
+    /// times.learn(2, Some(18_000), 20_000);
+    /// // A clock may be almost a millisecond ahead of its reading.
+    /// assert_eq!(times.ages(20_000).collect::<Vec<_>>(), [(2, Some(2001))]);
+    /// ```
+    pub fn ages(&self, now_ms: u64) -> impl Iterator<Item = (u64, Option<u64>)> + '_ {
+        self.bounds().map(move |(version, at_ms)| {
+            let age_ms = at_ms.map(|at_ms| (now_ms as i64 - at_ms).max(0) as u64 + 1);
+            (version, age_ms)
+        })
+    }
+
     /// Returns the earliest time at which a version can have been requested; `None` if there is
     /// no bound.
     ///
@@ -146,12 +198,15 @@
 
     /// Whether `apply_ms` may have passed since a version was requested.
     pub fn is_due(&self, version: u64, now_ms: u64, apply_ms: u64) -> bool {
-        let mut bounds = self.bounds();
-        let found = bounds.find(|(known, _)| *known == version);
-        found.is_some_and(|(_, at_ms)| remaining_ms(at_ms, now_ms, apply_ms) == 0)
+        let found = self.times.binary_search_by_key(&version, |t| t.version);
+        found.is_ok_and(|index| {
+            let at_ms = self.times[index].assumed_ms(now_ms);
+            remaining_ms(at_ms, now_ms, apply_ms) == 0
+        })
     }
 
     /// Returns the newest version for which `apply_ms` may have passed since its request.
+    /// `now_ms` must be the present, because hints count for a limited time.
     pub fn newest_due(&self, now_ms: u64, apply_ms: u64) -> Option<u64> {
         let versions = self.times.iter().rev().map(|time| time.version);
         let mut due = versions.filter(|version| self.is_due(*version, now_ms, apply_ms));
@@ -172,8 +227,8 @@
     /// assert_eq!(times.left_ms(3, 21_000, 15_000), None);
     /// ```
     pub fn left_ms(&self, version: u64, now_ms: u64, apply_ms: u64) -> Option<u64> {
-        let newer = self.bounds().filter(|(requested, _)| *requested > version);
-        let left = newer.map(|(_, at_ms)| remaining_ms(at_ms, now_ms, apply_ms));
+        let newer = self.times.iter().filter(|time| time.version > version);
+        let left = newer.map(|time| remaining_ms(time.assumed_ms(now_ms), now_ms, apply_ms));
         left.min()
     }
 }
