--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -269,8 +269,8 @@
     let has_weights = || {
         let min_version = requested.and_then(|requested| {
             let apply_ms = state.settings().bounds.weights_apply.as_millis() as u64;
-            let starts_ms = now_ms + start_delay_ms(runner, now_ms);
-            requested.times.newest_due(starts_ms, apply_ms)
+            let placed_ms = apply_ms.saturating_sub(start_delay_ms(runner, now_ms));
+            requested.times.newest_due(now_ms, placed_ms)
         });
         min_version.is_none_or(|min_version| {
             weights_version_at(query, runner).is_none_or(|version| version >= min_version)
