Keep orders on their way in the lease, and order a runner soon after its report failed

A released lease listed an order that was still on its way, or whose call had timed out, with the time at which it was handed to the kernel. An order that a process of the same name may still send was listed as sent now. A planned order erased that one was in progress. A late withdrawal took back a newer order. Change: only orders that were sent stay in progress after a fault; a release lists recorded plans, which are those that can be on their way; a call that times out counts as sent then; orders that may be sent later stay planned; plans change only the time; a withdrawal names its version.

--- a/crates/gateway/src/weights.rs
+++ b/crates/gateway/src/weights.rs
@@ -249,7 +249,7 @@
     let sent_ms = boot_ms();
     let outcome = order_runner(state, lease, &mut client, &record.id, goal).await;
     lease.borrow_mut().drop_plan(&record.id);
-    if matches!(outcome, Err(CallFault::NotSent(_))) {
+    if matches!(outcome, Err(OrderFault::Unsent(CallFault::NotSent(_)))) {
         state.service_paths.of(&record.service).note_doubt();
     }
     runner.note_notice(client.notice(), boot_ms());
@@ -271,20 +271,29 @@
         Ok(None) => {
             log::info!(target: "weights", runner = runner_id; "order not sent because the lease was lost")
         }
-        Err(fault) => {
-            log::warn!(target: "weights", runner = runner_id, version, fault:% ; "could not confirm the order, its outcome may be unknown");
+        Err(OrderFault::Unsent(fault)) => {
+            log::warn!(target: "weights", runner = runner_id, version, fault:% ; "could not send the order");
+        }
+        Err(OrderFault::Unclear(fault)) => {
+            log::warn!(target: "weights", runner = runner_id, version, fault:% ; "could not confirm the order, its outcome is unknown");
             // The runner may still execute it seconds later, so its record stays as if it had
             // been accepted.
-            if !matches!(fault, CallFault::NotSent(_)) {
-                return;
-            }
+            return;
         }
     }
     // The order failed or was not needed, so the record is removed after a pause and the
     // order may be sent again.
     sleep(Duration::from_millis(300)).await;
     let mut lease = lease.borrow_mut();
-    lease.orders_mut().withdraw(runner_id, &goal.model);
+    lease.orders_mut().withdraw(runner_id, &goal.model, version);
+}
+
+/// Why an order has no outcome.
+enum OrderFault {
+    /// It was not sent.
+    Unsent(CallFault),
+    /// It was sent, and the runner may execute it.
+    Unclear(CallFault),
 }
 
 /// Plans an order, and waits until the lease has recorded the plan. Returns the fencing token, or
@@ -319,8 +328,9 @@
     client: &mut RunnerClient,
     runner: &str,
     goal: &DesiredVersion,
-) -> Result<Option<OrderOutcome>, CallFault> {
-    let found = client.order_state(&goal.model).await?;
+) -> Result<Option<OrderOutcome>, OrderFault> {
+    let found = client.order_state(&goal.model).await;
+    let found = found.map_err(OrderFault::Unsent)?;
     if found.version.is_some_and(|version| version >= goal.version) {
         return Ok(Some(OrderOutcome::AlreadyLoaded));
     }
@@ -330,10 +340,11 @@
     let Some(fencing_token) = wait_for_record(state, lease, runner, goal).await else {
         return Ok(None);
     };
-    lease
-        .borrow_mut()
-        .orders_mut()
-        .note_sent(runner, &goal.model, boot_ms());
+    let note_sent = || {
+        let mut lease = lease.borrow_mut();
+        lease.orders_mut().note_sent(runner, &goal.model, boot_ms());
+    };
+    note_sent();
     let order = WeightsOrder {
         runner,
         model: &goal.model,
@@ -343,5 +354,13 @@
         fencing_token,
         expected_orders: Some(found.orders),
     };
-    client.order_weights(&order).await.map(Some)
+    match client.order_weights(&order).await {
+        Ok(outcome) => Ok(Some(outcome)),
+        Err(fault @ CallFault::NotSent(_)) => Err(OrderFault::Unsent(fault)),
+        Err(fault) => {
+            // What the kernel has not delivered yet may still arrive.
+            note_sent();
+            Err(OrderFault::Unclear(fault))
+        }
+    }
 }
--- a/crates/gateway/tests/lease_handover.rs
+++ b/crates/gateway/tests/lease_handover.rs
@@ -8,7 +8,10 @@
     all_routes, received_requests, response_to, scripted_runner, settings, table, wait_until,
     AfterResponse, CuttableLink, LinkCut, StandinRunner, StandinStore, TestGateway,
 };
-use std::time::Duration;
+use std::{
+    sync::atomic::{AtomicUsize, Ordering},
+    time::{Duration, Instant},
+};
 
 /// Starts a runner with old weights that accepts orders.
 fn old_runner() -> StandinRunner {
@@ -89,3 +92,39 @@
         runners.iter().any(|(_, runner)| orders(runner) > 0)
     });
 }
+
+/// Guards against a runner that counts as switching for seconds although it got no order, because
+/// it failed the question that comes before it.
+#[test]
+fn a_runner_whose_report_failed_is_ordered_soon() {
+    let reports = AtomicUsize::new(0);
+    let sound = old_runner();
+    let runner = scripted_runner(move |request| {
+        let is_report = request.starts_with("GET /berylmount/report");
+        let response = match is_report && reports.fetch_add(1, Ordering::Relaxed) == 0 {
+            true => response_to(request, "503 Busy", ""),
+            false if is_report => {
+                let body = r#"{"Models":[{"Name":"m","Version":1}],"Busy":false,"Sequence":0}"#;
+                response_to(request, "200 OK", body)
+            }
+            false => response_to(request, "202 Accepted", ""),
+        };
+        (response, AfterResponse::Keep)
+    });
+    let store = StandinStore::start();
+    store.put("config", "main", Some(table(1, all_routes())));
+    store.put("servers", "r1", Some(runner.entry("svc", "ready")));
+    store.put("servers", "r2", Some(sound.entry("svc", "ready")));
+    store.put("versions", "m", Some(json!({"Model": "m", "Version": 2})));
+    let _gateway = TestGateway::start_with(store, "i1");
+    let has_report = || {
+        let requests = received_requests(&runner);
+        requests
+            .iter()
+            .any(|r| r.starts_with("GET /berylmount/report"))
+    };
+    wait_until("a report", has_report);
+    let asked = Instant::now();
+    wait_until("an order", || orders(&runner) > 0);
+    assert!(asked.elapsed() < Duration::from_secs(4));
+}
--- a/crates/policy/src/duty_lease.rs
+++ b/crates/policy/src/duty_lease.rs
@@ -675,10 +675,14 @@
         let mut record = self.record(held.term, held.renewal + 1, held.is_acting);
         record.is_settled = now_ms >= held.acts_from_ms;
         record.is_released = true;
-        self.plans.clear();
+        // Only what is recorded can have been sent; it may still be on its way.
+        let recorded = &self.recorded;
+        self.plans
+            .retain(|(runner, ..)| recorded.binary_search(runner).is_ok());
         if now_ms >= held.complete_from_ms {
             record.orders = Some(self.order_records(now_ms));
         }
+        self.plans.clear();
         Some((held.revision, record))
     }
 
--- a/crates/policy/src/sent_orders.rs
+++ b/crates/policy/src/sent_orders.rs
@@ -103,11 +103,14 @@
         self.entry(runner, model).sent_ms = Some(now_ms);
     }
 
-    /// Notes that the last order to a runner for a model is not in progress. The runner may
-    /// have received it all the same.
-    pub fn withdraw(&mut self, runner: &str, model: &str) {
+    /// Notes that the order of a version is not in progress, if it is the last one to a runner
+    /// for a model. The runner may have received it all the same.
+    pub fn withdraw(&mut self, runner: &str, model: &str, version: u64) {
         if let Ok(index) = self.find(runner, model) {
-            self.entries[index].order.version = 0;
+            let order = &mut self.entries[index].order;
+            if order.version == version {
+                order.version = 0;
+            }
         }
     }
 
@@ -121,16 +124,18 @@
         of_runner.map(|entry| (entry.model.as_str(), entry.order))
     }
 
-    /// Returns the orders that were sent at most `max_age_ms` ago.
+    /// Returns the orders that were sent at most `max_age_ms` ago, or that an earlier holder may
+    /// still send.
     pub fn records(&self, now_ms: u64, max_age_ms: u64) -> Vec<OrderRecord> {
         let records = self.entries.iter().filter_map(|entry| {
-            let age_ms = now_ms.saturating_sub(entry.sent_ms?);
+            let sent_ms = entry.sent_ms?;
+            let age_ms = now_ms.saturating_sub(sent_ms);
             (age_ms <= max_age_ms).then(|| OrderRecord {
                 runner: entry.runner.clone(),
                 model: entry.model.clone(),
                 version: entry.order.version,
                 age_ms,
-                is_planned: false,
+                is_planned: sent_ms > now_ms,
             })
         });
         records.collect()
@@ -141,8 +146,12 @@
         for record in records {
             let at_ms = now_ms.saturating_sub(record.age_ms);
             let entry = self.entry(&record.runner, &record.model);
-            if entry.sent_ms.is_none_or(|sent_ms| at_ms >= sent_ms) {
-                entry.sent_ms = Some(at_ms);
+            if entry.sent_ms.is_some_and(|sent_ms| at_ms < sent_ms) {
+                continue;
+            }
+            entry.sent_ms = Some(at_ms);
+            // An order that may never have been sent replaces none that is in progress.
+            if !record.is_planned {
                 entry.order = SentOrder {
                     version: record.version,
                     at_ms,
--- a/crates/policy/tests/handover.rs
+++ b/crates/policy/tests/handover.rs
@@ -6,7 +6,7 @@
 
 use berylmount_policy::{
     duty_lease::{DutyLease, LeaseAction, LeaseRecord, LeaseRole, LeaseTimes, LeaseWrite},
-    sent_orders::SentOrder,
+    sent_orders::{OrderRecord, SentOrder},
     shared_duties::{rank_among, DutyMember},
     weights_rollout::{next_orders, RolloutPace, RolloutView},
 };
@@ -528,3 +528,70 @@
         assert_eq!(lease.order_term("r0", 1800), None);
     }
 }
+
+/// A lease whose holder has sent an order to `r0` and not heard of it yet.
+fn lease_with_order_in_flight() -> (StoredLease, DutyLease) {
+    let role = LeaseRole {
+        is_candidate: true,
+        has_work: true,
+    };
+    let (mut store, mut lease) = (StoredLease::default(), DutyLease::new("a", 1, TIMES));
+    for now_ms in [1000, 1010] {
+        store.step(&mut lease, role, WriteFate::Answered, now_ms);
+    }
+    lease.plan_order("r0", "m", 2);
+    store.step(&mut lease, role, WriteFate::Answered, 1020);
+    let order = SentOrder {
+        version: 2,
+        at_ms: 1030,
+    };
+    lease.orders_mut().set("r0", "m", order);
+    lease.orders_mut().note_sent("r0", "m", 1030);
+    (store, lease)
+}
+
+/// Guards against an order that leaves the machine after the lease was released, and of which the
+/// successor knows only when it was handed to the kernel.
+#[test]
+fn a_released_lease_lists_an_unanswered_order_as_planned() {
+    let (_, mut lease) = lease_with_order_in_flight();
+    let (_, record) = lease.release(1500).unwrap();
+    let is_planned = |order: &&OrderRecord| order.is_planned && order.runner == "r0";
+    assert_eq!(record.orders.iter().flatten().filter(is_planned).count(), 1);
+}
+
+/// Guards against a successor that takes a runner for free whose order is in progress.
+#[test]
+fn a_planned_order_does_not_hide_one_in_progress() {
+    let (mut store, mut lease) = lease_with_order_in_flight();
+    let (revision, record) = lease.release(1500).unwrap();
+    store.write(revision, &record);
+    let mut successor = DutyLease::new("b", 1, TIMES);
+    let role = LeaseRole {
+        is_candidate: true,
+        has_work: true,
+    };
+    for now_ms in [1600, 1610] {
+        store.step(&mut successor, role, WriteFate::Answered, now_ms);
+    }
+    assert_eq!(successor.orders().get("r0", "m").version, 2);
+    assert!(successor.excludes_orders("r0", 1600 + TIMES.valid_ms + TIMES.exclusion_ms));
+}
+
+/// Guards against a process whose predecessor of the same name still sends an order: its own
+/// successor must wait for that order too.
+#[test]
+fn an_order_that_an_earlier_process_may_still_send_stays_planned() {
+    let (mut store, _earlier) = lease_with_order_in_flight();
+    let role = LeaseRole {
+        is_candidate: true,
+        has_work: true,
+    };
+    let mut process = DutyLease::new("a", 2, TIMES);
+    for now_ms in [1040, 1050] {
+        store.step(&mut process, role, WriteFate::Answered, now_ms);
+    }
+    let (_, record) = process.release(1100).unwrap();
+    let planned = record.orders.iter().flatten().filter(|o| o.is_planned);
+    assert_eq!(planned.count(), 1);
+}
