Use the retry budget of reloaded settings

Cause: the limits were copied when a service got its first request, so a reload that lowered RetryBudgetRatio, BudgetExtra or BudgetWindowS had no effect for services already in use.

Ruled out: that retries of the test come from elsewhere; with a ratio of 0 from the start none are allowed.

Change: the limits of the settings in force are set at each use of a service's share. Attempts that were counted remain; a longer window doesn't bring back those that had left the shorter one.

Result: the_retry_budget_of_reloaded_settings_is_in_force failed before ("/safe/once0 was retried", after a ratio of 100 was replaced by 0) and passes now, with the nine others of gateway_process.rs.

--- a/crates/berylmount/tests/gateway_process.rs
+++ b/crates/berylmount/tests/gateway_process.rs
@@ -5,7 +5,7 @@
 #[path = "../../gateway/tests/standins/mod.rs"]
 mod standins;
 
-use processes::{callers_address, command, settings_path, spawn};
+use processes::{callers_address, command, settings_path, settings_text, spawn, spawn_with};
 use rustix::process::{kill_process, Pid, Signal};
 use serde_json::Value;
 use standins::{
@@ -345,6 +345,51 @@
     assert!(fault.contains("no-such-settings"), "{line}");
 }
 
+/// Guards against limits that are copied when a service is first used.
+#[test]
+fn the_retry_budget_of_reloaded_settings_is_in_force() {
+    let runner = runner(&Arc::default());
+    let failing = ["r2", "r3"].map(|id| {
+        let failing = StandinRunner::start(|_, _| (Vec::new(), AfterResponse::Close));
+        (id, failing)
+    });
+    let gateway = GatewayInstance::start("budget", &runner, |store, log| {
+        let settings = settings_text("i1", store);
+        let settings = settings.replace("RetryBudgetRatio = 0.2", "RetryBudgetRatio = 100");
+        spawn_with(&settings, log)
+    });
+    for (id, failing) in &failing {
+        let entry = failing.entry("svc", "ready");
+        gateway.store.put("servers", id, Some(entry));
+    }
+    gateway.store.put("servers", "r1", None);
+    let count = |path: &str| {
+        let counts = failing.iter().map(|(_, failing)| {
+            let requests = failing.requests.lock().unwrap();
+            requests.iter().filter(|r| r.contains(path)).count()
+        });
+        counts.sum::<usize>()
+    };
+    wait_until("a retry", || {
+        let before = count("/safe/retried");
+        gateway.call("GET /safe/retried", "retried");
+        count("/safe/retried") == before + 2
+    });
+    let path = settings_path(&gateway.log);
+    let text = fs::read_to_string(&path).unwrap();
+    let text = text.replace("RetryBudgetRatio = 100", "RetryBudgetRatio = 0");
+    let text = text.replace("BudgetExtra = 50", "BudgetExtra = 0");
+    fs::write(&path, text).unwrap();
+    gateway.signal(Signal::HUP);
+    gateway.wait_line("settings reloaded");
+    for number in 0..5 {
+        let path = format!("/safe/once{number}");
+        gateway.call(&format!("GET {path}"), "once");
+        assert!(count(&path) <= 1, "{path} was retried");
+    }
+    assert!(count("/safe/once") > 0);
+}
+
 #[test]
 fn settings_are_read_again_and_faulty_ones_are_refused() {
     let runner = runner(&Arc::default());
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -662,15 +662,16 @@
 
     fn with_retry_share<R>(&self, service: &str, update: impl FnOnce(&mut RetryShare) -> R) -> R {
         let mut shares = self.retry_shares.borrow_mut();
+        let settings = self.settings.borrow();
+        // The settings may have been reloaded.
+        let bounds = RetryBounds {
+            ratio: settings.bounds.retry_ratio,
+            extra: settings.bounds.retry_extra,
+            window_ms: settings.bounds.retry_window.as_millis() as u64,
+        };
         let index = match shares.binary_search_by(|(name, _)| name.as_str().cmp(service)) {
             Ok(index) => index,
             Err(index) => {
-                let settings = self.settings.borrow();
-                let bounds = RetryBounds {
-                    ratio: settings.bounds.retry_ratio,
-                    extra: settings.bounds.retry_extra,
-                    window_ms: settings.bounds.retry_window.as_millis() as u64,
-                };
                 let owner = RetryOwner {
                     started_ms: self.started_boot_ms,
                     rounding: duty_score(&settings.name, service),
@@ -679,7 +680,9 @@
                 index
             }
         };
-        update(&mut shares[index].1)
+        let share = &mut shares[index].1;
+        share.set_bounds(bounds);
+        update(share)
     }
 }
 
--- a/crates/policy/src/retry_share.rs
+++ b/crates/policy/src/retry_share.rs
@@ -72,6 +72,23 @@
         }
     }
 
+    /// Replaces the limits; the attempts that were counted remain.
+    ///
+    /// ```
+    /// use berylmount_policy::retry_share::{RetryBounds, RetryOwner, RetryShare};
+    ///
+    /// let bounds = RetryBounds { ratio: 2.0, extra: 0.0, window_ms: 10_000 };
+    /// let owner = RetryOwner { started_ms: 0, rounding: 0.0 };
+    /// let mut share = RetryShare::new(bounds, owner);
+    /// share.note_first(5000);
+    /// assert!(share.take(5000, None));
+    /// share.set_bounds(RetryBounds { ratio: 0.0, ..bounds });
+    /// assert!(!share.take(5000, None));
+    /// ```
+    pub fn set_bounds(&mut self, bounds: RetryBounds) {
+        self.bounds = bounds;
+    }
+
     /// Counts the first attempt of a request.
     pub fn note_first(&mut self, now_ms: u64) {
         self.bucket(now_ms).first_attempts += 1;
