Use the address of the store that reloaded settings name

Ruled out: reading the file again without SIGHUP (no signal, no change, as before); eras of our own for each address, as instances that were not reloaded would then refuse their own store's answers.

Change: the client changes its address and ends the calls in flight, so no response of the earlier address is used and a write sent there has an unknown outcome. Kinds are listed again; that listing replaces what was read before whatever its revisions, except that versions of tables and weights never fall. The entry of the instance, software versions and blamed parts are read or compared again. Listen addresses and peer ports stay as at the start.

--- a/crates/gateway/src/crash_parts/stored.rs
+++ b/crates/gateway/src/crash_parts/stored.rs
@@ -192,13 +192,13 @@
         }
     };
     state.crash_parts.is_informed.set(true);
-    let mut era = state.store.era();
+    let mut source = state.store.source();
     let mut limit = *WRITE_LIMIT.start();
     loop {
         sleep(WRITE_INTERVAL).await;
-        if state.store.era() != era {
-            // The backup may lack some of them.
-            era = state.store.era();
+        if state.store.source() != source {
+            // A backup, or the store at another address, may lack some of them.
+            source = state.store.source();
             stored.clear();
         }
         if state.crash_parts.is_analyst.get() {
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -12,7 +12,7 @@
 use berylmount_adapter::{
     locate::{locate_body, LOCATE_PATH, READY_PATH},
     objects::{decode_object, INSTANCE_KIND},
-    store_client::{StoredObject, WriteOutcome},
+    store_client::{StoreSource, StoredObject, WriteOutcome},
 };
 use berylmount_fleet::ProcessSettings;
 use berylmount_h1::{H1Stream, HeadLimits, PeerRole};
@@ -92,9 +92,9 @@
     all_record_since_ms: Option<u64>,
     /// Maximum number of instances that were known at the same time.
     max_known: usize,
-    /// Era of the store from which the entries were read.
-    era: u64,
-    /// Until when entries that are missing in a new era are retained, by the boot clock.
+    /// Where the entries were read.
+    source: StoreSource,
+    /// Until when entries that are missing in a new source are retained, by the boot clock.
     retained_until_ms: u64,
     /// Whether the list contains the instances that started together with this one.
     is_settled: bool,
@@ -114,21 +114,20 @@
         self.max_known = self.max_known.max(count);
     }
 
-    /// Replaces the entries with those read from the store. In a new era, instances that
-    /// are missing in the restored backup stay listed until they have had time to
-    /// register again.
+    /// Replaces the entries with those read from the store. In a new era or at a new address,
+    /// instances that are missing stay listed until they have had time to register again.
     pub(crate) fn replace(
         &mut self,
         mut entries: Vec<(String, InstanceEntry)>,
-        era: u64,
+        source: StoreSource,
         now_ms: u64,
     ) {
         entries.sort_by(|a, b| a.0.cmp(&b.0));
-        if era > self.era {
+        if source > self.source {
             if !self.entries.is_empty() {
                 self.retained_until_ms = now_ms + REREGISTER_MS;
             }
-            self.era = era;
+            self.source = source;
         }
         if now_ms < self.retained_until_ms {
             entries.append(&mut self.entries);
@@ -210,8 +209,8 @@
 }
 
 /// Reads the list of instances periodically, and registers this instance when its
-/// entry is missing, which happens at its first start or after the store was restored
-/// from an older backup.
+/// entry is missing, which happens at its first start, after the store was restored
+/// from an older backup, or at a new address of the store.
 pub(crate) async fn sync_instance_list(state: Rc<GatewayState>) {
     loop {
         if state.is_draining() {
@@ -236,9 +235,9 @@
         } else {
             REGISTER_INTERVAL
         };
-        let era = state.store.era();
+        let source = state.store.source();
         let end = tokio::time::Instant::now() + interval;
-        let is_due = || tokio::time::Instant::now() >= end || state.store.era() != era;
+        let is_due = || tokio::time::Instant::now() >= end || state.store.source() != source;
         while !is_due() && !state.is_draining() {
             sleep(Duration::from_millis(100)).await;
         }
@@ -276,7 +275,11 @@
     let mut instances = state.instances.borrow_mut();
     instances.all_record_since_ms = all_record_since_ms.flatten();
     instances.has_predecessor.get_or_insert(has_own_name);
-    instances.replace(entries, listing.revision.era, boot_ms());
+    let source = StoreSource {
+        era: listing.revision.era,
+        ..state.store.source()
+    };
+    instances.replace(entries, source, boot_ms());
     is_registered
 }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -290,13 +290,22 @@
     }
 }
 
-/// Reloads the settings; the listen addresses stay as they are.
+/// Reloads the settings. The addresses and ports on which the process listens stay as they are.
+/// If the store has another address, it is used from now on.
 fn reload(state: &GatewayState) {
     match load_settings() {
         Ok(mut settings) => {
-            settings.listen = state.settings().listen;
+            let before = state.settings();
+            settings.listen = before.listen;
+            settings.peer_ports = before.peer_ports.clone();
+            let store = settings.store.address;
             *state.settings.borrow_mut() = Rc::new(settings);
-            log::info!(target: "process", name = state.settings().name; "settings reloaded");
+            let is_moved = state.store.move_to(store);
+            log::info!(
+                target: "process",
+                name = state.settings().name, store:%, is_moved;
+                "settings reloaded"
+            );
         }
         Err(fault) => log::error!(target: "process", fault:% ; "settings not reloaded"),
     }
--- a/crates/gateway/src/replica.rs
+++ b/crates/gateway/src/replica.rs
@@ -3,7 +3,8 @@
 //! Invariants:
 //!
 //! - The replica is complete up to its revision, and its revision never decreases.
-//!   Revisions are ordered by era first.
+//!   Revisions are ordered by era first. A store at another address, which may have other
+//!   revisions, is the only exception.
 //! - An object is replaced only by a later revision of the same object or, under
 //!   [`ReplicaRule::HighestVersion`], by a higher version of it.
 //! - Under [`ReplicaRule::HighestVersion`], an object is never replaced by a lower version
@@ -109,6 +110,51 @@
         self.replace(names.collect(), &listing.objects, listing.revision)
     }
 
+    /// Applies a listing of a store at another address. Revisions of the store before may denote
+    /// other changes there, so they are not compared, and the replica has the revision of the
+    /// listing afterwards. Ignores a listing of an earlier era.
+    ///
+    /// ```
+    /// use berylmount_adapter::store_client::{EraRevision, ObjectListing, StoredObject};
+    /// use berylmount_gateway::{KindReplica, ReplicaChange};
+    ///
+    /// let at = |revision| EraRevision { era: 1, revision };
+    /// let object = StoredObject { name: "a".into(), revision: at(4), spec: 1.into() };
+    /// let mut replica = KindReplica::default();
+    /// let before = ObjectListing { objects: vec![object.clone()], revision: at(6) };
+    /// replica.apply_listing(&before);
+    /// let other = StoredObject { spec: 2.into(), ..object };
+    /// let moved = ObjectListing { objects: vec![other.clone()], revision: at(5) };
+    /// assert_eq!(replica.apply_moved_listing(&moved), [ReplicaChange::Updated(other)]);
+    /// assert_eq!(replica.revision(), at(5));
+    /// assert_eq!(replica.apply_moved_listing(&moved), []);
+    /// ```
+    pub fn apply_moved_listing(&mut self, listing: &ObjectListing) -> Vec<ReplicaChange> {
+        let EraRevision { era, .. } = self.revision;
+        if listing.revision.era != era {
+            return self.apply_listing(listing);
+        }
+        let (known, changed_at) = (self.objects.clone(), self.changed_at);
+        let is_behind = listing.revision < self.revision;
+        self.begin_era(era);
+        let names = listing.objects.iter().map(|object| object.name.as_str());
+        let mut changes = self.replace(names.collect(), &listing.objects, listing.revision);
+        // Objects that the store lacks are passed on to other instances as well.
+        for object in self.objects.iter_mut().filter(|o| o.revision.revision == 0) {
+            object.revision = listing.revision;
+            self.changed_at = listing.revision;
+        }
+        if !is_behind {
+            self.changed_at = self.changed_at.max(changed_at);
+        }
+        let is_known = |object: &StoredObject| {
+            let found = known.binary_search_by(|known| known.name.cmp(&object.name));
+            found.is_ok_and(|index| known[index] == *object)
+        };
+        changes.retain(|change| !matches!(change, ReplicaChange::Updated(o) if is_known(o)));
+        changes
+    }
+
     /// Applies the events of a watch, which are complete up to `revision`.
     ///
     /// Ignores events of an era other than that of the replica, because the changes in
--- a/crates/gateway/src/store_watch.rs
+++ b/crates/gateway/src/store_watch.rs
@@ -178,6 +178,7 @@
         state,
         kind,
         needs_listing: false,
+        listed_moves: 0,
         backoff: INITIAL_BACKOFF,
     };
     // The settings may be reloaded.
@@ -190,12 +191,15 @@
             sleep(NON_WATCHER_INTERVAL).await;
             continue;
         }
+        let moves = watcher.state.store.source().moves;
         match watcher.step().await {
             Ok(()) => {
                 must_list = false;
                 watcher.note_available();
                 watcher.extend_substitution();
             }
+            // The call ended because the address of the store changed.
+            Err(_) if watcher.state.store.source().moves != moves => {}
             Err(fault) => watcher.note_fault(&fault).await,
         }
     }
@@ -250,6 +254,8 @@
     kind: WatchedKind,
     /// Whether the next call must list the kind because a watch cannot resume.
     needs_listing: bool,
+    /// Number of times that the address of the store had changed before the last listing.
+    listed_moves: u64,
     backoff: Duration,
 }
 
@@ -258,12 +264,28 @@
     async fn step(&mut self) -> Result<(), StoreFault> {
         let kind = self.kind.store_kind();
         let sent_ms = boot_ms();
-        if self.needs_listing || !self.replica(|replica| replica.is_synced()) {
+        let moves = self.state.store.source().moves;
+        let is_moved = moves != self.listed_moves;
+        if self.needs_listing || is_moved || !self.replica(|replica| replica.is_synced()) {
+            let before = self.replica(|replica| replica.revision());
             let listing = self.state.store.list(kind, false).await?;
             self.needs_listing = false;
+            self.listed_moves = moves;
             let known = self.replica(|replica| replica.revision());
-            let mut changes = self.replica(|replica| replica.apply_listing(&listing));
+            // The replica may also have the revision of an instance that uses another address.
+            let is_behind =
+                moves > 0 && listing.revision.era == before.era && listing.revision < before;
+            let mut changes = self.replica(|replica| match is_moved || is_behind {
+                true => replica.apply_moved_listing(&listing),
+                false => replica.apply_listing(&listing),
+            });
             self.note_available();
+            if is_moved {
+                log::info!(target: "follow", kind:% = self.kind, before:%, revision:% = listing.revision, changes = changes.len(); "listed from the new address of the store");
+            }
+            if is_behind {
+                self.note_behind();
+            }
             note_era(&self.state, self.kind, known, listing.revision);
             if self.kind == WatchedKind::Table && known == EraRevision::default() {
                 changes.extend(pull_newer_table(&self.state).await);
@@ -287,6 +309,8 @@
                 // Must precede `apply_changes`, which handles deletions by the time since the
                 // store became available again.
                 self.note_available();
+                let known = self.replica(|replica| replica.revision());
+                self.needs_listing = moves > 0 && revision < known && revision.era == known.era;
                 let changes = self.replica(|replica| replica.apply_watch(&events, revision));
                 apply_changes(&self.state, self.kind, &changes);
                 // The store sends a response without changes only at the end of the wait.
@@ -328,6 +352,14 @@
         availability.synced_at_ms.set(at_ms);
     }
 
+    /// Records that the store at the new address is behind the replica, so it may lack entries
+    /// that are written again, and requests may be older than the replica shows.
+    fn note_behind(&self) {
+        let availability = &self.state.store_availability[self.kind as usize];
+        availability.recovered_at_ms.set(boot_ms());
+        availability.synced_at_ms.set(0);
+    }
+
     /// Decides at random whether this instance, which is not elected, tries to watch now
     /// because too few watchers reach the store.
     fn tries_as_substitute(&self) -> bool {
@@ -421,15 +453,20 @@
 /// address and the revision to pull from.
 ///
 /// An instance is ahead if it has a later revision or a higher version. The second can
-/// occur alone after the store was restored from an older backup.
+/// occur alone after the store was restored from an older backup. Once the address of the store
+/// has changed, an instance that watches itself ignores the revisions of the others, which may
+/// use another address.
 fn peer_ahead(
     state: &GatewayState,
     kind: WatchedKind,
 ) -> Option<(String, SocketAddr, EraRevision)> {
     let (peers, now_ms) = (state.peers.borrow(), boot_ms());
     let known = state.replicas.borrow()[kind as usize].revision();
-    if let Some((name, address)) = peers.choose_later_peer(kind, known, now_ms) {
-        return Some((name, address, known));
+    let has_moved = state.store.source().moves > 0;
+    if !has_moved || !is_connected_watcher(state, kind) {
+        if let Some((name, address)) = peers.choose_later_peer(kind, known, now_ms) {
+            return Some((name, address, known));
+        }
     }
     let (name, address) = match kind {
         WatchedKind::Runners | WatchedKind::Evacuations => None,
--- a/crates/gateway/src/stream_versions.rs
+++ b/crates/gateway/src/stream_versions.rs
@@ -375,6 +375,7 @@
 /// instance has the duty.
 pub(crate) async fn follow_versions(state: Rc<GatewayState>) {
     let (mut read_at_ms, mut copy_at_ms) = (0, 0);
+    let mut moves = state.store.source().moves;
     let mut missing: Vec<MissingVersion> = Vec::new();
     loop {
         let is_wanted = tokio::select! {
@@ -382,7 +383,11 @@
             () = sleep(COMPARE_INTERVAL) => false,
         };
         let present = present_versions(&state);
+        // The store at another address may have another history.
+        let is_moved = moves != state.store.source().moves;
+        moves = state.store.source().moves;
         if is_wanted
+            || is_moved
             || state.stream_versions.has_failed.get()
             || boot_ms() >= read_at_ms + read_interval_ms(&state, &present)
         {
--- a/crates/gateway/src/stream_versions/used.rs
+++ b/crates/gateway/src/stream_versions/used.rs
@@ -132,6 +132,7 @@
 pub(crate) async fn store_used(state: Rc<GatewayState>) {
     let used = &state.stream_versions.used;
     let mut due_ms = None;
+    let mut moves = state.store.source().moves;
     loop {
         let is_urgent = tokio::select! {
             () = used.wanted.notified() => true,
@@ -140,7 +141,8 @@
         let Some(history) = state.stream_versions.history() else {
             continue;
         };
-        if !used.own.borrow().lacks(&history, state.store.era()) {
+        let is_moved = moves != state.store.source().moves;
+        if !is_moved && !used.own.borrow().lacks(&history, state.store.era()) {
             due_ms = None;
             continue;
         }
@@ -148,9 +150,18 @@
         if !is_urgent && boot_ms() < due_at_ms {
             continue;
         }
-        if let Err(fault) = store_own(&state, &history).await {
-            log::warn!(target: "software", fault:% ; "could not store the used software versions");
-            sleep(RETRY_INTERVAL).await;
+        if is_moved {
+            // The store at another address may lack what was stored.
+            used.revision.set(None);
+            *used.listing.borrow_mut() = None;
+        }
+        let read_moves = state.store.source().moves;
+        match store_own(&state, &history).await {
+            Ok(()) => moves = read_moves,
+            Err(fault) => {
+                log::warn!(target: "software", fault:% ; "could not store the used software versions");
+                sleep(RETRY_INTERVAL).await;
+            }
         }
     }
 }
