End what is known of a KV cache store before its parts are saved again

Cause: instances that are cut from a store trust what they know of it for 1.6 s after the last response, also when the store has restarted empty meanwhile. Ruled out: mixed events of two epochs (a new epoch empties the catalogue). Weighed and not played: the epoch in the scope (a restart would empty the runners' caches), a shorter trust (only narrows the window), messages before the first save (a cut instance doesn't answer). Change: what is known of a store is a lease. It counts from when the store made its response, on the runners' clock, and fetches end with it (2.5 s, Berylmount-Kv-Until), also those of requests that waited at a stopped process or in a queue. Saves to a new epoch are ordered 2.6 s after an instance first hears of it. A listing doesn't extend the trust either. The messages between instances are unchanged.

--- a/crates/gateway/src/cache_stores.rs
+++ b/crates/gateway/src/cache_stores.rs
@@ -114,15 +114,19 @@
         let entry = &mut self.stores[index];
         entry.is_watched = is_watched;
         if is_watched && !was_watched {
-            entry.catalogue = StoreCatalogue::default();
+            entry.catalogue = entry.catalogue.cleared();
         }
     }
 
-    /// Returns a snapshot of the catalogue of a store that this instance polls.
-    pub(crate) fn snapshot(&self, store: u64) -> Option<StoreSnapshot> {
+    /// Returns a snapshot of the catalogue of a store that this instance polls; `None` if the
+    /// store has not responded recently.
+    pub(crate) fn snapshot(&self, store: u64, now_ms: u64) -> Option<StoreSnapshot> {
         let mut stores = self.stores.iter();
         let entry = stores.find(|entry| entry.key == store && entry.is_watched)?;
         let catalogue = &entry.catalogue;
+        if !catalogue.is_trusted(now_ms) {
+            return None;
+        }
         let parts = catalogue.parts().iter();
         Some(StoreSnapshot {
             epoch: catalogue.epoch()?,
@@ -324,7 +328,7 @@
             scope: self.scope.clone(),
             fetch: plan.fetch.iter().map(address).collect(),
             save: plan.save.iter().map(address).collect(),
-            fetch_until_ms: None,
+            fetch_until_ms: plan.fetch_until_ms,
         };
         (transfers, registry.fetched_from(plan))
     }
--- a/crates/gateway/src/cache_stores/watch.rs
+++ b/crates/gateway/src/cache_stores/watch.rs
@@ -9,7 +9,7 @@
     state::GatewayState,
 };
 use berylmount_adapter::runner_calls::{CacheChanges, CacheEvent, CallFault, RunnerClient};
-use berylmount_policy::prefix_cache::{KeptPart, PartEvent, PartKey, StoreCatalogue};
+use berylmount_policy::prefix_cache::{KeptPart, PartEvent, PartKey};
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{task::spawn_local, time::sleep};
@@ -52,15 +52,23 @@
             return;
         }
         let catalogue = &mut entry.catalogue;
+        if catalogue.has_ended(gossip.epoch) {
+            return;
+        }
         let is_contiguous =
             catalogue.epoch() == Some(gossip.epoch) && catalogue.next() >= gossip.since;
         if is_contiguous {
             if gossip.next >= catalogue.next() {
                 let events = gossip.changes.iter().map(gossip_event).collect();
-                catalogue.apply(gossip.epoch, gossip.next, false, events, boot_ms());
+                let now_ms = boot_ms();
+                catalogue.apply(gossip.epoch, gossip.next, false, events, now_ms);
+                catalogue.note_response_time(0, state.runner_clock.get().at(now_ms));
             }
             return;
         }
+        if catalogue.epoch() != Some(gossip.epoch) {
+            catalogue.note_unreachable();
+        }
         if entry.is_snapshot_pending {
             return;
         }
@@ -85,13 +93,15 @@
     let entry = &mut registry.stores[index];
     entry.is_snapshot_pending = false;
     match snapshot {
-        Ok(Some(snapshot)) if !entry.is_watched => {
+        Ok(Some(snapshot)) if !entry.is_watched && !entry.catalogue.has_ended(snapshot.epoch) => {
             let changes = snapshot.parts.iter();
             let changes = changes.map(|(key, number, tokens)| (*key, *number, *tokens, true));
             let events = changes.map(|change| gossip_event(&change)).collect();
-            entry.catalogue = StoreCatalogue::default();
+            entry.catalogue = entry.catalogue.cleared();
             let (epoch, next) = (snapshot.epoch, snapshot.next);
             entry.catalogue.apply(epoch, next, false, events, boot_ms());
+            // A snapshot doesn't say when the store responded; the next gossip does.
+            entry.catalogue.note_unreachable();
         }
         Ok(_) => {}
         Err(fault) => {
@@ -202,6 +212,7 @@
         .borrow_mut()
         .catalogue(name)
         .map_or(0, |c| c.next());
+    let sent_ms = boot_ms();
     let changes = client.cache_events(since, LONG_POLL_TIME).await?;
     if let Some(clock_ms) = changes.clock_ms {
         state.note_runner_clock(clock_ms, boot_ms());
@@ -213,9 +224,13 @@
         };
         let is_new = catalogue.epoch() != Some(changes.epoch);
         let (epoch, next, has_gap) = (changes.epoch, changes.next, changes.has_gap);
+        let clock_ms = changes.clock_ms;
         let events = part_events(changes);
         let gossip_changes = gossip_changes(&events);
-        let gap = catalogue.apply(epoch, next, has_gap, events, boot_ms());
+        let now_ms = boot_ms();
+        let gap = catalogue.apply(epoch, next, has_gap, events, now_ms);
+        let age_ms = response_age_ms(state, clock_ms, sent_ms, now_ms);
+        catalogue.note_response_time(age_ms, clock_ms);
         let store = name_hash(name);
         let gossip = CacheGossip {
             store,
@@ -245,6 +260,16 @@
     Ok(())
 }
 
+/// Returns how long ago a store made a response that was read at `now_ms`, in milliseconds. It may
+/// have waited while this process stood still. Without the store's clock, the response counts as
+/// old as the call.
+fn response_age_ms(state: &GatewayState, clock_ms: Option<u64>, sent_ms: u64, now_ms: u64) -> u64 {
+    let call_ms = now_ms.saturating_sub(sent_ms);
+    let made = clock_ms.zip(state.runner_clock.get().at(now_ms));
+    let age_ms = made.map(|(made_ms, clock_ms)| clock_ms.saturating_sub(made_ms));
+    age_ms.map_or(call_ms, |age_ms| age_ms.min(call_ms))
+}
+
 fn gossip_changes(events: &[PartEvent]) -> Vec<CacheChange> {
     let change = |event: &PartEvent| match event {
         PartEvent::Added(part) => (part.key.0, part.number, part.tokens, true),
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -542,7 +542,7 @@
     let (kind, since) = match request {
         PullRequest::Changes(kind, since) => (kind, since),
         PullRequest::Store(store) => {
-            let snapshot = state.stores.borrow().snapshot(store);
+            let snapshot = state.stores.borrow().snapshot(store, boot_ms());
             return write_reply(&mut socket, account, &encode(&snapshot)?).await;
         }
         PullRequest::Software => {
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -25,7 +25,7 @@
     ablation::PolicyMechanism,
     admission::{admitted_fraction, free_slots, has_room, starts_soon, AdmissionRequest},
     admission_level::{level_decision, slot_cost, AdmissionClass, LevelDecision, SharedRoom},
-    prefix_cache::PromptCosts,
+    prefix_cache::{earlier_of, PromptCosts},
     prompt_pools::{split_runners, PromptLength},
     runner_placement::{choose, draw_runner, sample_runners, PlacementDemand, RunnerView},
 };
@@ -466,7 +466,8 @@
     let clock_ms = planner.state.runner_clock.get().at(now_ms);
     let clock_ms = clock_ms.filter(|_| PolicyMechanism::FetchLimit.is_enabled());
     let limit_ms = fetch_limit(view, demand, &query.admission);
-    transfers.fetch_until_ms = clock_ms.map(|clock_ms| clock_ms + limit_ms as u64);
+    let limit_end_ms = clock_ms.map(|clock_ms| clock_ms + limit_ms as u64);
+    transfers.fetch_until_ms = earlier_of(transfers.fetch_until_ms, limit_end_ms);
     (Some(transfers), sources, clock_ms.map(|_| limit_ms))
 }
 
--- a/crates/policy/src/prefix_cache.rs
+++ b/crates/policy/src/prefix_cache.rs
@@ -11,12 +11,24 @@
 //! - A part is fetched only while the store is known to hold it completely, in the
 //!   epoch in which the store reported it, and has sent events recently.
 //! - A withdrawn part is not fetched until a later event of the store reports it again.
+//! - A fetch that relies on a response of the store ends within [`LEASE_MS`] of it. An instance
+//!   that finds a new epoch orders saves only after that time, so no fetch that relies on an
+//!   earlier epoch reads them while they are written.
 
 use crate::assignment::{best_member, MemberWeight};
 
-/// Time after a store's last response for which its catalogue is trusted, in
+/// Time after a store made its last response for which its catalogue is trusted, in
 /// milliseconds: one long poll and its network latency.
 const TRUSTED_MS: u64 = 1600;
+/// Time after a store made a response within which the fetches that rely on it end, in
+/// milliseconds. A fetch that is planned at the end of the trust has the rest
+/// of it.
+pub const LEASE_MS: u64 = 2500;
+/// Time from the first response of a new epoch until saves are ordered, in milliseconds: the lease
+/// of the epoch before, and the time that gossip about it takes.
+const SAVE_DELAY_MS: u64 = LEASE_MS + 100;
+/// Number of ended epochs that a catalogue remembers.
+const MAX_ENDED_EPOCHS: usize = 8;
 /// Time within which the store should report a save that was ordered, in
 /// milliseconds.
 const SAVE_TIMEOUT_MS: u64 = 2500;
@@ -76,8 +88,14 @@
 pub struct StoreCatalogue {
     epoch: Option<u64>,
     next: u64,
-    /// When the store last responded; 0 if never or if it is unreachable.
+    /// The epoch heard of last, and when this instance first heard of it.
+    first_heard: Option<(u64, u64)>,
+    /// The last epochs before it.
+    ended_epochs: Vec<u64>,
+    /// When the store made its last response; 0 if never or if it is unreachable.
     confirmed_ms: u64,
+    /// The same time on the clock of runners and stores, if the store reports it.
+    confirmed_clock_ms: Option<u64>,
     parts: Vec<KeptPart>,
     /// Memory that the parts occupy, in tokens.
     held_tokens: u64,
@@ -116,12 +134,8 @@
         events: Vec<PartEvent>,
         now_ms: u64,
     ) -> bool {
-        let is_new = self.epoch != Some(epoch);
-        if is_new {
-            *self = Self {
-                epoch: Some(epoch),
-                ..Self::default()
-            };
+        if self.epoch != Some(epoch) {
+            self.begin_epoch(epoch, now_ms);
         }
         for event in events {
             match event {
@@ -131,16 +145,15 @@
         }
         self.next = next;
         self.confirmed_ms = now_ms;
+        self.confirmed_clock_ms = None;
         has_gap
     }
 
-    /// Replaces the contents by a full listing of the store.
+    /// Replaces the contents by a full listing of the store. It doesn't extend the trust, which
+    /// counts from the last events; after a listing of a new epoch it begins with the next ones.
     pub fn replace(&mut self, epoch: u64, next: u64, parts: Vec<KeptPart>, now_ms: u64) {
         if self.epoch != Some(epoch) {
-            *self = Self {
-                epoch: Some(epoch),
-                ..Self::default()
-            };
+            self.begin_epoch(epoch, now_ms);
         }
         let mut parts = parts;
         parts.sort_by_key(|part| part.key);
@@ -157,7 +170,101 @@
         self.held_tokens = parts.iter().map(|part| block_tokens(part.tokens)).sum();
         self.parts = parts;
         self.next = next;
-        self.confirmed_ms = now_ms;
+    }
+
+    fn begin_epoch(&mut self, epoch: u64, now_ms: u64) {
+        let mut ended_epochs = std::mem::take(&mut self.ended_epochs);
+        let first_heard = match self.first_heard {
+            Some(known) if known.0 == epoch => known,
+            previous => {
+                ended_epochs.extend(previous.map(|(ended, _)| ended));
+                (epoch, now_ms)
+            }
+        };
+        let surplus = ended_epochs.len().saturating_sub(MAX_ENDED_EPOCHS);
+        ended_epochs.drain(..surplus);
+        *self = Self {
+            epoch: Some(epoch),
+            first_heard: Some(first_heard),
+            ended_epochs,
+            ..Self::default()
+        };
+    }
+
+    /// Returns a catalogue without contents that still knows when the epoch was first heard
+    /// of.
+    ///
+    /// ```
+    /// use berylmount_policy::prefix_cache::StoreCatalogue;
+    ///
+    /// let mut catalogue = StoreCatalogue::default();
+    /// catalogue.apply(1, 0, false, Vec::new(), 100);
+    /// let mut cleared = catalogue.cleared();
+    /// assert!(!cleared.is_trusted(3000));
+    /// cleared.apply(1, 0, false, Vec::new(), 3000);
+    /// assert!(cleared.may_save(3000));
+    /// ```
+    pub fn cleared(&self) -> Self {
+        Self {
+            first_heard: self.first_heard,
+            ended_epochs: self.ended_epochs.clone(),
+            ..Self::default()
+        }
+    }
+
+    /// Records when the store made the response that was applied last: how long before it
+    /// arrived, and at which time on the clock of runners and stores.
+    ///
+    /// ```
+    /// use berylmount_policy::prefix_cache::{StoreCatalogue, LEASE_MS};
+    ///
+    /// let mut catalogue = StoreCatalogue::default();
+    /// // The response waited for four seconds at a process that stood still.
+    /// catalogue.apply(1, 0, false, Vec::new(), 5000);
+    /// catalogue.note_response_time(4000, Some(71_000));
+    /// assert!(!catalogue.is_trusted(5000));
+    /// assert_eq!(catalogue.lease_end_ms(), Some(71_000 + LEASE_MS));
+    /// ```
+    pub fn note_response_time(&mut self, age_ms: u64, clock_ms: Option<u64>) {
+        self.confirmed_ms = self.confirmed_ms.saturating_sub(age_ms);
+        self.confirmed_clock_ms = clock_ms;
+    }
+
+    /// The time by which fetches that rely on the catalogue must end, on the clock of runners and
+    /// stores; `None` if the store doesn't report that clock.
+    pub fn lease_end_ms(&self) -> Option<u64> {
+        self.confirmed_clock_ms.map(|clock_ms| clock_ms + LEASE_MS)
+    }
+
+    /// Whether the epoch is one before the present one.
+    ///
+    /// ```
+    /// use berylmount_policy::prefix_cache::StoreCatalogue;
+    ///
+    /// let mut catalogue = StoreCatalogue::default();
+    /// catalogue.apply(1, 0, false, Vec::new(), 100);
+    /// catalogue.apply(2, 0, false, Vec::new(), 200);
+    /// assert!(catalogue.has_ended(1) && !catalogue.has_ended(2));
+    /// ```
+    pub fn has_ended(&self, epoch: u64) -> bool {
+        self.ended_epochs.contains(&epoch)
+    }
+
+    /// Whether saves may be ordered: no fetch can rely on the epoch before any longer.
+    ///
+    /// ```
+    /// use berylmount_policy::prefix_cache::{StoreCatalogue, LEASE_MS};
+    ///
+    /// let mut catalogue = StoreCatalogue::default();
+    /// catalogue.apply(1, 0, false, Vec::new(), 100);
+    /// assert!(!catalogue.may_save(100));
+    /// let later_ms = 200 + LEASE_MS;
+    /// catalogue.apply(1, 0, false, Vec::new(), later_ms);
+    /// assert!(catalogue.may_save(later_ms));
+    /// ```
+    pub fn may_save(&self, now_ms: u64) -> bool {
+        let is_due = |(_, heard_ms): (u64, u64)| now_ms.saturating_sub(heard_ms) >= SAVE_DELAY_MS;
+        self.is_trusted(now_ms) && self.first_heard.is_some_and(is_due)
     }
 
     /// Records that the store is unreachable. Nothing is fetched from it until it sends
@@ -296,6 +403,9 @@
     pub fetched_tokens: u32,
     /// Estimated total time of the fetches, in milliseconds.
     pub fetch_ms: f64,
+    /// Time by which the fetches must end, on the clock of runners and stores; `None` if nothing
+    /// is fetched or that clock is unknown.
+    pub fetch_until_ms: Option<u64>,
 }
 
 impl TransferPlan {
@@ -374,6 +484,8 @@
         plan.fetch[index] = Some(store);
         plan.fetched_tokens += part.tokens;
         plan.fetch_ms += transfer_ms;
+        let lease_end_ms = stores[store].catalogue.lease_end_ms();
+        plan.fetch_until_ms = earlier_of(plan.fetch_until_ms, lease_end_ms);
     }
     let shared = parts.len().saturating_sub(1);
     for (index, part) in parts.iter().enumerate().take(shared) {
@@ -384,6 +496,18 @@
     plan
 }
 
+/// The earlier of two times of which each may be unbounded.
+///
+/// ```
+/// use berylmount_policy::prefix_cache::earlier_of;
+///
+/// assert_eq!(earlier_of(Some(5), Some(3)), Some(3));
+/// assert_eq!(earlier_of(None, Some(3)), Some(3));
+/// ```
+pub fn earlier_of(first: Option<u64>, second: Option<u64>) -> Option<u64> {
+    first.into_iter().chain(second).min()
+}
+
 /// Time after which a fetch should be abandoned and the prompt prefilled instead, in
 /// milliseconds.
 ///
@@ -440,7 +564,8 @@
     let has_room = |index: &usize| {
         let store = &stores[*index];
         let used = store.catalogue.used_tokens(now_ms) + block_tokens(part.tokens);
-        trusted[*index] && used as f64 <= store.memory_tokens as f64 * FILL_FRACTION
+        store.catalogue.may_save(now_ms)
+            && used as f64 <= store.memory_tokens as f64 * FILL_FRACTION
     };
     let open: Vec<usize> = (0..stores.len()).filter(has_room).collect();
     let member = |index: &usize| MemberWeight {
