Share what tests of the lease and of request times repeat

Cause: the diff repeated the set-up of a planned order, and the count of prompts at a runner. Change: lease_with_plan and count_prompts; what the tests check is the same.

--- a/crates/gateway/tests/request_times.rs
+++ b/crates/gateway/tests/request_times.rs
@@ -54,6 +54,13 @@
     response.lines().next().unwrap().to_owned()
 }
 
+/// Returns how many prompts a runner received after its first `before` requests.
+fn count_prompts(runner: &StandinRunner, before: usize) -> usize {
+    let requests = received_requests(runner);
+    let prompts = requests[before..].iter();
+    prompts.filter(|r| r.starts_with("GET /safe/")).count()
+}
+
 fn start_gateway(store: &StandinStore, name: &str) -> TestGateway {
     let gateway = TestGateway::start_with(store.clone(), name);
     gateway.wait_ready();
@@ -74,11 +81,7 @@
         let status = send_prompt(&gateway, &format!("id{number}"));
         assert_eq!(status, "HTTP/1.1 503 Service Unavailable");
     }
-    let requests = received_requests(&runner);
-    let prompts = requests[before..]
-        .iter()
-        .filter(|r| r.starts_with("GET /safe/"));
-    assert_eq!(prompts.count(), 0);
+    assert_eq!(count_prompts(&runner, before), 0);
 }
 
 /// Guards against refusing prompts during a rollout whose start is known: from the watch of
@@ -193,11 +196,7 @@
         let status = send_prompt(&gateway, &format!("id{number}"));
         assert_eq!(status, "HTTP/1.1 503 Service Unavailable");
     }
-    let requests = received_requests(&runner);
-    let prompts = requests[before..]
-        .iter()
-        .filter(|r| r.starts_with("GET /safe/"));
-    assert_eq!(prompts.count(), 0);
+    assert_eq!(count_prompts(&runner, before), 0);
 }
 
 /// Waits for a query for request times; returns its number.
--- a/crates/policy/tests/handover.rs
+++ b/crates/policy/tests/handover.rs
@@ -496,22 +496,29 @@
     }
 }
 
+const HOLDER_ROLE: LeaseRole = LeaseRole {
+    is_candidate: true,
+    has_work: true,
+};
+
+/// A lease whose holder may send an order to `r0` from 1030 ms on.
+fn lease_with_plan() -> (StoredLease, DutyLease) {
+    let (mut store, mut lease) = (StoredLease::default(), DutyLease::new("a", 1, TIMES));
+    for now_ms in [1000, 1010] {
+        store.step(&mut lease, HOLDER_ROLE, WriteFate::Answered, now_ms);
+    }
+    lease.plan_order("r0", "m", 2);
+    store.step(&mut lease, HOLDER_ROLE, WriteFate::Answered, 1020);
+    assert_eq!(lease.order_term("r0", 1030), Some(1));
+    (store, lease)
+}
+
 /// Guards against an order to a runner that the stored lease lists, but a write in progress or of
 /// unknown outcome doesn't.
 #[test]
 fn an_order_is_sent_only_if_each_write_in_doubt_lists_it() {
     for is_unclear in [false, true] {
-        let role = LeaseRole {
-            is_candidate: true,
-            has_work: true,
-        };
-        let (mut store, mut lease) = (StoredLease::default(), DutyLease::new("a", 1, TIMES));
-        for now_ms in [1000, 1010] {
-            store.step(&mut lease, role, WriteFate::Answered, now_ms);
-        }
-        lease.plan_order("r0", "m", 2);
-        store.step(&mut lease, role, WriteFate::Answered, 1020);
-        assert_eq!(lease.order_term("r0", 1030), Some(1));
+        let (mut store, mut lease) = lease_with_plan();
         lease.drop_plan("r0");
         let late = WriteFate::Late(400);
         let fate = if is_unclear {
@@ -519,10 +526,10 @@
         } else {
             WriteFate::InFlight
         };
-        store.step(&mut lease, role, fate, 1600);
+        store.step(&mut lease, HOLDER_ROLE, fate, 1600);
         lease.plan_order("r0", "m", 2);
         if is_unclear {
-            store.step(&mut lease, role, WriteFate::Answered, 1700);
+            store.step(&mut lease, HOLDER_ROLE, WriteFate::Answered, 1700);
         }
         assert!(lease.is_held(1800));
         assert_eq!(lease.order_term("r0", 1800), None);
@@ -531,16 +538,7 @@
 
 /// A lease whose holder has sent an order to `r0` and not heard of it yet.
 fn lease_with_order_in_flight() -> (StoredLease, DutyLease) {
-    let role = LeaseRole {
-        is_candidate: true,
-        has_work: true,
-    };
-    let (mut store, mut lease) = (StoredLease::default(), DutyLease::new("a", 1, TIMES));
-    for now_ms in [1000, 1010] {
-        store.step(&mut lease, role, WriteFate::Answered, now_ms);
-    }
-    lease.plan_order("r0", "m", 2);
-    store.step(&mut lease, role, WriteFate::Answered, 1020);
+    let (store, mut lease) = lease_with_plan();
     let order = SentOrder {
         version: 2,
         at_ms: 1030,
@@ -567,12 +565,8 @@
     let (revision, record) = lease.release(1500).unwrap();
     store.write(revision, &record);
     let mut successor = DutyLease::new("b", 1, TIMES);
-    let role = LeaseRole {
-        is_candidate: true,
-        has_work: true,
-    };
     for now_ms in [1600, 1610] {
-        store.step(&mut successor, role, WriteFate::Answered, now_ms);
+        store.step(&mut successor, HOLDER_ROLE, WriteFate::Answered, now_ms);
     }
     assert_eq!(successor.orders().get("r0", "m").version, 2);
     assert!(successor.excludes_orders("r0", 1600 + TIMES.valid_ms + TIMES.exclusion_ms));
@@ -583,13 +577,9 @@
 #[test]
 fn an_order_that_an_earlier_process_may_still_send_stays_planned() {
     let (mut store, _earlier) = lease_with_order_in_flight();
-    let role = LeaseRole {
-        is_candidate: true,
-        has_work: true,
-    };
     let mut process = DutyLease::new("a", 2, TIMES);
     for now_ms in [1040, 1050] {
-        store.step(&mut process, role, WriteFate::Answered, now_ms);
+        store.step(&mut process, HOLDER_ROLE, WriteFate::Answered, now_ms);
     }
     let (_, record) = process.release(1100).unwrap();
     let planned = record.orders.iter().flatten().filter(|o| o.is_planned);
