--- a/crates/policy/src/duty_lease.rs
+++ b/crates/policy/src/duty_lease.rs
@@ -358,6 +358,13 @@
     }
 
     /// Whether an order of an earlier holder excludes orders to a runner now.
+    ///
+    /// ```
+    /// use berylmount_policy::duty_lease::{DutyLease, LeaseTimes};
+    ///
+    /// let times = LeaseTimes { valid_ms: 1500, exclusion_ms: 3000 };
+    /// assert!(!DutyLease::new("a", 7, times).excludes_orders("r1", 1000));
+    /// ```
     pub fn excludes_orders(&self, runner: &str, now_ms: u64) -> bool {
         let listed = self
             .listed
@@ -368,6 +375,17 @@
     /// Plans an order to a runner. It may be sent once [`Self::order_term`] returns a term,
     /// which is after the lease has been written, and the plan stays until
     /// [`Self::drop_plan`].
+    ///
+    /// ```
+    /// use berylmount_policy::duty_lease::{DutyLease, LeaseTimes};
+    ///
+    /// let times = LeaseTimes { valid_ms: 1500, exclusion_ms: 3000 };
+    /// let mut lease = DutyLease::new("a", 7, times);
+    /// lease.plan_order("r1", "m", 2);
+    /// // The lease is not held.
+    /// assert_eq!(lease.order_term("r1", 1000), None);
+    /// lease.drop_plan("r1");
+    /// ```
     pub fn plan_order(&mut self, runner: &str, model: &str, version: u64) {
         let plan = (runner.to_owned(), model.to_owned(), version);
         if let Err(index) = self.plans.binary_search(&plan) {
@@ -376,6 +394,7 @@
     }
 
     /// Drops the plans for a runner, once no order to it is about to be sent.
+    /// [`Self::plan_order`] has an example.
     pub fn drop_plan(&mut self, runner: &str) {
         self.plans.retain(|(planned, ..)| planned != runner);
     }
