Tolerate only the start of an instance in a test, and reword four comments

Cause: a last reading. The wait that added to one_rejection_by_another_server_excludes_the_runner_at_all_instances passed over any refusal before the first 200, not only over 503 'starting', so it was less strict than the check that it stands beside. Four doc comments would make a reader ask. Change: the test waits only while the response says 'starting'; comments.

--- a/crates/gateway/tests/misdirection.rs
+++ b/crates/gateway/tests/misdirection.rs
@@ -74,7 +74,10 @@
     let known = arrivals();
     for gateway in &fleet {
         // An instance is ready a moment before it serves.
-        wait_until("the first response", || statuses(gateway, 1) == ["200"]);
+        wait_until("the end of the start", || {
+            let response = gateway.call("GET /safe/x", "start", "", "").unwrap();
+            !response.ends_with("starting")
+        });
         assert_eq!(statuses(gateway, 50), ["200"]);
     }
     assert_eq!(arrivals(), known);
--- a/crates/policy/src/duty_lease.rs
+++ b/crates/policy/src/duty_lease.rs
@@ -149,7 +149,7 @@
     pub has_work: bool,
 }
 
-/// How the lease was free for the present holder.
+/// How the lease became available to its holder.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, strum::Display)]
 #[strum(serialize_all = "snake_case")]
 pub enum LeaseSource {
@@ -170,7 +170,7 @@
 pub struct OrderWaits {
     /// Term of the holder.
     pub term: u64,
-    /// How the lease was free.
+    /// How the lease became available.
     pub source: LeaseSource,
     /// Time until it may send orders to runners that weren't listed, in milliseconds.
     pub unlisted_ms: u64,
@@ -655,7 +655,7 @@
         }
     }
 
-    /// How the lease that this instance takes is free.
+    /// How the lease that this instance takes became available.
     fn source(&self) -> LeaseSource {
         match &self.seen {
             None => LeaseSource::Created,
--- a/crates/policy/src/prefix_cache.rs
+++ b/crates/policy/src/prefix_cache.rs
@@ -21,8 +21,8 @@
 /// milliseconds: one long poll and its network latency.
 const TRUSTED_MS: u64 = 1600;
 /// Time after a store made a response within which the fetches that rely on it end, in
-/// milliseconds. A fetch that is planned at the end of the trust has the rest
-/// of it.
+/// milliseconds. A fetch that is planned when the trust ends has the
+/// difference left.
 pub const LEASE_MS: u64 = 2500;
 /// Time from the first response of a new epoch until saves are ordered, in milliseconds: the lease
 /// of the epoch before, and the time that gossip about it takes.
--- a/crates/policy/src/weights_rollout.rs
+++ b/crates/policy/src/weights_rollout.rs
@@ -48,7 +48,7 @@
     }
 }
 
-/// The runners of a service as far as they load weights.
+/// How fast runners load weights, and what else uses the bandwidth.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RolloutPace {
     /// Duration of one load when concurrent loads don't slow each other down, in
