--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 out="${CARGO_TARGET_DIR:-target}/review-3"
 mkdir -p "$out"
-for case in wall; do
+for case in wall epochs; do
     rustc --edition 2021 -O -o "$out/$case" "review/kit-3/$case.rs"
 done
--- a/review/kit-3/fleet.rs
+++ b/review/kit-3/fleet.rs
@@ -15,12 +15,42 @@
     time::{Duration, Instant},
 };
 
-/// Bounds of `sites/crtma-blaze.toml`, as the settings of its machines show them.
+/// What the settings of a site's machines show.
+#[derive(Clone, Copy, Debug)]
+pub struct Site {
+    pub region: &'static str,
+    pub zones: [&'static str; 3],
+    pub budget_extra: u32,
+    pub version_apply_ms: u32,
+    pub version_converge_ms: u32,
+}
+
+/// `sites/crtma-blaze.toml`.
+#[allow(dead_code)]
+pub const CRTMA_BLAZE: Site = Site {
+    region: "appalachian-south",
+    zones: ["ridge-north", "ridge-central", "ridge-south"],
+    budget_extra: 54,
+    version_apply_ms: 15_000,
+    version_converge_ms: 21_000,
+};
+
+/// `further/kerta-beacon.toml`.
+#[allow(dead_code)]
+pub const KERTA_BEACON: Site = Site {
+    region: "jawa-barat",
+    zones: ["bdg-a", "bdg-b", "bdg-c"],
+    budget_extra: 56,
+    version_apply_ms: 8_000,
+    version_converge_ms: 11_000,
+};
+
+/// Bounds that both sites have.
 const BOUNDS: &str = "SeedLagS = 3\nReuseAfterS = 2\nContactMs = 3000\nAckMs = 4000\nCatchUpS = 4\n\
 DrainMs = 2000\nGracePeriodS = 8\nLossSlackMs = 200\nConfigApplyMs = 2000\nDowngradeSlackMs = 250\n\
 MaxStretchMs = 5000\nStrictRevoke = false\nRevokeMs = 5000\nRetryBudgetRatio = 0.2\nBudgetWindowS = 10\n\
-BudgetExtra = 54\nRecoveryS = 12\nMaxTransitMs = 120\nReuseWindowS = 20\nRequireFence = false\n\
-LeaseTtlMs = 3000\nThawSlackMs = 300\nVersionApplyMs = 15000\nVersionConvergeMs = 21000\nttl_max_s = 5\n";
+RecoveryS = 12\nMaxTransitMs = 120\nReuseWindowS = 20\nRequireFence = false\n\
+LeaseTtlMs = 3000\nThawSlackMs = 300\nttl_max_s = 5\n";
 
 /// What was sent, answered and run, with the time since the start.
 #[derive(Clone)]
@@ -71,7 +101,10 @@
 
 impl Gateway {
     /// Starts the process of a machine.
-    pub fn start(folder: &Path, store: &Store, last: u8, zone: &str) -> Self {
+    pub fn start(folder: &Path, store: &Store, last: u8, site: Site) -> Self {
+        let zone = site.zones[usize::from(last - 1) % site.zones.len()];
+        let Site { region, zones: [first, second, third], .. } = site;
+        let Site { budget_extra, version_apply_ms, version_converge_ms, .. } = site;
         let ip = loopback(last);
         let name = format!("frontend-{zone}-{last}");
         let [callers, ready, directory, control, peers, metrics] = free_ports(ip);
@@ -83,16 +116,17 @@
             text,
             "NodeName = \"{name}\"\nRole = \"gateway\"\nMachineClass = \"frontend\"\n\
              Serves = [\"frontend\",\"control_plane\",\"directory\"]\nIp = \"{ip}\"\nZone = \"{zone}\"\n\
-             Region = \"appalachian-south\"\nPortRange = [{peers},{end}]\nSeeds = [{seeds}]\n\
+             Region = \"{region}\"\nPortRange = [{peers},{end}]\nSeeds = [{seeds}]\n\
              Bootstrap = true\nLossCounts = false\nDiscovery = \"platform\"\nEntry = \"directory\"\n\
              HeartbeatMs = 1200\nActiveContracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\
              \"recover\",\"kvcache\",\"stream\",\"engine\",\"tenants\",\"platform\"]\n\
-             [Zones]\nridge-north = \"appalachian-south\"\nridge-central = \"appalachian-south\"\n\
-             ridge-south = \"appalachian-south\"\n[ListenAddrs]\nFrontendAddr = \"{ip}:{callers}\"\n\
+             [Zones]\n{first} = \"{region}\"\n{second} = \"{region}\"\n{third} = \"{region}\"\n\
+             [ListenAddrs]\nFrontendAddr = \"{ip}:{callers}\"\n\
              Ready = \"{ip}:{ready}\"\nControlPlane = \"{ip}:{control}\"\nDirectory = \"{ip}:{directory}\"\n\
              [Limits]\nCpuShare = 0.25\nCpuCores = 1\nMemoryMb = 260\nMaxFds = 4100\nLinkMbps = 1000.0\n\
              DiskMb = 0\n[FaultTolerance]\nMachines = 2\nZones = 0\nRegions = 0\n[Bounds]\n{BOUNDS}\
-             [Platform]\nAddress = \"{address}\"\nform = \"objects\"\nWritesPerS = 400\nReadsPerS = 2000\n\
+             BudgetExtra = {budget_extra}\nVersionApplyMs = {version_apply_ms}\n\
+             VersionConvergeMs = {version_converge_ms}\n[Platform]\nAddress = \"{address}\"\nform = \"objects\"\nWritesPerS = 400\nReadsPerS = 2000\n\
              RetentionS = 20\nValueBytes = 1048576\nTtlMinMs = 1000\n"
         );
         let settings = folder.join(format!("{name}.toml"));
--- a/review/kit-3/wall.rs
+++ b/review/kit-3/wall.rs
@@ -7,7 +7,7 @@
 mod store;
 
 use engine::Engine;
-use fleet::{call, loopback, Gateway, Record};
+use fleet::{call, loopback, Gateway, Record, CRTMA_BLAZE};
 use std::{env, fs, path::PathBuf, process::exit, thread, time::Duration};
 use store::Store;
 
@@ -57,10 +57,8 @@
         return 2;
     };
     store.put("config", "main", CONFIG);
-    let zones = ["ridge-north", "ridge-central", "ridge-south"];
     let gateways: Vec<Gateway> = (1..=3)
-        .zip(zones)
-        .map(|(last, zone)| Gateway::start(folder, &store, last, zone))
+        .map(|last| Gateway::start(folder, &store, last, CRTMA_BLAZE))
         .collect();
     if !gateways.iter().all(Gateway::wait_ready) {
         record.note("the processes did not become ready");
