Order no saves to a store while its listing is missing

Cause: after a gap in the events of a KV cache store, or its restart, an instance trusts its catalogue before the listing has arrived, and if the listing fails, it never asks again. It then orders saves of parts that the store holds and the other instances fetch.

Change: the catalogue remembers that events are missing until a listing replaces its contents.

--- a/crates/gateway/src/cache_stores.rs
+++ b/crates/gateway/src/cache_stores.rs
@@ -119,12 +119,12 @@
     }
 
     /// Returns a snapshot of the catalogue of a store that this instance polls; `None` if the
-    /// store has not responded recently.
+    /// store has not responded recently, or a listing of it is under way.
     pub(crate) fn snapshot(&self, store: u64, now_ms: u64) -> Option<StoreSnapshot> {
         let mut stores = self.stores.iter();
         let entry = stores.find(|entry| entry.key == store && entry.is_watched)?;
         let catalogue = &entry.catalogue;
-        if !catalogue.is_trusted(now_ms) {
+        if !catalogue.is_trusted(now_ms) || !catalogue.is_complete() {
             return None;
         }
         let parts = catalogue.parts().iter();
--- a/crates/gateway/src/cache_stores/watch.rs
+++ b/crates/gateway/src/cache_stores/watch.rs
@@ -235,7 +235,8 @@
         let gossip = CacheGossip {
             store,
             epoch,
-            since: if is_new { next } else { since },
+            // Others cannot apply changes with a gap before them.
+            since: if gap { next } else { since },
             next,
             changes: gossip_changes,
         };
@@ -245,9 +246,7 @@
         if is_new {
             log::info!(target: "kept", store = name, epoch, next; "store has a new epoch");
         }
-        // The call asked for events after one of the previous epoch, so the response
-        // may lack the first events of the new one.
-        gap || (is_new && since > 0)
+        gap
     };
     if needs_listing {
         let listed = client.list_cache().await?;
--- a/crates/gateway/tests/standins/mod.rs
+++ b/crates/gateway/tests/standins/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, unused_imports, clippy::unwrap_used)]
 
 mod brittle_runner;
+mod cache_store;
 mod crashing_fleet;
 mod datagrams;
 mod limited_runner;
@@ -13,6 +14,7 @@
 mod test_gateway;
 
 pub(crate) use brittle_runner::{BrittleCount, BrittleRunner};
+pub(crate) use cache_store::StandinCacheStore;
 pub(crate) use crashing_fleet::{CrashingCall, FleetRecord};
 pub(crate) use datagrams::{encode_heartbeat, encode_messages};
 pub(crate) use limited_runner::{Arrival, LimitedRunner, LIMIT_CONTACT};
--- a/crates/policy/src/prefix_cache.rs
+++ b/crates/policy/src/prefix_cache.rs
@@ -14,6 +14,7 @@
 //! - A fetch that relies on a response of the store ends within [`LEASE_MS`] of it. An instance
 //!   that finds a new epoch orders saves only after that time, so no fetch that relies on an
 //!   earlier epoch reads them while they are written.
+//! - An instance orders saves to a store only while it knows all that the store has reported.
 
 use crate::assignment::{best_member, MemberWeight};
 
@@ -96,6 +97,8 @@
     confirmed_ms: u64,
     /// The same time on the clock of runners and stores, if the store reports it.
     confirmed_clock_ms: Option<u64>,
+    /// Whether events are missing that only a full listing shows.
+    has_gap: bool,
     parts: Vec<KeptPart>,
     /// Memory that the parts occupy, in tokens.
     held_tokens: u64,
@@ -124,8 +127,9 @@
 
     /// Applies events from the store. A new epoch clears the catalogue first.
     ///
-    /// Returns `has_gap`, which says that events are missing and a full listing of the
-    /// store is needed. The caller checks whether a restart of the store needs one too.
+    /// Returns whether events are missing and a full listing of the store is needed: after
+    /// `has_gap`, and after a restart of the store, because the call asked for the events after one
+    /// of the previous epoch.
     pub fn apply(
         &mut self,
         epoch: u64,
@@ -134,7 +138,9 @@
         events: Vec<PartEvent>,
         now_ms: u64,
     ) -> bool {
-        if self.epoch != Some(epoch) {
+        let is_restart = self.epoch != Some(epoch);
+        let lacks_first = is_restart && self.next > 0;
+        if is_restart {
             self.begin_epoch(epoch, now_ms);
         }
         for event in events {
@@ -146,7 +152,8 @@
         self.next = next;
         self.confirmed_ms = now_ms;
         self.confirmed_clock_ms = None;
-        has_gap
+        self.has_gap |= has_gap || lacks_first;
+        self.has_gap
     }
 
     /// Replaces the contents by a full listing of the store. It doesn't extend the trust, which
@@ -170,6 +177,13 @@
         self.held_tokens = parts.iter().map(|part| block_tokens(part.tokens)).sum();
         self.parts = parts;
         self.next = next;
+        self.has_gap = false;
+    }
+
+    /// Whether the catalogue contains all that the store has reported, so that a copy of it is of
+    /// use to others.
+    pub fn is_complete(&self) -> bool {
+        !self.has_gap
     }
 
     fn begin_epoch(&mut self, epoch: u64, now_ms: u64) {
@@ -250,7 +264,8 @@
         self.ended_epochs.contains(&epoch)
     }
 
-    /// Whether saves may be ordered: no fetch can rely on the epoch before any longer.
+    /// Whether saves may be ordered: no fetch can rely on the epoch before any longer, and no
+    /// reported part is missing here.
     ///
     /// ```
     /// use berylmount_policy::prefix_cache::{StoreCatalogue, LEASE_MS};
@@ -264,7 +279,7 @@
     /// ```
     pub fn may_save(&self, now_ms: u64) -> bool {
         let is_due = |(_, heard_ms): (u64, u64)| now_ms.saturating_sub(heard_ms) >= SAVE_DELAY_MS;
-        self.is_trusted(now_ms) && self.first_heard.is_some_and(is_due)
+        self.is_trusted(now_ms) && self.is_complete() && self.first_heard.is_some_and(is_due)
     }
 
     /// Records that the store is unreachable. Nothing is fetched from it until it sends
--- a/crates/policy/tests/store_epochs.rs
+++ b/crates/policy/tests/store_epochs.rs
@@ -116,18 +116,19 @@
 impl Instance {
     fn read(&mut self, response: &StoreResponse, now_ms: u64) {
         let number = response.made_ms;
-        let events = response.held.iter().map(|part| {
-            PartEvent::Added(KeptPart {
-                key: PartKey(*part),
-                number,
-                tokens: PART_TOKENS,
-                scope: "1.m.shared".into(),
-                id: part.to_string(),
-            })
+        let held = response.held.iter().map(|part| KeptPart {
+            key: PartKey(*part),
+            number,
+            tokens: PART_TOKENS,
+            scope: "1.m.shared".into(),
+            id: part.to_string(),
         });
-        let events = events.collect();
-        self.catalogue
-            .apply(response.epoch, number, false, events, now_ms);
+        let held: Vec<KeptPart> = held.collect();
+        let events = held.iter().cloned().map(PartEvent::Added).collect();
+        let epoch = response.epoch;
+        if self.catalogue.apply(epoch, number, false, events, now_ms) {
+            self.catalogue.replace(epoch, number, held, now_ms);
+        }
         let age_ms = now_ms - response.made_ms;
         let clock_ms = Some(response.made_ms + CLOCK_OFFSET_MS);
         self.catalogue.note_response_time(age_ms, clock_ms);
