Fetch a part from a store only once no save of it is left

Cause: until a store reports a part, each instance that needs it orders a save of it, so several orders of one part are under way, and each waits at a runner with its request. One of them makes the part whole, and others fetch it. If the store restarts then, an order that still waits writes the part into the next epoch, and a fetch that was planned on the ended epoch reads it meanwhile. The store cannot refuse a save.

Change: a part is fetched once it is settled: all instances know the event that reported it, and none has an order of it that may not have begun (policy/src/save_orders.rs). An instance that knows a part orders no save of it, so this stays true, and reports may be lost or late. Each tells, with its heartbeats, the last event of each store that it knows and the parts with open orders (extension 19). An order ends with the first event of its request, or if it provably never runs, else at its deadline, and is told until the store has made a response after that end: it may have begun in the next epoch, of which a cut instance does not know. Orders that a silent or replaced process has told of count until their deadlines. Those that it may not have told of count as begun after 5 s; therefore runners whose queues are long get no orders, an isolated instance gives none, and a request that waited in a stopped process goes without.

--- a/crates/gateway/src/cache_stores.rs
+++ b/crates/gateway/src/cache_stores.rs
@@ -13,13 +13,17 @@
     ablation::PolicyMechanism,
     prefix_cache::{
         plan_transfers, KeptPart, KeyedPart, PartKey, PromptCosts, StoreCatalogue, StoreView,
-        TransferPlan,
+        TransferPlan, UnsettledPart,
     },
     prefix_homes::home_part,
+    save_orders::{SavedPart, SettledParts, StoreProgress},
 };
 use std::net::SocketAddr;
 use xxhash_rust::xxh3::xxh3_64;
 
+/// Longest time that gossip about a response of a store takes, in milliseconds.
+const MAX_GOSSIP_MS: u64 = 500;
+
 /// One KV cache store with its catalogue.
 #[derive(Debug)]
 pub(crate) struct StoreEntry {
@@ -137,6 +141,55 @@
         })
     }
 
+    /// Whether the route table has no store.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.stores.is_empty()
+    }
+
+    /// Returns when the store with this key made its last response, by the boot clock; 0 if it is
+    /// unreachable, and `None` if there is no such store.
+    pub(crate) fn responded_ms(&self, store: u64) -> Option<u64> {
+        let entry = self.stores.iter().find(|entry| entry.key == store)?;
+        Some(entry.responded_ms())
+    }
+
+    /// Returns what is known of each store, sorted by key. Orders of an earlier process of this
+    /// instance may begin until `forgotten_until_ms`.
+    pub(crate) fn progress(&self, forgotten_until_ms: u64) -> Vec<StoreProgress> {
+        let stores = self.stores.iter().filter_map(|entry| {
+            let (epoch, known, settled) = entry.catalogue.progress()?;
+            Some(StoreProgress {
+                store: entry.key,
+                epoch,
+                known,
+                settled,
+                has_forgotten: entry.responded_ms() < forgotten_until_ms,
+            })
+        });
+        let mut stores: Vec<StoreProgress> = stores.collect();
+        stores.sort_unstable_by_key(|progress| progress.store);
+        stores
+    }
+
+    /// Returns the number of parts that are not settled.
+    pub(crate) fn unsettled_count(&self) -> usize {
+        let catalogues = self.stores.iter().map(|entry| &entry.catalogue);
+        catalogues.map(StoreCatalogue::unsettled_count).sum()
+    }
+
+    /// Records which parts are settled now.
+    pub(crate) fn settle(&mut self, settled: &SettledParts) {
+        for entry in &mut self.stores {
+            let Some(epoch) = entry.catalogue.epoch() else {
+                continue;
+            };
+            let (store, responded_ms) = (entry.key, entry.responded_ms());
+            let is_settled =
+                |part: &UnsettledPart| settled.covers(store, epoch, responded_ms, part);
+            entry.catalogue.settle(is_settled);
+        }
+    }
+
     /// Replaces the lags of stores, sorted by key. Later plans add them to the latency
     /// of the stores.
     pub(crate) fn set_lags(&mut self, lags: Vec<(u64, u32)>) {
@@ -224,6 +277,12 @@
 }
 
 impl StoreEntry {
+    /// Returns when the store made its last response, by the boot clock; 0 if it is unreachable.
+    fn responded_ms(&self) -> u64 {
+        let gossip_ms = if self.is_watched { 0 } else { MAX_GOSSIP_MS };
+        self.catalogue.responded_ms().saturating_sub(gossip_ms)
+    }
+
     /// Returns the planner's view of the store; `lag_ms` is added to its latency.
     fn view(&self, lag_ms: f64) -> StoreView<'_> {
         StoreView {
@@ -237,6 +296,17 @@
     }
 }
 
+/// Cache transfers of a request.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PlannedTransfers {
+    /// What the runner is told.
+    pub(crate) transfers: CacheTransfers,
+    /// Keys of the stores and runners that parts are fetched from.
+    pub(crate) sources: Vec<u64>,
+    /// Parts that the runner is to save.
+    pub(crate) saved: Vec<SavedPart>,
+}
+
 /// The parts of a prompt, scoped to one version of the weights.
 #[derive(Clone, Debug)]
 pub(crate) struct ScopedPrompt {
@@ -308,18 +378,21 @@
         }
     }
 
-    /// Converts a plan into transfers for the runner and records its saves as pending;
-    /// also returns the keys of the stores to fetch from.
+    /// Converts a plan into transfers for the runner and records its saves as pending.
     pub(crate) fn transfers(
         &self,
         registry: &mut StoreRegistry,
         plan: &TransferPlan,
         now_ms: u64,
-    ) -> (CacheTransfers, Vec<u64>) {
+    ) -> PlannedTransfers {
+        let mut saved = Vec::new();
         for (part, store) in self.parts.iter().zip(&plan.save) {
             if let Some(store) = store {
                 let catalogue = &mut registry.stores[*store].catalogue;
                 catalogue.note_saving(part.key, part.tokens, now_ms);
+                let store = registry.stores[*store].key;
+                let key = part.key;
+                saved.push(SavedPart { key, store });
             }
         }
         let address =
@@ -330,7 +403,11 @@
             save: plan.save.iter().map(address).collect(),
             fetch_until_ms: plan.fetch_until_ms,
         };
-        (transfers, registry.fetched_from(plan))
+        PlannedTransfers {
+            transfers,
+            sources: registry.fetched_from(plan),
+            saved,
+        }
     }
 }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -39,7 +39,7 @@
 use bytes::Bytes;
 use http::{header::HOST, Method, StatusCode};
 use rand::{rng, RngExt};
-use std::{future::ready, io, ops::Range, pin::pin, rc::Rc, time::Duration};
+use std::{borrow::Cow, future::ready, io, ops::Range, pin::pin, rc::Rc, time::Duration};
 use tokio::time::Instant;
 
 /// Shortest and longest retry delay for a rejected caller, in milliseconds. The
@@ -644,6 +644,12 @@
         let route_priority = if is_resumed { 0 } else { self.route.priority };
         let priority = engine_priority(customer.and_then(|c| c.priority), route_priority);
         let is_prompt = call.request.prompt.is_some();
+        let saves = placed.saves.as_ref();
+        let may_save = saves.is_none_or(|saves| saves.note_sent());
+        let cache = placed.cache.as_ref().map(|cache| match may_save {
+            true => Cow::Borrowed(cache),
+            false => Cow::Owned(cache.without_saves()),
+        });
         let context = ForwardContext {
             runner: &record.id,
             caller_timeout: Duration::ZERO,
@@ -651,7 +657,7 @@
             strips_key: self.table.needs_keys(),
             weights: placed.weights,
             rank: is_prompt.then_some(priority),
-            cache: placed.cache.as_ref(),
+            cache: cache.as_deref(),
             resume_after: sink.last_event,
         };
         let instances = state.instance_count() as u32;
@@ -675,6 +681,9 @@
         // Called with each event.
         let on_first_event = || {
             reservation.record_first_event();
+            if let Some(saves) = saves {
+                saves.note_first_event();
+            }
             if is_stream && !has_answered {
                 has_answered = true;
                 if self.route.is_resumable {
@@ -683,7 +692,11 @@
                 note_answer(state, &self.service, &parts.all);
             }
         };
-        attempt.run(sink, on_first_event).await
+        let outcome = attempt.run(sink, on_first_event).await;
+        if let Some(saves) = saves {
+            saves.note_outcome(&outcome);
+        }
+        outcome
     }
 }
 
--- a/crates/gateway/src/gauges.rs
+++ b/crates/gateway/src/gauges.rs
@@ -43,6 +43,10 @@
         }
         let lagging = state.stores.borrow().lagging_count() as i64;
         metrics.set(GaugeMetric::LaggingStores, "", lagging);
+        let unsettled = state.stores.borrow().unsettled_count() as i64;
+        metrics.set(GaugeMetric::UnsettledParts, "", unsettled);
+        let pending = state.save_orders.borrow().part_count() as i64;
+        metrics.set(GaugeMetric::PendingSaves, "", pending);
         let limited = state.runner_limits.borrow().limited_count() as i64;
         metrics.set(GaugeMetric::LimitedRunners, "", limited);
         let cold = state.runner_limits.borrow().cold_count(now_ms) as i64;
--- a/crates/gateway/src/instances.rs
+++ b/crates/gateway/src/instances.rs
@@ -7,6 +7,7 @@
     clock::boot_ms,
     home_regions::LookupScope,
     responses::encode_response,
+    saves::note_listed,
     state::GatewayState,
 };
 use berylmount_adapter::{
@@ -156,6 +157,12 @@
         self.has_predecessor == Some(true)
     }
 
+    /// Whether this process may replace an earlier process of this instance, also while that is
+    /// not known.
+    pub(crate) fn may_have_predecessor(&self) -> bool {
+        self.has_predecessor != Some(false)
+    }
+
     /// Whether an instance of this name is listed.
     pub(crate) fn contains(&self, name: &str) -> bool {
         let found = self
@@ -280,6 +287,8 @@
         ..state.store.source()
     };
     instances.replace(entries, source, boot_ms());
+    drop(instances);
+    note_listed(state);
     is_registered
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -98,6 +98,7 @@
 mod responses;
 mod rollout_lease;
 mod runner_registry;
+mod saves;
 mod state;
 mod store_lag;
 mod store_watch;
--- a/crates/gateway/src/peer_extensions.rs
+++ b/crates/gateway/src/peer_extensions.rs
@@ -24,6 +24,7 @@
     state::GatewayState,
     waiting::DemandReport,
 };
+use berylmount_policy::save_orders::SaveReport;
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use strum::{Display, EnumIter, FromRepr, IntoEnumIterator};
@@ -52,6 +53,8 @@
     RequestTimesQuery = 17,
     /// [`PeerExtension::RequestTimesReply`].
     RequestTimesReply = 18,
+    /// [`PeerExtension::Saves`].
+    Saves = 19,
 }
 
 /// A message of one of these kinds, as it is sent.
@@ -79,6 +82,9 @@
     RequestTimesQuery(u64),
     /// The reply to such a query.
     RequestTimesReply(RequestTimesReply),
+    /// What the sender knows of stores, and which saves it has ordered. Follows each of its
+    /// heartbeats.
+    Saves(SaveReport),
 }
 
 impl PeerExtension {
@@ -97,6 +103,7 @@
             Self::Demand(_) => ExtensionKind::Demand,
             Self::RequestTimesQuery(_) => ExtensionKind::RequestTimesQuery,
             Self::RequestTimesReply(_) => ExtensionKind::RequestTimesReply,
+            Self::Saves(_) => ExtensionKind::Saves,
         }
     }
 
@@ -110,6 +117,7 @@
             Self::Demand(report) => encode(report)?,
             Self::RequestTimesQuery(number) => encode(number)?,
             Self::RequestTimesReply(reply) => encode(reply)?,
+            Self::Saves(report) => encode(report)?,
         };
         Ok(ExtensionFrame {
             kind: self.kind() as u16,
@@ -133,6 +141,7 @@
             ExtensionKind::Demand => Self::Demand(decode(&frame.payload)?),
             ExtensionKind::RequestTimesQuery => Self::RequestTimesQuery(decode(&frame.payload)?),
             ExtensionKind::RequestTimesReply => Self::RequestTimesReply(decode(&frame.payload)?),
+            ExtensionKind::Saves => Self::Saves(decode(&frame.payload)?),
         }))
     }
 }
@@ -224,6 +233,10 @@
         Ok(Some(PeerExtension::RequestTimesReply(reply))) => {
             note_times_reply(state, sender, &reply)
         }
+        Ok(Some(PeerExtension::Saves(report))) => {
+            let mut fleet_saves = state.fleet_saves.borrow_mut();
+            fleet_saves.note_report(report, boot_ms());
+        }
         Ok(Some(PeerExtension::KnownKinds(name, kinds))) => {
             let unanswered = state.peers.borrow_mut().note_known_kinds(&name, kinds);
             if let Some(address) = unanswered {
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -19,11 +19,12 @@
         receive_extension, send_with_extensions, state_kinds, PeerExtension, KINDS_INTERVAL,
     },
     peer_skips::{note_skipped, SkipReason},
-    peers::{LoadShare, PeerHeartbeat, PeerMessage},
+    peers::{name_hash, LoadShare, PeerHeartbeat, PeerMessage},
     permits::{decide_permit, deliver_reply, merge_limit},
     places::{decide_place, end_place, merge_brittle},
     replica::ReplicaDelta,
     request_queries::{ask_for_times, send_times_query},
+    saves::settle_parts,
     state::GatewayState,
     store_watch::{is_connected_watcher, WatchedKind},
     stream_versions::{
@@ -218,7 +219,9 @@
         }
         let report = evacuations::own_report(&state).map(PeerExtension::Evacuations);
         let demand = state.waiting.report(&state.settings().name);
-        let extensions: Vec<PeerExtension> = report.into_iter().chain(demand).collect();
+        let saves = settle_parts(&state).map(PeerExtension::Saves);
+        let extensions: Vec<PeerExtension> =
+            report.into_iter().chain(demand).chain(saves).collect();
         send_with_extensions(&state, &socket, &addresses, &messages, &extensions).await;
         if kinds_waited >= KINDS_INTERVAL {
             kinds_waited = Duration::ZERO;
@@ -400,6 +403,9 @@
     if let Some(clock_ms) = heartbeat.runner_clock_ms {
         state.note_runner_clock(clock_ms, boot_ms());
     }
+    let mut fleet_saves = state.fleet_saves.borrow_mut();
+    fleet_saves.note_heard(name_hash(&peer), boot_ms());
+    drop(fleet_saves);
     let mut peers = state.peers.borrow_mut();
     let (was_silent, streams) = peers.note_heartbeat(heartbeat, boot_ms());
     note_heard(state, &streams);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -481,7 +481,8 @@
         heartbeat_interval_ms(self.peers.len() + 1)
     }
 
-    fn silence_ms(&self) -> u64 {
+    /// Returns the silence after which an instance is considered dead, in milliseconds.
+    pub(crate) fn silence_ms(&self) -> u64 {
         (self.interval_ms() * SILENCE_INTERVALS).max(MIN_SILENCE_MS)
     }
 
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -1,6 +1,7 @@
 //! Selects a runner for a request from what is known about the runners.
 
 use crate::{
+    cache_stores::PlannedTransfers,
     clock::boot_ms,
     cold_runners::{enforce_cold, ColdPermit},
     evacuations::is_evacuated,
@@ -13,6 +14,7 @@
     reservation::{prefill_sample, PrefillSample},
     responses::LocalReason,
     runner_registry::{RunnerHandle, RunnerRegistry},
+    saves::{may_order, SaveGuard},
     state::{DesiredWeights, GatewayState},
     stream_versions::SoftwareRule,
     transfers::{cached_prompt, copy_missing, fetch_limit, PromptHomes, TransferPlanner},
@@ -28,6 +30,7 @@
     prefix_cache::{earlier_of, PromptCosts},
     prompt_pools::{split_runners, PromptLength},
     runner_placement::{choose, draw_runner, sample_runners, PlacementDemand, RunnerView},
+    save_orders::MAX_START_MS,
 };
 use rand::rng;
 use std::{rc::Rc, time::Duration};
@@ -60,6 +63,8 @@
     pub(crate) weights: Option<u64>,
     /// Cache transfers that the runner is told to do.
     pub(crate) cache: Option<CacheTransfers>,
+    /// The order to save parts, if there is one.
+    pub(crate) saves: Option<SaveGuard>,
     /// Keys of the stores and runners that parts are fetched from.
     pub(crate) stores: Vec<u64>,
     /// Time after which the runner abandons the fetch, in milliseconds; `None` if it does
@@ -232,10 +237,16 @@
     let runner = candidates[index].clone();
     let weights = weights_version_at(query, &runner);
     // Planning transfers records the saves as ordered.
-    let (cache, stores, fetch_limit_ms) = match query.trace {
-        Some(_) => (None, Vec::new(), None),
+    let planned = match query.trace {
+        Some(_) => None,
         None => cache_transfers(&mut planner, &homes, &runner, &views[index], &demand),
     };
+    let fetch_limit_ms = planned.as_ref().and_then(|(_, limit_ms)| *limit_ms);
+    let planned = planned.map(|(planned, _)| planned);
+    let (saved, stores) = planned.as_ref().map_or_else(Default::default, |planned| {
+        (planned.saved.clone(), planned.sources.clone())
+    });
+    let cache = planned.map(|planned| planned.transfers);
     let unread_tokens = demand
         .prompt_tokens
         .saturating_sub(views[index].cached_tokens);
@@ -248,6 +259,7 @@
         sample: prefill_sample(&views[index], &demand, prompt),
         weights,
         cache,
+        saves: SaveGuard::begin(state, saved, query.admission.left_ms as u64),
         stores,
         fetch_limit_ms,
         unread_tokens: u64::from(unread_tokens),
@@ -451,32 +463,32 @@
     Ok(admissible)
 }
 
-/// Returns the prompt's cache transfers for the selected runner, the keys of the stores and
-/// the runner that they come from, and their time limit in milliseconds.
+/// Returns the prompt's cache transfers for the selected runner, and the time limit of the fetches
+/// in milliseconds.
 fn cache_transfers(
     planner: &mut TransferPlanner<'_>,
     homes: &PromptHomes<'_>,
     runner: &Rc<RunnerHandle>,
     view: &RunnerView,
     demand: &PlacementDemand,
-) -> (Option<CacheTransfers>, Vec<u64>, Option<f64>) {
+) -> Option<(PlannedTransfers, Option<f64>)> {
     let (query, now_ms) = (planner.query, planner.now_ms);
     let weights = weights_version_at(query, runner);
     let data_centre = runner.record().data_centre.clone();
-    let transfers = weights.and_then(|version| planner.transfers(version, &data_centre));
-    let Some((mut transfers, mut sources)) = transfers else {
-        return (None, Vec::new(), None);
-    };
+    let may_save =
+        may_order(planner.state, now_ms) && start_delay_ms(runner, now_ms) <= MAX_START_MS;
+    let mut planned = planner.transfers(weights?, &data_centre, may_save)?;
+    let transfers = &mut planned.transfers;
     if let Some(source) = homes.source(query, runner, now_ms) {
-        copy_missing(&mut transfers, planner, weights, source);
-        sources.push(source.key());
+        copy_missing(transfers, planner, weights, source);
+        planned.sources.push(source.key());
     }
     let clock_ms = planner.state.runner_clock.get().at(now_ms);
     let clock_ms = clock_ms.filter(|_| PolicyMechanism::FetchLimit.is_enabled());
     let limit_ms = fetch_limit(view, demand, &query.admission);
     let limit_end_ms = clock_ms.map(|clock_ms| clock_ms + limit_ms as u64);
     transfers.fetch_until_ms = earlier_of(transfers.fetch_until_ms, limit_end_ms);
-    (Some(transfers), sources, clock_ms.map(|_| limit_ms))
+    Some((planned, clock_ms.map(|_| limit_ms)))
 }
 
 /// Limits this instance to its share of the capacity that all instances see. Under
--- a/crates/gateway/src/state.rs
+++ b/crates/gateway/src/state.rs
@@ -42,6 +42,7 @@
     runner_clock::RunnerClock,
     runner_limits::{PermitDecision, RunnerLimits},
     runner_rooms::BrittleRunners,
+    save_orders::{FleetSaves, ReportWriter, SaveOrders},
     shared_duties::{duty_score, DutyMember},
     store_lags::LagTracker,
 };
@@ -119,6 +120,12 @@
     pub(crate) retired: RefCell<Vec<(String, u64)>>,
     /// Fetches of cached parts in flight.
     pub(crate) fetches: RefCell<ActiveFetches>,
+    /// Orders to save parts that may not have begun.
+    pub(crate) save_orders: Rc<RefCell<SaveOrders>>,
+    /// What the other instances have reported about theirs.
+    pub(crate) fleet_saves: RefCell<FleetSaves>,
+    /// What this instance has told the others about saves.
+    pub(crate) report_writer: RefCell<ReportWriter>,
     /// Statistics of services of engines, sorted by the key of the service.
     service_stats: RefCell<Vec<(u64, ServiceStats)>>,
     /// Prompt parts that crash runners.
@@ -246,6 +253,9 @@
             started_boot_ms: boot_ms(),
             retired: RefCell::default(),
             fetches: RefCell::default(),
+            save_orders: Rc::default(),
+            fleet_saves: RefCell::default(),
+            report_writer: RefCell::default(),
             service_stats: RefCell::default(),
             crash_parts: CrashParts::default(),
             cold_replies: ColdReplies::default(),
--- a/crates/gateway/src/transfers.rs
+++ b/crates/gateway/src/transfers.rs
@@ -2,7 +2,7 @@
 //! copies from the home runners of the prompt's prefix.
 
 use crate::{
-    cache_stores::{is_retired, prefix_key, ScopedPrompt},
+    cache_stores::{is_retired, prefix_key, PlannedTransfers, ScopedPrompt},
     placement::{weights_version_at, PlacementQuery},
     runner_registry::RunnerHandle,
     state::GatewayState,
@@ -76,18 +76,24 @@
         Some(plan)
     }
 
-    /// Returns the cache transfers for a runner and the keys of the stores to fetch from,
-    /// and records the saves as pending. Without a plan, only the scope is set, which
-    /// separates the parts from other weights and customers.
+    /// Returns the cache transfers for a runner, and records the saves as pending if the runner
+    /// `may_save`. Without a plan, only the scope is set, which separates the parts from other
+    /// weights and customers.
     pub(crate) fn transfers(
         &mut self,
         version: u64,
         data_centre: &str,
-    ) -> Option<(CacheTransfers, Vec<u64>)> {
+        may_save: bool,
+    ) -> Option<PlannedTransfers> {
         let prompt = self.prompt(version)?;
         let Some(plan) = self.plan(version, data_centre) else {
-            return Some((prompt.scope_without_transfers(), Vec::new()));
+            return Some(PlannedTransfers {
+                transfers: prompt.scope_without_transfers(),
+                ..PlannedTransfers::default()
+            });
         };
+        let mut plan = (*plan).clone();
+        plan.retain_saves(|_| may_save);
         let mut registry = self.state.stores.borrow_mut();
         Some(prompt.transfers(&mut registry, &plan, self.now_ms))
     }
--- a/crates/gateway/tests/settled_parts.rs
+++ b/crates/gateway/tests/settled_parts.rs
@@ -1,4 +1,4 @@
-//! Which parts are saved to KV cache stores.
+//! Which parts of KV cache stores are fetched while orders to save them wait at runners.
 #![allow(clippy::unwrap_used)]
 
 mod standins;
@@ -9,6 +9,7 @@
     AfterResponse, StandinCacheStore, StandinRunner, StandinStore, TestGateway,
 };
 use std::{
+    sync::{Arc, Condvar, Mutex},
     thread,
     time::{Duration, Instant},
 };
@@ -16,17 +17,40 @@
 /// Size of the shared part of each prompt, in tokens.
 const PART_TOKENS: u32 = 10_000;
 
+/// Requests whose id starts with "held" wait at the runner until the gate opens.
+#[derive(Clone, Default)]
+struct RunnerGate(Arc<(Mutex<bool>, Condvar)>);
+
+impl RunnerGate {
+    fn open(&self) {
+        *self.0 .0.lock().unwrap() = true;
+        self.0 .1.notify_all();
+    }
+
+    fn wait(&self) {
+        let (is_open, changed) = &*self.0;
+        let is_open = is_open.lock().unwrap();
+        drop(changed.wait_while(is_open, |is_open| !*is_open).unwrap());
+    }
+}
+
 /// A runner, a KV cache store and the platform's store.
 struct StoreFleet {
     runner: StandinRunner,
+    gate: RunnerGate,
     kept: StandinCacheStore,
     store: StandinStore,
 }
 
 impl StoreFleet {
     fn start() -> Self {
-        let kept = StandinCacheStore::start();
-        let runner = scripted_runner(|request| {
+        let (gate, kept) = (RunnerGate::default(), StandinCacheStore::start());
+        let held = gate.clone();
+        let runner = scripted_runner(move |request| {
+            let id = header(request, "berylmount-request-id").unwrap_or_default();
+            if id.starts_with("held") {
+                held.wait();
+            }
             let response = event_stream_to(request, &["id: 0\ndata: a\n\n"], true);
             (response, AfterResponse::Keep)
         });
@@ -35,6 +59,7 @@
         store.put("servers", "r1", Some(runner.entry("svc", "ready")));
         Self {
             runner,
+            gate,
             kept,
             store,
         }
@@ -77,6 +102,11 @@
         });
         scope.unwrap()
     }
+
+    fn is_fetched(&self, request: &str) -> bool {
+        let fetch = header(request, "berylmount-kv-fetch");
+        fetch.is_some_and(|fetch| fetch.contains(&self.kept.address.to_string()))
+    }
 }
 
 /// A route table with engines and a store.
@@ -104,6 +134,49 @@
     gateway.call("POST /ask/x", id, &headers, "prompt").unwrap()
 }
 
+/// Guards against a save that is written into the next epoch of its store: while it waits at a
+/// runner, no instance fetches the part.
+#[test]
+fn a_part_is_not_fetched_while_an_order_to_save_it_waits_at_a_runner() {
+    let fleet = StoreFleet::start();
+    let [first, second] = ["i1", "i2"].map(|name| fleet.start_gateway(name));
+    let scope = fleet.wait_for_saves(&first);
+    fleet.wait_for_saves(&second);
+    // The save of another request makes the part whole, while the first one still waits.
+    thread::scope(|threads| {
+        let held = threads.spawn(|| fleet.send(&first, "held", "bb"));
+        wait_until("the request waits at the runner", || {
+            fleet.received("held").is_some()
+        });
+        let request = fleet.received("held").unwrap();
+        assert!(
+            header(&request, "berylmount-kv-save").is_some(),
+            "{request}"
+        );
+        fleet.kept.hold(&scope, "bb", PART_TOKENS);
+        let end = Instant::now() + Duration::from_millis(1500);
+        let mut number = 0;
+        while Instant::now() < end {
+            number += 1;
+            let request = fleet.send(&second, &format!("early{number}"), "bb");
+            assert!(!fleet.is_fetched(&request), "{request}");
+            thread::sleep(Duration::from_millis(50));
+        }
+        assert!(number > 5);
+        fleet.gate.open();
+        held.join().unwrap();
+    });
+    for gateway in [&first, &second] {
+        let mut number = 0;
+        wait_until("the part is fetched", || {
+            number += 1;
+            let id = format!("late{number}-{}", gateway.settings.name);
+            let request = fleet.send(gateway, &id, "bb");
+            fleet.is_fetched(&request)
+        });
+    }
+}
+
 /// Guards against orders to save parts that the store already holds: without a listing an instance
 /// does not know them.
 #[test]
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -41,6 +41,7 @@
 //! | [`store_lags`] | which stores of kept cache answer late |
 //! | [`duty_lease`] | which instance holds the lease of a singleton duty |
 //! | [`request_times`] | since when weights may have been requested |
+//! | [`save_orders`] | which parts in stores no save is left of, over all instances |
 //! | [`sent_orders`] | which orders to runners are in progress |
 //! | [`weights_rollout`] | which runners load the requested weights next |
 //! | [`shared_duties`] | which instances perform a duty that needs only a few |
@@ -104,6 +105,7 @@
 pub mod runner_rooms;
 mod runner_state;
 pub mod runners;
+pub mod save_orders;
 pub mod sent_orders;
 pub mod service_path;
 pub mod shared_duties;
--- a/crates/policy/src/prefix_cache.rs
+++ b/crates/policy/src/prefix_cache.rs
@@ -14,13 +14,16 @@
 //! - A fetch that relies on a response of the store ends within [`LEASE_MS`] of it. An instance
 //!   that finds a new epoch orders saves only after that time, so no fetch that relies on an
 //!   earlier epoch reads them while they are written.
+//! - A part is fetched only once it is settled ([`save_orders`](crate::save_orders)): no save that
+//!   was ordered before can write it in a later epoch.
 //! - An instance orders saves to a store only while it knows all that the store has reported.
 
 use crate::assignment::{best_member, MemberWeight};
+use serde::{Deserialize, Serialize};
 
 /// Time after a store made its last response for which its catalogue is trusted, in
 /// milliseconds: one long poll and its network latency.
-const TRUSTED_MS: u64 = 1600;
+pub(crate) const TRUSTED_MS: u64 = 1600;
 /// Time after a store made a response within which the fetches that rely on it end, in
 /// milliseconds. A fetch that is planned when the trust ends has the
 /// difference left.
@@ -57,7 +60,9 @@
 const SPARE_FRACTION: f64 = 0.5;
 
 /// Identifies a part within a scope: a hash of both.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
 pub struct PartKey(pub u64);
 
 /// A part that a store holds completely.
@@ -75,6 +80,20 @@
     pub id: String,
 }
 
+/// A part that a store holds completely, and that a save ordered before may still write in a later
+/// epoch.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct UnsettledPart {
+    /// Its key.
+    pub key: PartKey,
+    /// Number of the event that reported it, or that of the last event before a listing with it.
+    pub number: u64,
+    /// Smallest number that the event that reported it can have.
+    pub first_number: u64,
+    /// When this instance learned of it, in milliseconds.
+    pub known_ms: u64,
+}
+
 /// One change reported by a store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum PartEvent {
@@ -99,7 +118,11 @@
     confirmed_clock_ms: Option<u64>,
     /// Whether events are missing that only a full listing shows.
     has_gap: bool,
+    /// Number of the last event of the epoch that is known together with all before it.
+    known: Option<u64>,
     parts: Vec<KeptPart>,
+    /// The parts that are not settled, sorted by key.
+    unsettled: Vec<UnsettledPart>,
     /// Memory that the parts occupy, in tokens.
     held_tokens: u64,
     /// Saves ordered by this instance that the store hasn't reported: key, tokens and
@@ -145,7 +168,7 @@
         }
         for event in events {
             match event {
-                PartEvent::Added(part) => self.add(part),
+                PartEvent::Added(part) => self.add(part, now_ms),
                 PartEvent::Removed(key) => self.remove(key),
             }
         }
@@ -153,6 +176,9 @@
         self.confirmed_ms = now_ms;
         self.confirmed_clock_ms = None;
         self.has_gap |= has_gap || lacks_first;
+        if !self.has_gap {
+            self.known = Some(next);
+        }
         self.has_gap
     }
 
@@ -168,16 +194,25 @@
         let is_listed = |key: &PartKey| parts.binary_search_by_key(key, |p| p.key).is_ok();
         self.withdrawn.retain(|(key, _)| is_listed(key));
         self.pending_saves.retain(|(key, _, _)| !is_listed(key));
+        self.unsettled.retain(|part| is_listed(&part.key));
+        let first_number = self.known.map_or(0, |known| known + 1);
         for part in &mut parts {
-            // A part that is already known keeps its event number.
-            if let Ok(index) = self.find(part.key) {
-                part.number = self.parts[index].number;
+            match self.find(part.key) {
+                // A part that is already known keeps its event number.
+                Ok(index) => part.number = self.parts[index].number,
+                Err(_) => self.note_unsettled(UnsettledPart {
+                    key: part.key,
+                    number: part.number,
+                    first_number,
+                    known_ms: now_ms,
+                }),
             }
         }
         self.held_tokens = parts.iter().map(|part| block_tokens(part.tokens)).sum();
         self.parts = parts;
         self.next = next;
         self.has_gap = false;
+        self.known = Some(next);
     }
 
     /// Whether the catalogue contains all that the store has reported, so that a copy of it is of
@@ -186,6 +221,59 @@
         !self.has_gap
     }
 
+    /// When the store made the last response that was applied, in milliseconds; 0 if never or if it
+    /// is unreachable.
+    pub fn responded_ms(&self) -> u64 {
+        self.confirmed_ms
+    }
+
+    /// What this instance knows of the store: the epoch, the last event that it knows together with
+    /// all before it, and the last event up to which all parts are settled; 0 if it knows none.
+    ///
+    /// ```
+    /// use berylmount_policy::prefix_cache::{KeptPart, PartEvent, PartKey, StoreCatalogue};
+    ///
+    /// let mut catalogue = StoreCatalogue::default();
+    /// let part = KeptPart {
+    ///     key: PartKey(7), number: 3, tokens: 1000, scope: "s".into(), id: "a".into(),
+    /// };
+    /// catalogue.apply(5, 2, false, Vec::new(), 100);
+    /// catalogue.apply(5, 4, false, vec![PartEvent::Added(part)], 200);
+    /// assert_eq!(catalogue.progress(), Some((5, 4, 2)));
+    /// catalogue.settle(|part| part.number <= 3);
+    /// assert_eq!(catalogue.progress(), Some((5, 4, 4)));
+    /// // Without the missing events it knows no more.
+    /// assert!(catalogue.apply(5, 90, true, Vec::new(), 300));
+    /// assert_eq!(catalogue.progress(), Some((5, 4, 4)));
+    /// ```
+    pub fn progress(&self) -> Option<(u64, u64, u64)> {
+        let (epoch, known) = (self.epoch?, self.known.unwrap_or(0));
+        let unsettled = self.unsettled.iter().map(|part| part.first_number);
+        let settled = unsettled.min().map(|first| first.saturating_sub(1));
+        Some((epoch, known, settled.unwrap_or(known).min(known)))
+    }
+
+    /// Number of parts that are not settled.
+    pub fn unsettled_count(&self) -> usize {
+        self.unsettled.len()
+    }
+
+    /// Records which parts are settled now.
+    pub fn settle(&mut self, is_settled: impl Fn(&UnsettledPart) -> bool) {
+        self.unsettled.retain(|part| !is_settled(part));
+    }
+
+    fn find_unsettled(&self, key: PartKey) -> Result<usize, usize> {
+        self.unsettled.binary_search_by_key(&key, |part| part.key)
+    }
+
+    fn note_unsettled(&mut self, part: UnsettledPart) {
+        match self.find_unsettled(part.key) {
+            Ok(index) => self.unsettled[index] = part,
+            Err(index) => self.unsettled.insert(index, part),
+        }
+    }
+
     fn begin_epoch(&mut self, epoch: u64, now_ms: u64) {
         let mut ended_epochs = std::mem::take(&mut self.ended_epochs);
         let first_heard = match self.first_heard {
@@ -296,7 +384,8 @@
     /// The part with this key, if the store holds it and it may be fetched.
     pub fn fetchable(&self, key: PartKey) -> Option<&KeptPart> {
         let part = &self.parts[self.find(key).ok()?];
-        (!self.is_withdrawn(key, part.number)).then_some(part)
+        let is_settled = self.find_unsettled(key).is_err();
+        (is_settled && !self.is_withdrawn(key, part.number)).then_some(part)
     }
 
     /// Whether the store holds a part or a save of it is pending.
@@ -343,10 +432,21 @@
         self.parts.binary_search_by_key(&key, |part| part.key)
     }
 
-    fn add(&mut self, part: KeptPart) {
+    fn add(&mut self, part: KeptPart, now_ms: u64) {
         self.pending_saves.retain(|(key, _, _)| *key != part.key);
         self.held_tokens += block_tokens(part.tokens);
-        match self.find(part.key) {
+        let found = self.find(part.key);
+        if found.map_or(true, |index| self.parts[index].number != part.number) {
+            // The first contents of an epoch may be a copy of a listing.
+            let first_number = self.known.map_or(0, |_| part.number);
+            self.note_unsettled(UnsettledPart {
+                key: part.key,
+                number: part.number,
+                first_number,
+                known_ms: now_ms,
+            });
+        }
+        match found {
             Ok(index) => {
                 self.held_tokens -= block_tokens(self.parts[index].tokens);
                 self.parts[index] = part;
@@ -362,6 +462,7 @@
             self.held_tokens -= block_tokens(part.tokens);
         }
         self.withdrawn.retain(|(withdrawn, _)| *withdrawn != key);
+        self.unsettled.retain(|part| part.key != key);
     }
 }
 
@@ -454,6 +555,7 @@
 ///     key: PartKey(7), number: 1, tokens: 1000, scope: "s".into(), id: "a".into(),
 /// };
 /// catalogue.apply(1, 2, false, vec![PartEvent::Added(part)], 100);
+/// catalogue.settle(|_| true);
 /// let store = StoreView {
 ///     name: "keep", data_centre: "north", memory_tokens: 10_000, link_bits_per_ms: 1e8,
 ///     latency_ms: 0.5, catalogue: &catalogue,
--- a/crates/policy/tests/store_catalogue.rs
+++ b/crates/policy/tests/store_catalogue.rs
@@ -79,6 +79,7 @@
             prop_assert!(held.eq(wanted));
             let used: u64 = expected.values().map(|e| block_tokens(e.0)).sum();
             prop_assert_eq!(catalogue.used_tokens(1), used);
+            catalogue.settle(|_| true);
             for (key, (_, _, may_fetch)) in &expected {
                 prop_assert_eq!(catalogue.fetchable(PartKey(*key)).is_some(), *may_fetch);
             }
@@ -107,6 +108,7 @@
     let mut catalogue = StoreCatalogue::default();
     let events = parts.into_iter().map(PartEvent::Added).collect();
     catalogue.apply(1, 2, false, events, 100);
+    catalogue.settle(|_| true);
     catalogue
 }
 
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -145,6 +145,11 @@
     Connections,
     /// KV cache stores that respond late to fetches.
     LaggingStores,
+    /// Parts in KV cache stores that are not fetched, because a save that was ordered before may
+    /// still write them again.
+    UnsettledParts,
+    /// Parts that this process has ordered to be saved and whose saves may not have begun.
+    PendingSaves,
     /// Retries left in this process's retry budget for the current window, for the
     /// service with the fewest left.
     RetriesLeft,
