Leave a save to the instance that has ordered it

Cause: each instance ordered a save of a part until the store reported it, though the others had told of their orders. A part is settled only when all these orders have begun, so second ones delay its first fetch, and they are what a restart of the store turns into late saves.

Change: an instance orders no save of a part of which another live instance has told an open order. When that order ends without a save, the next request orders one.

Result: a_part_that_another_instance_saves_is_left_to_it failed on with a second Berylmount-Kv-Save and passes now.

--- a/crates/gateway/src/transfers.rs
+++ b/crates/gateway/src/transfers.rs
@@ -77,8 +77,8 @@
     }
 
     /// Returns the cache transfers for a runner, and records the saves as pending if the runner
-    /// `may_save`. Without a plan, only the scope is set, which separates the parts from other
-    /// weights and customers.
+    /// `may_save`. Parts that another instance has ordered to be saved are left to it. Without a
+    /// plan, only the scope is set, which separates the parts from other weights and customers.
     pub(crate) fn transfers(
         &mut self,
         version: u64,
@@ -93,7 +93,12 @@
             });
         };
         let mut plan = (*plan).clone();
-        plan.retain_saves(|_| may_save);
+        let fleet = self.state.fleet_saves.borrow();
+        let silence_ms = self.state.peers.borrow().silence_ms();
+        for (part, save) in prompt.parts().iter().zip(&mut plan.save) {
+            let is_ordered = || fleet.has_order(part.key, silence_ms, self.now_ms);
+            *save = save.filter(|_| may_save && !is_ordered());
+        }
         let mut registry = self.state.stores.borrow_mut();
         Some(prompt.transfers(&mut registry, &plan, self.now_ms))
     }
--- a/crates/gateway/tests/settled_parts.rs
+++ b/crates/gateway/tests/settled_parts.rs
@@ -177,6 +177,27 @@
     }
 }
 
+/// Guards against a second save of a part, which would delay its first fetch.
+#[test]
+fn a_part_that_another_instance_saves_is_left_to_it() {
+    let fleet = StoreFleet::start();
+    let [first, second] = ["i1", "i2"].map(|name| fleet.start_gateway(name));
+    fleet.wait_for_saves(&first);
+    fleet.wait_for_saves(&second);
+    thread::scope(|threads| {
+        let held = threads.spawn(|| fleet.send(&first, "held", "bb"));
+        wait_until("the request waits at the runner", || {
+            fleet.received("held").is_some()
+        });
+        // Some heartbeats later.
+        thread::sleep(Duration::from_millis(500));
+        let request = fleet.send(&second, "other", "bb");
+        assert_eq!(header(&request, "berylmount-kv-save"), None, "{request}");
+        fleet.gate.open();
+        held.join().unwrap();
+    });
+}
+
 /// Guards against orders to save parts that the store already holds: without a listing an instance
 /// does not know them.
 #[test]
--- a/crates/policy/src/save_orders.rs
+++ b/crates/policy/src/save_orders.rs
@@ -391,6 +391,32 @@
         });
     }
 
+    /// Whether an instance that was heard within `silence_ms` has an order to save a part.
+    ///
+    /// ```
+    /// use berylmount_policy::{prefix_cache::PartKey, save_orders::*};
+    ///
+    /// let pending = Some(vec![PartKey(7)]);
+    /// let report = SaveReport { instance: 2, pending, ..SaveReport::default() };
+    /// let mut fleet = FleetSaves::default();
+    /// fleet.note_report(report, 1000);
+    /// assert!(fleet.has_order(PartKey(7), 500, 1400));
+    /// assert!(!fleet.has_order(PartKey(8), 500, 1400));
+    /// assert!(!fleet.has_order(PartKey(7), 500, 1500));
+    /// ```
+    pub fn has_order(&self, key: PartKey, silence_ms: u64, now_ms: u64) -> bool {
+        let mut heard = self
+            .instances
+            .iter()
+            .filter(|known| now_ms.saturating_sub(known.heard_ms) < silence_ms);
+        heard.any(|known| {
+            let pending = known.report.iter().flat_map(|report| &report.pending);
+            pending
+                .into_iter()
+                .any(|keys| keys.binary_search(&key).is_ok())
+        })
+    }
+
     /// Records the report of an instance.
     pub fn note_report(&mut self, report: SaveReport, now_ms: u64) {
         let entry = self.entry(report.instance, now_ms);
--- a/crates/policy/tests/store_epochs.rs
+++ b/crates/policy/tests/store_epochs.rs
@@ -259,7 +259,8 @@
         let limit_end_ms = now_ms + CLOCK_OFFSET_MS + limit_ms;
         let until_ms = plan.fetch_until_ms.into_iter().chain([limit_end_ms]).min();
         let may_order = now_ms < self.heard_ms + ISOLATION_MS;
-        let save = plan.save[0].filter(|_| may_order).map(|_| {
+        let is_ordered = self.fleet.has_order(PartKey(part), ISOLATION_MS, now_ms);
+        let save = plan.save[0].filter(|_| may_order && !is_ordered).map(|_| {
             self.catalogue
                 .note_saving(PartKey(part), PART_TOKENS, now_ms);
             let saved = SavedPart {
