List a store whose events were lost

Cause: a few events of a KV cache store never arrive, without a sign of the gap. The part stays unknown to the instance, which orders a save of it every 2.5 s.

Change: events are numbered consecutively (PROTOCOL.md: SinceRev 118 is answered with 119 and 120, and NextToken 120), so a response with fewer events than numbers shows the loss. The store is listed then, at most every 5 s, because a listing stalls it.

--- a/crates/gateway/src/cache_stores/watch.rs
+++ b/crates/gateway/src/cache_stores/watch.rs
@@ -22,6 +22,9 @@
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 /// Interval at which the route table is checked for changed stores.
 const TABLE_POLL_INTERVAL: Duration = Duration::from_millis(300);
+/// Shortest time between two listings because of events that were lost, in milliseconds. A listing
+/// stalls the store.
+const LOST_LISTING_INTERVAL_MS: u64 = 5000;
 /// Number of instances in a large fleet that poll one store.
 const WATCHERS_PER_STORE: usize = 2;
 
@@ -165,7 +168,10 @@
     let Some(watched_address) = address(&state) else {
         return;
     };
-    let mut client = RunnerClient::new(watched_address);
+    let mut poller = StorePoller {
+        client: RunnerClient::new(watched_address),
+        lost_ms: None,
+    };
     let mut is_unreachable = false;
     let mut was_watcher = false;
     while address(&state) == Some(watched_address) {
@@ -179,7 +185,7 @@
             sleep(TABLE_POLL_INTERVAL).await;
             continue;
         }
-        match poll_store(&state, &name, &mut client).await {
+        match poll_store(&state, &name, &mut poller).await {
             Ok(()) => {
                 if is_unreachable {
                     log::info!(target: "kept", store = name; "store responds again");
@@ -201,11 +207,32 @@
     }
 }
 
+/// The calls to one store.
+struct StorePoller {
+    client: RunnerClient,
+    /// When events were last found lost, by the boot clock; `None` if never.
+    lost_ms: Option<u64>,
+}
+
+impl StorePoller {
+    /// Whether a response to a call for the events after `since` lacks some that the store does not
+    /// say are missing. Their numbers are consecutive. Returns false soon after such a response.
+    fn finds_loss(&mut self, since: u64, changes: &CacheChanges, now_ms: u64) -> bool {
+        let is_whole = changes.next.saturating_sub(since) <= changes.events.len() as u64;
+        let is_recent = |lost_ms| now_ms.saturating_sub(lost_ms) < LOST_LISTING_INTERVAL_MS;
+        if is_whole || self.lost_ms.is_some_and(is_recent) {
+            return false;
+        }
+        self.lost_ms = Some(now_ms);
+        true
+    }
+}
+
 /// Polls a store once and applies the changes to its catalogue.
 async fn poll_store(
     state: &GatewayState,
     name: &str,
-    client: &mut RunnerClient,
+    poller: &mut StorePoller,
 ) -> Result<(), CallFault> {
     let since = state
         .stores
@@ -213,7 +240,7 @@
         .catalogue(name)
         .map_or(0, |c| c.next());
     let sent_ms = boot_ms();
-    let changes = client.cache_events(since, LONG_POLL_TIME).await?;
+    let changes = poller.client.cache_events(since, LONG_POLL_TIME).await?;
     if let Some(clock_ms) = changes.clock_ms {
         state.note_runner_clock(clock_ms, boot_ms());
     }
@@ -223,11 +250,15 @@
             return Ok(());
         };
         let is_new = catalogue.epoch() != Some(changes.epoch);
-        let (epoch, next, has_gap) = (changes.epoch, changes.next, changes.has_gap);
-        let clock_ms = changes.clock_ms;
+        let (epoch, next, clock_ms) = (changes.epoch, changes.next, changes.clock_ms);
+        let now_ms = boot_ms();
+        let has_lost = !is_new && poller.finds_loss(since, &changes, now_ms);
+        if has_lost {
+            log::info!(target: "kept", store = name, since, next; "events of the store were lost; listing its parts");
+        }
+        let has_gap = changes.has_gap || has_lost;
         let events = part_events(changes);
         let gossip_changes = gossip_changes(&events);
-        let now_ms = boot_ms();
         let gap = catalogue.apply(epoch, next, has_gap, events, now_ms);
         let age_ms = response_age_ms(state, clock_ms, sent_ms, now_ms);
         catalogue.note_response_time(age_ms, clock_ms);
@@ -236,7 +267,7 @@
             store,
             epoch,
             // Others cannot apply changes with a gap before them.
-            since: if gap { next } else { since },
+            since: if is_new || gap { next } else { since },
             next,
             changes: gossip_changes,
         };
@@ -249,7 +280,7 @@
         gap
     };
     if needs_listing {
-        let listed = client.list_cache().await?;
+        let listed = poller.client.list_cache().await?;
         let (epoch, next) = (listed.epoch, listed.next);
         let parts = listed.events.into_iter().map(kept_part).collect();
         if let Some(catalogue) = state.stores.borrow_mut().catalogue(name) {
--- a/crates/gateway/tests/settled_parts.rs
+++ b/crates/gateway/tests/settled_parts.rs
@@ -103,6 +103,17 @@
         scope.unwrap()
     }
 
+    /// Sends prompts with a part until it is fetched from the store.
+    fn wait_for_fetches(&self, gateway: &TestGateway, prefix: &str) {
+        let mut number = 0;
+        wait_until("the part is fetched", || {
+            number += 1;
+            let id = format!("late{number}-{}", gateway.settings.name);
+            let request = self.send(gateway, &id, prefix);
+            self.is_fetched(&request)
+        });
+    }
+
     fn is_fetched(&self, request: &str) -> bool {
         let fetch = header(request, "berylmount-kv-fetch");
         fetch.is_some_and(|fetch| fetch.contains(&self.kept.address.to_string()))
@@ -167,13 +178,7 @@
         held.join().unwrap();
     });
     for gateway in [&first, &second] {
-        let mut number = 0;
-        wait_until("the part is fetched", || {
-            number += 1;
-            let id = format!("late{number}-{}", gateway.settings.name);
-            let request = fleet.send(gateway, &id, "bb");
-            fleet.is_fetched(&request)
-        });
+        fleet.wait_for_fetches(gateway, "bb");
     }
 }
 
@@ -198,6 +203,17 @@
     });
 }
 
+/// Guards against orders to save a part again and again, because the event that reports it never
+/// arrives.
+#[test]
+fn a_part_whose_event_was_lost_is_fetched_all_the_same() {
+    let fleet = StoreFleet::start();
+    let gateway = fleet.start_gateway("i1");
+    let scope = fleet.wait_for_saves(&gateway);
+    fleet.kept.hold_unreported(&scope, "bb", PART_TOKENS);
+    fleet.wait_for_fetches(&gateway, "bb");
+}
+
 /// Guards against orders to save parts that the store already holds: without a listing an instance
 /// does not know them.
 #[test]
--- a/crates/gateway/tests/standins/cache_store.rs
+++ b/crates/gateway/tests/standins/cache_store.rs
@@ -16,6 +16,8 @@
 struct Contents {
     /// Scope, id and tokens of each part, in the order of their events.
     parts: Vec<(String, String, u32)>,
+    /// Numbers of events that never arrive.
+    lost: Vec<usize>,
     /// Whether events are missing in its next responses.
     has_gap: bool,
     /// Whether it fails to list its parts.
@@ -61,6 +63,16 @@
         self.contents.lock().unwrap().parts.push(part);
     }
 
+    /// Holds a part from now on, but the event that reports it is lost.
+    pub(crate) fn hold_unreported(&self, scope: &str, id: &str, tokens: u32) {
+        let mut contents = self.contents.lock().unwrap();
+        contents
+            .parts
+            .push((scope.to_owned(), id.to_owned(), tokens));
+        let number = contents.parts.len();
+        contents.lost.push(number);
+    }
+
     /// Sets whether events are missing and the store fails to list its parts.
     pub(crate) fn set_failing(&self, is_failing: bool) {
         let mut contents = self.contents.lock().unwrap();
@@ -89,6 +101,7 @@
         let since = since.split_whitespace().next().unwrap_or("0");
         let since: usize = since.parse().unwrap();
         let events = self.parts.iter().zip(1..).skip(since);
+        let events = events.filter(|(_, number)| !self.lost.contains(number));
         let events = events
             .map(|((scope, id, tokens), number)| json!([number, "+", scope, id, tokens, "m"]));
         body["Events"] = events.collect();
