Keep orders to a store that the table lists no more

Cause: an order whose outcome is not known was dropped at once when its store left the route table. The store may be listed again under another name, with the same address and contents, and the order may still be carried out there.

Change: such an order lasts until the deadline of its request, as any other.

The example of SaveOrders::pending has the changed signature; no test lists a store under two names.

--- a/crates/gateway/src/saves.rs
+++ b/crates/gateway/src/saves.rs
@@ -103,7 +103,9 @@
 fn own_report(state: &GatewayState) -> SaveReport {
     let stores = state.stores.borrow();
     let mut orders = state.save_orders.borrow_mut();
-    let pending = orders.pending(|store| stores.responded_ms(store));
+    let now_ms = boot_ms();
+    // A store that the table lists no more may be listed again under another name.
+    let pending = orders.pending(|store| stores.responded_ms(store).unwrap_or(now_ms));
     let may_replace = state.instances.borrow().may_have_predecessor();
     // Until then, orders of an earlier process may begin.
     let forgotten_until_ms = match may_replace {
@@ -116,7 +118,7 @@
         number: 0,
         stores: stores.progress(forgotten_until_ms),
         pending: (pending.len() <= MAX_REPORTED_PARTS).then_some(pending),
-        longest_ms: orders.longest_ms(boot_ms()),
+        longest_ms: orders.longest_ms(now_ms),
     }
 }
 
--- a/crates/policy/src/save_orders.rs
+++ b/crates/policy/src/save_orders.rs
@@ -76,8 +76,8 @@
 /// assert_eq!(orders.longest_ms(500), 8500);
 /// orders.end(order, 1000);
 /// // The last response of the store may have been made before the restart of the store.
-/// assert_eq!(orders.pending(|_store| Some(900)), [PartKey(7)]);
-/// assert_eq!(orders.pending(|_store| Some(1100)), []);
+/// assert_eq!(orders.pending(|_store| 900), [PartKey(7)]);
+/// assert_eq!(orders.pending(|_store| 1100), []);
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct SaveOrders {
@@ -135,16 +135,14 @@
 
     /// Returns the parts of the orders that may not have begun, sorted, and forgets the others.
     ///
-    /// `responded_ms` is when a store made its last response; `None` if the store is gone.
-    pub fn pending(&mut self, responded_ms: impl Fn(u64) -> Option<u64>) -> Vec<PartKey> {
+    /// `responded_ms` is when a store made its last response.
+    pub fn pending(&mut self, responded_ms: impl Fn(u64) -> u64) -> Vec<PartKey> {
         for order in &mut self.orders {
             let Some(ended_ms) = order.ended_ms else {
                 continue;
             };
             let confirmed_ms = ended_ms + RESPONSE_TOLERANCE_MS;
-            let is_open = |part: &SavedPart| {
-                responded_ms(part.store).is_some_and(|at_ms| at_ms < confirmed_ms)
-            };
+            let is_open = |part: &SavedPart| responded_ms(part.store) < confirmed_ms;
             order.parts.retain(is_open);
         }
         self.orders.retain(|order| !order.parts.is_empty());
--- a/crates/policy/tests/store_epochs.rs
+++ b/crates/policy/tests/store_epochs.rs
@@ -229,7 +229,7 @@
             process: self.process,
             number: 0,
             stores: stores.into_iter().collect(),
-            pending: Some(self.orders.pending(|_| Some(responded_ms))),
+            pending: Some(self.orders.pending(|_| responded_ms)),
             longest_ms: self.orders.longest_ms(now_ms),
         };
         let settled = self.fleet.settled(&own, SILENCE_MS, now_ms);
