Tidy the placement of a request with an order to save

Cause: read as a newcomer, place() took a plan apart in three steps, and an attempt that reached its time limit before anything was sent kept its order until the deadline.

Change: the plan is taken apart once; an order that was never sent is withdrawn in that case, too.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -241,12 +241,16 @@
         Some(_) => None,
         None => cache_transfers(&mut planner, &homes, &runner, &views[index], &demand),
     };
-    let fetch_limit_ms = planned.as_ref().and_then(|(_, limit_ms)| *limit_ms);
-    let planned = planned.map(|(planned, _)| planned);
-    let (saved, stores) = planned.as_ref().map_or_else(Default::default, |planned| {
-        (planned.saved.clone(), planned.sources.clone())
-    });
-    let cache = planned.map(|planned| planned.transfers);
+    let (planned, fetch_limit_ms) = planned.unzip();
+    let left_ms = query.admission.left_ms as u64;
+    let (cache, stores, saves) = match planned {
+        Some(planned) => (
+            Some(planned.transfers),
+            planned.sources,
+            SaveGuard::begin(state, planned.saved, left_ms),
+        ),
+        None => (None, Vec::new(), None),
+    };
     let unread_tokens = demand
         .prompt_tokens
         .saturating_sub(views[index].cached_tokens);
@@ -259,9 +263,9 @@
         sample: prefill_sample(&views[index], &demand, prompt),
         weights,
         cache,
-        saves: SaveGuard::begin(state, saved, query.admission.left_ms as u64),
+        saves,
         stores,
-        fetch_limit_ms,
+        fetch_limit_ms: fetch_limit_ms.flatten(),
         unread_tokens: u64::from(unread_tokens),
         fetched_tokens: u64::from(views[index].cached_tokens),
         memory_tokens: demand.memory_tokens,
--- a/crates/gateway/src/saves.rs
+++ b/crates/gateway/src/saves.rs
@@ -62,7 +62,9 @@
     /// Notes how the attempt to run the request ended.
     pub(crate) fn note_outcome(&self, outcome: &AttemptOutcome) {
         match outcome {
-            AttemptOutcome::NotSent(_) | AttemptOutcome::NotRun(_) => {
+            AttemptOutcome::NotSent(_)
+            | AttemptOutcome::NotRun(_)
+            | AttemptOutcome::TimedOut(false) => {
                 self.orders.borrow_mut().withdraw(self.id);
             }
             AttemptOutcome::Complete(_) | AttemptOutcome::Streamed => self.note_first_event(),
@@ -71,7 +73,7 @@
             | AttemptOutcome::Disconnected(_)
             | AttemptOutcome::StreamFailed(_)
             | AttemptOutcome::CallerGone
-            | AttemptOutcome::TimedOut(_) => {}
+            | AttemptOutcome::TimedOut(true) => {}
         }
     }
 }
@@ -86,8 +88,7 @@
     }
 }
 
-/// Whether this instance may order saves: it hears from others that would learn of its orders, or
-/// there are none.
+/// Whether this instance may order saves: another one hears of its orders, or there is no other.
 pub(crate) fn may_order(state: &GatewayState, now_ms: u64) -> bool {
     let peers = state.peers.borrow();
     state.instance_count() <= 1 || peers.received_within(peers.silence_ms(), now_ms)
