--- a/crates/policy/src/save_orders.rs
+++ b/crates/policy/src/save_orders.rs
@@ -38,7 +38,6 @@
 /// Time after which orders that no instance tells of count as begun, in milliseconds:
 /// [`MAX_START_MS`], and a tolerance for clocks and network latency.
 pub const UNTOLD_ORDER_MS: u64 = MAX_START_MS + 1000;
-
 /// Tolerance for when a store made a response, in milliseconds.
 const RESPONSE_TOLERANCE_MS: u64 = 50;
 
@@ -170,7 +169,7 @@
     pub has_forgotten: bool,
 }
 
-/// What an instance tells the others about saves. The default settles nothing.
+/// What an instance tells the others about its orders. The default settles nothing.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct SaveReport {
     /// Key of the instance.
@@ -243,9 +242,9 @@
         let known = std::mem::take(&mut self.stores);
         let stores = report.stores.iter().map(|progress| {
             let found = known.binary_search_by_key(&progress.store, |(known, _)| known.store);
-            let known = found.map_or(None, |index| Some(known[index]));
-            let left = known.map_or(CHANGE_REPEATS, |(known, left)| {
-                repeats_left(known == *progress, left)
+            let last = found.ok().map(|index| known[index]);
+            let left = last.map_or(CHANGE_REPEATS, |(last, left)| {
+                repeats_left(last == *progress, left)
             });
             (*progress, left)
         });
