Collect the reports of orders to save at two instances of a large fleet

Cause: each instance sent its report of orders to save to each other one.

Change: in a large fleet an instance sends its reports to two collectors, chosen by rendezvous hashing. A collector settles parts as every instance of a small fleet does, and lists those that are not settled to all others, which settle the rest. Exceptions count only together with the progress of the same report.

Tests: a_collector_tells_which_parts_are_not_settled and instances_of_a_large_fleet_soon_fetch_what_a_collector_has_settled, for the new path.

--- a/crates/gateway/src/cache_stores.rs
+++ b/crates/gateway/src/cache_stores.rs
@@ -174,7 +174,18 @@
     /// Returns the number of parts that are not settled.
     pub(crate) fn unsettled_count(&self) -> usize {
         let catalogues = self.stores.iter().map(|entry| &entry.catalogue);
-        catalogues.map(StoreCatalogue::unsettled_count).sum()
+        catalogues
+            .map(|catalogue| catalogue.unsettled().len())
+            .sum()
+    }
+
+    /// Returns the parts that are not settled, sorted.
+    pub(crate) fn unsettled(&self) -> Vec<PartKey> {
+        let catalogues = self.stores.iter().map(|entry| &entry.catalogue);
+        let parts = catalogues.flat_map(|catalogue| catalogue.unsettled());
+        let mut keys: Vec<PartKey> = parts.map(|part| part.key).collect();
+        keys.sort_unstable();
+        keys
     }
 
     /// Records which parts are settled now.
--- a/crates/gateway/src/peer_link.rs
+++ b/crates/gateway/src/peer_link.rs
@@ -219,9 +219,17 @@
         }
         let report = evacuations::own_report(&state).map(PeerExtension::Evacuations);
         let demand = state.waiting.report(&state.settings().name);
-        let saves = settle_parts(&state).map(PeerExtension::Saves);
-        let extensions: Vec<PeerExtension> =
-            report.into_iter().chain(demand).chain(saves).collect();
+        let saves = settle_parts(&state);
+        let (saves, recipients) = saves.unzip();
+        let saves = saves.map(PeerExtension::Saves);
+        let mut extensions: Vec<PeerExtension> = report.into_iter().chain(demand).collect();
+        match recipients.flatten() {
+            Some(recipients) => {
+                let saves: Vec<PeerExtension> = saves.into_iter().collect();
+                send_with_extensions(&state, &socket, &recipients, &[], &saves).await;
+            }
+            None => extensions.extend(saves),
+        }
         send_with_extensions(&state, &socket, &addresses, &messages, &extensions).await;
         if kinds_waited >= KINDS_INTERVAL {
             kinds_waited = Duration::ZERO;
--- a/crates/gateway/src/saves.rs
+++ b/crates/gateway/src/saves.rs
@@ -1,11 +1,17 @@
 //! Orders to save parts to stores of kept cache, and what the instances tell each other about them.
 
-use crate::{clock::boot_ms, peers::name_hash, state::GatewayState, upstream::AttemptOutcome};
+use crate::{
+    clock::boot_ms,
+    peers::name_hash,
+    state::{duty_member, GatewayState},
+    upstream::AttemptOutcome,
+};
 use berylmount_policy::save_orders::{
     OrderId, SaveOrders, SaveReport, SavedPart, MAX_REPORTED_PARTS, MAX_START_MS, UNTOLD_ORDER_MS,
 };
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
 };
 
@@ -16,6 +22,11 @@
 /// may have stood still meanwhile, and other instances count its orders as begun.
 const MAX_PLAN_AGE_MS: u64 = 1000;
 
+/// Name of the duty to collect the reports of a large fleet, and number of instances that do. Two,
+/// so that one may be lost.
+const COLLECTOR_DUTY: &str = "saves";
+const COLLECTORS: usize = 2;
+
 /// An order to save parts, from the plan of a request until the runner has begun to save them.
 pub(crate) struct SaveGuard {
     orders: Rc<RefCell<SaveOrders>>,
@@ -120,22 +131,53 @@
         stores: stores.progress(forgotten_until_ms),
         pending: (pending.len() <= MAX_REPORTED_PARTS).then_some(pending),
         longest_ms: orders.longest_ms(now_ms),
+        unsettled: Vec::new(),
+    }
+}
+
+/// Returns the addresses of the instances that collect the reports of a large fleet, and whether
+/// this is one of them; `None` in a small fleet, where all get all reports.
+fn collectors(state: &GatewayState, now_ms: u64) -> Option<(Vec<SocketAddr>, bool)> {
+    let (settings, peers) = (state.settings(), state.peers.borrow());
+    let own = duty_member(&settings);
+    let is_large = peers.is_large(now_ms);
+    is_large.then(|| peers.first_members(own, COLLECTOR_DUTY, COLLECTORS, now_ms))
+}
+
+/// Lists the parts that are not settled one by one, so that others learn at once of all others that
+/// are.
+fn list_unsettled(state: &GatewayState, report: &mut SaveReport) {
+    let unsettled = state.stores.borrow().unsettled();
+    if unsettled.len() <= MAX_REPORTED_PARTS {
+        report.unsettled = unsettled;
+        for progress in &mut report.stores {
+            progress.settled = progress.known;
+        }
     }
 }
 
 /// Settles what the reports of all instances allow, and returns what this one tells the others, if
-/// anything.
-pub(crate) fn settle_parts(state: &GatewayState) -> Option<SaveReport> {
+/// anything, and to which ones it goes; `None` stands for all of them.
+pub(crate) fn settle_parts(state: &GatewayState) -> Option<(SaveReport, Option<Vec<SocketAddr>>)> {
     if state.stores.borrow().is_empty() {
         return None;
     }
-    let own = own_report(state);
+    let mut own = own_report(state);
     if state.stores.borrow().unsettled_count() > 0 {
         let fleet = state.fleet_saves.borrow();
         let settled = fleet.settled(&own, silence_ms(state), boot_ms());
         state.stores.borrow_mut().settle(&settled);
     }
-    state.report_writer.borrow_mut().next(&own)
+    let recipients = match collectors(state, boot_ms()) {
+        Some((_, true)) => {
+            list_unsettled(state, &mut own);
+            None
+        }
+        Some((addresses, false)) => Some(addresses),
+        None => None,
+    };
+    let report = state.report_writer.borrow_mut().next(&own)?;
+    Some((report, recipients))
 }
 
 /// Records the listed instances, which may order saves before they are heard from.
--- a/crates/gateway/tests/settled_parts.rs
+++ b/crates/gateway/tests/settled_parts.rs
@@ -3,6 +3,7 @@
 
 mod standins;
 
+use berylmount_policy::save_orders::UNTOLD_ORDER_MS;
 use serde_json::{json, Value};
 use standins::{
     event_stream_to, header, received_requests, route, scripted_runner, table, wait_until,
@@ -14,6 +15,8 @@
     time::{Duration, Instant},
 };
 
+/// Number of instances that count as a large fleet.
+const LARGE_FLEET: usize = 16;
 /// Size of the shared part of each prompt, in tokens.
 const PART_TOKENS: u32 = 10_000;
 
@@ -182,6 +185,28 @@
     }
 }
 
+/// Guards against a large fleet that fetches parts only when all orders must have begun: most of its
+/// instances don't get the reports of the others.
+#[test]
+fn instances_of_a_large_fleet_soon_fetch_what_a_collector_has_settled() {
+    let fleet = StoreFleet::start();
+    let names: Vec<String> = (0..LARGE_FLEET)
+        .map(|number| format!("i{number}"))
+        .collect();
+    let gateways: Vec<TestGateway> = names.iter().map(|name| fleet.start_gateway(name)).collect();
+    let scope = fleet.wait_for_saves(&gateways[0]);
+    // On a busy machine some parts may take longer.
+    let is_soon_fetched = (0..5).any(|number| {
+        let part = format!("bb{number}");
+        let held = Instant::now();
+        fleet.kept.hold(&scope, &part, PART_TOKENS);
+        let fetching = gateways.iter().step_by(5);
+        fetching.for_each(|gateway| fleet.wait_for_fetches(gateway, &part));
+        held.elapsed() < Duration::from_millis(UNTOLD_ORDER_MS)
+    });
+    assert!(is_soon_fetched);
+}
+
 /// Guards against a second save of a part, which would delay its first fetch.
 #[test]
 fn a_part_that_another_instance_saves_is_left_to_it() {
--- a/crates/policy/src/prefix_cache.rs
+++ b/crates/policy/src/prefix_cache.rs
@@ -253,9 +253,9 @@
         Some((epoch, known, settled.unwrap_or(known).min(known)))
     }
 
-    /// Number of parts that are not settled.
-    pub fn unsettled_count(&self) -> usize {
-        self.unsettled.len()
+    /// The parts that are not settled, sorted by key.
+    pub fn unsettled(&self) -> &[UnsettledPart] {
+        &self.unsettled
     }
 
     /// Records which parts are settled now.
--- a/crates/policy/src/save_orders.rs
+++ b/crates/policy/src/save_orders.rs
@@ -10,6 +10,9 @@
 //! *settled*, and may be fetched. Instances tell each other in a [`SaveReport`] which events of
 //! each store they have applied, and which parts have orders that have not begun.
 //!
+//! In a large fleet only a few *collectors* get the reports of all instances. They settle parts, and
+//! tell the others which ones.
+//!
 //! Invariants:
 //!
 //! - A settled part stays settled for as long as its store holds it. Therefore a report may be
@@ -163,7 +166,8 @@
     /// Number of the last event that the instance has applied, together with all before it; 0 if
     /// none.
     pub known: u64,
-    /// Number of the last event up to which all parts are settled.
+    /// Number of the last event up to which all parts are settled but for those in
+    /// [`SaveReport::unsettled`].
     pub settled: u64,
     /// Whether orders of an earlier process of the instance may not have begun.
     pub has_forgotten: bool,
@@ -184,6 +188,9 @@
     pub pending: Option<Vec<PartKey>>,
     /// Time until all these orders have ended at the latest, in milliseconds.
     pub longest_ms: u64,
+    /// Parts of the told stores that are not settled though their events are counted as such,
+    /// sorted.
+    pub unsettled: Vec<PartKey>,
 }
 
 impl SaveReport {
@@ -227,13 +234,21 @@
     stores: Vec<(StoreProgress, u32)>,
     /// The same of pending parts.
     pending: (Option<Vec<PartKey>>, u32),
+    /// How often it is still to be told that there are no exceptions any more.
+    exceptions_left: u32,
 }
 
 impl ReportWriter {
     /// Returns the next report, given one with all that is known now; `None` if the others know it
     /// all.
     pub fn next(&mut self, report: &SaveReport) -> Option<SaveReport> {
-        let is_full = self.number.is_multiple_of(FULL_REPORT_INTERVAL);
+        // The exceptions hold together with the progress of all stores.
+        self.exceptions_left = match report.unsettled.is_empty() {
+            true => self.exceptions_left.saturating_sub(1),
+            false => CHANGE_REPEATS + 1,
+        };
+        let has_exceptions = self.exceptions_left > 0;
+        let is_full = has_exceptions || self.number.is_multiple_of(FULL_REPORT_INTERVAL);
         self.number += 1;
         let repeats_left = |is_same: bool, left: u32| match is_same {
             true => left.saturating_sub(1),
@@ -338,7 +353,9 @@
             return;
         }
         self.told_until_ms = now_ms + report.longest_ms + RESPONSE_TOLERANCE_MS;
-        for progress in known.into_iter().flat_map(|known| known.stores) {
+        for mut progress in known.into_iter().flat_map(|known| known.stores) {
+            // What was settled holds together with the exceptions of its report.
+            progress.settled = 0;
             let found = report
                 .stores
                 .binary_search_by_key(&progress.store, |p| p.store);
@@ -465,12 +482,15 @@
             let StoreProgress { store, epoch, .. } = *progress;
             let known = reports.iter().map(|report| report.known(store, epoch));
             let told = counted.iter().filter_map(|known| known.report.as_ref());
-            let told = told.filter_map(|report| report.progress(store, epoch));
+            let told = told.filter_map(|report| {
+                let settled = report.progress(store, epoch)?.settled;
+                (settled > 0).then(|| (settled, report.unsettled.clone()))
+            });
             SettledStore {
                 store,
                 epoch,
                 known: known.min().unwrap_or(0),
-                told: told.map(|progress| progress.settled).max().unwrap_or(0),
+                told: told.collect(),
             }
         });
         let own_pending = own.pending.iter().flatten().map(|key| (*key, u64::MAX));
@@ -488,14 +508,14 @@
 }
 
 /// What all instances together know of one store.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct SettledStore {
     store: u64,
     epoch: u64,
     /// Number of the last event that all of them know.
     known: u64,
-    /// Number of the last event up to which one of them has told that all parts are settled.
-    told: u64,
+    /// Up to which event each of them has told that all parts are settled, and the exceptions.
+    told: Vec<(u64, Vec<PartKey>)>,
 }
 
 /// Which parts no save is left of.
@@ -514,7 +534,10 @@
     pub fn covers(&self, store: u64, epoch: u64, responded_ms: u64, part: &UnsettledPart) -> bool {
         let mut stores = self.stores.iter();
         let found = stores.find(|known| (known.store, known.epoch) == (store, epoch));
-        if found.is_some_and(|found| part.number <= found.told) {
+        let is_told = |(settled, unsettled): &(u64, Vec<PartKey>)| {
+            part.number <= *settled && unsettled.binary_search(&part.key).is_err()
+        };
+        if found.is_some_and(|found| found.told.iter().any(is_told)) {
             return true;
         }
         let start = self.pending.partition_point(|(key, _)| *key < part.key);
--- a/crates/policy/tests/save_orders.rs
+++ b/crates/policy/tests/save_orders.rs
@@ -35,6 +35,7 @@
         }],
         pending: Some(pending.iter().copied().map(PartKey).collect()),
         longest_ms: 3000,
+        unsettled: Vec::new(),
     }
 }
 
@@ -211,6 +212,31 @@
     told.stores[0].settled = 10;
     fleet.note_report(told, 1200);
     assert!(is_settled(&fleet, &own, 1300));
+    // What was settled is told together with the exceptions of that time.
+    let mut later = report(2, 1, 3, 12, &[]);
+    later.stores.clear();
+    fleet.note_report(later, 1300);
+    assert!(!is_settled(&fleet, &own, 1400));
+}
+
+/// Guards against a large fleet whose instances wait for parts that are settled: they learn from a
+/// collector which ones are not.
+#[test]
+fn a_collector_tells_which_parts_are_not_settled() {
+    // Only the collector knows what all others know.
+    let own = report(1, 1, 1, 12, &[]);
+    let mut fleet = FleetSaves::default();
+    fleet.note_heard(3, 1000);
+    let mut writer = ReportWriter::default();
+    let mut tell = |unsettled: &[u64]| {
+        let mut told = report(2, 1, 0, 12, &[]);
+        told.stores[0].settled = 12;
+        told.unsettled = unsettled.iter().copied().map(PartKey).collect();
+        fleet.note_report(writer.next(&told).unwrap(), 1100);
+        is_settled(&fleet, &own, 1200)
+    };
+    let outcomes = [tell(&[7, 8]), tell(&[7]), tell(&[8]), tell(&[]), tell(&[])];
+    assert_eq!(outcomes, [false, false, true, true, true]);
 }
 
 /// An instance that starts later learns of all stores.
--- a/crates/policy/tests/store_epochs.rs
+++ b/crates/policy/tests/store_epochs.rs
@@ -231,6 +231,7 @@
             stores: stores.into_iter().collect(),
             pending: Some(self.orders.pending(|_| responded_ms)),
             longest_ms: self.orders.longest_ms(now_ms),
+            unsettled: Vec::new(),
         };
         let settled = self.fleet.settled(&own, SILENCE_MS, now_ms);
         if let Some(epoch) = self.catalogue.epoch() {
