Cut and stop the simulated instances as often as before

An instance was cut from the store or stood still before a restart with a probability of 1/4 each; since then it was 1/8 each, with 1/8 for instances that are isolated altogether.

Change: 1/4 each again, and 1/8 for isolated ones.

No product code changed but for the comment.

--- a/crates/policy/src/save_orders.rs
+++ b/crates/policy/src/save_orders.rs
@@ -35,8 +35,8 @@
 const CHANGE_REPEATS: u32 = 3;
 /// Number of reports after which one has all stores again, for instances that have just started.
 const FULL_REPORT_INTERVAL: u64 = 10;
-/// Longest time until a request with an order starts at its runner, in milliseconds. Runners with
-/// longer queues get no orders.
+/// Assumed longest time until a request with an order starts at its runner, in milliseconds. Nothing
+/// enforces it, but runners that report longer queues get no orders.
 pub const MAX_START_MS: u64 = 4000;
 /// Time after which orders that no instance tells of count as begun, in milliseconds:
 /// [`MAX_START_MS`], and a tolerance for clocks and network latency.
--- a/crates/policy/tests/store_epochs.rs
+++ b/crates/policy/tests/store_epochs.rs
@@ -347,9 +347,9 @@
             for instance in &mut instances {
                 let until_ms = now_ms + rng.random_range(0..MAX_ABSENCE_MS);
                 instance.absence = match rng.random_range(0..8) {
-                    0 => Some((Absence::StoreCut, until_ms)),
-                    1 => Some((Absence::Isolated, until_ms)),
-                    2 => Some((Absence::Stopped, until_ms)),
+                    0 | 1 => Some((Absence::StoreCut, until_ms)),
+                    2 => Some((Absence::Isolated, until_ms)),
+                    3 | 4 => Some((Absence::Stopped, until_ms)),
                     _ => None,
                 };
                 if rng.random_bool(0.05) {
